Add the design, shared types, store client and stand-in store

Cause: the project starts empty; every part needs the same document types, store interface and stand-in to be built and tested against. Conclusion: the parts can now be built side by side on these interfaces.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: setup test demo bench report model soak lint format clean
+
+setup: $(STAMP)
+
+$(STAMP): pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet -c constraints.txt -e '.[dev]'
+	touch $(STAMP)
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+test: lint
+	$(BIN)/python -m pytest
+
+model: setup
+	$(BIN)/python -m foxtailwell_model
+
+soak: setup
+	FOXTAILWELL_PROFILE=soak $(BIN)/python -m pytest tests
+
+demo: setup
+	PATH="$(CURDIR)/$(BIN):$$PATH" scripts/demo.sh
+
+bench: setup
+	$(BIN)/python -m foxtailwell_bench
+
+report: setup
+	$(BIN)/python -m foxtailwell_bench.report
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/src/foxtailwell/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters: one module per outside system or library."""
--- /dev/null
+++ b/src/foxtailwell/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line programs."""
--- /dev/null
+++ b/src/foxtailwell/core/_inventory.py
@@ -0,0 +1,41 @@
+"""The fleet as the instance list reports it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Literal
+
+Role = Literal["entry", "scheduler", "minion", "worker"]
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceRecord:
+    """One live or leaving instance.
+
+    Attributes:
+        id: Identifier, unique over all roles.
+        role: What runs on it.
+        zone: Its availability zone.
+        address: `host:port` of its interface; for own daemons the peer port.
+        state: Whether it takes new work.
+        rack: Rack of a worker or minion.
+        region: Region of the zone.
+        cores: Processor cores of a worker.
+        memory_gb: Memory of a worker.
+        accelerators: Accelerators of a worker, numbered from 0.
+        slots: Requests that a minion runs at once.
+        connections: Connections that a minion accepts.
+    """
+
+    id: str
+    role: Role
+    zone: str
+    address: str
+    state: Literal["live", "leaving"] = "live"
+    rack: str = ""
+    region: str = ""
+    cores: int = 0
+    memory_gb: int = 0
+    accelerators: int = 0
+    slots: int = 0
+    connections: int = 0
--- /dev/null
+++ b/src/foxtailwell/core/errors.py
@@ -0,0 +1,118 @@
+"""Typed errors. Each names a stable code and the remedy for whoever reads it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = [
+    "ConflictError",
+    "FoxtailwellError",
+    "NotRunError",
+    "OutcomeUnknownError",
+    "StoreConflictError",
+    "StoreOverloadedError",
+    "StoreUnavailableError",
+    "UnavailableError",
+    "UnsupportedSchemaError",
+    "ValidationError",
+    "ValidationIssue",
+]
+
+
+class FoxtailwellError(Exception):
+    """Base of all errors raised on purpose.
+
+    Args:
+        message: What happened, with the values that matter.
+        remedy: What the reader can do about it.
+    """
+
+    code = "internal"
+
+    def __init__(self, message: str, remedy: str = "report this with the log around it") -> None:
+        super().__init__(message)
+        self.message = message
+        self.remedy = remedy
+
+    def __str__(self) -> str:
+        return f"{self.message}; remedy: {self.remedy}"
+
+
+@dataclass(frozen=True, slots=True)
+class ValidationIssue:
+    """One thing that is wrong in an input document."""
+
+    path: str
+    found: str
+    remedy: str
+
+
+class ValidationError(FoxtailwellError):
+    """An input document is wrong; lists every issue at once."""
+
+    code = "invalid"
+
+    def __init__(self, source: str, issues: tuple[ValidationIssue, ...]) -> None:
+        lines = "; ".join(f"{i.path}: {i.found} ({i.remedy})" for i in issues)
+        super().__init__(f"{source}: {lines}", "correct the listed fields and try again")
+        self.source = source
+        self.issues = issues
+
+
+class ConflictError(FoxtailwellError):
+    """A change was based on a revision that is no longer current."""
+
+    code = "revision_conflict"
+
+    def __init__(self, message: str, remedy: str, current_revision: int) -> None:
+        super().__init__(message, remedy)
+        self.current_revision = current_revision
+
+
+class UnavailableError(FoxtailwellError):
+    """A part that the operation needs cannot be reached; nothing was accepted."""
+
+    code = "unavailable"
+
+
+class NotRunError(FoxtailwellError):
+    """The work did not run; sending it again is safe."""
+
+    code = "not_run"
+
+
+class OutcomeUnknownError(FoxtailwellError):
+    """The work may have run."""
+
+    code = "outcome_unknown"
+
+
+class StoreUnavailableError(FoxtailwellError):
+    """The store did not respond; a write may have taken effect."""
+
+    code = "store_unavailable"
+
+
+class StoreOverloadedError(FoxtailwellError):
+    """The store refused the call because of its rate limit; nothing took effect."""
+
+    code = "store_overloaded"
+
+
+class StoreConflictError(FoxtailwellError):
+    """The expected version of a compare-and-swap is not the current one."""
+
+    code = "store_conflict"
+
+    def __init__(self, key: str, expected_version: int, current_version: int) -> None:
+        super().__init__(
+            f"{key}: expected version {expected_version}, found {current_version}",
+            "read the key again and repeat the change on the current value",
+        )
+        self.current_version = current_version
+
+
+class UnsupportedSchemaError(FoxtailwellError):
+    """A document was written by a newer release."""
+
+    code = "unsupported_schema"
--- /dev/null
+++ b/src/foxtailwell/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon: callers, operators and claims."""
--- /dev/null
+++ b/src/foxtailwell/fleet/_view.py
@@ -0,0 +1,58 @@
+"""The state that the fleet tasks own and the other tasks of a daemon read."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import anyio
+
+from foxtailwell.adapters.peers import ClaimAnswer, ClaimQuery, Load
+from foxtailwell.core import Configuration, Evidence, InstanceRecord
+
+
+@dataclass(frozen=True, slots=True)
+class PeerState:
+    """What is known of one own daemon.
+
+    Attributes:
+        record: Entry of the instance list.
+        revision: Configuration revision that it runs.
+        load: Load that it last reported.
+        last_reply_monotonic_s: When it last replied.
+    """
+
+    record: InstanceRecord
+    revision: int
+    load: Load
+    last_reply_monotonic_s: float
+
+
+@dataclass(slots=True)
+class FleetView:
+    """Current view of the fleet. Only the fleet tasks write it.
+
+    Attributes:
+        configuration: Configuration in force; its revision never falls.
+        evidence: Newest evidence that the configuration was current.
+        instances: Instance list by identifier, own daemons included.
+        peers: Own daemons that replied within the last seconds, by identifier.
+        store_is_available: Whether the last store call was answered.
+        own_load: Load that heartbeats report; the entry's queue task sets it.
+        ask_claim: Sends a claim query to a peer by its identifier; None where it does not reply.
+        changed: Replaced and set whenever the view changes.
+    """
+
+    configuration: Configuration = field(default_factory=Configuration)
+    evidence: Evidence | None = None
+    instances: dict[str, InstanceRecord] = field(default_factory=dict)
+    peers: dict[str, PeerState] = field(default_factory=dict)
+    store_is_available: bool = False
+    own_load: Load = field(default_factory=Load)
+    ask_claim: Callable[[str, ClaimQuery], Awaitable[ClaimAnswer | None]] | None = None
+    changed: anyio.Event = field(default_factory=anyio.Event)
+
+    def notify(self) -> None:
+        """Wake the tasks that wait for a change of the view."""
+        self.changed.set()
+        self.changed = anyio.Event()
--- /dev/null
+++ b/src/foxtailwell/scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""The scheduler daemon: placement and the lifecycle of gangs."""
--- /dev/null
+++ b/src/foxtailwell_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the scheduling policy and of the running daemons."""
--- /dev/null
+++ b/src/foxtailwell_model/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of the core protocol for the model checker."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,56 @@
+"""Shared fixtures."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import AsyncIterator, Callable
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+
+import anyio
+import pytest
+from hypothesis import settings
+
+from foxtailwell.adapters.http_server import serve_http
+from foxtailwell.adapters.store import StoreClient, open_store
+from foxtailwell_standins.store import StoreState, make_store_app
+
+# CI must give the same verdict on every run: fixed examples, no time limits.
+settings.register_profile("ci", derandomize=True, deadline=None, database=None, max_examples=60)
+settings.register_profile("soak", deadline=None, max_examples=2000, print_blob=True)
+settings.load_profile(os.environ.get("FOXTAILWELL_PROFILE", "ci"))
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Run asynchronous tests on asyncio, as the daemons do."""
+    return "asyncio"
+
+
+@pytest.fixture
+def serving() -> Callable[[object], AbstractAsyncContextManager[str]]:
+    """Return a context manager that serves an application and yields its URL."""
+
+    @asynccontextmanager
+    async def serve(app: object) -> AsyncIterator[str]:
+        stop = anyio.Event()
+        async with anyio.create_task_group() as group:
+            port = await group.start(serve_http, app, "127.0.0.1", 0, stop)
+            try:
+                yield f"http://127.0.0.1:{port}"
+            finally:
+                group.cancel_scope.cancel()
+
+    return serve
+
+
+@pytest.fixture
+async def store_state() -> StoreState:
+    """State of the stand-in store, with its failures."""
+    return StoreState()
+
+
+@pytest.fixture
+async def store(store_state: StoreState, serving: Callable) -> AsyncIterator[StoreClient]:
+    """Client of a running stand-in store."""
+    async with serving(make_store_app(store_state)) as url, open_store(url) as client:
+        yield client
--- /dev/null
+++ b/tests/test_import_directions.py
@@ -0,0 +1,65 @@
+"""Import directions of the packages."""
+
+from __future__ import annotations
+
+import ast
+from pathlib import Path
+
+import pytest
+
+SOURCE = Path(__file__).parent.parent / "src"
+ALLOWED = {
+    "foxtailwell/core": {"foxtailwell.core"},
+    "foxtailwell/adapters": {"foxtailwell.core", "foxtailwell.adapters"},
+    "foxtailwell/fleet": {"foxtailwell.core", "foxtailwell.adapters", "foxtailwell.fleet"},
+    "foxtailwell/entry": {
+        "foxtailwell.core",
+        "foxtailwell.adapters",
+        "foxtailwell.fleet",
+        "foxtailwell.entry",
+    },
+    "foxtailwell/scheduler": {
+        "foxtailwell.core",
+        "foxtailwell.adapters",
+        "foxtailwell.fleet",
+        "foxtailwell.scheduler",
+    },
+}
+CORE_LIBRARIES = {"result"}
+IO_MODULES = {"socket", "os", "time", "random", "asyncio", "threading", "pathlib", "datetime"}
+
+
+def _imports(path: Path) -> set[str]:
+    names: set[str] = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            names |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            names.add(node.module)
+    return names
+
+
+@pytest.mark.parametrize("package", sorted(ALLOWED))
+def test_package_imports_only_what_its_layer_allows(package):
+    """Guards against a layer that reaches upwards, which would bring I/O into the core."""
+    allowed = ALLOWED[package]
+    files = list((SOURCE / package).rglob("*.py"))
+    assert files
+    for path in files:
+        own = {name for name in _imports(path) if name.split(".")[0].startswith("foxtailwell")}
+        wrong = {n for n in own if n != "foxtailwell" and not any(n.startswith(a) for a in allowed)}
+        assert not wrong, f"{path.name} imports {wrong}"
+
+
+def test_product_never_imports_stand_ins():
+    """Guards against a product that only works with the stand-ins installed."""
+    for path in (SOURCE / "foxtailwell").rglob("*.py"):
+        tops = {name.split(".")[0] for name in _imports(path)}
+        assert not {t for t in tops if t.startswith("foxtailwell_")}, path.name
+
+
+def test_core_uses_no_input_or_output():
+    """Guards against a clock, a socket or a random source inside the core."""
+    for path in (SOURCE / "foxtailwell/core").rglob("*.py"):
+        tops = {name.split(".")[0] for name in _imports(path)}
+        assert not tops & IO_MODULES, path.name
