Add transitions, identifiers and shards of jobs

The entry needs the identifier and the shard to submit jobs, and the scheduler needs one place that decides which changes of state are legal. History is bounded at 16 transitions, because a job that returns to the queue often would otherwise fill its shard of 1 MB. A cancelled job is refused at the transition to preparing, so no caller can forget it.

--- a/src/foxtailwell/core/_jobs.py
+++ b/src/foxtailwell/core/_jobs.py
@@ -2,12 +2,22 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+import hashlib
+import zlib
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 
+from foxtailwell.core.errors import IllegalTransitionError
+
 JOBS_SCHEMA_VERSION = 1
 JOB_SHARD_COUNT = 16
 
+HISTORY_LIMIT = 16
+"""Transitions kept per job; a job that returns to the queue often must not fill its shard."""
+
+ENDED_JOB_KEPT_MS = 24 * 3600 * 1000
+"""Time for which callers can read the outcome of an ended job."""
+
 
 class JobState(StrEnum):
     """State of a job."""
@@ -99,3 +109,122 @@
 
     schema_version: int = JOBS_SCHEMA_VERSION
     jobs: dict[str, Job] = field(default_factory=dict)
+
+
+_NEXT_STATES: dict[JobState, frozenset[JobState]] = {
+    JobState.ACCEPTED: frozenset({JobState.WAITING, JobState.FAILED, JobState.CANCELLED}),
+    JobState.WAITING: frozenset({JobState.PREPARING, JobState.FAILED, JobState.CANCELLED}),
+    JobState.PREPARING: frozenset(
+        {
+            JobState.RUNNING,
+            JobState.STOPPING,
+            JobState.WAITING,
+            JobState.DONE,
+            JobState.FAILED,
+            JobState.CANCELLED,
+        }
+    ),
+    JobState.RUNNING: frozenset(
+        {
+            JobState.CHECKPOINTING,
+            JobState.STOPPING,
+            JobState.WAITING,
+            JobState.DONE,
+            JobState.FAILED,
+            JobState.CANCELLED,
+        }
+    ),
+    JobState.CHECKPOINTING: frozenset(
+        {
+            JobState.STOPPING,
+            JobState.WAITING,
+            JobState.DONE,
+            JobState.FAILED,
+            JobState.CANCELLED,
+        }
+    ),
+    JobState.STOPPING: frozenset(
+        {JobState.WAITING, JobState.DONE, JobState.FAILED, JobState.CANCELLED}
+    ),
+    JobState.DONE: frozenset(),
+    JobState.FAILED: frozenset(),
+    JobState.CANCELLED: frozenset(),
+}
+
+
+def job_id(account: str, idempotency_key: str) -> str:
+    """Return the identifier of a job, the same for every submission with the same key."""
+    # The length separates the two parts, so that no two pairs give the same text.
+    text = f"{len(account)}:{account}:{idempotency_key}"
+    return "j-" + hashlib.sha256(text.encode()).hexdigest()[:24]
+
+
+def job_shard(job_id: str) -> int:
+    """Return the number of the `jobs/` document that holds a job."""
+    return zlib.crc32(job_id.encode()) % JOB_SHARD_COUNT
+
+
+def transition(job: Job, state: JobState, at_unix_ms: int, reason: str) -> Job:
+    """Return the job in another state, with the reason in its history.
+
+    Args:
+        job: Job as the store keeps it.
+        state: State to enter.
+        at_unix_ms: Time of the transition.
+        reason: Why, for whoever reads the history.
+
+    Returns:
+        The changed job.
+
+    Raises:
+        IllegalTransitionError: The job cannot enter the state from its present one, or it is
+            cancelled and would start.
+    """
+    if state not in _NEXT_STATES[job.state]:
+        raise IllegalTransitionError(job.id, job.state, state)
+    if state is JobState.PREPARING and job.cancel_requested:
+        raise IllegalTransitionError(job.id, f"{job.state} (cancel requested)", state)
+    history = (*job.history, Transition(state, at_unix_ms, reason))[-HISTORY_LIMIT:]
+    changed = replace(job, state=state, history=history)
+    if state is JobState.RUNNING:
+        return replace(changed, started_unix_ms=at_unix_ms)
+    if state is JobState.WAITING or state.is_final:
+        return replace(changed, zone="", started_unix_ms=0)
+    return changed
+
+
+def begin_attempt(job: Job, zone: str, at_unix_ms: int, reason: str) -> Job:
+    """Return the job assigned to a zone for a new attempt.
+
+    Raises:
+        IllegalTransitionError: The job does not wait, or it is cancelled.
+    """
+    preparing = transition(job, JobState.PREPARING, at_unix_ms, reason)
+    return replace(preparing, zone=zone, attempt=job.attempt + 1)
+
+
+def ended_unix_ms(job: Job) -> int | None:
+    """Return when the job ended, or None while it has not."""
+    if not job.state.is_final:
+        return None
+    return job.history[-1].at_unix_ms if job.history else job.submitted_unix_ms
+
+
+def without_expired_jobs(shard: JobShard, now_unix_ms: int) -> JobShard:
+    """Return the shard without the jobs that ended too long ago.
+
+    Returns:
+        The same object when no job has expired.
+    """
+    limit = now_unix_ms - ENDED_JOB_KEPT_MS
+    kept = {}
+    for job in shard.jobs.values():
+        ended = ended_unix_ms(job)
+        if ended is None or ended > limit:
+            kept[job.id] = job
+    return shard if len(kept) == len(shard.jobs) else replace(shard, jobs=kept)
+
+
+def put_job(shard: JobShard, job: Job) -> JobShard:
+    """Return the shard with a job added or replaced."""
+    return replace(shard, jobs={**shard.jobs, job.id: job})
--- a/src/foxtailwell/core/errors.py
+++ b/src/foxtailwell/core/errors.py
@@ -7,6 +7,7 @@
 __all__ = [
     "ConflictError",
     "FoxtailwellError",
+    "IllegalTransitionError",
     "NotRunError",
     "OutcomeUnknownError",
     "StoreConflictError",
@@ -75,6 +76,18 @@
     code = "unavailable"
 
 
+class IllegalTransitionError(FoxtailwellError):
+    """A job cannot enter a state from the one it is in."""
+
+    code = "illegal_transition"
+
+    def __init__(self, job_id: str, present: str, wanted: str) -> None:
+        super().__init__(
+            f"job {job_id} is {present} and cannot become {wanted}",
+            "read the job again and decide on its present state",
+        )
+
+
 class NotRunError(FoxtailwellError):
     """The work did not run; sending it again is safe."""
 
