Add the gang protocol, allocations and workers with their stand-in

A gang is started by prepare, start and run. The job is written as running before the first run, so that a scheduler that takes over knows whether a member may have worked, and a cancel that came first prevents the start. Renewals name the worker's clock, because a renewal that is delayed in the network must not extend a lease that counts as lapsed.

--- a/src/foxtailwell/core/_allocations.py
+++ b/src/foxtailwell/core/_allocations.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+from foxtailwell.core.errors import AcceleratorsTakenError
 
 ALLOCATION_SCHEMA_VERSION = 1
 
@@ -36,3 +39,83 @@
     holder: str = ""
     gangs: dict[str, Gang] = field(default_factory=dict)
     quarantined: dict[str, int] = field(default_factory=dict)
+
+
+def taken_accelerators(allocation: ZoneAllocation) -> dict[str, set[int]]:
+    """Return the taken accelerators by worker."""
+    taken: dict[str, set[int]] = {}
+    for gang in allocation.gangs.values():
+        for member in gang.members:
+            taken.setdefault(member.worker, set()).update(member.accelerators)
+    return taken
+
+
+def take(allocation: ZoneAllocation, gang: Gang) -> ZoneAllocation:
+    """Take all accelerators of a gang, or none.
+
+    Args:
+        allocation: Document of the zone.
+        gang: Gang with its members.
+
+    Returns:
+        The document with the gang; the same object when the gang holds them already.
+
+    Raises:
+        AcceleratorsTakenError: One of the accelerators is taken, or the job holds others.
+    """
+    present = allocation.gangs.get(gang.job_id)
+    if present is not None:
+        if (present.attempt, present.members) == (gang.attempt, gang.members):
+            return allocation
+        raise AcceleratorsTakenError(gang.job_id, f"attempt {present.attempt} still holds some")
+    taken = taken_accelerators(allocation)
+    for member in gang.members:
+        indexes = taken.setdefault(member.worker, set())
+        for index in member.accelerators:
+            if index in indexes:
+                raise AcceleratorsTakenError(gang.job_id, f"{member.worker} accelerator {index}")
+            indexes.add(index)
+    return replace(allocation, gangs={**allocation.gangs, gang.job_id: gang})
+
+
+def release(allocation: ZoneAllocation, job_id: str, attempt: int) -> ZoneAllocation:
+    """Return the document without the gang of one attempt.
+
+    Returns:
+        The same object when that attempt holds nothing.
+    """
+    present = allocation.gangs.get(job_id)
+    if present is None or present.attempt != attempt:
+        return allocation
+    gangs = {key: gang for key, gang in allocation.gangs.items() if key != job_id}
+    return replace(allocation, gangs=gangs)
+
+
+def release_workers(
+    allocation: ZoneAllocation, job_id: str, attempt: int, workers: Iterable[str]
+) -> ZoneAllocation:
+    """Return the document with a gang's accelerators on some workers free.
+
+    The gang keeps its entry until `release`, so that the job cannot take accelerators twice.
+    """
+    present = allocation.gangs.get(job_id)
+    if present is None or present.attempt != attempt:
+        return allocation
+    free = set(workers)
+    left = tuple(member for member in present.members if member.worker not in free)
+    if left == present.members:
+        return allocation
+    return replace(allocation, gangs={**allocation.gangs, job_id: replace(present, members=left)})
+
+
+def raise_term(allocation: ZoneAllocation, zone: str, holder: str) -> ZoneAllocation:
+    """Return the document with the next fencing token for a new holder."""
+    return replace(allocation, zone=zone, term=allocation.term + 1, holder=holder)
+
+
+def quarantine(
+    allocation: ZoneAllocation, worker: str, until_unix_ms: int, now_unix_ms: int
+) -> ZoneAllocation:
+    """Return the document with a worker in quarantine, without entries that are over."""
+    kept = {name: end for name, end in allocation.quarantined.items() if end > now_unix_ms}
+    return replace(allocation, quarantined={**kept, worker: until_unix_ms})
--- /dev/null
+++ b/src/foxtailwell/core/_gangs.py
@@ -0,0 +1,565 @@
+"""Protocol that starts and stops one gang: events in, commands and store effects out.
+
+All times are readings of the local monotonic clock. The caller delivers the commands, reports
+what the workers answer, and carries out the effects. Every command may be lost, delivered twice
+or answered without the answer arriving; commands are therefore repeated until a report shows
+that they were carried out.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from enum import StrEnum
+
+from foxtailwell.core._allocations import Gang
+from foxtailwell.core._freshness import PREPARATION_LIMIT_S, Evidence, may_start
+from foxtailwell.core._jobs import Job, JobState
+from foxtailwell.core._plan import StopReason
+
+TASK_LEASE_S = 30.0
+"""Time for which a worker runs a task without a renewal."""
+
+RUN_LATEST_S = 1.0
+"""Latest time after the preparation at which `run` is sent for the first time. Workers accept it
+for 2 s, so the rest is left for repeating a `run` that was lost; without it one lost message
+could leave a gang half running."""
+
+REPEAT_S = 0.3
+"""Time after which a command without a visible effect is sent again."""
+
+LOST_AFTER_S = 15.0
+"""Silence after which a worker of a running gang counts as lost. It is half of the task lease, so
+that short network cuts end no gang."""
+
+
+class TaskState(StrEnum):
+    """State of one member's task on its worker; `ABSENT` when the worker does not know it."""
+
+    PREPARED = "prepared"
+    STARTED = "started"
+    RUNNING = "running"
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    EXPIRED = "expired"
+    ABSENT = "absent"
+
+
+_ENDED = frozenset(
+    {TaskState.DONE, TaskState.FAILED, TaskState.STOPPED, TaskState.EXPIRED, TaskState.ABSENT}
+)
+_LOST = _ENDED - {TaskState.DONE}
+
+
+class Operation(StrEnum):
+    """What a worker is told to do with a task."""
+
+    PREPARE = "prepare"
+    START = "start"
+    RUN = "run"
+    CHECKPOINT = "checkpoint"
+    STOP = "stop"
+    THROTTLE = "throttle"
+
+
+class GangPhase(StrEnum):
+    """Step of the protocol."""
+
+    PREPARING = "preparing"
+    STARTING = "starting"
+    COMMITTING = "committing"
+    OPENING = "opening"
+    RUNNING = "running"
+    CHECKPOINTING = "checkpointing"
+    STOPPING = "stopping"
+    ENDED = "ended"
+
+
+@dataclass(frozen=True, slots=True)
+class MemberCommand:
+    """Command for one member."""
+
+    operation: Operation
+    member: int
+    checkpoint: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class CommitRun:
+    """Write the job as running, unless it is cancelled, and report `RunCommitted`.
+
+    The write comes before the first `run`: a scheduler that takes over knows from the job
+    document whether any member may have worked.
+    """
+
+
+@dataclass(frozen=True, slots=True)
+class MarkJob:
+    """Write a state of the job that only informs its reader."""
+
+    state: JobState
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndAttempt:
+    """Write the outcome of the attempt, then release the accelerators."""
+
+    state: JobState
+    reason: str
+    checkpoint: str = ""
+    failed_workers: tuple[str, ...] = ()
+
+
+Effect = CommitRun | MarkJob | EndAttempt
+
+
+@dataclass(frozen=True, slots=True)
+class TaskSeen:
+    """A worker reported the state of a member's task."""
+
+    member: int
+    state: TaskState
+    has_run: bool = False
+    checkpoint: str = ""
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class CommandRefused:
+    """A worker refused a command for a reason that repeating does not cure."""
+
+    member: int
+    operation: Operation
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class RunCommitted:
+    """The job is written as running (True), or was cancelled or taken away (False)."""
+
+    is_running: bool
+    reason: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class StopRequested:
+    """Checkpoint if there is time, then stop."""
+
+    reason: StopReason
+    checkpoint_wait_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class TimePassed:
+    """Nothing happened; time limits are checked."""
+
+
+GangEvent = TaskSeen | CommandRefused | RunCommitted | StopRequested | TimePassed
+
+
+@dataclass(frozen=True, slots=True)
+class Permission:
+    """What the scheduler knows about its right to start tasks now."""
+
+    now_s: float
+    evidence: Evidence | None
+    zone_is_out: bool
+
+    @property
+    def allows_start(self) -> bool:
+        """Whether a task may start now."""
+        return may_start(self.evidence, self.now_s, self.zone_is_out)
+
+
+@dataclass(frozen=True, slots=True)
+class MemberRun:
+    """One member as the scheduler knows it.
+
+    Attributes:
+        worker: Its worker.
+        task: Newest reported state; None before the first report.
+        may_have_run: Whether its task may have worked.
+        checkpoint: Newest checkpoint that it reported.
+        heard_s: Newest report, or the moment from which the task lease may count.
+        has_lapsed: Whether its task lease has certainly ended.
+        detail: Cause of a failure.
+    """
+
+    worker: str
+    heard_s: float
+    task: TaskState | None = None
+    may_have_run: bool = False
+    checkpoint: str = ""
+    has_lapsed: bool = False
+    detail: str = ""
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether its accelerators are certainly idle."""
+        return self.has_lapsed or self.task in _ENDED
+
+
+@dataclass(frozen=True, slots=True)
+class GangRun:
+    """One attempt of a job.
+
+    Attributes:
+        job_id: Its job.
+        attempt: Number of the attempt.
+        is_idempotent: Whether the job may run more than once.
+        members: Its members in order.
+        phase: Step of the protocol.
+        since_s: Start of the attempt.
+        sent_s: When commands were last sent.
+        checkpoint: Newest checkpoint of the whole gang.
+        wanted_checkpoint: Checkpoint that the members were told to write.
+        stop_by_s: Latest end of the checkpoint.
+        stop_kind: Requested stop, empty when the gang stops by itself.
+        stop_reason: Why the gang stops, for the job's history.
+    """
+
+    job_id: str
+    attempt: int
+    is_idempotent: bool
+    members: tuple[MemberRun, ...]
+    phase: GangPhase
+    since_s: float
+    sent_s: float
+    checkpoint: str = ""
+    wanted_checkpoint: str = ""
+    stop_by_s: float = 0.0
+    stop_kind: StopReason | None = None
+    stop_reason: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class GangStep:
+    """Result of one event."""
+
+    run: GangRun
+    commands: tuple[MemberCommand, ...] = ()
+    effects: tuple[Effect, ...] = ()
+
+
+def begin_gang(job: Job, gang: Gang, now_s: float) -> GangStep:
+    """Begin an attempt whose accelerators are taken: prepare all members."""
+    members = tuple(MemberRun(member.worker, now_s) for member in gang.members)
+    run = GangRun(
+        job.id,
+        gang.attempt,
+        job.idempotent,
+        members,
+        GangPhase.PREPARING,
+        now_s,
+        now_s,
+        job.checkpoint,
+    )
+    return GangStep(run, _to_all(run, Operation.PREPARE))
+
+
+def resume_gang(job: Job, gang: Gang, now_s: float) -> GangRun:
+    """Continue an attempt of a previous scheduler; the workers' reports decide what follows.
+
+    A job that is not written as running never got `run`, so it can only be stopped: the time
+    left of its preparation is not known.
+    """
+    was_released = job.state is not JobState.PREPARING
+    members = tuple(
+        MemberRun(member.worker, now_s, may_have_run=was_released) for member in gang.members
+    )
+    run = GangRun(
+        job.id,
+        gang.attempt,
+        job.idempotent,
+        members,
+        GangPhase.RUNNING,
+        now_s,
+        # The first tick sends what is missing.
+        now_s - REPEAT_S,
+        job.checkpoint,
+    )
+    if job.state in (JobState.PREPARING, JobState.STOPPING, JobState.CHECKPOINTING):
+        reason = job.history[-1].reason if job.history else "stop"
+        text = (
+            "scheduler replaced during the start"
+            if job.state is JobState.PREPARING
+            else f"scheduler replaced while stopping: {reason}"
+        )
+        return replace(run, phase=GangPhase.STOPPING, stop_reason=text)
+    return run
+
+
+def advance(run: GangRun, event: GangEvent, permission: Permission) -> GangStep:
+    """Apply one event.
+
+    Args:
+        run: Present state.
+        event: What happened.
+        permission: Time and evidence at this moment.
+
+    Returns:
+        The new state with the commands to send and the effects to carry out.
+    """
+    if run.phase is GangPhase.ENDED:
+        return GangStep(run)
+    now_s = permission.now_s
+    if isinstance(event, TaskSeen):
+        run = _note_report(run, event, now_s)
+    elif isinstance(event, StopRequested):
+        return _request_stop(run, event, now_s)
+    elif isinstance(event, CommandRefused):
+        return _note_refusal(run, event, now_s)
+    elif isinstance(event, RunCommitted):
+        return _open_barrier(run, event, permission)
+    return _PHASES[run.phase](_note_lapses(run, now_s), permission)
+
+
+def _note_report(run: GangRun, seen: TaskSeen, now_s: float) -> GangRun:
+    member = run.members[seen.member]
+    if member.task in _ENDED:
+        return run
+    if seen.state is TaskState.ABSENT and member.task is None and run.phase is GangPhase.PREPARING:
+        # The report may be older than the preparation.
+        return run
+    is_idle = seen.state is not TaskState.ABSENT and not seen.has_run
+    # A report that the task has not worked clears the doubt only when no `run` is under way.
+    may_have_run = seen.has_run or (member.may_have_run and not (is_idle and seen.state in _ENDED))
+    changed = replace(
+        member,
+        task=seen.state,
+        heard_s=now_s,
+        may_have_run=may_have_run,
+        checkpoint=seen.checkpoint or member.checkpoint,
+        detail=seen.detail or member.detail,
+    )
+    members = (*run.members[: seen.member], changed, *run.members[seen.member + 1 :])
+    run = replace(run, members=members)
+    wanted = run.wanted_checkpoint
+    if wanted and all(m.checkpoint == wanted or m.task is TaskState.DONE for m in members):
+        run = replace(run, checkpoint=wanted)
+    return run
+
+
+def _note_lapses(run: GangRun, now_s: float) -> GangRun:
+    members = tuple(
+        m
+        if m.has_ended or now_s - m.heard_s <= TASK_LEASE_S
+        else replace(m, has_lapsed=True, detail=m.detail or "task lease lapsed")
+        for m in run.members
+    )
+    return replace(run, members=members)
+
+
+def _note_refusal(run: GangRun, refused: CommandRefused, now_s: float) -> GangStep:
+    is_start = refused.operation in (Operation.PREPARE, Operation.START, Operation.RUN)
+    if not is_start or run.phase in (GangPhase.STOPPING, GangPhase.CHECKPOINTING):
+        return GangStep(run)
+    worker = run.members[refused.member].worker
+    return _stop(run, f"{worker} refused {refused.operation}: {refused.reason}", now_s)
+
+
+def _prepare(run: GangRun, permission: Permission) -> GangStep:
+    now_s = permission.now_s
+    if lost := _lost_members(run, now_s):
+        return _stop(run, _loss_text(lost), now_s)
+    if all(m.task is TaskState.PREPARED for m in run.members):
+        if permission.zone_is_out:
+            return _stop(run, "zone taken out of service", now_s)
+        if permission.allows_start and now_s - run.since_s <= RUN_LATEST_S:
+            run = replace(run, phase=GangPhase.STARTING, sent_s=now_s)
+            return GangStep(run, _to_all(run, Operation.START))
+    if now_s - run.since_s > RUN_LATEST_S:
+        is_ready = all(m.task is TaskState.PREPARED for m in run.members)
+        cause = "configuration evidence is too old" if is_ready else "not all members prepared"
+        return _stop(run, cause, now_s)
+    return _repeat(run, Operation.PREPARE, {None}, now_s)
+
+
+def _start(run: GangRun, permission: Permission) -> GangStep:
+    now_s = permission.now_s
+    if lost := _lost_members(run, now_s):
+        return _stop(run, _loss_text(lost), now_s)
+    if now_s - run.since_s > RUN_LATEST_S:
+        return _stop(run, "not all members started in time", now_s)
+    if all(m.task is TaskState.STARTED for m in run.members):
+        return GangStep(replace(run, phase=GangPhase.COMMITTING), effects=(CommitRun(),))
+    return _repeat(run, Operation.START, {TaskState.PREPARED}, now_s)
+
+
+def _commit(run: GangRun, permission: Permission) -> GangStep:
+    now_s = permission.now_s
+    if lost := _lost_members(run, now_s):
+        return _stop(run, _loss_text(lost), now_s)
+    if now_s - run.since_s > RUN_LATEST_S:
+        return _stop(run, "the store did not confirm the start in time", now_s)
+    return GangStep(run)
+
+
+def _open_barrier(run: GangRun, event: RunCommitted, permission: Permission) -> GangStep:
+    now_s = permission.now_s
+    if run.phase is not GangPhase.COMMITTING:
+        return GangStep(run)
+    if not event.is_running:
+        return _stop(run, event.reason, now_s)
+    if permission.zone_is_out:
+        return _stop(run, "zone taken out of service", now_s)
+    if now_s - run.since_s > RUN_LATEST_S or _lost_members(run, now_s):
+        return _commit(run, permission)
+    members = tuple(replace(m, may_have_run=True) for m in run.members)
+    run = replace(run, phase=GangPhase.OPENING, members=members, sent_s=now_s)
+    return GangStep(run, _to_all(run, Operation.RUN))
+
+
+def _open(run: GangRun, permission: Permission) -> GangStep:
+    now_s = permission.now_s
+    if lost := _lost_members(run, now_s):
+        return _stop(run, _loss_text(lost), now_s)
+    if all(m.task in (TaskState.RUNNING, TaskState.DONE) for m in run.members):
+        return _run(replace(run, phase=GangPhase.RUNNING), permission)
+    if now_s - run.since_s > PREPARATION_LIMIT_S + REPEAT_S:
+        return _stop(run, "not all members passed the barrier", now_s)
+    return _repeat(run, Operation.RUN, {TaskState.STARTED}, now_s)
+
+
+def _run(run: GangRun, permission: Permission) -> GangStep:
+    now_s = permission.now_s
+    if all(m.task is TaskState.DONE for m in run.members):
+        return _end(run)
+    if lost := _lost_members(run, now_s):
+        return _stop(run, _loss_text(lost), now_s)
+    # Only a gang that was taken over can have a member at the barrier here. Its `run` was lost
+    # with the previous scheduler, and the worker would refuse another one by now.
+    if any(m.task in (TaskState.PREPARED, TaskState.STARTED) for m in run.members):
+        return _stop(run, "scheduler replaced before the barrier opened", now_s)
+    return GangStep(run)
+
+
+def _checkpoint(run: GangRun, permission: Permission) -> GangStep:
+    now_s = permission.now_s
+    if all(m.task is TaskState.DONE for m in run.members):
+        return _end(run)
+    if lost := _lost_members(run, now_s):
+        return _stop(run, _loss_text(lost), now_s)
+    if run.checkpoint == run.wanted_checkpoint or now_s >= run.stop_by_s:
+        return _stop(run, run.stop_reason, now_s)
+    if now_s - run.sent_s < REPEAT_S:
+        return GangStep(run)
+    return _send_checkpoint(run, now_s)
+
+
+def _finish_stop(run: GangRun, permission: Permission) -> GangStep:
+    if all(m.has_ended for m in run.members):
+        return _end(run)
+    now_s = permission.now_s
+    if now_s - run.sent_s < REPEAT_S:
+        return GangStep(run)
+    return _send_stop(run, now_s)
+
+
+def _request_stop(run: GangRun, event: StopRequested, now_s: float) -> GangStep:
+    if run.stop_kind is not None and event.reason != "cancel":
+        return GangStep(run)
+    if run.phase is GangPhase.STOPPING:
+        return GangStep(replace(run, stop_kind=event.reason))
+    reason = event.reason.replace("_", " ")
+    run = replace(run, stop_kind=event.reason, stop_reason=reason)
+    if run.phase is not GangPhase.RUNNING or event.checkpoint_wait_s <= 0:
+        return _stop(run, reason, now_s)
+    run = replace(
+        run,
+        phase=GangPhase.CHECKPOINTING,
+        wanted_checkpoint=f"{run.job_id}/{run.attempt}",
+        stop_by_s=now_s + event.checkpoint_wait_s,
+    )
+    step = _send_checkpoint(run, now_s)
+    return replace(step, effects=(MarkJob(JobState.CHECKPOINTING, reason),))
+
+
+def _send_checkpoint(run: GangRun, now_s: float) -> GangStep:
+    commands = tuple(
+        MemberCommand(Operation.CHECKPOINT, i, run.wanted_checkpoint)
+        for i, m in enumerate(run.members)
+        if not m.has_ended and m.checkpoint != run.wanted_checkpoint
+    )
+    return GangStep(replace(run, sent_s=now_s), commands)
+
+
+def _stop(run: GangRun, reason: str, now_s: float) -> GangStep:
+    run = replace(run, phase=GangPhase.STOPPING, stop_reason=reason)
+    if all(m.has_ended for m in run.members):
+        return _end(run)
+    return replace(_send_stop(run, now_s), effects=(MarkJob(JobState.STOPPING, reason),))
+
+
+def _send_stop(run: GangRun, now_s: float) -> GangStep:
+    commands = tuple(
+        MemberCommand(Operation.STOP, i) for i, m in enumerate(run.members) if not m.has_ended
+    )
+    return GangStep(replace(run, sent_s=now_s), commands)
+
+
+def _end(run: GangRun) -> GangStep:
+    return GangStep(replace(run, phase=GangPhase.ENDED), effects=(_outcome(run),))
+
+
+def _outcome(run: GangRun) -> EndAttempt:
+    if all(m.task is TaskState.DONE for m in run.members):
+        return EndAttempt(JobState.DONE, "all members done")
+    failed = tuple(m for m in run.members if m.task is TaskState.FAILED)
+    workers = tuple(dict.fromkeys(m.worker for m in failed))
+    can_repeat = run.is_idempotent or bool(run.checkpoint)
+    has_run = any(m.may_have_run for m in run.members)
+    if run.stop_kind == "cancel":
+        return EndAttempt(JobState.CANCELLED, "cancelled by the caller", run.checkpoint)
+    if has_run and not can_repeat:
+        if failed:
+            return EndAttempt(JobState.FAILED, _loss_text(failed), "", workers)
+        return EndAttempt(JobState.FAILED, f"outcome_unknown: {run.stop_reason}")
+    return EndAttempt(JobState.WAITING, run.stop_reason, run.checkpoint, workers)
+
+
+def _lost_members(run: GangRun, now_s: float) -> tuple[MemberRun, ...]:
+    return tuple(
+        m
+        for m in run.members
+        if m.has_lapsed
+        or m.task in _LOST
+        or (m.task is not TaskState.DONE and now_s - m.heard_s > LOST_AFTER_S)
+    )
+
+
+def _loss_text(lost: tuple[MemberRun, ...]) -> str:
+    first = lost[0]
+    if first.task is TaskState.FAILED:
+        return f"task failed on {first.worker}: {first.detail or 'no detail'}"
+    if first.task in _LOST:
+        return f"task on {first.worker} is {first.task}"
+    return f"no report from {first.worker}"
+
+
+def _to_all(run: GangRun, operation: Operation) -> tuple[MemberCommand, ...]:
+    checkpoint = run.checkpoint if operation is Operation.PREPARE else ""
+    return tuple(MemberCommand(operation, i, checkpoint) for i in range(len(run.members)))
+
+
+def _repeat(
+    run: GangRun, operation: Operation, missing: Iterable[TaskState | None], now_s: float
+) -> GangStep:
+    if now_s - run.sent_s < REPEAT_S:
+        return GangStep(run)
+    states = set(missing)
+    commands = tuple(c for c in _to_all(run, operation) if run.members[c.member].task in states)
+    return GangStep(replace(run, sent_s=now_s), commands)
+
+
+_PHASES = {
+    GangPhase.PREPARING: _prepare,
+    GangPhase.STARTING: _start,
+    GangPhase.COMMITTING: _commit,
+    GangPhase.OPENING: _open,
+    GangPhase.RUNNING: _run,
+    GangPhase.CHECKPOINTING: _checkpoint,
+    GangPhase.STOPPING: _finish_stop,
+}
--- a/src/foxtailwell/core/_jobs.py
+++ b/src/foxtailwell/core/_jobs.py
@@ -83,6 +83,8 @@
         failed_workers: Workers on which the job failed.
         cancel_requested: Set by a caller; a job with it never starts.
         history: Newest transitions, bounded.
+        term: Fencing token of the scheduler that assigned or took over the current attempt; a
+            scheduler with another one may not change the job.
     """
 
     id: str
@@ -101,6 +103,7 @@
     failed_workers: tuple[str, ...] = ()
     cancel_requested: bool = False
     history: tuple[Transition, ...] = ()
+    term: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -189,18 +192,25 @@
     if state is JobState.RUNNING:
         return replace(changed, started_unix_ms=at_unix_ms)
     if state is JobState.WAITING or state.is_final:
-        return replace(changed, zone="", started_unix_ms=0)
+        return replace(changed, zone="", started_unix_ms=0, term=0)
     return changed
 
 
-def begin_attempt(job: Job, zone: str, at_unix_ms: int, reason: str) -> Job:
+def begin_attempt(job: Job, zone: str, term: int, at_unix_ms: int, reason: str) -> Job:
     """Return the job assigned to a zone for a new attempt.
 
+    Args:
+        job: Waiting job.
+        zone: Zone that gets it.
+        term: Fencing token of the zone's scheduler.
+        at_unix_ms: Time of the transition.
+        reason: Why, for whoever reads the history.
+
     Raises:
         IllegalTransitionError: The job does not wait, or it is cancelled.
     """
     preparing = transition(job, JobState.PREPARING, at_unix_ms, reason)
-    return replace(preparing, zone=zone, attempt=job.attempt + 1)
+    return replace(preparing, zone=zone, term=term, attempt=job.attempt + 1)
 
 
 def ended_unix_ms(job: Job) -> int | None:
--- a/src/foxtailwell/core/errors.py
+++ b/src/foxtailwell/core/errors.py
@@ -5,11 +5,13 @@
 from dataclasses import dataclass
 
 __all__ = [
+    "AcceleratorsTakenError",
     "ConflictError",
     "FoxtailwellError",
     "IllegalTransitionError",
     "NotRunError",
     "OutcomeUnknownError",
+    "StaleTermError",
     "StoreConflictError",
     "StoreOverloadedError",
     "StoreUnavailableError",
@@ -88,6 +90,30 @@
         )
 
 
+class AcceleratorsTakenError(FoxtailwellError):
+    """A gang cannot take all of its accelerators, so it took none."""
+
+    code = "accelerators_taken"
+
+    def __init__(self, job_id: str, cause: str) -> None:
+        super().__init__(
+            f"gang of job {job_id} cannot be taken: {cause}", "plan again with the newest document"
+        )
+
+
+class StaleTermError(FoxtailwellError):
+    """Another scheduler holds the zone with a higher fencing token."""
+
+    code = "stale_term"
+
+    def __init__(self, zone: str, term: int, seen_term: int) -> None:
+        super().__init__(
+            f"zone {zone}: term {term} is older than {seen_term}",
+            "give the zone up; its new holder continues the gangs",
+        )
+        self.seen_term = seen_term
+
+
 class NotRunError(FoxtailwellError):
     """The work did not run; sending it again is safe."""
 
--- /dev/null
+++ b/src/foxtailwell_standins/workers.py
@@ -0,0 +1,449 @@
+"""Stand-in of the platform's workers: task leases, fencing, checkpoints, usage and failures.
+
+All workers of a process share one application and listen on a port each. Times are readings of the
+monotonic clock, which all processes of a machine share, so tests can compare them. States that
+depend on time are computed when they are read.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+import anyio
+import msgspec
+import uvicorn
+from anyio.abc import TaskStatus
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from foxtailwell.adapters.workers import (
+    CommandRefusal,
+    SyncReply,
+    SyncRequest,
+    TaskReport,
+    WorkerCommand,
+)
+from foxtailwell.core import InstanceRecord, Operation, TaskState
+
+__all__ = [
+    "WorkRecord",
+    "WorkerFailures",
+    "WorkerFleet",
+    "WorkerState",
+    "make_workers_app",
+    "serve_workers",
+]
+
+ENDED_TASKS_KEPT = 500
+"""Ended tasks that a worker still reports, so that a new scheduler learns their outcome."""
+
+FAIL_AFTER_S = 0.05
+"""Run time of a task on a worker that fails every task."""
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerFailures:
+    """Failures that a worker brings about.
+
+    Attributes:
+        fail_tasks: Every task fails soon after it begins to work.
+        refuse_prepare: Every preparation is refused.
+        ignore_checkpoint: Checkpoint commands have no effect.
+        lose_responses: Number of coming calls that take effect and are never answered.
+        unreachable: No call arrives; callers wait until they give up.
+        delay_s: Delay before a call takes effect, even when its caller has given up.
+        usage_lag_s: Age of the usage that is reported.
+    """
+
+    fail_tasks: bool = False
+    refuse_prepare: bool = False
+    ignore_checkpoint: bool = False
+    lose_responses: int = 0
+    unreachable: bool = False
+    delay_s: float = 0.0
+    usage_lag_s: float = 3.0
+
+
+@dataclass(slots=True)
+class WorkRecord:
+    """What one task did and when; 0 where it has not happened."""
+
+    job_id: str
+    attempt: int
+    member: int
+    worker: str
+    zone: str
+    accelerators: tuple[int, ...]
+    prepared_s: float
+    started_s: float = 0.0
+    first_work_s: float = 0.0
+    stopped_s: float = 0.0
+    state: TaskState = TaskState.PREPARED
+
+
+@dataclass(slots=True)
+class _Task:
+    record: WorkRecord
+    command: WorkerCommand
+    lease_until_s: float
+    run_s: float
+    fail_after_s: float | None
+    progress_s: float
+    speed: float = 1.0
+    speed_since_s: float = 0.0
+    checkpoint: str = ""
+    detail: str = ""
+
+    @property
+    def is_live(self) -> bool:
+        return self.record.state in (TaskState.PREPARED, TaskState.STARTED, TaskState.RUNNING)
+
+    def progress_at(self, now_s: float) -> float:
+        if not self.record.first_work_s:
+            return self.progress_s
+        return self.progress_s + (now_s - self.speed_since_s) * self.speed
+
+    def end(self, state: TaskState, at_s: float, detail: str = "") -> None:
+        self.progress_s = self.progress_at(at_s)
+        self.speed_since_s = at_s
+        self.record.state = state
+        self.record.stopped_s = at_s
+        self.detail = detail
+
+
+@dataclass(slots=True)
+class WorkerState:
+    """One worker."""
+
+    record: InstanceRecord
+    failures: WorkerFailures = field(default_factory=WorkerFailures)
+    terms: dict[str, int] = field(default_factory=dict)
+    attempts: dict[str, int] = field(default_factory=dict)
+    tasks: dict[tuple[str, int, int], _Task] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class WorkerFleet:
+    """All workers of the process, the shared checkpoints and the log of all work."""
+
+    workers: dict[str, WorkerState] = field(default_factory=dict)
+    by_port: dict[int, str] = field(default_factory=dict)
+    checkpoints: dict[tuple[str, int], float] = field(default_factory=dict)
+    log: list[WorkRecord] = field(default_factory=list)
+    calls: int = 0
+
+    def refresh(self) -> None:
+        """Bring the states of all tasks up to the present time."""
+        for worker in self.workers.values():
+            _refresh(worker, time.monotonic())
+
+
+def _refresh(worker: WorkerState, now_s: float) -> None:
+    for task in worker.tasks.values():
+        if task.is_live:
+            _refresh_task(task, worker.failures, now_s)
+    ended = [key for key, task in worker.tasks.items() if not task.is_live]
+    for key in ended[:-ENDED_TASKS_KEPT]:
+        del worker.tasks[key]
+
+
+def _refresh_task(task: _Task, failures: WorkerFailures, now_s: float) -> None:
+    record = task.record
+    ends: list[tuple[float, TaskState, str]] = [
+        (task.lease_until_s, TaskState.EXPIRED, "task lease lapsed")
+    ]
+    if record.state is TaskState.PREPARED:
+        valid_until_s = record.prepared_s + task.command.valid_s
+        ends.append((valid_until_s, TaskState.EXPIRED, "not started in time"))
+    if record.state is TaskState.RUNNING:
+        left_s = (task.run_s - task.progress_s) / max(task.speed, 1e-6)
+        ends.append((task.speed_since_s + left_s, TaskState.DONE, ""))
+        fail_after_s = FAIL_AFTER_S if failures.fail_tasks else task.fail_after_s
+        if fail_after_s is not None:
+            ends.append((record.first_work_s + fail_after_s, TaskState.FAILED, "task failed"))
+    at_s, state, detail = min(ends, key=lambda end: end[0])
+    if at_s <= now_s:
+        task.end(state, at_s, detail)
+
+
+def _sync(fleet: WorkerFleet, worker: WorkerState, request: SyncRequest) -> SyncReply:
+    now_s = time.monotonic()
+    _refresh(worker, now_s)
+    refused = []
+    for command in request.commands:
+        reason = _carry_out(fleet, worker, request.zone, command, now_s)
+        if reason:
+            refused.append(
+                CommandRefusal(command.op, command.job_id, command.attempt, command.member, reason)
+            )
+    lease_until_s = min(request.renew_from_clock_s, now_s) + 30.0
+    renewed = set(request.renew)
+    for task in worker.tasks.values():
+        if task.is_live and task.record.job_id in renewed:
+            task.lease_until_s = max(task.lease_until_s, lease_until_s)
+    reports = tuple(_report(task, worker.failures, now_s) for task in worker.tasks.values())
+    return SyncReply(now_s, reports, tuple(refused))
+
+
+def _carry_out(
+    fleet: WorkerFleet, worker: WorkerState, zone: str, command: WorkerCommand, now_s: float
+) -> str:
+    if command.attempt < worker.attempts.get(command.job_id, 0):
+        return "stale_attempt"
+    worker.attempts[command.job_id] = command.attempt
+    task = worker.tasks.get((command.job_id, command.attempt, command.member))
+    if command.op is Operation.PREPARE:
+        return "" if task else _prepare(fleet, worker, zone, command, now_s)
+    if command.op is Operation.STOP:
+        if task is None:
+            _remember_stop(worker, zone, command, now_s)
+        elif task.is_live:
+            task.end(TaskState.STOPPED, now_s)
+        return ""
+    if task is None or not task.is_live:
+        # A repeated command for a task that has ended since is answered by its report.
+        return "unknown_task" if task is None else ""
+    return _OPERATIONS[command.op](fleet, worker, task, command, now_s)
+
+
+def _prepare(
+    fleet: WorkerFleet, worker: WorkerState, zone: str, command: WorkerCommand, now_s: float
+) -> str:
+    if worker.failures.refuse_prepare:
+        return "refused_by_worker"
+    busy = {i for t in worker.tasks.values() if t.is_live for i in t.record.accelerators}
+    if busy & set(command.accelerators):
+        return "accelerators_busy"
+    if not set(command.accelerators) <= set(range(worker.record.accelerators)):
+        return "no_such_accelerator"
+    task = _new_task(worker, zone, command, now_s)
+    task.progress_s = fleet.checkpoints.get((command.checkpoint, command.member), 0.0)
+    worker.tasks[command.job_id, command.attempt, command.member] = task
+    fleet.log.append(task.record)
+    return ""
+
+
+def _new_task(worker: WorkerState, zone: str, command: WorkerCommand, now_s: float) -> _Task:
+    values = msgspec.json.decode(command.payload) if command.payload else {}
+    record = WorkRecord(
+        command.job_id,
+        command.attempt,
+        command.member,
+        worker.record.id,
+        zone,
+        command.accelerators,
+        now_s,
+    )
+    fail_after_s = values.get("fail_after_s")
+    run_s = float(values.get("run_s", 1.0))
+    return _Task(record, command, now_s + command.lease_s, run_s, fail_after_s, 0.0)
+
+
+def _remember_stop(worker: WorkerState, zone: str, command: WorkerCommand, now_s: float) -> None:
+    """Keep a stop that arrived before its preparation, so that the preparation has no effect."""
+    task = _new_task(worker, zone, replace(command, payload=""), now_s)
+    task.end(TaskState.STOPPED, now_s)
+    worker.tasks[command.job_id, command.attempt, command.member] = task
+
+
+def _is_late(task: _Task, now_s: float) -> bool:
+    return now_s - task.record.prepared_s > task.command.valid_s
+
+
+def _start(
+    fleet: WorkerFleet, worker: WorkerState, task: _Task, command: WorkerCommand, now_s: float
+) -> str:
+    if task.record.state is TaskState.PREPARED:
+        if _is_late(task, now_s):
+            return "late"
+        task.record.state = TaskState.STARTED
+        task.record.started_s = now_s
+    return ""
+
+
+def _run(
+    fleet: WorkerFleet, worker: WorkerState, task: _Task, command: WorkerCommand, now_s: float
+) -> str:
+    if task.record.state is TaskState.RUNNING:
+        return ""
+    if task.record.state is TaskState.PREPARED:
+        return "not_started"
+    if _is_late(task, now_s):
+        return "late"
+    task.record.state = TaskState.RUNNING
+    task.record.first_work_s = now_s
+    task.speed_since_s = now_s
+    return ""
+
+
+def _checkpoint(
+    fleet: WorkerFleet, worker: WorkerState, task: _Task, command: WorkerCommand, now_s: float
+) -> str:
+    if task.record.state is TaskState.RUNNING and not worker.failures.ignore_checkpoint:
+        fleet.checkpoints[command.checkpoint, command.member] = task.progress_at(now_s)
+        task.checkpoint = command.checkpoint
+    return ""
+
+
+def _throttle(
+    fleet: WorkerFleet, worker: WorkerState, task: _Task, command: WorkerCommand, now_s: float
+) -> str:
+    task.progress_s = task.progress_at(now_s)
+    task.speed_since_s = now_s
+    task.speed = command.throttle_share
+    return ""
+
+
+_OPERATIONS: dict[
+    Operation, Callable[[WorkerFleet, WorkerState, _Task, WorkerCommand, float], str]
+] = {
+    Operation.START: _start,
+    Operation.RUN: _run,
+    Operation.CHECKPOINT: _checkpoint,
+    Operation.THROTTLE: _throttle,
+}
+
+
+def _report(task: _Task, failures: WorkerFailures, now_s: float) -> TaskReport:
+    record = task.record
+    has_usage = record.state is TaskState.RUNNING and (
+        now_s - record.first_work_s >= failures.usage_lag_s
+    )
+    return TaskReport(
+        record.job_id,
+        record.attempt,
+        record.member,
+        record.state,
+        bool(record.first_work_s),
+        task.checkpoint,
+        task.speed if has_usage else 0.0,
+        task.detail,
+    )
+
+
+def make_workers_app(fleet: WorkerFleet) -> Starlette:
+    """Return the application of all workers; the port of a call tells which worker it is for.
+
+    `POST /control` sets failures of the worker, or of the one named by `worker`; with `restart`
+    it loses its tasks. `GET /log` returns what ran when on all workers of the process.
+    """
+
+    def called(request: Request) -> WorkerState:
+        return fleet.workers[fleet.by_port[request.scope["server"][1]]]
+
+    async def sync(request: Request) -> Response:
+        worker = called(request)
+        fleet.calls += 1
+        body = msgspec.json.decode(await request.body(), type=SyncRequest)
+        if worker.failures.unreachable:
+            await _wait_for_disconnect(request)
+            return Response(status_code=503)
+        if worker.failures.delay_s:
+            await anyio.sleep(worker.failures.delay_s)
+        seen = worker.terms.get(body.zone, 0)
+        if body.term < seen:
+            return _json({"term": seen}, 409)
+        worker.terms[body.zone] = body.term
+        reply = _sync(fleet, worker, body)
+        if worker.failures.lose_responses > 0:
+            left = worker.failures.lose_responses - 1
+            worker.failures = replace(worker.failures, lose_responses=left)
+            await _wait_for_disconnect(request)
+        return _json(reply)
+
+    async def control(request: Request) -> Response:
+        values = msgspec.json.decode(await request.body())
+        worker = fleet.workers.get(values.pop("worker", "")) or called(request)
+        if values.pop("restart", False):
+            _restart(worker)
+        worker.failures = replace(worker.failures, **values)
+        return _json(worker.failures)
+
+    async def log(request: Request) -> Response:
+        fleet.refresh()
+        return _json(fleet.log)
+
+    return Starlette(
+        routes=[
+            Route("/v1/sync", sync, methods=["POST"]),
+            Route("/control", control, methods=["POST"]),
+            Route("/log", log, methods=["GET"]),
+        ]
+    )
+
+
+async def _wait_for_disconnect(request: Request) -> None:
+    while True:
+        message = await request.receive()
+        if message["type"] == "http.disconnect":
+            return
+
+
+def _restart(worker: WorkerState) -> None:
+    now_s = time.monotonic()
+    _refresh(worker, now_s)
+    for task in worker.tasks.values():
+        if task.is_live:
+            task.end(TaskState.STOPPED, now_s, "worker restarted")
+    worker.tasks.clear()
+    worker.attempts.clear()
+
+
+class _Server(uvicorn.Server):
+    """A server that leaves signals to the program."""
+
+    def capture_signals(self) -> Any:
+        """Leave the process's signal handlers as they are."""
+        return contextlib.nullcontext()
+
+
+async def serve_workers(
+    fleet: WorkerFleet,
+    records: list[InstanceRecord],
+    *,
+    task_status: TaskStatus[list[InstanceRecord]] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve workers on free ports until cancelled.
+
+    Args:
+        fleet: State of the workers.
+        records: Workers; their addresses are replaced.
+        task_status: Reports the records with their addresses once all ports listen.
+    """
+    sockets = []
+    placed = []
+    for record in records:
+        listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        port = listener.getsockname()[1]
+        sockets.append(listener)
+        placed.append(replace(record, address=f"127.0.0.1:{port}"))
+        fleet.workers[record.id] = WorkerState(placed[-1])
+        fleet.by_port[port] = record.id
+    config = uvicorn.Config(
+        make_workers_app(fleet),
+        log_config=None,
+        access_log=False,
+        lifespan="off",
+        ws="none",
+        timeout_keep_alive=60,
+        timeout_graceful_shutdown=1,
+    )
+    server = _Server(config)
+    async with anyio.create_task_group() as group:
+        group.start_soon(server.serve, sockets)
+        while not server.started:
+            if server.should_exit:
+                raise OSError("the workers cannot listen")
+            await anyio.sleep(0.005)
+        task_status.started(placed)
+
+
+def _json(value: object, status: int = 200) -> Response:
+    return Response(msgspec.json.encode(value), status, media_type="application/json")
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -35,14 +35,14 @@
 def test_cancelled_job_never_starts():
     """Guards against a start after a confirmed cancel."""
     with pytest.raises(IllegalTransitionError):
-        begin_attempt(replace(WAITING, cancel_requested=True), "z", 2, "test")
+        begin_attempt(replace(WAITING, cancel_requested=True), "z", 1, 2, "test")
 
 
 def test_attempt_rises_and_history_is_bounded():
     """Guards against a reused attempt number, and a history that fills the shard."""
     job = WAITING
     for at in range(20):
-        job = begin_attempt(job, "z", at, "start")
+        job = begin_attempt(job, "z", 1, at, "start")
         job = transition(job, JobState.WAITING, at, "member lost")
     assert (job.attempt, job.zone, len(job.history)) == (20, "", 16)
     assert job.history[-1].reason == "member lost"
