Share one compare-and-swap between concurrent changes of a document

Cause: a write per change would pass the store's limit of several hundred writes a second in a burst; and write_recognised reported an unchanged key after a lost response as unknown, although sending the same write again is safe. Ruled out: a write per change; a lock per document, which needs a holder. Change: group commit per key with pure mutations that recognise their own effect; the same compare-and-swap is sent once more when the key has not moved, since both copies carry the same expected version.

--- a/src/foxtailwell/adapters/documents.py
+++ b/src/foxtailwell/adapters/documents.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from foxtailwell.core.errors import UnsupportedSchemaError
+from foxtailwell.core.errors import DocumentError, UnsupportedSchemaError
 
 __all__ = ["decode_document", "encode_document"]
 
@@ -35,13 +35,22 @@
 
     Raises:
         UnsupportedSchemaError: The document was written by a newer release.
-        msgspec.ValidationError: The document does not have the fields of its kind.
+        DocumentError: The document does not have the fields of its kind.
     """
-    header = msgspec.json.decode(text, type=_SchemaHeader)
+    header = _decode(text, _SchemaHeader)
     if header.schema_version > supported_version:
         raise UnsupportedSchemaError(
             f"{kind.__name__} has schema version {header.schema_version}, "
             f"this release reads up to {supported_version}",
             "upgrade this instance; the document was left as it is",
         )
-    return msgspec.json.decode(text, type=kind)
+    return _decode(text, kind)
+
+
+def _decode(text: str | bytes, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(text, type=kind)
+    except msgspec.DecodeError as error:
+        raise DocumentError(
+            f"unreadable document: {error}", "compare the key with a backup of the store"
+        ) from error
--- a/src/foxtailwell/adapters/store.py
+++ b/src/foxtailwell/adapters/store.py
@@ -137,27 +137,44 @@
     async def write_recognised(
         self, key: str, expected_version: int, value: str, write_id: str
     ) -> int:
-        """Write a key, and read it back once when the response is lost.
+        """Write a key, and read it back when the response is lost.
+
+        The same write is sent once more when the key has not changed: both carry the same
+        expected version, so at most one of them takes effect.
 
         Returns:
             The new version.
 
         Raises:
-            StoreConflictError: Another write came first.
+            StoreConflictError: The version has moved. When a response was lost, the own write may
+                have taken effect before that of another; the content of the key tells.
             StoreUnavailableError: It is not known whether the write took effect.
             StoreOverloadedError: The store's rate limit was reached; nothing was written.
         """
         try:
             return await self.compare_and_swap(key, expected_version, value, write_id)
         except StoreUnavailableError:
-            current = await self.get(key)
-        if current is not None and current.write_id == write_id:
-            return current.version
+            if version := await self._find_write(key, expected_version, write_id):
+                return version
+        try:
+            return await self.compare_and_swap(key, expected_version, value, write_id)
+        except StoreConflictError:
+            if version := await self._find_write(key, expected_version, write_id):
+                return version
+            raise
+        except StoreOverloadedError as error:
+            # The first write may still arrive, so "nothing was written" would be wrong.
+            raise StoreUnavailableError(error.message, _OUTAGE_REMEDY) from error
+
+    async def _find_write(self, key: str, expected_version: int, write_id: str) -> int:
+        """Return the version of an own write, or 0 when the key has not changed."""
+        current = await self.get(key)
         current_version = current.version if current is not None else 0
-        if current_version == expected_version:
-            # The first call may still arrive, so the caller must not take this as "not written".
-            raise StoreUnavailableError(f"{key}: response to a write was lost", _OUTAGE_REMEDY)
-        raise StoreConflictError(key, expected_version, current_version)
+        if current is not None and current.write_id == write_id:
+            return current_version
+        if current_version != expected_version:
+            raise StoreConflictError(key, expected_version, current_version)
+        return 0
 
     async def watch(self, prefix: str, after_revision: int, wait_s: float) -> WatchResult:
         """Wait for changes below a prefix.
--- a/src/foxtailwell/core/errors.py
+++ b/src/foxtailwell/core/errors.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "ConflictError",
+    "DocumentError",
     "FoxtailwellError",
     "NotRunError",
     "OutcomeUnknownError",
@@ -112,6 +113,12 @@
         self.current_version = current_version
 
 
+class DocumentError(FoxtailwellError):
+    """A document of the store cannot be read."""
+
+    code = "document_unreadable"
+
+
 class UnsupportedSchemaError(FoxtailwellError):
     """A document was written by a newer release."""
 
--- /dev/null
+++ b/tests/test_group_commit.py
@@ -0,0 +1,104 @@
+"""Group commit of changes to one document."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+
+import anyio
+import pytest
+
+from foxtailwell.adapters.documents import decode_document
+from foxtailwell.adapters.group_commit import open_group_committer
+from foxtailwell.core.errors import FoxtailwellError, StoreUnavailableError, UnavailableError
+from foxtailwell_standins.store import StoreFailures
+
+pytestmark = pytest.mark.anyio
+
+
+@dataclass(frozen=True)
+class Names:
+    """A document for the tests."""
+
+    schema_version: int = 1
+    names: tuple[str, ...] = field(default_factory=tuple)
+
+
+def _add(name):
+    def mutate(document):
+        if name == "refused":
+            raise FoxtailwellError("refused", "use another name")
+        if name in document.names:
+            return document, "present"
+        return replace(document, names=(*document.names, name)), "added"
+
+    return mutate
+
+
+async def _add_all(committer, names):
+    results = {}
+
+    async def add(name):
+        try:
+            results[name] = await committer.apply("names", _add(name))
+        except FoxtailwellError as error:
+            results[name] = error
+
+    async with anyio.create_task_group() as group:
+        for name in names:
+            group.start_soon(add, name)
+    return results
+
+
+async def test_concurrent_changes_share_one_write(store, store_state):
+    """Guards against one store write for each change in a burst."""
+    async with open_group_committer(store, Names, Names) as committer:
+        results = await _add_all(committer, [f"n{i}" for i in range(100)])
+    assert set(results.values()) == {"added"}
+    assert store_state.entries["names"].version <= 3
+
+
+async def test_two_writers_lose_no_change(store, store_state):
+    """Guards against a change that is overwritten by another writer of the document."""
+    async with (
+        open_group_committer(store, Names, Names) as first,
+        open_group_committer(store, Names, Names) as second,
+        anyio.create_task_group() as group,
+    ):
+        for i in range(20):
+            group.start_soon(_add_all, first if i % 2 else second, [f"a{i}"])
+    stored = decode_document(store_state.entries["names"].value, Names)
+    assert sorted(stored.names) == sorted(f"a{i}" for i in range(20))
+
+
+async def test_lost_response_applies_a_change_once(store, store_state):
+    """Guards against a doubled or a lost change when the store's response is lost."""
+    store_state.failures = StoreFailures(lose_responses=1)
+    async with open_group_committer(store, Names, Names) as committer:
+        results = await _add_all(committer, ["a", "b"])
+    assert set(results.values()) == {"added"}
+    assert decode_document(store_state.entries["names"].value, Names).names == ("a", "b")
+
+
+async def test_refused_change_does_not_fail_the_others(store):
+    """Guards against one wrong change that takes its whole batch with it."""
+    async with open_group_committer(store, Names, Names) as committer:
+        results = await _add_all(committer, ["a", "refused"])
+    assert results["a"] == "added"
+    assert isinstance(results["refused"], FoxtailwellError)
+
+
+async def test_outage_is_reported_to_every_waiting_change(store, store_state):
+    """Guards against a caller who waits for ever, or is told of a success, in an outage."""
+    store_state.failures = StoreFailures(outage=True)
+    async with open_group_committer(store, Names, Names) as committer:
+        results = await _add_all(committer, ["a", "b"])
+    assert all(isinstance(r, UnavailableError) for r in results.values())
+
+
+async def test_outage_after_a_read_leaves_the_outcome_unknown(store, store_state):
+    """Guards against a refusal that says "not accepted" for a write that may have been sent."""
+    async with open_group_committer(store, Names, Names) as committer:
+        await _add_all(committer, ["a"])
+        store_state.failures = StoreFailures(outage=True)
+        results = await _add_all(committer, ["b"])
+    assert isinstance(results["b"], StoreUnavailableError)
