Read settings and JSON bodies strictly

Cause: bodies and settings had data classes but no reader. A lenient reader keeps the last of two duplicate keys and turns "no" into true, so two daemons could understand one document differently.

Ruled out: the default primitives of cattrs, because they convert between types; stopping at the first error, because an operator would correct a file one field at a time.

--- a/src/foxtailwell/adapters/settings.py
+++ b/src/foxtailwell/adapters/settings.py
@@ -2,10 +2,22 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
-from typing import Literal
+from ipaddress import ip_address
+from pathlib import Path
+from typing import Any, Literal
+from urllib.parse import urlsplit
 
-__all__ = ["Endpoint", "LogSettings", "PlatformSettings", "Settings"]
+import json5
+
+from foxtailwell.adapters.validation import find_unsafe_value, structure_document
+from foxtailwell.core.errors import ValidationError, ValidationIssue
+
+__all__ = ["Endpoint", "LogSettings", "PlatformSettings", "Settings", "load_settings"]
+
+MAX_SETTINGS_BYTES = 64_000
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,3 +74,131 @@
     seed_peers: tuple[str, ...] = ()
     log: LogSettings = LogSettings()
     shutdown_grace_ms: int = 30_000
+
+
+def load_settings(path: str) -> Settings:
+    """Read and check a settings file.
+
+    Args:
+        path: File of JSON with comments.
+
+    Returns:
+        The settings.
+
+    Raises:
+        ValidationError: Names the file and lists every wrong value with its path and remedy.
+    """
+    value = _parse(_read(path), path)
+    settings = structure_document(value, Settings, path)
+    issues = _find_issues(settings)
+    if issues:
+        raise ValidationError(path, tuple(issues))
+    return settings
+
+
+def _read(path: str) -> str:
+    try:
+        data = Path(path).read_bytes()
+    except OSError as error:
+        raise _file_error(path, f"{error.strerror}", "name a file that can be read") from error
+    if len(data) > MAX_SETTINGS_BYTES:
+        raise _file_error(path, f"{len(data)} bytes", f"use at most {MAX_SETTINGS_BYTES} bytes")
+    try:
+        return data.decode("utf-8")
+    except UnicodeDecodeError as error:
+        raise _file_error(path, f"no UTF-8 at byte {error.start}", "save as UTF-8") from error
+
+
+def _parse(text: str, path: str) -> Any:
+    try:
+        value = json5.loads(text, allow_duplicate_keys=False, parse_constant=_refuse_constant)
+    except RecursionError as error:
+        raise _file_error(path, "nested too deeply", "remove nested objects") from error
+    except ValueError as error:
+        raise _file_error(path, str(error), "correct the JSON") from error
+    issue = find_unsafe_value(value)
+    if issue is not None:
+        raise ValidationError(path, (issue,))
+    return value
+
+
+def _refuse_constant(name: str) -> Any:
+    raise ValueError(f"{name} is not a finite number")
+
+
+def _file_error(path: str, found: str, remedy: str) -> ValidationError:
+    return ValidationError(path, (ValidationIssue("$", found, remedy),))
+
+
+def _find_issues(settings: Settings) -> list[ValidationIssue]:
+    issues: list[ValidationIssue] = []
+    for name in ("instance", "region", "availability_zone"):
+        text = getattr(settings, name)
+        if not _NAME.fullmatch(text):
+            remedy = "use up to 63 letters, digits, dots, dashes or underscores"
+            issues.append(ValidationIssue(f"$.{name}", f'"{text}"', remedy))
+    for name in ("store_url", "instance_list_url"):
+        url = getattr(settings.platform, name)
+        if not _is_url(url):
+            issues.append(
+                ValidationIssue(f"$.platform.{name}", f'"{url}"', "use http://IP-address:port")
+            )
+    for name in ("peers", "operators", "callers"):
+        endpoint = getattr(settings, name)
+        if endpoint is not None:
+            issues += _endpoint_issues(f"$.{name}", endpoint)
+    for index, peer in enumerate(settings.seed_peers):
+        if not _is_peer(peer):
+            issues.append(
+                ValidationIssue(f"$.seed_peers[{index}]", f'"{peer}"', "use IP-address:port")
+            )
+    return issues + _range_issues(settings)
+
+
+def _endpoint_issues(path: str, endpoint: Endpoint) -> list[ValidationIssue]:
+    issues = []
+    if not _is_address(endpoint.host):
+        issues.append(ValidationIssue(f"{path}.host", f'"{endpoint.host}"', "use an IP address"))
+    if not 0 <= endpoint.port <= 65_535:
+        issues.append(ValidationIssue(f"{path}.port", f"{endpoint.port}", "use 0 to 65535"))
+    return issues
+
+
+def _range_issues(settings: Settings) -> list[ValidationIssue]:
+    limits = (
+        ("$.platform.store_timeout_ms", settings.platform.store_timeout_ms, 50, 60_000),
+        (
+            "$.platform.instance_list_interval_ms",
+            settings.platform.instance_list_interval_ms,
+            100,
+            60_000,
+        ),
+        ("$.shutdown_grace_ms", settings.shutdown_grace_ms, 0, 3_600_000),
+    )
+    return [
+        ValidationIssue(path, f"{value}", f"use {low} to {high}")
+        for path, value, low, high in limits
+        if not low <= value <= high
+    ]
+
+
+def _is_address(text: str) -> bool:
+    try:
+        ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _is_url(text: str) -> bool:
+    try:
+        parts = urlsplit(text)
+        return parts.scheme == "http" and bool(parts.port) and _is_address(parts.hostname or "")
+    except ValueError:
+        return False
+
+
+def _is_peer(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    is_port = port.isascii() and port.isdigit() and 0 < int(port) <= 65_535
+    return is_port and _is_address(host.strip("[]"))
