Accept, cancel and show jobs over HTTP

Cause: callers need jobs to be durable before they are acknowledged, and bursts and waves of cancellations must not cost a store write each. Change: submission checks in the core, job routes that write through the group committer, a view of all jobs fed by one watch. Conclusion: an outage answers "not accepted" where nothing was sent, and "outcome unknown" where a write may have taken effect.

--- a/src/foxtailwell/adapters/events.py
+++ b/src/foxtailwell/adapters/events.py
@@ -36,4 +36,4 @@
 # 1100-1199: store
 STORE_UNAVAILABLE = _event("FW1101", "WARNING", "the store does not respond")
 STORE_AVAILABLE = _event("FW1102", "INFO", "the store responds again")
-SCHEMA_UNSUPPORTED = _event("FW1103", "ERROR", "a document has a newer schema version")
+DOCUMENT_REFUSED = _event("FW1103", "ERROR", "a document cannot be read and was left as it is")
--- a/src/foxtailwell/adapters/group_commit.py
+++ b/src/foxtailwell/adapters/group_commit.py
@@ -11,7 +11,7 @@
 from anyio.abc import TaskGroup
 
 from foxtailwell.adapters.documents import decode_document, encode_document
-from foxtailwell.adapters.store import StoreClient, new_write_id
+from foxtailwell.adapters.store import StoreClient, Versioned, new_write_id
 from foxtailwell.core.errors import (
     FoxtailwellError,
     StoreConflictError,
@@ -33,6 +33,10 @@
 """Conflicts in a row before a batch is given up; more means that the document is overloaded."""
 
 
+MAX_DOCUMENT_BYTES = 950_000
+"""Below the store's limit of 1 MB for a value."""
+
+
 @dataclass(slots=True)
 class _Waiting:
     mutation: Callable[[Any], tuple[Any, Any]]
@@ -94,6 +98,17 @@
             raise waiting.error
         return waiting.result  # type: ignore[no-any-return]
 
+    async def read(self, key: str) -> D:
+        """Read a document past the cache.
+
+        Raises:
+            StoreUnavailableError, StoreOverloadedError: The store gave no value.
+        """
+        return self._decode(await self._store.get(key))
+
+    def _decode(self, current: Versioned | None) -> D:
+        return self._empty() if current is None else decode_document(current.value, self._kind)
+
     async def _flush(self, key: str) -> None:
         await anyio.sleep(self._window_s)
         while batch := self._pending[key]:
@@ -120,7 +135,7 @@
                 return
             try:
                 version = await self._store.write_recognised(
-                    key, cached.version, encode_document(document), new_write_id()
+                    key, cached.version, _encode(key, document), new_write_id()
                 )
             except StoreConflictError:
                 self._cache.pop(key, None)
@@ -146,14 +161,22 @@
         cached = self._cache.get(key)
         if cached is None:
             current = await self._store.get(key)
-            if current is None:
-                cached = _Cached(0, self._empty())
-            else:
-                cached = _Cached(current.version, decode_document(current.value, self._kind))
+            version = 0 if current is None else current.version
+            cached = _Cached(version, self._decode(current))
             self._cache[key] = cached
         return cached
 
 
+def _encode(key: str, document: object) -> str:
+    text = encode_document(document)
+    if len(text.encode()) > MAX_DOCUMENT_BYTES:
+        raise UnavailableError(
+            f"{key} would pass {MAX_DOCUMENT_BYTES} bytes; nothing was accepted",
+            "wait until ended work has expired, then send the change again",
+        )
+    return text
+
+
 def _apply_all(document: D, batch: list[_Waiting]) -> D:
     for waiting in batch:
         waiting.error = None
--- a/src/foxtailwell/adapters/http_server.py
+++ b/src/foxtailwell/adapters/http_server.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import nullcontext
 from typing import Any
 
 import anyio
+import msgspec
 import uvicorn
 from anyio.abc import TaskStatus
+from starlette.responses import Response
 
-__all__ = ["serve_http"]
+__all__ = ["json_response", "serve_http"]
 
 AsgiApp = Callable[..., Any]
 
@@ -17,6 +20,11 @@
 """Longest time for requests in progress when a server stops."""
 
 
+def json_response(value: object, status: int = 200) -> Response:
+    """Return a JSON response; data classes are encoded by their fields."""
+    return Response(msgspec.json.encode(value), status, media_type="application/json")
+
+
 class _Server(uvicorn.Server):
     """A server that leaves signals to the daemon."""
 
@@ -25,9 +33,7 @@
 
     def capture_signals(self) -> Any:
         """Leave the process's signal handlers as they are."""
-        import contextlib
-
-        return contextlib.nullcontext()
+        return nullcontext()
 
 
 async def serve_http(
--- a/src/foxtailwell/core/errors.py
+++ b/src/foxtailwell/core/errors.py
@@ -9,6 +9,7 @@
     "DocumentError",
     "FoxtailwellError",
     "IllegalTransitionError",
+    "KeyReusedError",
     "NotRunError",
     "OutcomeUnknownError",
     "StoreConflictError",
@@ -89,6 +90,12 @@
         )
 
 
+class KeyReusedError(FoxtailwellError):
+    """An idempotency key was used again for different work; nothing was accepted."""
+
+    code = "key_reused"
+
+
 class NotRunError(FoxtailwellError):
     """The work did not run; sending it again is safe."""
 
--- /dev/null
+++ b/src/foxtailwell/entry/_jobs_api.py
@@ -0,0 +1,299 @@
+"""Callers' HTTP interface for jobs."""
+
+from __future__ import annotations
+
+import time
+import uuid
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from foxtailwell.adapters.group_commit import GroupCommitter
+from foxtailwell.adapters.http_server import json_response
+from foxtailwell.adapters.validation import parse_json, structure_document
+from foxtailwell.core import (
+    Job,
+    JobShard,
+    JobState,
+    Submission,
+    add_job,
+    cancel_jobs,
+    check_submission,
+    job_from_submission,
+    job_id,
+)
+from foxtailwell.core.errors import (
+    FoxtailwellError,
+    KeyReusedError,
+    StoreUnavailableError,
+    ValidationError,
+    ValidationIssue,
+)
+from foxtailwell.entry._jobs_view import JobsView, shard_key
+from foxtailwell.fleet import FleetView
+
+__all__ = ["job_routes"]
+
+MAX_BODY_BYTES = 8_000_000
+MAX_JOBS_PER_CALL = 5_000
+MAX_WAIT_S = 60.0
+MAX_LISTED = 1_000
+
+_FAILED = frozenset({"key_reused", "not_accepted", "outcome_unknown"})
+
+
+@dataclass(frozen=True, slots=True)
+class _Cancellation:
+    """Body of a cancellation; `account` alone cancels all its jobs."""
+
+    ids: tuple[str, ...] = ()
+    account: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class _JobOutcome:
+    """What became of one submission or cancellation.
+
+    Attributes:
+        id: Identifier of the job.
+        outcome: `accepted`, `cancelled`, `cancel_requested`, `unchanged`, `unknown_job`,
+            `key_reused`, `not_accepted` or `outcome_unknown`.
+        state: State of the job, empty when it is not known.
+        message: What went wrong, empty otherwise.
+    """
+
+    id: str
+    outcome: str
+    state: str = ""
+    message: str = ""
+
+
+def job_routes(committer: GroupCommitter[JobShard], jobs: JobsView, view: FleetView) -> list[Route]:
+    """Return the routes for submission, status, list and cancellation.
+
+    Args:
+        committer: Writes the job documents.
+        jobs: View of all jobs.
+        view: Configuration and fleet.
+    """
+
+    async def submit(request: Request) -> Response:
+        submissions = _read_submissions(await request.body())
+        _check(submissions, view)
+        outcomes = await _for_each(submissions, lambda s: _submit_one(s, committer, view))
+        return json_response({"jobs": outcomes}, _status(outcomes, 201))
+
+    async def cancel(request: Request) -> Response:
+        body = parse_json(await request.body(), "cancellation", max_bytes=MAX_BODY_BYTES)
+        cancellation = structure_document(body, _Cancellation, "cancellation")
+        identifiers = _cancelled_ids(cancellation, jobs)
+        outcomes = await _cancel_all(identifiers, committer)
+        return json_response({"jobs": outcomes}, _status(outcomes, 200))
+
+    async def list_jobs(request: Request) -> Response:
+        account = request.query_params.get("account")
+        state = request.query_params.get("state")
+        found = [
+            _summary(job)
+            for job in jobs.all()
+            if account in (None, job.account) and state in (None, job.state.value)
+        ]
+        return json_response({"jobs": found[-MAX_LISTED:], "total": len(found)})
+
+    async def status(request: Request) -> Response:
+        identifier = request.path_params["id"]
+        wait_s = _read_wait(request.query_params.get("wait_s", "0"))
+        job = await jobs.wait_until_final(identifier, wait_s)
+        if job is None:
+            job = (await committer.read(shard_key(identifier))).jobs.get(identifier)
+        if job is None:
+            return json_response(
+                {
+                    "code": "unknown_job",
+                    "message": f"no job {identifier}",
+                    "remedy": "check the identifier; ended jobs are kept for 24 h",
+                },
+                404,
+            )
+        return json_response(job)
+
+    return [
+        Route("/v1/jobs", answering_errors(submit), methods=["POST"]),
+        Route("/v1/jobs", answering_errors(list_jobs), methods=["GET"]),
+        Route("/v1/jobs/cancel", answering_errors(cancel), methods=["POST"]),
+        Route("/v1/jobs/{id}", answering_errors(status), methods=["GET"]),
+    ]
+
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+def answering_errors(handler: Handler) -> Handler:
+    """Return a handler that answers typed errors with their code and remedy."""
+
+    async def answer(request: Request) -> Response:
+        try:
+            return await handler(request)
+        except FoxtailwellError as error:
+            return _error_response(error)
+
+    return answer
+
+
+def _error_response(error: FoxtailwellError) -> Response:
+    body: dict[str, Any] = {
+        "code": error.code,
+        "message": error.message,
+        "remedy": error.remedy,
+    }
+    if isinstance(error, ValidationError):
+        body["issues"] = error.issues
+        return json_response(body, 422)
+    return json_response(body, 409 if isinstance(error, KeyReusedError) else 503)
+
+
+def _read_submissions(body: bytes) -> tuple[Submission, ...]:
+    value = parse_json(body, "submission", max_bytes=MAX_BODY_BYTES)
+    items = value["jobs"] if isinstance(value, dict) and set(value) == {"jobs"} else [value]
+    submissions = structure_document(items, tuple[Submission, ...], "submission")
+    if not 1 <= len(submissions) <= MAX_JOBS_PER_CALL:
+        raise ValidationError(
+            "submission",
+            (
+                ValidationIssue(
+                    "$.jobs", f"{len(submissions)} jobs", f"send 1 to {MAX_JOBS_PER_CALL} jobs"
+                ),
+            ),
+        )
+    return submissions
+
+
+def _read_wait(text: str) -> float:
+    try:
+        wait_s = float(text)
+    except ValueError:
+        wait_s = -1.0
+    if not 0 <= wait_s <= MAX_WAIT_S:
+        issue = ValidationIssue("wait_s", repr(text), f"give 0 to {MAX_WAIT_S:g} seconds")
+        raise ValidationError("query", (issue,))
+    return wait_s
+
+
+def _check(submissions: tuple[Submission, ...], view: FleetView) -> None:
+    workers = [r for r in view.instances.values() if r.role == "worker"]
+    issues: list[ValidationIssue] = []
+    for index, submission in enumerate(submissions):
+        path = f"$.jobs[{index}]"
+        issues.extend(check_submission(submission, view.configuration, workers, path))
+    if issues:
+        raise ValidationError("submission", tuple(issues))
+
+
+async def _for_each(
+    items: Iterable[Any], call: Callable[[Any], Awaitable[_JobOutcome]]
+) -> list[_JobOutcome]:
+    """Call a function for all items at once and return the outcomes in order."""
+    results: dict[int, _JobOutcome] = {}
+
+    async def run(index: int, item: Any) -> None:
+        results[index] = await call(item)
+
+    async with anyio.create_task_group() as group:
+        for index, item in enumerate(items):
+            group.start_soon(run, index, item)
+    return [results[index] for index in sorted(results)]
+
+
+async def _submit_one(
+    submission: Submission, committer: GroupCommitter[JobShard], view: FleetView
+) -> _JobOutcome:
+    identifier = job_id(submission.account, submission.idempotency_key or uuid.uuid4().hex)
+    job = job_from_submission(submission, identifier, view.configuration, _now_unix_ms())
+    try:
+        stored = await committer.apply(shard_key(identifier), lambda shard: add_job(shard, job))
+    except StoreUnavailableError as error:
+        return _JobOutcome(identifier, "outcome_unknown", "", str(error))
+    except KeyReusedError as error:
+        return _JobOutcome(identifier, "key_reused", "", str(error))
+    except FoxtailwellError as error:
+        return _JobOutcome(identifier, "not_accepted", "", str(error))
+    return _JobOutcome(identifier, "accepted", stored.state.value)
+
+
+async def _cancel_all(
+    identifiers: tuple[str, ...], committer: GroupCommitter[JobShard]
+) -> list[_JobOutcome]:
+    by_shard: dict[str, list[str]] = {}
+    for identifier in identifiers:
+        by_shard.setdefault(shard_key(identifier), []).append(identifier)
+    results: dict[str, _JobOutcome] = {}
+
+    async def cancel_shard(key: str, ids: list[str]) -> None:
+        now = _now_unix_ms()
+        try:
+            cancelled = await committer.apply(key, lambda shard: cancel_jobs(shard, ids, now))
+        except FoxtailwellError as error:
+            is_unknown = isinstance(error, StoreUnavailableError)
+            outcome = "outcome_unknown" if is_unknown else "not_accepted"
+            results.update({i: _JobOutcome(i, outcome, "", str(error)) for i in ids})
+        else:
+            results.update({i: _cancel_outcome(i, job) for i, job in cancelled.items()})
+
+    async with anyio.create_task_group() as group:
+        for key, ids in by_shard.items():
+            group.start_soon(cancel_shard, key, ids)
+    return [results[identifier] for identifier in identifiers]
+
+
+def _cancel_outcome(identifier: str, job: Job | None) -> _JobOutcome:
+    if job is None:
+        return _JobOutcome(identifier, "unknown_job", "", "check the identifier")
+    if job.state is JobState.CANCELLED:
+        return _JobOutcome(identifier, "cancelled", job.state.value)
+    if job.state.is_final:
+        return _JobOutcome(identifier, "unchanged", job.state.value, "the job had ended")
+    return _JobOutcome(identifier, "cancel_requested", job.state.value)
+
+
+def _cancelled_ids(cancellation: _Cancellation, jobs: JobsView) -> tuple[str, ...]:
+    if cancellation.account and not cancellation.ids:
+        return tuple(
+            job.id
+            for job in jobs.all()
+            if job.account == cancellation.account and not job.state.is_final
+        )
+    return tuple(dict.fromkeys(cancellation.ids))
+
+
+def _status(outcomes: list[_JobOutcome], success: int) -> int:
+    """Return 409 or 503 when no item took effect, 207 when some did not."""
+    failed = {o.outcome for o in outcomes} & _FAILED
+    if not failed:
+        return success
+    if any(o.outcome not in _FAILED for o in outcomes):
+        return 207
+    return 409 if failed == {"key_reused"} else 503
+
+
+def _summary(job: Job) -> dict[str, Any]:
+    return {
+        "id": job.id,
+        "account": job.account,
+        "work_class": job.work_class,
+        "members": job.spec.members,
+        "accelerators_per_member": job.spec.accelerators_per_member,
+        "state": job.state.value,
+        "zone": job.zone,
+        "attempt": job.attempt,
+        "submitted_unix_ms": job.submitted_unix_ms,
+        "reason": job.history[-1].reason if job.history else "",
+    }
+
+
+def _now_unix_ms() -> int:
+    return time.time_ns() // 1_000_000
