Place gangs by best fit

Cause: only the first-fit baseline planner existed, and the scheduler daemon needs plan(view). Change: core/_placement.py places a gang on adjacent accelerators of one rack, then of one zone; plan(view) starts waiting jobs in order of submission plus class target.

--- a/src/foxtailwell/core/__init__.py
+++ b/src/foxtailwell/core/__init__.py
@@ -28,6 +28,7 @@
     JobState,
     Transition,
 )
+from foxtailwell.core._placement import Capacity, fragmentation, place_best_fit
 from foxtailwell.core._plan import (
     ClusterView,
     Decision,
@@ -39,11 +40,13 @@
     StopReason,
     WaitReason,
 )
+from foxtailwell.core._planner import free_capacity, plan
 
 __all__ = [
     "EVIDENCE_LIMIT_S",
     "JOB_SHARD_COUNT",
     "PREPARATION_LIMIT_S",
+    "Capacity",
     "ChangeRecord",
     "ClientAccount",
     "ClusterView",
@@ -72,7 +75,11 @@
     "ZoneOut",
     "evidence_from_peer",
     "evidence_from_store",
+    "fragmentation",
+    "free_capacity",
     "may_start",
     "newer_evidence",
+    "place_best_fit",
+    "plan",
     "plan_first_fit",
 ]
