--- a/src/foxtailwell/core/__init__.py
+++ b/src/foxtailwell/core/__init__.py
@@ -1,6 +1,10 @@
 """Decisions and protocol rules without input or output."""
 
-from foxtailwell.core._allocations import Gang, Member, ZoneAllocation
+from foxtailwell.core._allocations import (
+    Gang,
+    Member,
+    ZoneAllocation,
+)
 from foxtailwell.core._configuration import (
     ChangeRecord,
     ClientAccount,
@@ -9,7 +13,9 @@
     WorkClass,
     ZoneOut,
 )
-from foxtailwell.core._first_fit import plan_first_fit
+from foxtailwell.core._first_fit import (
+    plan_first_fit,
+)
 from foxtailwell.core._freshness import (
     EVIDENCE_LIMIT_S,
     PREPARATION_LIMIT_S,
@@ -19,7 +25,10 @@
     may_start,
     newer_evidence,
 )
-from foxtailwell.core._inventory import InstanceRecord, Role
+from foxtailwell.core._inventory import (
+    InstanceRecord,
+    Role,
+)
 from foxtailwell.core._jobs import (
     JOB_SHARD_COUNT,
     GangSpec,
@@ -35,6 +44,11 @@
     transition,
     without_expired_jobs,
 )
+from foxtailwell.core._placement import (
+    Capacity,
+    fragmentation,
+    place_best_fit,
+)
 from foxtailwell.core._plan import (
     ClusterView,
     Decision,
@@ -46,6 +60,10 @@
     StopReason,
     WaitReason,
 )
+from foxtailwell.core._planner import (
+    free_capacity,
+    plan,
+)
 from foxtailwell.core._submissions import (
     Submission,
     add_job,
@@ -60,6 +78,7 @@
     "EVIDENCE_LIMIT_S",
     "JOB_SHARD_COUNT",
     "PREPARATION_LIMIT_S",
+    "Capacity",
     "ChangeRecord",
     "ClientAccount",
     "ClusterView",
@@ -94,6 +113,8 @@
     "ended_unix_ms",
     "evidence_from_peer",
     "evidence_from_store",
+    "fragmentation",
+    "free_capacity",
     "job_from_submission",
     "job_id",
     "job_shard",
@@ -101,6 +122,8 @@
     "may_start",
     "members_per_worker",
     "newer_evidence",
+    "place_best_fit",
+    "plan",
     "plan_first_fit",
     "put_job",
     "transition",
