Add the callers' command

Cause: callers had no program to submit, follow and cancel jobs. Conclusion: an outage, a refusal and an unknown outcome have different exit codes.

--- /dev/null
+++ b/src/foxtailwell/cli/_client.py
@@ -0,0 +1,98 @@
+"""Calls from the commands to a daemon, and their output."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import anyio
+import cappa
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+from foxtailwell.adapters.http_client import TRANSPORT_ERRORS, HttpReply, open_http_client
+from foxtailwell.cli import _exit_codes
+
+__all__ = ["call", "decode_reply", "exit_unless_ok", "print_json", "print_table"]
+
+
+def call(
+    url: str,
+    method: str,
+    path: str,
+    *,
+    body: bytes = b"",
+    headers: Mapping[str, str] | None = None,
+    timeout_s: float = 10.0,
+) -> HttpReply:
+    """Send one request to a daemon.
+
+    Args:
+        url: Base URL of the daemon.
+        method: HTTP method.
+        path: Path with its query.
+        body: Request body.
+        headers: Further headers.
+        timeout_s: Limit of each step.
+
+    Returns:
+        The response.
+
+    Raises:
+        cappa.Exit: The daemon cannot be reached.
+    """
+
+    async def send() -> HttpReply:
+        async with open_http_client(url, max_connections=1) as client:
+            return await client.request(
+                method, path, body=body, headers=headers, timeout_s=timeout_s
+            )
+
+    try:
+        return anyio.run(send)
+    except TRANSPORT_ERRORS as error:
+        raise cappa.Exit(
+            f"{url}: {type(error).__name__}; remedy: check the address and that the daemon runs",
+            code=_exit_codes.UNAVAILABLE,
+        ) from error
+
+
+def decode_reply(reply: HttpReply) -> Any:
+    """Return the JSON of a response, or its text in an object when it is not JSON."""
+    try:
+        return msgspec.json.decode(reply.body)
+    except msgspec.DecodeError:
+        return {"status": reply.status, "body": reply.body.decode("utf-8", "replace")}
+
+
+def exit_unless_ok(reply: HttpReply) -> Any:
+    """Return the JSON of a successful response; otherwise print the error and exit."""
+    value = decode_reply(reply)
+    if reply.status >= 300:
+        code = _exit_codes.exit_code_of_status(reply.status)
+        raise cappa.Exit(_describe_error(value), code=code)
+    return value
+
+
+def print_json(value: object) -> None:
+    """Print a value as JSON on one line, for scripts."""
+    sys.stdout.write(json.dumps(value) + "\n")
+
+
+def print_table(title: str, columns: Sequence[str], rows: Sequence[Sequence[object]]) -> None:
+    """Print a table for people."""
+    table = Table(*columns, title=title, title_justify="left")
+    for row in rows:
+        table.add_row(*(str(cell) for cell in row))
+    Console().print(table)
+
+
+def _describe_error(value: Any) -> str:
+    if not isinstance(value, dict) or "message" not in value:
+        return json.dumps(value)
+    lines = [f"{value.get('code', 'error')}: {value['message']}"]
+    lines += [f"  {i['path']}: {i['found']} ({i['remedy']})" for i in value.get("issues", [])]
+    return "\n".join([*lines, f"remedy: {value.get('remedy', '')}"])
