--- a/src/foxtailwell/core/__init__.py
+++ b/src/foxtailwell/core/__init__.py
@@ -19,7 +19,9 @@
     WorkClass,
     ZoneOut,
 )
-from foxtailwell.core._first_fit import plan_first_fit
+from foxtailwell.core._first_fit import (
+    plan_first_fit,
+)
 from foxtailwell.core._freshness import (
     EVIDENCE_LIMIT_S,
     PREPARATION_LIMIT_S,
@@ -72,6 +74,11 @@
     transition,
     without_expired_jobs,
 )
+from foxtailwell.core._placement import (
+    Capacity,
+    fragmentation,
+    place_best_fit,
+)
 from foxtailwell.core._plan import (
     ClusterView,
     Decision,
@@ -83,6 +90,19 @@
     StopReason,
     WaitReason,
 )
+from foxtailwell.core._planner import (
+    free_capacity,
+    plan,
+)
+from foxtailwell.core._submissions import (
+    Submission,
+    add_job,
+    cancel_jobs,
+    check_submission,
+    job_from_submission,
+    largest_gang,
+    members_per_worker,
+)
 
 __all__ = [
     "EVIDENCE_LIMIT_S",
@@ -92,6 +112,7 @@
     "REPEAT_S",
     "RUN_LATEST_S",
     "TASK_LEASE_S",
+    "Capacity",
     "ChangeRecord",
     "ClientAccount",
     "ClusterView",
@@ -128,6 +149,7 @@
     "StopGang",
     "StopReason",
     "StopRequested",
+    "Submission",
     "TaskSeen",
     "TaskState",
     "TimePassed",
@@ -136,16 +158,26 @@
     "WorkClass",
     "ZoneAllocation",
     "ZoneOut",
+    "add_job",
     "advance",
     "begin_attempt",
     "begin_gang",
+    "cancel_jobs",
+    "check_submission",
     "ended_unix_ms",
     "evidence_from_peer",
     "evidence_from_store",
+    "fragmentation",
+    "free_capacity",
+    "job_from_submission",
     "job_id",
     "job_shard",
+    "largest_gang",
     "may_start",
+    "members_per_worker",
     "newer_evidence",
+    "place_best_fit",
+    "plan",
     "plan_first_fit",
     "put_job",
     "quarantine",
--- a/src/foxtailwell/core/errors.py
+++ b/src/foxtailwell/core/errors.py
@@ -7,8 +7,10 @@
 __all__ = [
     "AcceleratorsTakenError",
     "ConflictError",
+    "DocumentError",
     "FoxtailwellError",
     "IllegalTransitionError",
+    "KeyReusedError",
     "NotRunError",
     "OutcomeUnknownError",
     "StaleTermError",
@@ -114,6 +116,12 @@
         self.seen_term = seen_term
 
 
+class KeyReusedError(FoxtailwellError):
+    """An idempotency key was used again for different work; nothing was accepted."""
+
+    code = "key_reused"
+
+
 class NotRunError(FoxtailwellError):
     """The work did not run; sending it again is safe."""
 
@@ -151,6 +159,12 @@
         self.current_version = current_version
 
 
+class DocumentError(FoxtailwellError):
+    """A document of the store cannot be read."""
+
+    code = "document_unreadable"
+
+
 class UnsupportedSchemaError(FoxtailwellError):
     """A document was written by a newer release."""
 
