Decide refusals of a group commit on a fresh copy

Cause: a batch that changes nothing was answered from the cached document. No write followed that could reveal an old copy, so a job submitted through another entry stayed unknown here. Ruled out: a shorter life of the cache, which costs reads for every write. Change: a batch without an effect on a cached copy is applied once more to a fresh one. Before: the new test fails with 'not there'; after: it passes.

--- a/src/foxtailwell/adapters/group_commit.py
+++ b/src/foxtailwell/adapters/group_commit.py
@@ -128,18 +128,24 @@
                 waiting.done.set()
 
     async def _write(self, key: str, batch: list[_Waiting]) -> None:
+        is_fresh = key not in self._cache
         cached = await self._read_first(key)
         for _ in range(MAX_ATTEMPTS):
             document = _apply_all(cached.document, batch)
             if document == cached.document:
-                return
+                if is_fresh:
+                    return
+                # No write will tell whether the cache is current, and other daemons write too.
+                self._cache.pop(key, None)
+                cached, is_fresh = await self._read_first(key), True
+                continue
             try:
                 version = await self._store.write_recognised(
                     key, cached.version, _encode(key, document), new_write_id()
                 )
             except StoreConflictError:
                 self._cache.pop(key, None)
-                cached = await self._read(key)
+                cached, is_fresh = await self._read(key), True
                 continue
             self.writes += 1
             self._cache[key] = _Cached(version, document)
--- a/tests/test_group_commit.py
+++ b/tests/test_group_commit.py
@@ -102,3 +102,20 @@
         store_state.failures = StoreFailures(outage=True)
         results = await _add_all(committer, ["b"])
     assert isinstance(results["b"], StoreUnavailableError)
+
+
+async def test_refusal_is_not_decided_on_an_old_copy(store):
+    """Guards against a refusal that stays for ever because nothing refreshes the cached copy."""
+
+    def find(document):
+        if "late" not in document.names:
+            raise FoxtailwellError("not there", "add it")
+        return document, "found"
+
+    async with (
+        open_group_committer(store, Names, Names) as reader,
+        open_group_committer(store, Names, Names) as writer,
+    ):
+        await reader.apply("names", _add("early"))
+        await writer.apply("names", _add("late"))
+        assert await reader.apply("names", find) == "found"
