--- /dev/null
+++ b/src/foxtailwell/scheduler/_daemon.py
@@ -0,0 +1,131 @@
+"""The scheduler daemon."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+from anyio.abc import TaskGroup, TaskStatus
+
+from foxtailwell.adapters.events import DAEMON_STARTED, DAEMON_STOPPED, DAEMON_STOPPING
+from foxtailwell.adapters.group_commit import open_group_committer
+from foxtailwell.adapters.http_server import serve_http
+from foxtailwell.adapters.logs import configure_logs, log_event
+from foxtailwell.adapters.settings import Settings
+from foxtailwell.adapters.store import open_store
+from foxtailwell.adapters.workers import open_workers
+from foxtailwell.core import JobShard, ZoneAllocation, plan
+from foxtailwell.fleet import FleetView
+from foxtailwell.scheduler._fleet import run_fleet
+from foxtailwell.scheduler._leases import keep_zones
+from foxtailwell.scheduler._operators import make_operators_app
+from foxtailwell.scheduler._planning import Planner, keep_planning
+from foxtailwell.scheduler._state import SchedulerState, follow_documents
+
+__all__ = ["run_scheduler", "run_scheduler_tasks"]
+
+STOP_GRACE_S = 2.0
+
+
+async def run_scheduler(settings: Settings) -> None:
+    """Run the scheduler until SIGTERM or SIGINT, then release the zones and stop."""
+    configure_logs(
+        settings.log.form, settings.log.level, instance=settings.instance, daemon="scheduler"
+    )
+    stop = anyio.Event()
+    async with anyio.create_task_group() as group:
+        group.start_soon(_stop_on_signal, stop)
+        await run_scheduler_tasks(settings, stop)
+        group.cancel_scope.cancel()
+
+
+async def _stop_on_signal(stop: anyio.Event) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            stop.set()
+
+
+async def run_scheduler_tasks(
+    settings: Settings,
+    stop: anyio.Event,
+    *,
+    planner: Planner = plan,
+    view: FleetView | None = None,
+    task_status: TaskStatus[SchedulerState] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run all tasks of the scheduler until the stop event is set.
+
+    Args:
+        settings: Settings of the instance.
+        stop: Set to stop.
+        planner: Decides what starts and stops.
+        view: View of the fleet that the caller keeps; by default the fleet tasks run here.
+        task_status: Reports the shared state once the operators' interface listens.
+    """
+    async with (
+        _open_state(settings, stop, view or FleetView()) as state,
+        anyio.create_task_group() as group,
+    ):
+        app = make_operators_app(state, planner)
+        served = anyio.Event()
+        port = await group.start(
+            lambda task_status: serve_http(
+                app,
+                settings.operators.host,
+                settings.operators.port,
+                served,
+                grace_s=STOP_GRACE_S,
+                task_status=task_status,
+            )
+        )
+        log_event(DAEMON_STARTED, operators_port=port)
+        task_status.started(state)
+        if view is None:
+            await _start_fleet(settings, state, group)
+        group.start_soon(follow_documents, state)
+        group.start_soon(keep_planning, state, planner)
+        await _keep_zones_until_stopped(state)
+        served.set()
+        group.cancel_scope.cancel()
+    log_event(DAEMON_STOPPED)
+
+
+async def _keep_zones_until_stopped(state: SchedulerState) -> None:
+    async with anyio.create_task_group() as group:
+
+        async def announce() -> None:
+            await state.stop.wait()
+            log_event(DAEMON_STOPPING, zones=sorted(state.zones))
+            state.notify()
+
+        group.start_soon(announce)
+        await keep_zones(state)
+
+
+async def _start_fleet(settings: Settings, state: SchedulerState, group: TaskGroup) -> None:
+    await group.start(run_fleet, settings, "scheduler", state.store, state.view)
+
+
+@asynccontextmanager
+async def _open_state(
+    settings: Settings, stop: anyio.Event, view: FleetView
+) -> AsyncIterator[SchedulerState]:
+    timeout_s = settings.platform.store_timeout_ms / 1000
+    async with (
+        open_store(settings.platform.store_url, timeout_s=timeout_s) as store,
+        open_workers() as workers,
+        open_group_committer(store, JobShard, JobShard) as jobs,
+        open_group_committer(store, ZoneAllocation, ZoneAllocation) as allocations,
+    ):
+        yield SchedulerState(
+            settings.instance,
+            settings.availability_zone,
+            store,
+            workers,
+            view,
+            jobs,
+            allocations,
+            stop=stop,
+        )
--- /dev/null
+++ b/src/foxtailwell/scheduler/_links.py
@@ -0,0 +1,98 @@
+"""One task per worker that sends commands at once and renews task leases."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+
+from foxtailwell.adapters.workers import SyncReply, SyncRequest, WorkerClient, WorkerCommand
+from foxtailwell.core.errors import StaleTermError, UnavailableError
+
+__all__ = ["RENEW_INTERVAL_S", "WorkerLink", "run_link"]
+
+RENEW_INTERVAL_S = 5.0
+FIRST_INTERVAL_S = 0.5
+"""Interval of a young gang, so that short jobs and workers that fail at once are seen early; it
+grows to the renewal interval with the age of the youngest gang."""
+
+
+@dataclass(slots=True)
+class WorkerLink:
+    """Commands that wait for one worker.
+
+    Attributes:
+        worker: Identifier of the worker.
+        address: Where it was last known to be.
+        commands: Commands to send with the next call.
+        renew: Jobs whose task leases are renewed.
+        young_since_s: Start of the youngest gang on the worker.
+        clock_s: The worker's clock in its last reply.
+        wake: Set to call at once.
+        is_open: Cleared when the worker has no tasks left.
+    """
+
+    worker: str
+    address: str
+    commands: list[WorkerCommand] = field(default_factory=list)
+    renew: set[str] = field(default_factory=set)
+    young_since_s: float = 0.0
+    clock_s: float = 0.0
+    wake: anyio.Event = field(default_factory=anyio.Event)
+    is_open: bool = True
+
+    def send(self, command: WorkerCommand) -> None:
+        """Send a command without delay."""
+        self.commands.append(command)
+        self.wake.set()
+
+    def close(self) -> None:
+        """End the task of the link."""
+        self.is_open = False
+        self.wake.set()
+
+    def interval_s(self, now_s: float) -> float:
+        """Return the time until the next call without a command."""
+        age_s = now_s - self.young_since_s
+        return min(RENEW_INTERVAL_S, max(FIRST_INTERVAL_S, age_s / 2))
+
+
+async def run_link(
+    link: WorkerLink,
+    client: WorkerClient,
+    zone: str,
+    term: int,
+    on_reply: Callable[[str, SyncReply], None],
+    on_stale: Callable[[StaleTermError], None],
+) -> None:
+    """Call one worker until the link is closed.
+
+    A call that fails is not repeated here: the gang's protocol repeats what had no effect.
+
+    Args:
+        link: Commands and renewals.
+        client: Client of the workers.
+        zone: Zone of the worker.
+        term: Fencing token.
+        on_reply: Called with the worker and its reply.
+        on_stale: Called when the worker has seen a higher token.
+    """
+    while link.is_open:
+        link.wake = anyio.Event()
+        commands, link.commands = tuple(link.commands), []
+        request = SyncRequest(zone, term, commands, tuple(sorted(link.renew)), link.clock_s)
+        try:
+            reply = await client.sync(link.address, request)
+        except StaleTermError as error:
+            on_stale(error)
+            return
+        except UnavailableError:
+            pass
+        else:
+            link.clock_s = reply.clock_s
+            on_reply(link.worker, reply)
+        if not link.commands:
+            with anyio.move_on_after(link.interval_s(time.monotonic())):
+                await link.wake.wait()
--- /dev/null
+++ b/src/foxtailwell/scheduler/_operators.py
@@ -0,0 +1,123 @@
+"""Operators' HTTP interface of the scheduler."""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from foxtailwell.adapters.http_server import json_response
+from foxtailwell.core import EVIDENCE_LIMIT_S, JobState
+from foxtailwell.scheduler._planning import Planner, make_plan
+from foxtailwell.scheduler._state import SchedulerState
+
+__all__ = ["make_operators_app"]
+
+
+def make_operators_app(
+    state: SchedulerState, planner: Planner, extra_routes: tuple[Route, ...] = ()
+) -> Starlette:
+    """Return the application with health, status and explanations.
+
+    Args:
+        state: What the tasks of the scheduler share.
+        planner: Planner that a standby asks for an explanation.
+        extra_routes: Further routes, such as metrics.
+    """
+
+    async def healthz(_request: Request) -> Response:
+        return json_response({"status": "alive"})
+
+    async def readyz(_request: Request) -> Response:
+        missing = _missing(state)
+        return json_response(
+            {"status": "not ready" if missing else "ready", "missing": missing},
+            503 if missing else 200,
+        )
+
+    async def status(_request: Request) -> Response:
+        return json_response(_status(state))
+
+    async def explain(request: Request) -> Response:
+        job_id = request.path_params["id"]
+        job = state.find_job(job_id)
+        if job is None:
+            return json_response(
+                {
+                    "code": "unknown_job",
+                    "message": f"no job {job_id}",
+                    "remedy": "check the identifier; ended jobs are kept for 24 h",
+                },
+                404,
+            )
+        plan = state.plan if state.zones else await make_plan(state, planner)
+        waiting = plan.waiting.get(job_id) if job.state is JobState.WAITING else None
+        return json_response(
+            {
+                "id": job_id,
+                "state": job.state,
+                "attempt": job.attempt,
+                "zone": job.zone,
+                "waits_for": waiting,
+                "members": _members(state, job_id),
+                "history": job.history,
+            }
+        )
+
+    return Starlette(
+        routes=[
+            Route("/healthz", healthz),
+            Route("/readyz", readyz),
+            Route("/v1/status", status),
+            Route("/v1/jobs/{id}/explain", explain),
+            *extra_routes,
+        ]
+    )
+
+
+def _missing(state: SchedulerState) -> list[str]:
+    found = []
+    if state.stop.is_set():
+        found.append("the daemon is stopping")
+    if not state.is_loaded:
+        found.append("jobs and allocations were not read yet")
+    if not state.view.instances:
+        found.append("the instance list was not read yet")
+    return found
+
+
+def _members(state: SchedulerState, job_id: str) -> list[dict[str, object]]:
+    for executor in state.zones.values():
+        active = executor.runs.get(job_id)
+        if active is not None:
+            return [
+                {"worker": m.worker, "task": m.task, "detail": m.detail} for m in active.run.members
+            ]
+    return []
+
+
+def _status(state: SchedulerState) -> dict[str, object]:
+    evidence = state.view.evidence
+    age_s = time.monotonic() - evidence.at_monotonic_s if evidence else None
+    return {
+        "instance": state.instance,
+        "revision": state.view.configuration.revision,
+        "evidence_age_s": age_s,
+        "may_start": age_s is not None and age_s <= EVIDENCE_LIMIT_S,
+        "store_calls": state.store.calls,
+        "worker_calls": state.workers.calls,
+        "plan_ms": state.plan_ms,
+        "jobs": Counter(job.state.value for job in state.jobs()),
+        "zones": {
+            zone: {
+                "term": executor.term,
+                "gangs": Counter(a.run.phase.value for a in executor.runs.values()),
+                "starting": len(executor.starting),
+            }
+            for zone, executor in state.zones.items()
+        },
+    }
--- /dev/null
+++ b/src/foxtailwell/scheduler/_planning.py
@@ -0,0 +1,138 @@
+"""The planning loop: one plan over all zones, carried out for the zones held."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import replace
+
+import anyio
+
+from foxtailwell.adapters.events import JOB_FAILED
+from foxtailwell.adapters.logs import log_event
+from foxtailwell.core import (
+    ClusterView,
+    Decision,
+    FailJob,
+    Job,
+    JobState,
+    Plan,
+    ZoneAllocation,
+    without_expired_jobs,
+)
+from foxtailwell.core.errors import FoxtailwellError
+from foxtailwell.scheduler._mutations import expire_jobs, fail_job
+from foxtailwell.scheduler._state import SchedulerState, now_unix_ms, shard_key
+
+__all__ = ["Planner", "keep_planning", "make_plan"]
+
+Planner = Callable[[ClusterView], Plan]
+
+SHORTEST_INTERVAL_S = 0.05
+WAITING_INTERVAL_S = 1.0
+IDLE_INTERVAL_S = 5.0
+EXPIRY_INTERVAL_S = 60.0
+
+
+async def keep_planning(state: SchedulerState, planner: Planner) -> None:
+    """Plan after every change and hand the decisions to the zones held, until the stop."""
+    expired_s = time.monotonic()
+    while not state.stop.is_set():
+        if state.zones and state.is_loaded:
+            await _plan_once(state, planner)
+            if time.monotonic() - expired_s >= EXPIRY_INTERVAL_S:
+                expired_s = time.monotonic()
+                await _expire(state)
+        await anyio.sleep(SHORTEST_INTERVAL_S)
+        await _wait(state)
+
+
+async def _wait(state: SchedulerState) -> None:
+    wait_s = WAITING_INTERVAL_S if state.plan.waiting else IDLE_INTERVAL_S
+    async with anyio.create_task_group() as group:
+
+        async def wake(event: anyio.Event) -> None:
+            await event.wait()
+            group.cancel_scope.cancel()
+
+        group.start_soon(wake, state.changed)
+        group.start_soon(wake, state.view.changed)
+        group.start_soon(wake, state.stop)
+        await anyio.sleep(wait_s)
+        group.cancel_scope.cancel()
+
+
+async def make_plan(state: SchedulerState, planner: Planner) -> Plan:
+    """Return a plan of the present view.
+
+    The planner runs in a thread, so that a large fleet does not delay commands and renewals.
+    """
+    view = _cluster_view(state)
+    return await anyio.to_thread.run_sync(planner, view)
+
+
+async def _plan_once(state: SchedulerState, planner: Planner) -> None:
+    begun_s = time.perf_counter()
+    state.plan = await make_plan(state, planner)
+    state.plan_ms = (time.perf_counter() - begun_s) * 1000
+    by_zone: dict[str, list[Decision]] = {}
+    failures = []
+    for decision in state.plan.decisions:
+        if isinstance(decision, FailJob):
+            failures.append(decision)
+        else:
+            by_zone.setdefault(decision.zone, []).append(decision)
+    for zone, decisions in by_zone.items():
+        executor = state.zones.get(zone)
+        if executor is not None:
+            executor.submit(decisions)
+    if failures and _is_first(state):
+        await _fail(state, failures)
+
+
+def _is_first(state: SchedulerState) -> bool:
+    """Return whether this scheduler does the work that belongs to no zone."""
+    zones = state.known_zones()
+    return bool(zones) and zones[0] in state.zones
+
+
+def _cluster_view(state: SchedulerState) -> ClusterView:
+    allocations = dict(state.allocations)
+    held: set[str] = set()
+    for zone, executor in state.zones.items():
+        gangs = executor.gangs()
+        held |= set(gangs)
+        # The executor knows its gangs before the watch shows them.
+        base = allocations.get(zone, ZoneAllocation(zone=zone))
+        allocations[zone] = replace(base, gangs=gangs)
+    jobs = tuple(_as_held(j, held) for j in state.jobs() if not j.state.is_final)
+    workers = tuple(r for r in state.view.instances.values() if r.role == "worker")
+    return ClusterView(now_unix_ms(), state.view.configuration, workers, jobs, allocations)
+
+
+def _as_held(job: Job, held: set[str]) -> Job:
+    is_old = job.state is JobState.WAITING and job.id in held
+    return replace(job, state=JobState.PREPARING) if is_old else job
+
+
+async def _fail(state: SchedulerState, failures: list[FailJob]) -> None:
+    for failure in failures:
+        mutation = fail_job(failure.job_id, now_unix_ms(), failure.reason)
+        try:
+            await state.job_documents.apply(shard_key(failure.job_id), mutation)
+        except FoxtailwellError:
+            # The next plan repeats the decision.
+            return
+        log_event(JOB_FAILED, job=failure.job_id, reason=failure.reason)
+
+
+async def _expire(state: SchedulerState) -> None:
+    if not _is_first(state):
+        return
+    now = now_unix_ms()
+    for key, shard in list(state.shards.items()):
+        if without_expired_jobs(shard, now) is not shard:
+            try:
+                await state.job_documents.apply(key, expire_jobs(now))
+            except FoxtailwellError:
+                return
--- /dev/null
+++ b/src/foxtailwell/scheduler/_state.py
@@ -0,0 +1,158 @@
+"""What the tasks of the scheduler share."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import anyio
+
+from foxtailwell.adapters.document_watch import watch_documents
+from foxtailwell.adapters.group_commit import GroupCommitter
+from foxtailwell.adapters.store import StoreClient
+from foxtailwell.adapters.workers import WorkerClient
+from foxtailwell.core import Job, JobShard, Permission, Plan, ZoneAllocation, job_shard
+from foxtailwell.fleet import FleetView
+
+if TYPE_CHECKING:
+    from foxtailwell.scheduler._zone import ZoneExecutor
+
+__all__ = [
+    "JOBS_PREFIX",
+    "SchedulerState",
+    "allocation_key",
+    "follow_documents",
+    "lease_key",
+    "now_unix_ms",
+    "shard_key",
+]
+
+JOBS_PREFIX = "jobs/"
+_ALLOCATIONS_PREFIX = "alloc/"
+
+
+def shard_key(job_id: str) -> str:
+    """Return the key of the document that holds a job."""
+    return f"{JOBS_PREFIX}{job_shard(job_id)}"
+
+
+def allocation_key(zone: str) -> str:
+    """Return the key of a zone's allocation document."""
+    return f"{_ALLOCATIONS_PREFIX}{zone}"
+
+
+def lease_key(zone: str) -> str:
+    """Return the key of the lease for a zone."""
+    return f"lease/scheduler/{zone}"
+
+
+def now_unix_ms() -> int:
+    """Return the wall-clock time, for histories only."""
+    return time.time_ns() // 1_000_000
+
+
+@dataclass(slots=True)
+class SchedulerState:
+    """State of one scheduler.
+
+    Attributes:
+        instance: Identifier of the own instance.
+        home_zone: Availability zone of the own instance.
+        store: Client of the store.
+        workers: Client of the workers.
+        view: Configuration and fleet; the fleet tasks write it.
+        job_documents: Writes the job documents.
+        allocation_documents: Writes the allocation documents.
+        shards: Job documents by key, from the watch.
+        allocations: Allocation documents by zone, from the watch.
+        loaded: Prefixes whose documents were read.
+        zones: Zones held, by name.
+        plan: Newest plan.
+        plan_ms: Time that the newest plan took.
+        changed: Replaced and set whenever a document changes.
+        stop: Set when the daemon stops.
+    """
+
+    instance: str
+    home_zone: str
+    store: StoreClient
+    workers: WorkerClient
+    view: FleetView
+    job_documents: GroupCommitter[JobShard]
+    allocation_documents: GroupCommitter[ZoneAllocation]
+    shards: dict[str, JobShard] = field(default_factory=dict)
+    allocations: dict[str, ZoneAllocation] = field(default_factory=dict)
+    loaded: set[str] = field(default_factory=set)
+    zones: dict[str, ZoneExecutor] = field(default_factory=dict)
+    plan: Plan = field(default_factory=Plan)
+    plan_ms: float = 0.0
+    changed: anyio.Event = field(default_factory=anyio.Event)
+    stop: anyio.Event = field(default_factory=anyio.Event)
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether all documents were read once."""
+        return len(self.loaded) == 2
+
+    def notify(self) -> None:
+        """Wake the tasks that wait for a change."""
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def find_job(self, job_id: str) -> Job | None:
+        """Return a job as the watch last saw it."""
+        shard = self.shards.get(shard_key(job_id))
+        return shard.jobs.get(job_id) if shard else None
+
+    def jobs(self) -> Iterable[Job]:
+        """Return all jobs as the watch last saw them."""
+        return (job for shard in self.shards.values() for job in shard.jobs.values())
+
+    def known_zones(self) -> list[str]:
+        """Return the zones that have workers or an allocation document."""
+        zones = {r.zone for r in self.view.instances.values() if r.role == "worker"}
+        return sorted(zones | set(self.allocations))
+
+    def permission(self, zone: str) -> Permission:
+        """Return what is known now about the right to start tasks in a zone."""
+        is_out = zone in self.view.configuration.zones_out
+        return Permission(time.monotonic(), self.view.evidence, is_out)
+
+
+async def follow_documents(state: SchedulerState) -> None:
+    """Keep the job and allocation documents up to date until cancelled, by one watch each."""
+
+    async def put_shard(key: str, shard: JobShard) -> None:
+        state.shards[key] = shard
+        state.notify()
+
+    async def put_allocation(key: str, allocation: ZoneAllocation) -> None:
+        state.allocations[key.removeprefix(_ALLOCATIONS_PREFIX)] = allocation
+        state.notify()
+
+    def mark_loaded(prefix: str) -> None:
+        if prefix not in state.loaded:
+            state.loaded.add(prefix)
+            state.notify()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(
+            lambda: watch_documents(
+                state.store,
+                JOBS_PREFIX,
+                JobShard,
+                put_shard,
+                on_result=lambda _: mark_loaded(JOBS_PREFIX),
+            )
+        )
+        group.start_soon(
+            lambda: watch_documents(
+                state.store,
+                _ALLOCATIONS_PREFIX,
+                ZoneAllocation,
+                put_allocation,
+                on_result=lambda _: mark_loaded(_ALLOCATIONS_PREFIX),
+            )
+        )
--- a/src/foxtailwell_standins/cli.py
+++ b/src/foxtailwell_standins/cli.py
@@ -8,10 +8,14 @@
 
 import anyio
 import cappa
+import msgspec
 
+from foxtailwell.adapters.http_client import open_http_client
 from foxtailwell.adapters.http_server import serve_http
+from foxtailwell.core import InstanceRecord
 from foxtailwell_standins.instance_list import InstanceListState, make_instance_list_app
 from foxtailwell_standins.store import StoreState, make_store_app
+from foxtailwell_standins.workers import WorkerFleet, make_worker_records, serve_workers
 
 __all__ = ["main"]
 
@@ -40,12 +44,40 @@
         anyio.run(_serve, make_instance_list_app(InstanceListState()), self.port)
 
 
+@cappa.command(name="workers", help="Run workers on a port each.")
+@dataclass(frozen=True)
+class WorkersCommand:
+    """Run stand-ins of workers and register them with the instance list."""
+
+    instance_list: Annotated[str, cappa.Arg(long=True, help="URL of the instance list.")]
+    zones: Annotated[str, cappa.Arg(long=True, help="Zones, separated by commas.")] = "zone-a"
+    region: Annotated[str, cappa.Arg(long=True, help="Region of the zones.")] = "region"
+    per_zone: Annotated[int, cappa.Arg(long=True, help="Workers in each zone.")] = 8
+    per_rack: Annotated[int, cappa.Arg(long=True, help="Workers in each rack.")] = 8
+    accelerators: Annotated[int, cappa.Arg(long=True, help="Accelerators per worker.")] = 8
+    cores: Annotated[int, cappa.Arg(long=True, help="Processor cores per worker.")] = 128
+    memory_gb: Annotated[int, cappa.Arg(long=True, help="Memory per worker.")] = 256
+
+    def __call__(self) -> None:
+        """Serve until a signal arrives."""
+        records = make_worker_records(
+            self.zones.split(","),
+            per_zone=self.per_zone,
+            per_rack=self.per_rack,
+            region=self.region,
+            accelerators=self.accelerators,
+            cores=self.cores,
+            memory_gb=self.memory_gb,
+        )
+        anyio.run(_serve_workers, records, self.instance_list)
+
+
 @cappa.command(name="foxtailwell-standin", help="Stand-ins of the platform, for tests only.")
 @dataclass(frozen=True)
 class StandinCommand:
     """Run one of the stand-ins."""
 
-    command: cappa.Subcommands[StoreCommand | InstanceListCommand]
+    command: cappa.Subcommands[StoreCommand | InstanceListCommand | WorkersCommand]
 
 
 async def _serve(app: object, port: int) -> None:
@@ -60,6 +92,19 @@
         group.cancel_scope.cancel()
 
 
+async def _serve_workers(records: list[InstanceRecord], instance_list: str) -> None:
+    async with anyio.create_task_group() as group:
+        placed = await group.start(serve_workers, WorkerFleet(), records)
+        async with open_http_client(instance_list) as http:
+            await http.request("PUT", "/v1/instances", body=msgspec.json.encode(placed))
+        for record in placed:
+            print(f"{record.id} listening on {record.address}", flush=True)
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                break
+        group.cancel_scope.cancel()
+
+
 def main() -> None:
     """Run the command."""
     cappa.invoke(StandinCommand)
--- a/src/foxtailwell_standins/workers.py
+++ b/src/foxtailwell_standins/workers.py
@@ -37,6 +37,7 @@
     "WorkerFailures",
     "WorkerFleet",
     "WorkerState",
+    "make_worker_records",
     "make_workers_app",
     "serve_workers",
 ]
@@ -396,6 +397,34 @@
     worker.attempts.clear()
 
 
+def make_worker_records(
+    zones: list[str],
+    *,
+    per_zone: int,
+    per_rack: int = 8,
+    region: str = "region",
+    accelerators: int = 8,
+    cores: int = 128,
+    memory_gb: int = 256,
+) -> list[InstanceRecord]:
+    """Return the records of equal workers in zones and racks, without addresses."""
+    return [
+        InstanceRecord(
+            f"{zone}-w{index}",
+            "worker",
+            zone,
+            "",
+            rack=f"{zone}-r{index // per_rack}",
+            region=region,
+            cores=cores,
+            memory_gb=memory_gb,
+            accelerators=accelerators,
+        )
+        for zone in zones
+        for index in range(per_zone)
+    ]
+
+
 class _Server(uvicorn.Server):
     """A server that leaves signals to the program."""
 
