--- a/src/foxtailwell/scheduler/_daemon.py
+++ b/src/foxtailwell/scheduler/_daemon.py
@@ -70,7 +70,7 @@
     ):
         app = make_operators_app(state, planner)
         served = anyio.Event()
-        port = await group.start(
+        state.operators_port = await group.start(
             lambda task_status: serve_http(
                 app,
                 settings.operators.host,
@@ -80,7 +80,7 @@
                 task_status=task_status,
             )
         )
-        log_event(DAEMON_STARTED, operators_port=port)
+        log_event(DAEMON_STARTED, operators_port=state.operators_port)
         task_status.started(state)
         if view is None:
             await _start_fleet(settings, state, group)
--- a/src/foxtailwell/scheduler/_leases.py
+++ b/src/foxtailwell/scheduler/_leases.py
@@ -45,12 +45,7 @@
                 if zone not in known:
                     known.add(zone)
                     group.start_soon(_keep_zone, state, zone)
-            await _wait_for_change(state, 1.0)
-
-
-async def _wait_for_change(state: SchedulerState, wait_s: float) -> None:
-    with anyio.move_on_after(wait_s):
-        await state.changed.wait()
+            await state.wait_for_change(1.0)
 
 
 async def _pause(state: SchedulerState, wait_s: float) -> None:
@@ -108,7 +103,7 @@
         left_s = lease_end_s + delay_s - time.monotonic()
         if left_s <= 0:
             return
-        await _wait_for_change(state, min(left_s, 1.0))
+        await state.wait_for_change(min(left_s, 1.0))
 
 
 @dataclass(slots=True)
--- a/src/foxtailwell/scheduler/_planning.py
+++ b/src/foxtailwell/scheduler/_planning.py
@@ -29,6 +29,9 @@
 Planner = Callable[[ClusterView], Plan]
 
 SHORTEST_INTERVAL_S = 0.05
+DECIDED_INTERVAL_S = 0.2
+"""Interval while decisions are open: a start may be delayed by its backoff or by old evidence."""
+
 WAITING_INTERVAL_S = 1.0
 IDLE_INTERVAL_S = 5.0
 EXPIRY_INTERVAL_S = 60.0
@@ -38,28 +41,20 @@
     """Plan after every change and hand the decisions to the zones held, until the stop."""
     expired_s = time.monotonic()
     while not state.stop.is_set():
+        marks = state.change_marks()
         if state.zones and state.is_loaded:
             await _plan_once(state, planner)
             if time.monotonic() - expired_s >= EXPIRY_INTERVAL_S:
                 expired_s = time.monotonic()
                 await _expire(state)
         await anyio.sleep(SHORTEST_INTERVAL_S)
-        await _wait(state)
-
-
-async def _wait(state: SchedulerState) -> None:
-    wait_s = WAITING_INTERVAL_S if state.plan.waiting else IDLE_INTERVAL_S
-    async with anyio.create_task_group() as group:
+        await state.wait_for_change(_interval_s(state.plan), marks)
 
-        async def wake(event: anyio.Event) -> None:
-            await event.wait()
-            group.cancel_scope.cancel()
 
-        group.start_soon(wake, state.changed)
-        group.start_soon(wake, state.view.changed)
-        group.start_soon(wake, state.stop)
-        await anyio.sleep(wait_s)
-        group.cancel_scope.cancel()
+def _interval_s(plan: Plan) -> float:
+    if plan.decisions:
+        return DECIDED_INTERVAL_S
+    return WAITING_INTERVAL_S if plan.waiting else IDLE_INTERVAL_S
 
 
 async def make_plan(state: SchedulerState, planner: Planner) -> Plan:
--- a/src/foxtailwell/scheduler/_state.py
+++ b/src/foxtailwell/scheduler/_state.py
@@ -71,6 +71,7 @@
         zones: Zones held, by name.
         plan: Newest plan.
         plan_ms: Time that the newest plan took.
+        operators_port: Port of the operators' interface.
         changed: Replaced and set whenever a document changes.
         stop: Set when the daemon stops.
     """
@@ -88,6 +89,7 @@
     zones: dict[str, ZoneExecutor] = field(default_factory=dict)
     plan: Plan = field(default_factory=Plan)
     plan_ms: float = 0.0
+    operators_port: int = 0
     changed: anyio.Event = field(default_factory=anyio.Event)
     stop: anyio.Event = field(default_factory=anyio.Event)
 
@@ -101,6 +103,25 @@
         self.changed.set()
         self.changed = anyio.Event()
 
+    def change_marks(self) -> tuple[anyio.Event, ...]:
+        """Return the events of the next change, taken before the present state is read."""
+        return (self.changed, self.view.changed, self.stop)
+
+    async def wait_for_change(
+        self, wait_s: float, marks: tuple[anyio.Event, ...] | None = None
+    ) -> None:
+        """Wait for a change of documents or fleet, or for the stop, at most for a time."""
+        async with anyio.create_task_group() as group:
+
+            async def wake(event: anyio.Event) -> None:
+                await event.wait()
+                group.cancel_scope.cancel()
+
+            for event in marks or self.change_marks():
+                group.start_soon(wake, event)
+            await anyio.sleep(wait_s)
+            group.cancel_scope.cancel()
+
     def find_job(self, job_id: str) -> Job | None:
         """Return a job as the watch last saw it."""
         shard = self.shards.get(shard_key(job_id))
--- a/src/foxtailwell_standins/workers.py
+++ b/src/foxtailwell_standins/workers.py
@@ -39,6 +39,7 @@
     "WorkerState",
     "make_worker_records",
     "make_workers_app",
+    "restart_worker",
     "serve_workers",
 ]
 
@@ -363,7 +364,7 @@
         values = msgspec.json.decode(await request.body())
         worker = fleet.workers.get(values.pop("worker", "")) or called(request)
         if values.pop("restart", False):
-            _restart(worker)
+            restart_worker(worker)
         worker.failures = replace(worker.failures, **values)
         return _json(worker.failures)
 
@@ -387,7 +388,8 @@
             return
 
 
-def _restart(worker: WorkerState) -> None:
+def restart_worker(worker: WorkerState) -> None:
+    """Stop all tasks of a worker and forget them."""
     now_s = time.monotonic()
     _refresh(worker, now_s)
     for task in worker.tasks.values():
--- a/tests/scheduler_harness.py
+++ b/tests/scheduler_harness.py
@@ -16,6 +16,7 @@
 import anyio
 
 from foxtailwell.adapters.documents import decode_document, encode_document
+from foxtailwell.adapters.http_client import open_http_client
 from foxtailwell.adapters.settings import Endpoint, PlatformSettings, Settings
 from foxtailwell.adapters.store import StoreClient, new_write_id, open_store
 from foxtailwell.core import (
@@ -42,6 +43,7 @@
     WorkerFleet,
     WorkRecord,
     make_worker_records,
+    restart_worker,
     serve_workers,
 )
 
@@ -182,6 +184,15 @@
         """Set failures of a worker."""
         self.fleet.workers[worker].failures = WorkerFailures(**failures)
 
+    def restart(self, worker: str) -> None:
+        """Restart a worker, so that it loses its tasks."""
+        restart_worker(self.fleet.workers[worker])
+
+    async def ask_operators(self, state: SchedulerState, path: str) -> dict:
+        """Ask the operators' interface of a scheduler in this process."""
+        async with open_http_client(f"http://127.0.0.1:{state.operators_port}") as http:
+            return json.loads((await http.request("GET", path)).body)
+
     def log(self, identifier: str = "") -> list[WorkRecord]:
         """Return what ran, of one job or of all."""
         self.fleet.refresh()
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,254 @@
+"""The scheduler's tasks against the stand-in platform with failures."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import replace
+
+import anyio
+import pytest
+
+from foxtailwell.core import JobState
+from foxtailwell_standins.store import StoreFailures
+from scheduler_harness import open_platform, running_scheduler
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+async def platform(serving, tmp_path):
+    async with open_platform(serving, tmp_path, per_zone=3) as platform:
+        yield platform
+        platform.check_work()
+
+
+def _worked(platform, identifier=""):
+    return [r for r in platform.log(identifier) if r.first_work_s]
+
+
+async def test_refusing_worker_lets_no_member_work(platform):
+    """Guards against a gang that runs without the member whose worker refused."""
+    platform.fail("a-w1", refuse_prepare=True)
+    async with running_scheduler(platform):
+        identifier = await platform.submit("k", members=3, size=8)
+        await platform.until(lambda: platform.job(identifier).attempt >= 2)
+        assert not _worked(platform)
+        platform.fail("a-w1")
+        await platform.until_state(identifier, JobState.DONE)
+
+
+async def test_worker_that_always_refuses_is_quarantined(platform):
+    """Guards against a job that is sent to the same refusing worker for ever."""
+    for worker in ("a-w0", "a-w1"):
+        platform.fail(worker, refuse_prepare=True)
+    async with running_scheduler(platform):
+        identifier = await platform.submit("k", members=1, size=8)
+        await platform.until_state(identifier, JobState.DONE)
+        assert {r.worker for r in _worked(platform)} == {"a-w2"}
+
+
+async def test_lost_responses_neither_repeat_nor_split_a_start(platform):
+    """Guards against a member that is started twice, or left out, after a lost response."""
+    async with running_scheduler(platform):
+        for lost in (1, 2, 3, 4):
+            platform.fail("a-w1", lose_responses=lost)
+            identifier = await platform.submit(f"k{lost}", members=3, size=8)
+            await platform.until_state(identifier, JobState.DONE)
+            await platform.until(lambda: not platform.allocation().gangs)
+            platform.fail("a-w1")
+
+
+async def test_delayed_start_is_not_carried_out(platform):
+    """Guards against a start that arrives late and begins work after the 2 s of preparation."""
+    async with running_scheduler(platform):
+        platform.fail("a-w1", delay_s=2.5)
+        identifier = await platform.submit("k", members=3, size=8)
+        await platform.until(lambda: platform.job(identifier).attempt >= 2)
+        assert not _worked(platform)
+        platform.fail("a-w1")
+        await platform.until_state(identifier, JobState.DONE)
+
+
+async def test_scheduler_stopped_between_members_leaves_no_partial_gang(platform):
+    """Guards against members that work after the scheduler was killed in the middle of a start."""
+    platform.fail("a-w2", delay_s=0.8)
+    identifier = ""
+    async with running_scheduler(platform, "s1"):
+        identifier = await platform.submit("k", members=3, size=8)
+        await platform.until(lambda: len(platform.log(identifier)) >= 2)
+    platform.fail("a-w2")
+    async with running_scheduler(platform, "s2"):
+        await platform.until_state(identifier, JobState.DONE)
+    assert platform.job(identifier).attempt == 2
+    assert {r.attempt for r in _worked(platform)} == {2}
+
+
+async def test_no_task_starts_in_a_zone_that_was_taken_out(platform):
+    """Guards against work that begins more than 5 s after the zone was taken out."""
+    async with running_scheduler(platform):
+        first = await platform.submit("first")
+        await platform.until_state(first, JobState.DONE)
+        identifiers = [await platform.submit(f"k{i}", members=1, run_s=0.1) for i in range(6)]
+        out_s = await platform.take_zone_out("a")
+        late = await platform.submit("late")
+        await anyio.sleep(6.0)
+        assert all(r.first_work_s <= out_s + 5.0 for r in _worked(platform))
+        assert not _worked(platform, late)
+        for identifier in identifiers:
+            assert platform.job(identifier).state in (JobState.DONE, JobState.WAITING)
+
+
+async def test_store_outage_keeps_gangs_and_stops_starts(platform):
+    """Guards against gangs that end with the store, and starts on an old configuration."""
+    async with running_scheduler(platform):
+        long = await platform.submit("long", members=2, run_s=10.0)
+        await platform.until_state(long, JobState.RUNNING)
+        waiting = await platform.submit("waiting", members=3, size=8)
+        platform.store_state.failures = StoreFailures(outage=True)
+        outage_s = time.monotonic()
+        await platform.until(lambda: all(r.stopped_s for r in _worked(platform, long)))
+        assert not _worked(platform, waiting)
+        platform.store_state.failures = StoreFailures()
+        assert time.monotonic() - outage_s > 5.0
+        await platform.until_state(long, JobState.DONE)
+        await platform.until_state(waiting, JobState.DONE)
+        assert platform.job(long).attempt == 1
+
+
+async def test_lost_store_responses_lose_no_job(platform):
+    """Guards against a job that hangs because the response to one of its writes was lost."""
+    async with running_scheduler(platform):
+        for index in range(4):
+            identifier = await platform.submit(f"k{index}")
+            platform.store_state.failures = StoreFailures(lose_responses=index + 1)
+            await platform.until_state(identifier, JobState.DONE)
+
+
+async def test_confirmed_cancel_is_never_followed_by_a_start(platform):
+    """Guards against a job that starts although its caller was told that it is cancelled."""
+    async with running_scheduler(platform):
+        confirmed = {}
+        for index in range(30):
+            identifier = await platform.submit(f"k{index}", members=2, size=8, run_s=0.05)
+            # The delays place the cancel before, during and after the start.
+            await anyio.sleep(0.004 * index)
+            job = await platform.cancel(identifier)
+            confirmed[identifier] = (time.monotonic(), job.state)
+        for identifier, (at_s, state) in confirmed.items():
+            await platform.until_state(identifier, JobState.CANCELLED, JobState.DONE)
+            is_running = state in (JobState.RUNNING, JobState.DONE)
+            started = [r.first_work_s for r in _worked(platform, identifier)]
+            assert is_running or not started, (state, started, at_s)
+        assert {JobState.CANCELLED, JobState.RUNNING} <= {s for _, s in confirmed.values()}
+
+
+async def test_running_job_is_stopped_by_a_cancel(platform):
+    """Guards against a cancelled job that keeps its accelerators."""
+    async with running_scheduler(platform):
+        identifier = await platform.submit("k", run_s=600.0)
+        await platform.until_state(identifier, JobState.RUNNING)
+        await platform.cancel(identifier)
+        await platform.until_state(identifier, JobState.CANCELLED)
+        assert all(r.stopped_s for r in _worked(platform))
+        await platform.until(lambda: not platform.allocation().gangs)
+
+
+async def test_restarted_worker_stops_the_rest_and_the_job_runs_again(platform):
+    """Guards against a gang that goes on without a member, and against a lost job."""
+    async with running_scheduler(platform):
+        identifier = await platform.submit("k", members=3, size=8, run_s=1.5)
+        await platform.until(lambda: len(_worked(platform)) == 3)
+        platform.restart("a-w1")
+        await platform.until_state(identifier, JobState.DONE)
+        assert platform.job(identifier).attempt == 2
+
+
+async def test_job_that_may_not_run_twice_fails_when_a_member_is_lost(platform):
+    """Guards against a survey that is billed twice because it was run again."""
+    async with running_scheduler(platform):
+        identifier = await platform.submit("k", members=3, size=8, run_s=5.0, work_class="survey")
+        await platform.until(lambda: len(_worked(platform)) == 3)
+        platform.restart("a-w1")
+        await platform.until_state(identifier, JobState.FAILED)
+        assert "outcome_unknown" in platform.job(identifier).history[-1].reason
+        await platform.until(lambda: not platform.allocation().gangs)
+        assert {r.attempt for r in platform.log(identifier)} == {1}
+
+
+async def test_failed_task_returns_the_job_with_its_worker(platform):
+    """Guards against a failing worker that the planner cannot recognise."""
+    platform.fail("a-w0", fail_tasks=True)
+    async with running_scheduler(platform):
+        identifier = await platform.submit("k", members=3, size=8, run_s=1.0)
+        await platform.until(lambda: platform.job(identifier).failed_workers)
+        assert platform.job(identifier).failed_workers == ("a-w0",)
+        platform.fail("a-w0")
+        await platform.until_state(identifier, JobState.DONE)
+
+
+async def test_take_over_continues_running_gangs(platform):
+    """Guards against a new scheduler that restarts gangs, or forgets them."""
+    async with running_scheduler(platform, "s1"):
+        identifier = await platform.submit("k", members=3, size=8, run_s=6.0)
+        await platform.until(lambda: len(_worked(platform)) == 3)
+        await platform.until_state(identifier, JobState.RUNNING)
+        term = platform.allocation().term
+    async with running_scheduler(platform, "s2"):
+        assert await platform.until(lambda: platform.allocation().term > term) < 5.0
+        await platform.until_state(identifier, JobState.DONE)
+    assert platform.job(identifier).attempt == 1
+
+
+async def test_gang_that_ended_without_a_scheduler_is_done(platform):
+    """Guards against a job that runs twice because nobody saw its end."""
+    async with running_scheduler(platform, "s1"):
+        identifier = await platform.submit("k", run_s=0.6, work_class="survey")
+        await platform.until(lambda: len(_worked(platform)) == 2)
+    await platform.until(lambda: all(r.stopped_s for r in platform.log(identifier)))
+    async with running_scheduler(platform, "s2"):
+        await platform.until_state(identifier, JobState.DONE)
+    assert platform.job(identifier).attempt == 1
+
+
+async def test_paused_scheduler_cannot_command_after_its_successor(platform):
+    """Guards against commands of a holder whose lease ran out while it was paused."""
+    async with running_scheduler(platform, "s1") as paused:
+        identifier = await platform.submit("k", members=3, size=8, run_s=600.0)
+        await platform.until_state(identifier, JobState.RUNNING)
+        executor = paused.zones["a"]
+        # The store hands the lease on as it would after the holder's pause.
+        lease = platform.store_state.leases["lease/scheduler/a"]
+        lease.expires_at_s = 0.0
+        paused.store.lease_renew = paused.store.lease_acquire = _unanswered
+        async with running_scheduler(platform, "s2"):
+            await platform.until(lambda: platform.allocation().holder == "s2")
+            await platform.until(executor.lost.is_set)
+            assert not paused.zones
+            assert platform.job(identifier).attempt == 1
+            await platform.cancel(identifier)
+            await platform.until_state(identifier, JobState.CANCELLED)
+
+
+async def _unanswered(*_args):
+    await anyio.sleep_forever()
+
+
+async def test_explanation_names_what_a_job_waits_for(platform):
+    """Guards against a job that waits without a reason that its owner can see."""
+    async with running_scheduler(platform) as state:
+        identifier = await platform.submit("k", members=9, size=8)
+        await platform.until(lambda: identifier in state.plan.waiting)
+        reply = await platform.ask_operators(state, f"/v1/jobs/{identifier}/explain")
+        assert reply["waits_for"]["code"]
+        assert reply["history"] == []
+        status = await platform.ask_operators(state, "/v1/status")
+        assert status["zones"]["a"]["term"] == 1
+        assert (await platform.ask_operators(state, "/readyz"))["status"] == "ready"
+
+
+async def test_slow_store_still_starts_gangs(platform):
+    """Guards against a start whose writes take longer than its preparation is valid."""
+    platform.store_state.failures = replace(StoreFailures(), latency_ms=300.0)
+    async with running_scheduler(platform):
+        identifier = await platform.submit("k")
+        await platform.until_state(identifier, JobState.DONE)
