Blame and quarantine workers that keep gangs from starting

A worker that refuses every preparation or never answers was offered the same job for ever. The protocol now names the workers because of which a gang stops; three in a row without a start quarantine one for 60 s. A gang that never got run is given up after 4 s even when a worker is silent, because its members cannot work any more; before, its accelerators waited for the 30 s lease.

--- a/src/foxtailwell/core/_gangs.py
+++ b/src/foxtailwell/core/_gangs.py
@@ -33,6 +33,12 @@
 that short network cuts end no gang."""
 
 
+GIVE_UP_STOP_S = 4.0
+"""Age of an attempt after which members that never got `run` count as stopped even without a
+report. They cannot work any more, since their preparation is over; waiting for the task lease would
+only keep the rest of the gang's accelerators idle."""
+
+
 class TaskState(StrEnum):
     """State of one member's task on its worker; `ABSENT` when the worker does not know it."""
 
@@ -218,6 +224,7 @@
         stop_by_s: Latest end of the checkpoint.
         stop_kind: Requested stop, empty when the gang stops by itself.
         stop_reason: Why the gang stops, for the job's history.
+        blamed_workers: Workers because of which the gang stops.
     """
 
     job_id: str
@@ -232,6 +239,7 @@
     stop_by_s: float = 0.0
     stop_kind: StopReason | None = None
     stop_reason: str = ""
+    blamed_workers: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -357,13 +365,13 @@
     if not is_start or run.phase in (GangPhase.STOPPING, GangPhase.CHECKPOINTING):
         return GangStep(run)
     worker = run.members[refused.member].worker
-    return _stop(run, f"{worker} refused {refused.operation}: {refused.reason}", now_s)
+    return _stop(run, f"{worker} refused {refused.operation}: {refused.reason}", now_s, (worker,))
 
 
 def _prepare(run: GangRun, permission: Permission) -> GangStep:
     now_s = permission.now_s
     if lost := _lost_members(run, now_s):
-        return _stop(run, _loss_text(lost), now_s)
+        return _stop(run, _loss_text(lost), now_s, _workers(lost))
     if all(m.task is TaskState.PREPARED for m in run.members):
         if permission.zone_is_out:
             return _stop(run, "zone taken out of service", now_s)
@@ -371,18 +379,19 @@
             run = replace(run, phase=GangPhase.STARTING, sent_s=now_s)
             return GangStep(run, _to_all(run, Operation.START))
     if now_s - run.since_s > RUN_LATEST_S:
-        is_ready = all(m.task is TaskState.PREPARED for m in run.members)
-        cause = "configuration evidence is too old" if is_ready else "not all members prepared"
-        return _stop(run, cause, now_s)
+        late = tuple(m for m in run.members if m.task is not TaskState.PREPARED)
+        cause = "not all members prepared" if late else "configuration evidence is too old"
+        return _stop(run, cause, now_s, _workers(late))
     return _repeat(run, Operation.PREPARE, {None}, now_s)
 
 
 def _start(run: GangRun, permission: Permission) -> GangStep:
     now_s = permission.now_s
     if lost := _lost_members(run, now_s):
-        return _stop(run, _loss_text(lost), now_s)
+        return _stop(run, _loss_text(lost), now_s, _workers(lost))
     if now_s - run.since_s > RUN_LATEST_S:
-        return _stop(run, "not all members started in time", now_s)
+        late = tuple(m for m in run.members if m.task is not TaskState.STARTED)
+        return _stop(run, "not all members started in time", now_s, _workers(late))
     if all(m.task is TaskState.STARTED for m in run.members):
         return GangStep(replace(run, phase=GangPhase.COMMITTING), effects=(CommitRun(),))
     return _repeat(run, Operation.START, {TaskState.PREPARED}, now_s)
@@ -391,7 +400,7 @@
 def _commit(run: GangRun, permission: Permission) -> GangStep:
     now_s = permission.now_s
     if lost := _lost_members(run, now_s):
-        return _stop(run, _loss_text(lost), now_s)
+        return _stop(run, _loss_text(lost), now_s, _workers(lost))
     if now_s - run.since_s > RUN_LATEST_S:
         return _stop(run, "the store did not confirm the start in time", now_s)
     return GangStep(run)
@@ -415,11 +424,12 @@
 def _open(run: GangRun, permission: Permission) -> GangStep:
     now_s = permission.now_s
     if lost := _lost_members(run, now_s):
-        return _stop(run, _loss_text(lost), now_s)
+        return _stop(run, _loss_text(lost), now_s, _workers(lost))
     if all(m.task in (TaskState.RUNNING, TaskState.DONE) for m in run.members):
         return _run(replace(run, phase=GangPhase.RUNNING), permission)
     if now_s - run.since_s > PREPARATION_LIMIT_S + REPEAT_S:
-        return _stop(run, "not all members passed the barrier", now_s)
+        late = tuple(m for m in run.members if m.task is TaskState.STARTED)
+        return _stop(run, "not all members passed the barrier", now_s, _workers(late))
     return _repeat(run, Operation.RUN, {TaskState.STARTED}, now_s)
 
 
@@ -428,7 +438,7 @@
     if all(m.task is TaskState.DONE for m in run.members):
         return _end(run)
     if lost := _lost_members(run, now_s):
-        return _stop(run, _loss_text(lost), now_s)
+        return _stop(run, _loss_text(lost), now_s, _workers(lost))
     # Only a gang that was taken over can have a member at the barrier here. Its `run` was lost
     # with the previous scheduler, and the worker would refuse another one by now.
     if any(m.task in (TaskState.PREPARED, TaskState.STARTED) for m in run.members):
@@ -441,7 +451,7 @@
     if all(m.task is TaskState.DONE for m in run.members):
         return _end(run)
     if lost := _lost_members(run, now_s):
-        return _stop(run, _loss_text(lost), now_s)
+        return _stop(run, _loss_text(lost), now_s, _workers(lost))
     if run.checkpoint == run.wanted_checkpoint or now_s >= run.stop_by_s:
         return _stop(run, run.stop_reason, now_s)
     if now_s - run.sent_s < REPEAT_S:
@@ -450,9 +460,10 @@
 
 
 def _finish_stop(run: GangRun, permission: Permission) -> GangStep:
-    if all(m.has_ended for m in run.members):
-        return _end(run)
     now_s = permission.now_s
+    is_old = now_s - run.since_s > GIVE_UP_STOP_S
+    if all(m.has_ended or (is_old and not m.may_have_run) for m in run.members):
+        return _end(run)
     if now_s - run.sent_s < REPEAT_S:
         return GangStep(run)
     return _send_stop(run, now_s)
@@ -486,8 +497,10 @@
     return GangStep(replace(run, sent_s=now_s), commands)
 
 
-def _stop(run: GangRun, reason: str, now_s: float) -> GangStep:
-    run = replace(run, phase=GangPhase.STOPPING, stop_reason=reason)
+def _stop(
+    run: GangRun, reason: str, now_s: float, blamed_workers: tuple[str, ...] = ()
+) -> GangStep:
+    run = replace(run, phase=GangPhase.STOPPING, stop_reason=reason, blamed_workers=blamed_workers)
     if all(m.has_ended for m in run.members):
         return _end(run)
     return replace(_send_stop(run, now_s), effects=(MarkJob(JobState.STOPPING, reason),))
@@ -508,7 +521,7 @@
     if all(m.task is TaskState.DONE for m in run.members):
         return EndAttempt(JobState.DONE, "all members done")
     failed = tuple(m for m in run.members if m.task is TaskState.FAILED)
-    workers = tuple(dict.fromkeys(m.worker for m in failed))
+    workers = _workers(failed)
     can_repeat = run.is_idempotent or bool(run.checkpoint)
     has_run = any(m.may_have_run for m in run.members)
     if run.stop_kind == "cancel":
@@ -539,6 +552,10 @@
     return f"no report from {first.worker}"
 
 
+def _workers(members: tuple[MemberRun, ...]) -> tuple[str, ...]:
+    return tuple(dict.fromkeys(m.worker for m in members))
+
+
 def _to_all(run: GangRun, operation: Operation) -> tuple[MemberCommand, ...]:
     checkpoint = run.checkpoint if operation is Operation.PREPARE else ""
     return tuple(MemberCommand(operation, i, checkpoint) for i in range(len(run.members)))
--- a/src/foxtailwell/scheduler/_daemon.py
+++ b/src/foxtailwell/scheduler/_daemon.py
@@ -28,6 +28,10 @@
 
 STOP_GRACE_S = 2.0
 
+WORKER_TIMEOUT_S = 0.4
+"""Shorter than the 1 s in which a gang must pass prepare and start, so that a command whose
+response was lost is repeated within the same attempt."""
+
 
 async def run_scheduler(settings: Settings) -> None:
     """Run the scheduler until SIGTERM or SIGINT, then release the zones and stop."""
@@ -115,7 +119,7 @@
     timeout_s = settings.platform.store_timeout_ms / 1000
     async with (
         open_store(settings.platform.store_url, timeout_s=timeout_s) as store,
-        open_workers() as workers,
+        open_workers(timeout_s=WORKER_TIMEOUT_S) as workers,
         open_group_committer(store, JobShard, JobShard) as jobs,
         open_group_committer(store, ZoneAllocation, ZoneAllocation) as allocations,
     ):
--- a/src/foxtailwell/scheduler/_zone.py
+++ b/src/foxtailwell/scheduler/_zone.py
@@ -601,20 +601,12 @@
             executor.refusals.pop(member.worker, None)
         return
     _delay_start(executor, active.job.id)
-    for worker in {m.worker for m in active.run.members if m.task in (None, TaskState.STOPPED)}:
-        _count_refusal(executor, worker, active)
-
-
-def _count_refusal(executor: ZoneExecutor, worker: str, active: _Active) -> None:
-    if worker not in active.run.stop_reason and any(
-        m.worker == worker and m.task is not None for m in active.run.members
-    ):
-        return
-    executor.refusals[worker] = executor.refusals.get(worker, 0) + 1
-    if executor.refusals[worker] >= REFUSALS_TO_QUARANTINE:
-        del executor.refusals[worker]
-        until_unix_ms = now_unix_ms() + int(QUARANTINE_S * 1000)
-        _spawn(executor, _quarantine, executor, worker, until_unix_ms)
+    for worker in active.run.blamed_workers:
+        executor.refusals[worker] = executor.refusals.get(worker, 0) + 1
+        if executor.refusals[worker] >= REFUSALS_TO_QUARANTINE:
+            del executor.refusals[worker]
+            until_unix_ms = now_unix_ms() + int(QUARANTINE_S * 1000)
+            _spawn(executor, _quarantine, executor, worker, until_unix_ms)
 
 
 async def _quarantine(executor: ZoneExecutor, worker: str, until_unix_ms: int) -> None:
