Keep configuration, evidence, peers and instances in fleet tasks

Cause: both daemons need one view of the fleet, and it must stay correct while the store, the instance list or single links fail.

Ruled out: evidence dated from the arrival of a reply, because delay would make it look fresher; evidence while the store holds a document that is not in force, because a zone could be out without the daemon knowing; relaying a re-encoded document, because fields of a later release would be lost; one connection for heartbeats and claim answers, because an answer of 2 MB would delay heartbeats.

Load is sent to entries only, because schedulers do not use it.

Damaged frames are refused and the daemon goes on.

--- a/src/foxtailwell/adapters/events.py
+++ b/src/foxtailwell/adapters/events.py
@@ -37,3 +37,19 @@
 STORE_UNAVAILABLE = _event("FW1101", "WARNING", "the store does not respond")
 STORE_AVAILABLE = _event("FW1102", "INFO", "the store responds again")
 SCHEMA_UNSUPPORTED = _event("FW1103", "ERROR", "a document has a newer schema version")
+
+# 1200-1299: configuration in force
+CONFIGURATION_APPLIED = _event("FW1201", "INFO", "a configuration is in force")
+CONFIGURATION_UNREADABLE = _event("FW1202", "ERROR", "a configuration document is unreadable")
+CONFIGURATION_OLDER = _event("FW1203", "ERROR", "the store holds an older configuration")
+
+# 1300-1399: instance list and peers
+INSTANCE_LIST_UNAVAILABLE = _event("FW1301", "WARNING", "the instance list does not respond")
+INSTANCE_LIST_AVAILABLE = _event("FW1302", "INFO", "the instance list responds again")
+PEER_LISTENING = _event("FW1303", "INFO", "listening for peers")
+PEER_REACHED = _event("FW1304", "INFO", "a peer replies")
+PEER_LOST = _event("FW1305", "WARNING", "a peer does not reply")
+PEER_FRAME_REFUSED = _event("FW1306", "WARNING", "a message of a peer was refused")
+PEER_MISMATCH = _event("FW1307", "WARNING", "another daemon replies at a peer's address")
+PEER_CONNECTIONS_FULL = _event("FW1308", "WARNING", "too many connections of peers")
+CLAIM_QUERY_FAILED = _event("FW1309", "ERROR", "a claim query could not be answered")
--- a/src/foxtailwell/adapters/peers.py
+++ b/src/foxtailwell/adapters/peers.py
@@ -1,18 +1,40 @@
-"""Messages between the project's own daemons."""
+"""Messages between the project's own daemons and the connections that carry them."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
+from functools import cache
+from pathlib import Path
+from typing import Any
+
+import anyio
+import capnp
+from anyio.abc import ByteStream
+from anyio.streams.buffered import BufferedByteReceiveStream
+
+from foxtailwell.core.errors import FrameError
 
 __all__ = [
     "ClaimAnswer",
     "ClaimQuery",
     "ConfigurationPush",
+    "Frame",
     "Heartbeat",
     "HeartbeatReply",
     "Load",
+    "Message",
+    "PeerStream",
+    "decode_frame",
+    "encode_frame",
 ]
 
+PROTOCOL_VERSION = 1
+MAX_FRAME_BYTES = 2_000_000
+_PREFIX_BYTES = 4
+_MAX_NESTING = 16
+_WORD_BYTES = 8
+
 
 @dataclass(frozen=True, slots=True)
 class Load:
@@ -77,3 +99,204 @@
     status: int = 0
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
+
+
+Message = Heartbeat | HeartbeatReply | ConfigurationPush | ClaimQuery | ClaimAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class Frame:
+    """A message with the number that matches a reply to its question."""
+
+    sequence: int
+    message: Message
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Return a frame as it is sent, with its length prefix.
+
+    Raises:
+        FrameError: The message is too long or has a value that its field cannot hold.
+    """
+    kind, fields = _to_fields(frame.message)
+    try:
+        struct = _schema().Frame.new_message(
+            version=PROTOCOL_VERSION, sequence=frame.sequence, **{kind: fields}
+        )
+        body: bytes = struct.to_bytes()
+    except (capnp.KjException, ValueError, OverflowError, TypeError) as error:
+        raise FrameError(f"{kind}: {error}", "send values that the fields can hold") from error
+    if len(body) > MAX_FRAME_BYTES:
+        raise FrameError(f"{kind}: {len(body)} bytes", f"send at most {MAX_FRAME_BYTES} bytes")
+    return len(body).to_bytes(_PREFIX_BYTES, "little") + body
+
+
+def decode_frame(body: bytes) -> Frame:
+    """Decode a frame without its length prefix.
+
+    Raises:
+        FrameError: The frame is truncated or damaged, of an unknown kind or of a newer version.
+    """
+    try:
+        with _schema().Frame.from_bytes(
+            body,
+            traversal_limit_in_words=4 * (len(body) // _WORD_BYTES + 64),
+            nesting_limit=_MAX_NESTING,
+        ) as struct:
+            return _from_struct(struct)
+    except (capnp.KjException, ValueError) as error:
+        found = str(error).splitlines()[0][:200] if str(error) else type(error).__name__
+        raise FrameError(f"damaged frame: {found}", "check what connects to this port") from error
+
+
+def _from_struct(struct: Any) -> Frame:
+    if struct.version > PROTOCOL_VERSION:
+        raise FrameError(
+            f"protocol version {struct.version}, this release reads up to {PROTOCOL_VERSION}",
+            "upgrade this instance",
+        )
+    try:
+        kind = str(struct.which())
+    except capnp.KjException as error:
+        raise FrameError("unknown kind of message", "upgrade this instance") from error
+    return Frame(struct.sequence, _READERS[kind](getattr(struct, kind)))
+
+
+@cache
+def _schema() -> Any:
+    # The import hook would make every later import look for schema files.
+    capnp.remove_import_hook()
+    return capnp.load(str(Path(__file__).with_name("peers.capnp")))
+
+
+def _to_fields(message: Message) -> tuple[str, dict[str, Any]]:
+    match message:
+        case Heartbeat():
+            return "heartbeat", {
+                "instance": message.instance,
+                "role": message.role,
+                "zone": message.zone,
+                "revision": message.revision,
+                "load": _load_fields(message.load),
+            }
+        case HeartbeatReply():
+            return "heartbeatReply", {
+                "instance": message.instance,
+                "revision": message.revision,
+                "hasEvidence": message.has_evidence,
+                "evidenceRevision": message.evidence_revision,
+                "evidenceAgeMs": message.evidence_age_ms,
+                "load": _load_fields(message.load),
+            }
+        case ConfigurationPush():
+            return "configuration", {"revision": message.revision, "document": message.document}
+        case ClaimQuery():
+            return "claimQuery", {"key": message.key, "digest": message.digest}
+        case ClaimAnswer():
+            return "claimAnswer", {
+                "state": message.state,
+                "status": message.status,
+                "headers": [{"name": name, "value": value} for name, value in message.headers],
+                "body": message.body,
+            }
+
+
+def _load_fields(load: Load) -> dict[str, Any]:
+    return {
+        "queueLength": load.queue_length,
+        "inFlight": load.in_flight,
+        "minions": [{"minion": name, "inFlight": count} for name, count in load.minions],
+    }
+
+
+def _read_load(struct: Any) -> Load:
+    minions = tuple((str(m.minion), int(m.inFlight)) for m in struct.minions)
+    return Load(struct.queueLength, struct.inFlight, minions)
+
+
+def _read_heartbeat(struct: Any) -> Heartbeat:
+    return Heartbeat(
+        struct.instance, struct.role, struct.zone, struct.revision, _read_load(struct.load)
+    )
+
+
+def _read_heartbeat_reply(struct: Any) -> HeartbeatReply:
+    return HeartbeatReply(
+        struct.instance,
+        struct.revision,
+        struct.hasEvidence,
+        struct.evidenceRevision,
+        struct.evidenceAgeMs,
+        _read_load(struct.load),
+    )
+
+
+def _read_claim_answer(struct: Any) -> ClaimAnswer:
+    headers = tuple((str(h.name), str(h.value)) for h in struct.headers)
+    return ClaimAnswer(struct.state, struct.status, headers, bytes(struct.body))
+
+
+_READERS: dict[str, Callable[[Any], Message]] = {
+    "heartbeat": _read_heartbeat,
+    "heartbeatReply": _read_heartbeat_reply,
+    "configuration": lambda s: ConfigurationPush(s.revision, bytes(s.document)),
+    "claimQuery": lambda s: ClaimQuery(s.key, s.digest),
+    "claimAnswer": _read_claim_answer,
+}
+
+
+class PeerStream:
+    """Frames over one connection.
+
+    Args:
+        stream: Connection; the caller closes it.
+        on_sent: Called with the number of bytes of each frame that was sent.
+    """
+
+    def __init__(self, stream: ByteStream, on_sent: Callable[[int], None]) -> None:
+        self._stream = stream
+        self._received = BufferedByteReceiveStream(stream)
+        self._on_sent = on_sent
+
+    async def send(self, frame: Frame, *, timeout_s: float) -> None:
+        """Send one frame.
+
+        Raises:
+            FrameError: The frame cannot be sent; nothing was written.
+            TimeoutError: The peer does not read.
+            anyio.BrokenResourceError: The connection is gone.
+        """
+        data = encode_frame(frame)
+        with anyio.fail_after(timeout_s):
+            await self._stream.send(data)
+        self._on_sent(len(data))
+
+    async def receive(self, *, timeout_s: float) -> Frame | None:
+        """Receive one frame.
+
+        Returns:
+            The frame, or None when the peer closed the connection between two frames.
+
+        Raises:
+            FrameError: The frame is too long, truncated, damaged, unknown or newer.
+            TimeoutError: No complete frame arrived in time.
+            anyio.BrokenResourceError: The connection is gone.
+        """
+        with anyio.fail_after(timeout_s):
+            try:
+                prefix = await self._received.receive_exactly(_PREFIX_BYTES)
+            except anyio.IncompleteRead as error:
+                if not self._received.buffer:
+                    return None
+                raise _truncated() from error
+            length = int.from_bytes(prefix, "little")
+            if length > MAX_FRAME_BYTES:
+                raise FrameError(f"{length} bytes announced", f"limit is {MAX_FRAME_BYTES} bytes")
+            try:
+                return decode_frame(await self._received.receive_exactly(length))
+            except anyio.IncompleteRead as error:
+                raise _truncated() from error
+
+
+def _truncated() -> FrameError:
+    return FrameError("truncated frame", "check the link to the peer")
--- a/src/foxtailwell/core/errors.py
+++ b/src/foxtailwell/core/errors.py
@@ -7,6 +7,7 @@
 __all__ = [
     "ConflictError",
     "FoxtailwellError",
+    "FrameError",
     "NotRunError",
     "OutcomeUnknownError",
     "StoreConflictError",
@@ -116,3 +117,9 @@
     """A document was written by a newer release."""
 
     code = "unsupported_schema"
+
+
+class FrameError(FoxtailwellError):
+    """A message of a peer cannot be accepted; its connection is closed."""
+
+    code = "bad_frame"
--- /dev/null
+++ b/src/foxtailwell/fleet/_peer_client.py
@@ -0,0 +1,217 @@
+"""Heartbeats to all own daemons, and claim queries to one of them."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, replace
+from ipaddress import ip_address
+
+import anyio
+from anyio.abc import TaskGroup
+
+from foxtailwell.adapters import events
+from foxtailwell.adapters.logs import log_event
+from foxtailwell.adapters.peers import (
+    ClaimAnswer,
+    ClaimQuery,
+    ConfigurationPush,
+    Frame,
+    Heartbeat,
+    HeartbeatReply,
+    Load,
+    PeerStream,
+)
+from foxtailwell.core import InstanceRecord, Role
+from foxtailwell.core.errors import FrameError
+from foxtailwell.fleet._peer_server import make_byte_counter, make_pusher, refuse_frame
+from foxtailwell.fleet._state import (
+    FleetState,
+    adopt_document,
+    forget_silent_peers,
+    note_peer_reply,
+    own_daemons,
+)
+
+HEARTBEAT_INTERVAL_S = 1.0
+REPLY_LIMIT_S = 2.0
+CLAIM_LIMIT_S = 5.0
+MAX_REPORTED = 65_535
+
+_CONNECTION_ERRORS = (
+    TimeoutError,
+    OSError,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """What the own heartbeats say about this daemon."""
+
+    instance: str
+    role: Role
+    zone: str
+
+
+async def keep_heartbeats(
+    state: FleetState, identity: Identity, seed_peers: tuple[str, ...]
+) -> None:
+    """Run one heartbeat task for each peer of the instance list until cancelled.
+
+    Seed peers are asked while the list names no other own daemon.
+    """
+    running: dict[InstanceRecord, anyio.CancelScope] = {}
+    async with anyio.create_task_group() as group:
+        while True:
+            changed = state.view.changed
+            targets = _targets(state, seed_peers)
+            for record in [r for r in running if r not in targets]:
+                running.pop(record).cancel()
+            for record in targets - running.keys():
+                running[record] = _start_heartbeats(group, state, identity, record)
+            forget_silent_peers(state, time.monotonic())
+            with anyio.move_on_after(HEARTBEAT_INTERVAL_S):
+                await changed.wait()
+
+
+def _targets(state: FleetState, seed_peers: tuple[str, ...]) -> set[InstanceRecord]:
+    listed = set(own_daemons(state.view).values())
+    return listed or {InstanceRecord("", "entry", "", address) for address in seed_peers}
+
+
+def _start_heartbeats(
+    group: TaskGroup, state: FleetState, identity: Identity, record: InstanceRecord
+) -> anyio.CancelScope:
+    scope = anyio.CancelScope()
+
+    async def run() -> None:
+        with scope:
+            while True:
+                await _heartbeats_of_one_connection(state, identity, record)
+                # Jitter keeps daemons from connecting to a restarted peer at the same moment.
+                await anyio.sleep(HEARTBEAT_INTERVAL_S * (0.5 + random.random() / 2))
+
+    group.start_soon(run)
+    return scope
+
+
+async def _heartbeats_of_one_connection(
+    state: FleetState, identity: Identity, record: InstanceRecord
+) -> None:
+    try:
+        async with _connect(state, record.address) as peer:
+            push = make_pusher(state, peer)
+            sequence = 0
+            while True:
+                sequence += 1
+                due_s = time.monotonic() + HEARTBEAT_INTERVAL_S
+                revision = await _heartbeat(state, identity, record, peer, sequence)
+                await push(revision)
+                await anyio.sleep(max(0.0, due_s - time.monotonic()))
+    except FrameError as error:
+        refuse_frame(state, error, record.id or record.address)
+    except _CONNECTION_ERRORS:
+        return  # A lost peer is logged when its last reply is too old.
+
+
+async def _heartbeat(
+    state: FleetState, identity: Identity, record: InstanceRecord, peer: PeerStream, sequence: int
+) -> int:
+    """Send one heartbeat, take its reply and return the revision that the peer runs."""
+    view = state.view
+    load = _reported_load(view.own_load) if record.role == "entry" else Load()
+    heartbeat = Heartbeat(
+        identity.instance, identity.role, identity.zone, view.configuration.revision, load
+    )
+    sent_at_s = time.monotonic()
+    await peer.send(Frame(sequence, heartbeat), timeout_s=REPLY_LIMIT_S)
+    reply = await _receive_reply(state, peer, sequence)
+    if reply.instance == identity.instance:
+        return reply.revision
+    if record.id and reply.instance != record.id:
+        log_event(events.PEER_MISMATCH, expected=record.id, found=reply.instance)
+        raise TimeoutError
+    known = view.instances.get(reply.instance) or _seed_record(record, reply.instance)
+    note_peer_reply(state, known, reply, sent_at_s, time.monotonic())
+    return reply.revision
+
+
+async def _receive_reply(state: FleetState, peer: PeerStream, sequence: int) -> HeartbeatReply:
+    """Take relayed configurations until the reply to one heartbeat arrives."""
+    with anyio.fail_after(REPLY_LIMIT_S):
+        while True:
+            frame = await peer.receive(timeout_s=REPLY_LIMIT_S)
+            if frame is None:
+                raise anyio.EndOfStream
+            match frame.message:
+                case ConfigurationPush() as configuration:
+                    adopt_document(state, configuration.document, "peer")
+                case HeartbeatReply() as reply if frame.sequence == sequence:
+                    return reply
+                case other:
+                    kind = type(other).__name__
+                    raise FrameError(f"{kind} with sequence {frame.sequence}", "check the peer")
+
+
+def _reported_load(load: Load) -> Load:
+    busy = tuple((name, min(n, MAX_REPORTED)) for name, n in load.minions if n > 0)
+    return replace(load, minions=busy)
+
+
+def _seed_record(seed: InstanceRecord, instance: str) -> InstanceRecord:
+    role: Role = "scheduler" if instance.endswith("/scheduler") else "entry"
+    return replace(seed, id=instance, role=role)
+
+
+@asynccontextmanager
+async def _connect(state: FleetState, address: str) -> AsyncIterator[PeerStream]:
+    host, port = _split_address(address)
+    with anyio.fail_after(REPLY_LIMIT_S):
+        stream = await anyio.connect_tcp(host, port)
+    async with stream:
+        yield PeerStream(stream, make_byte_counter(state))
+
+
+def _split_address(address: str) -> tuple[str, int]:
+    try:
+        host, _, port_text = address.rpartition(":")
+        port = int(port_text)
+        ip = ip_address(host.strip("[]"))
+    except ValueError as error:
+        raise OSError(f"{address} is not IP-address:port") from error
+    if not 0 < port <= 65_535:
+        raise OSError(f"{address} has no usable port")
+    return str(ip), port
+
+
+def make_claim_asker(
+    state: FleetState,
+) -> Callable[[str, ClaimQuery], Awaitable[ClaimAnswer | None]]:
+    """Return the function that asks a peer for the response of a claimed request."""
+
+    async def ask(instance: str, query: ClaimQuery) -> ClaimAnswer | None:
+        record = state.view.instances.get(instance)
+        if record is None:
+            peer_state = state.view.peers.get(instance)
+            record = peer_state.record if peer_state else None
+        if record is None:
+            return None
+        try:
+            async with _connect(state, record.address) as peer:
+                await peer.send(Frame(1, query), timeout_s=REPLY_LIMIT_S)
+                frame = await peer.receive(timeout_s=CLAIM_LIMIT_S)
+        except FrameError as error:
+            refuse_frame(state, error, instance)
+            return None
+        except _CONNECTION_ERRORS:
+            return None
+        if frame is None or frame.sequence != 1 or not isinstance(frame.message, ClaimAnswer):
+            return None
+        return frame.message
+
+    return ask
--- a/src/foxtailwell/fleet/_view.py
+++ b/src/foxtailwell/fleet/_view.py
@@ -10,6 +10,8 @@
 from foxtailwell.adapters.peers import ClaimAnswer, ClaimQuery, Load
 from foxtailwell.core import Configuration, Evidence, InstanceRecord
 
+ISOLATION_LIMIT_S = 5.0
+
 
 @dataclass(frozen=True, slots=True)
 class PeerState:
@@ -37,7 +39,11 @@
         evidence: Newest evidence that the configuration was current.
         instances: Instance list by identifier, own daemons included.
         peers: Own daemons that replied within the last seconds, by identifier.
+        own_id: Identifier of this daemon, `<instance>/<role>`.
         store_is_available: Whether the last store call was answered.
+        last_contact_monotonic_s: When the store or a peer last replied.
+        peer_bytes_sent: Bytes sent to peers so far.
+        frames_refused: Messages of peers that were refused so far.
         own_load: Load that heartbeats report; the entry's queue task sets it.
         ask_claim: Sends a claim query to a peer by its identifier; None where it does not reply.
         changed: Replaced and set whenever the view changes.
@@ -47,11 +53,23 @@
     evidence: Evidence | None = None
     instances: dict[str, InstanceRecord] = field(default_factory=dict)
     peers: dict[str, PeerState] = field(default_factory=dict)
+    own_id: str = ""
     store_is_available: bool = False
+    last_contact_monotonic_s: float | None = None
+    peer_bytes_sent: int = 0
+    frames_refused: int = 0
     own_load: Load = field(default_factory=Load)
     ask_claim: Callable[[str, ClaimQuery], Awaitable[ClaimAnswer | None]] | None = None
     changed: anyio.Event = field(default_factory=anyio.Event)
 
+    def is_isolated(self, now_s: float) -> bool:
+        """Return whether neither the store nor a peer replied lately.
+
+        An isolated daemon could not learn that a zone was taken out.
+        """
+        last_s = self.last_contact_monotonic_s
+        return last_s is None or now_s - last_s > ISOLATION_LIMIT_S
+
     def notify(self) -> None:
         """Wake the tasks that wait for a change of the view."""
         self.changed.set()
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,133 @@
+"""Frames between own daemons."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+
+import anyio
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from foxtailwell.adapters.peers import (
+    ClaimAnswer,
+    ClaimQuery,
+    ConfigurationPush,
+    Frame,
+    Heartbeat,
+    HeartbeatReply,
+    Load,
+    PeerStream,
+    decode_frame,
+    encode_frame,
+)
+from foxtailwell.core.errors import FrameError
+
+TEXT = st.text(st.characters(codec="utf-8", exclude_characters="\0"), max_size=20)
+U16, U32, U64 = (st.integers(0, 2**bits - 1) for bits in (16, 32, 64))
+PAIRS = st.lists(st.tuples(TEXT, TEXT), max_size=4).map(tuple)
+LOAD = st.builds(Load, U32, U32, st.lists(st.tuples(TEXT, U16), max_size=4).map(tuple))
+MESSAGES = st.one_of(
+    st.builds(Heartbeat, TEXT, TEXT, TEXT, U64, LOAD),
+    st.builds(HeartbeatReply, TEXT, U64, st.booleans(), U64, U64, LOAD),
+    st.builds(ConfigurationPush, U64, st.binary(max_size=64)),
+    st.builds(ClaimQuery, TEXT, TEXT),
+    st.builds(ClaimAnswer, TEXT, U16, PAIRS, st.binary(max_size=64)),
+)
+FRAMES = st.builds(Frame, U64, MESSAGES)
+
+
+@given(FRAMES)
+def test_every_message_is_read_as_it_was_sent(frame):
+    """Guards against a field that is lost or mixed up on the way to a peer."""
+    data = encode_frame(frame)
+    assert int.from_bytes(data[:4], "little") == len(data) - 4
+    assert decode_frame(data[4:]) == frame
+
+
+@given(st.binary(max_size=256))
+def test_any_bytes_are_decoded_or_refused(data):
+    """Guards against a crash by bytes of a stranger or of a damaged link."""
+    with suppress(FrameError):
+        decode_frame(data)
+
+
+@given(FRAMES, st.data())
+def test_damaged_frames_are_decoded_or_refused(frame, data):
+    """Guards against a crash by a frame with one wrong byte or a missing end."""
+    body = bytearray(encode_frame(frame)[4:])
+    index = data.draw(st.integers(0, len(body) - 1))
+    body[index] ^= data.draw(st.integers(1, 255))
+    for damaged in (bytes(body), bytes(body[:index])):
+        with suppress(FrameError):
+            decode_frame(damaged)
+
+
+def patched(offset, value):
+    """Return a heartbeat with one field of 16 bits overwritten in its first data word."""
+    body = bytearray(encode_frame(Frame(1, ClaimQuery("k", "d")))[4:])
+    body[16 + offset : 18 + offset] = value.to_bytes(2, "little")
+    return bytes(body)
+
+
+def test_newer_version_and_unknown_kind_are_told_apart():
+    """Guards against a message of a later release that is taken for one of this release."""
+    assert decode_frame(patched(0, 1)).message == ClaimQuery("k", "d")
+    with pytest.raises(FrameError, match="protocol version 2"):
+        decode_frame(patched(0, 2))
+    with pytest.raises(FrameError, match="unknown kind"):
+        decode_frame(patched(2, 99))
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        ConfigurationPush(1, bytes(2_000_000)),
+        ClaimAnswer("answer", 70_000),
+        ClaimQuery("\ud800", ""),
+        Heartbeat("i", "entry", "z", -1),
+    ],
+)
+def test_message_that_no_peer_could_read_is_not_sent(message):
+    """Guards against a frame that every peer refuses and closes the connection for."""
+    with pytest.raises(FrameError):
+        encode_frame(Frame(1, message))
+
+
+class Wire:
+    """A byte stream that returns fixed bytes."""
+
+    def __init__(self, data):
+        self.data = data
+
+    async def receive(self, max_bytes=65536):
+        """Return the next bytes."""
+        if not self.data:
+            raise anyio.EndOfStream
+        chunk, self.data = self.data[:max_bytes], self.data[max_bytes:]
+        return chunk
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("data", "found"),
+    [
+        (b"\1\0", "truncated"),
+        (b"\x40\0\0\0abc", "truncated"),
+        ((2_000_001).to_bytes(4, "little"), "announced"),
+        (b"\0\0\0\0", "damaged"),
+    ],
+)
+async def test_broken_stream_is_a_typed_error(data, found):
+    """Guards against waiting for, or storing, more bytes than a frame may have."""
+    with pytest.raises(FrameError, match=found):
+        await PeerStream(Wire(data), lambda _: None).receive(timeout_s=1)
+
+
+@pytest.mark.anyio
+async def test_close_between_frames_is_not_an_error():
+    """Guards against a log line for every peer that stops in an orderly way."""
+    frame = Frame(3, ClaimQuery("k", "d"))
+    stream = PeerStream(Wire(encode_frame(frame)), lambda _: None)
+    assert await stream.receive(timeout_s=1) == frame
+    assert await stream.receive(timeout_s=1) is None
