--- a/src/foxtailwell/adapters/events.py
+++ b/src/foxtailwell/adapters/events.py
@@ -36,11 +36,11 @@
 # 1100-1199: store
 STORE_UNAVAILABLE = _event("FW1101", "WARNING", "the store does not respond")
 STORE_AVAILABLE = _event("FW1102", "INFO", "the store responds again")
-SCHEMA_UNSUPPORTED = _event("FW1103", "ERROR", "a document has a newer schema version")
+DOCUMENT_REFUSED = _event("FW1103", "ERROR", "a document cannot be read and was left as it is")
 
 # 1200-1299: configuration in force
 CONFIGURATION_APPLIED = _event("FW1201", "INFO", "a configuration is in force")
-CONFIGURATION_UNREADABLE = _event("FW1202", "ERROR", "a configuration document is unreadable")
+CONFIGURATION_UNREADABLE = _event("FW1202", "ERROR", "a configuration cannot be read")
 CONFIGURATION_OLDER = _event("FW1203", "ERROR", "the store holds an older configuration")
 
 # 1300-1399: instance list and peers
--- a/src/foxtailwell/core/__init__.py
+++ b/src/foxtailwell/core/__init__.py
@@ -1,6 +1,10 @@
 """Decisions and protocol rules without input or output."""
 
-from foxtailwell.core._allocations import Gang, Member, ZoneAllocation
+from foxtailwell.core._allocations import (
+    Gang,
+    Member,
+    ZoneAllocation,
+)
 from foxtailwell.core._configuration import (
     ChangeRecord,
     ClientAccount,
@@ -9,7 +13,9 @@
     WorkClass,
     ZoneOut,
 )
-from foxtailwell.core._first_fit import plan_first_fit
+from foxtailwell.core._first_fit import (
+    plan_first_fit,
+)
 from foxtailwell.core._freshness import (
     EVIDENCE_LIMIT_S,
     PREPARATION_LIMIT_S,
@@ -19,7 +25,10 @@
     may_start,
     newer_evidence,
 )
-from foxtailwell.core._inventory import InstanceRecord, Role
+from foxtailwell.core._inventory import (
+    InstanceRecord,
+    Role,
+)
 from foxtailwell.core._jobs import (
     JOB_SHARD_COUNT,
     GangSpec,
@@ -27,6 +36,18 @@
     JobShard,
     JobState,
     Transition,
+    begin_attempt,
+    ended_unix_ms,
+    job_id,
+    job_shard,
+    put_job,
+    transition,
+    without_expired_jobs,
+)
+from foxtailwell.core._placement import (
+    Capacity,
+    fragmentation,
+    place_best_fit,
 )
 from foxtailwell.core._plan import (
     ClusterView,
@@ -39,11 +60,25 @@
     StopReason,
     WaitReason,
 )
+from foxtailwell.core._planner import (
+    free_capacity,
+    plan,
+)
+from foxtailwell.core._submissions import (
+    Submission,
+    add_job,
+    cancel_jobs,
+    check_submission,
+    job_from_submission,
+    largest_gang,
+    members_per_worker,
+)
 
 __all__ = [
     "EVIDENCE_LIMIT_S",
     "JOB_SHARD_COUNT",
     "PREPARATION_LIMIT_S",
+    "Capacity",
     "ChangeRecord",
     "ClientAccount",
     "ClusterView",
@@ -65,14 +100,32 @@
     "StartGang",
     "StopGang",
     "StopReason",
+    "Submission",
     "Transition",
     "WaitReason",
     "WorkClass",
     "ZoneAllocation",
     "ZoneOut",
+    "add_job",
+    "begin_attempt",
+    "cancel_jobs",
+    "check_submission",
+    "ended_unix_ms",
     "evidence_from_peer",
     "evidence_from_store",
+    "fragmentation",
+    "free_capacity",
+    "job_from_submission",
+    "job_id",
+    "job_shard",
+    "largest_gang",
     "may_start",
+    "members_per_worker",
     "newer_evidence",
+    "place_best_fit",
+    "plan",
     "plan_first_fit",
+    "put_job",
+    "transition",
+    "without_expired_jobs",
 ]
--- a/src/foxtailwell/fleet/_state.py
+++ b/src/foxtailwell/fleet/_state.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass, field, replace
 from typing import Literal
 
-import msgspec
 
 from foxtailwell.adapters import events
 from foxtailwell.adapters.documents import decode_document, encode_document
@@ -22,7 +21,7 @@
     evidence_from_store,
     newer_evidence,
 )
-from foxtailwell.core.errors import UnsupportedSchemaError
+from foxtailwell.core.errors import DocumentError, UnsupportedSchemaError
 from foxtailwell.fleet._view import FleetView, PeerState
 
 OWN_ROLES: tuple[Role, ...] = ("entry", "scheduler")
@@ -71,10 +70,8 @@
     """
     try:
         configuration = decode_document(document, Configuration)
-    except UnsupportedSchemaError as error:
-        return _refuse(state, document, events.SCHEMA_UNSUPPORTED, source, error)
-    except (msgspec.DecodeError, RecursionError) as error:
-        return _refuse(state, document, events.CONFIGURATION_UNREADABLE, source, error)
+    except (UnsupportedSchemaError, DocumentError, RecursionError) as error:
+        return _refuse(state, document, source, error)
     if configuration.revision <= state.view.configuration.revision:
         return "not_newer", configuration.revision
     state.document = document
@@ -85,11 +82,11 @@
 
 
 def _refuse(
-    state: FleetState, document: bytes, event: events.Event, source: str, error: Exception
+    state: FleetState, document: bytes, source: str, error: Exception
 ) -> tuple[Adoption, int]:
     if hash(document) != state.refused_document:
         state.refused_document = hash(document)
-        log_event(event, source=source, cause=str(error))
+        log_event(events.CONFIGURATION_UNREADABLE, source=source, cause=str(error))
     return "unreadable", 0
 
 
