--- a/src/foxtailwell/fleet/_state.py
+++ b/src/foxtailwell/fleet/_state.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass, field, replace
 from typing import Literal
 
-
 from foxtailwell.adapters import events
 from foxtailwell.adapters.documents import decode_document, encode_document
 from foxtailwell.adapters.logs import log_event
