--- a/src/foxtailwell/core/errors.py
+++ b/src/foxtailwell/core/errors.py
@@ -8,6 +8,7 @@
     "ConflictError",
     "DocumentError",
     "FoxtailwellError",
+    "FrameError",
     "IllegalTransitionError",
     "KeyReusedError",
     "NotRunError",
@@ -143,3 +144,9 @@
     """A document was written by a newer release."""
 
     code = "unsupported_schema"
+
+
+class FrameError(FoxtailwellError):
+    """A message of a peer cannot be accepted; its connection is closed."""
+
+    code = "bad_frame"
