Run one request through an entry daemon and a minion

Cause: the request path had no program. Ruled out: a pool shared by all minions, because one request per connection and the knowledge of sent bytes need the single connection.

--- a/src/foxtailwell/adapters/events.py
+++ b/src/foxtailwell/adapters/events.py
@@ -32,6 +32,7 @@
 DAEMON_STARTED = _event("FW1001", "INFO", "daemon started")
 DAEMON_STOPPING = _event("FW1002", "INFO", "graceful shutdown began")
 DAEMON_STOPPED = _event("FW1003", "INFO", "daemon stopped")
+DAEMON_DRAINING = _event("FW1004", "INFO", "requests are still in progress")
 
 # 1100-1199: store
 STORE_UNAVAILABLE = _event("FW1101", "WARNING", "the store does not respond")
--- a/src/foxtailwell/adapters/minions.py
+++ b/src/foxtailwell/adapters/minions.py
@@ -255,9 +255,13 @@
 
 
 class _Exchange:
-    """One request and its response on one connection."""
+    """One request and its response on one connection.
 
-    __slots__ = ("_call", "_client", "_connection", "_is_whole", "_response")
+    Attributes:
+        has_sent: After the exchange, whether a byte of the request may have left.
+    """
+
+    __slots__ = ("_call", "_client", "_connection", "_is_whole", "_response", "has_sent")
 
     def __init__(self, client: MinionClient, call: MinionCall) -> None:
         self._client = client
@@ -265,6 +269,7 @@
         self._connection: _Connection | None = None
         self._response: httpcore.Response | None = None
         self._is_whole = False
+        self.has_sent = False
 
     async def __aenter__(self) -> MinionAnswer:
         try:
@@ -281,10 +286,6 @@
     ) -> None:
         await self._finish()
 
-    def has_sent(self) -> bool:
-        """Return whether a byte of the request may have left."""
-        return self._connection is not None and self._connection.has_sent()
-
     async def _open(self) -> MinionAnswer:
         connection = self._connection = await self._client._take()
         connection.begin()
@@ -342,6 +343,7 @@
         connection, self._connection = self._connection, None
         if connection is None:
             return
+        self.has_sent = connection.has_sent()
         if not self._is_whole or self._response is None:
             await self._client._discard(connection)
             return
--- /dev/null
+++ b/src/foxtailwell/cli/entry.py
@@ -0,0 +1,46 @@
+"""Command that runs the entry daemon."""
+
+from __future__ import annotations
+
+import sys
+from dataclasses import dataclass
+from typing import Annotated
+
+import anyio
+import cappa
+
+from foxtailwell.adapters.logs import configure_logs
+from foxtailwell.adapters.settings import load_settings
+from foxtailwell.core.errors import ValidationError
+from foxtailwell.entry import run_entry
+
+__all__ = ["main"]
+
+WRONG_SETTINGS = 2
+
+
+@cappa.command(name="foxtailwell-entry", help="Run the entry daemon.")
+@dataclass(frozen=True)
+class EntryCommand:
+    """Run the entry daemon of one instance."""
+
+    settings: Annotated[str, cappa.Arg(long=True, help="Settings file, JSON with comments.")]
+
+    def __call__(self) -> None:
+        """Run until SIGTERM."""
+        try:
+            settings = load_settings(self.settings)
+        except ValidationError as error:
+            print(error, file=sys.stderr)
+            raise cappa.Exit(code=WRONG_SETTINGS) from error
+        configure_logs(settings.log.form, settings.log.level, instance=settings.instance)
+        anyio.run(run_entry, settings, backend_options={"use_uvloop": True})
+
+
+def main() -> None:
+    """Run the command."""
+    cappa.invoke(EntryCommand)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/foxtailwell/core/_admission.py
+++ b/src/foxtailwell/core/_admission.py
@@ -122,8 +122,13 @@
         self._waiting_by_account: dict[str, int] = {}
         self._running_by_account: dict[str, int] = {}
         self.waiting = 0
+        self._long: set[int] = set()
         self.running = 0
-        self.long_running = 0
+
+    @property
+    def long_running(self) -> int:
+        """Number of running requests of long classes."""
+        return len(self._long)
 
     def offer(
         self, ticket: Ticket, limits: SlotLimits, now_s: float
@@ -138,15 +143,9 @@
         Returns:
             The cause of a refusal, or None; and another waiting ticket that is shed to make room.
         """
-        if limits.slots <= 0:
-            return "no_slots", None
-        if ticket.give_up_s <= now_s:
-            return "deadline", None
-        is_guaranteed = self._is_guaranteed(ticket.account, limits)
-        if not is_guaranteed:
-            latest_s = min(ticket.give_up_s, self._latest_start_s(ticket))
-            if now_s + self.predicted_wait_s(ticket, limits) > latest_s:
-                return "predicted_wait", None
+        refusal = self.refusal(ticket, limits, now_s)
+        if refusal is not None:
+            return refusal, None
         shed = None
         if self.waiting >= self._capacity:
             shed = self._choose_shed(limits, now_s, ticket)
@@ -158,6 +157,20 @@
         self.waiting += 1
         return None, shed
 
+    def refusal(self, ticket: Ticket, limits: SlotLimits, now_s: float) -> RefusalCause | None:
+        """Return why a new ticket would be refused whatever room the queue has, or None.
+
+        An account below its guaranteed slots is not refused for a predicted wait.
+        """
+        if limits.slots <= 0:
+            return "no_slots"
+        if ticket.give_up_s <= now_s:
+            return "deadline"
+        if self._is_guaranteed(ticket.account, limits):
+            return None
+        wait_s = self.predicted_wait_s(ticket, limits)
+        return "predicted_wait" if now_s + wait_s > self._latest_start_s(ticket) else None
+
     def start_now(self, ticket: Ticket, limits: SlotLimits) -> bool:
         """Start a ticket without queueing it when nothing waits and a slot is free for it."""
         if self.waiting or not self._may_run(ticket.work_class, limits):
@@ -316,8 +329,11 @@
     def _count_running(self, ticket: Ticket, change: int) -> None:
         self.running += change
         _add(self._running_by_account, ticket.account, change)
-        if self._run_times.is_long(ticket.work_class):
-            self.long_running = max(0, self.long_running + change)
+        # A class may become long while its requests run, so each one is counted as it started.
+        if change < 0:
+            self._long.discard(ticket.id)
+        elif self._run_times.is_long(ticket.work_class):
+            self._long.add(ticket.id)
 
 
 def _shed_rank(slack_s: float, ticket_id: int) -> tuple[bool, float, int]:
--- a/src/foxtailwell/core/_routing.py
+++ b/src/foxtailwell/core/_routing.py
@@ -88,7 +88,9 @@
     if not health.error_rate and not health.consecutive_failures:
         return health if health.samples >= EJECT_MINIMUM_SAMPLES else _sampled(health, 0.0)
     return replace(
-        _sampled(health, health.error_rate * (1 - ERROR_WEIGHT)), consecutive_failures=0, ejections=0
+        _sampled(health, health.error_rate * (1 - ERROR_WEIGHT)),
+        consecutive_failures=0,
+        ejections=0,
     )
 
 
--- /dev/null
+++ b/tests/request_fleet.py
@@ -0,0 +1,167 @@
+"""Small fleets for the tests of the request path: minions, entries and a caller."""
+
+from __future__ import annotations
+
+import sys
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import anyio
+import msgspec
+from anyio.abc import Process
+from anyio.streams.text import TextReceiveStream
+
+from foxtailwell.adapters.http_client import HttpClient, HttpReply, open_http_client
+from foxtailwell.adapters.peers import ClaimAnswer, ClaimQuery
+from foxtailwell.adapters.settings import Endpoint, PlatformSettings, Settings
+from foxtailwell.core import ClientAccount, Configuration, Evidence, InstanceRecord, WorkClass
+from foxtailwell.entry import EntryPorts, run_entry
+from foxtailwell.fleet import FleetView
+from foxtailwell_standins.minions import MinionFailures, MinionState, serve_minion
+
+CONFIGURATION = Configuration(
+    revision=1,
+    classes={
+        "check": WorkClass("check", "request", 500, 2000, idempotent=True),
+        "survey": WorkClass("survey", "request", 500, 2000, idempotent=False),
+        "model": WorkClass("model", "request", 60_000, 120_000, idempotent=True),
+    },
+    accounts={"a": ClientAccount("a", guaranteed_slots=2), "b": ClientAccount("b")},
+)
+LOOPBACK = Endpoint("127.0.0.1", 0)
+
+
+def make_settings(instance: str, store_url: str, grace_ms: int = 5000) -> Settings:
+    """Return settings of an entry on free ports."""
+    platform = PlatformSettings(store_url, "http://127.0.0.1:1", store_timeout_ms=500)
+    return Settings(
+        instance,
+        "region",
+        "zone-a",
+        platform,
+        peers=LOOPBACK,
+        operators=LOOPBACK,
+        callers=LOOPBACK,
+        shutdown_grace_ms=grace_ms,
+    )
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Minions and entries in this process, and what connects the entries."""
+
+    group: anyio.abc.TaskGroup
+    store_url: str
+    minions: dict[str, MinionState] = field(default_factory=dict)
+    records: dict[str, InstanceRecord] = field(default_factory=dict)
+    handlers: dict[str, object] = field(default_factory=dict)
+    views: dict[str, FleetView] = field(default_factory=dict)
+
+    async def add_minion(self, name: str, zone: str = "zone-a", **values: object) -> MinionState:
+        """Start a minion; values are failures of the stand-in."""
+        state = MinionState(failures=MinionFailures(**values))
+        port = await self.group.start(serve_minion, state)
+        self.minions[name] = state
+        self.records[name] = InstanceRecord(
+            name, "minion", zone, f"127.0.0.1:{port}", slots=state.slots, connections=64
+        )
+        self.publish()
+        return state
+
+    async def add_entry(self, name: str, stop: anyio.Event | None = None) -> EntryPorts:
+        """Start an entry in this process."""
+        view = self.views[name] = FleetView(configuration=CONFIGURATION)
+        view.ask_claim = self._ask
+        self.records[name] = InstanceRecord(name, "entry", "zone-a", "127.0.0.1:1")
+        self.publish()
+
+        async def fleet(settings, role, store, view, *, claim_handler, task_status):
+            self.handlers[name] = claim_handler
+            task_status.started()
+            while True:
+                view.evidence = Evidence(1, time.monotonic())
+                await anyio.sleep(0.5)
+
+        async def run(*, task_status) -> None:
+            await run_entry(
+                make_settings(name, self.store_url),
+                run_fleet=fleet,
+                view=view,
+                stop=stop,
+                task_status=task_status,
+            )
+
+        return await self.group.start(run)
+
+    def publish(self) -> None:
+        """Show the current instances to all entries."""
+        for view in self.views.values():
+            view.instances = dict(self.records)
+            view.notify()
+
+    def runs(self, key: str) -> int:
+        """Return how often a request with an idempotency key ran on any minion."""
+        return sum(k == key for m in self.minions.values() for _, k, _ in m.executed)
+
+    async def _ask(self, owner: str, query: ClaimQuery) -> ClaimAnswer | None:
+        handler = self.handlers.get(owner)
+        return await handler(query) if handler else None
+
+
+@asynccontextmanager
+async def open_caller(port: int) -> AsyncIterator[HttpClient]:
+    """Open a caller of one entry."""
+    async with open_http_client(f"http://127.0.0.1:{port}", max_connections=200) as http:
+        yield http
+
+
+async def send(
+    http: HttpClient,
+    work_class: str = "check",
+    body: bytes = b"x",
+    *,
+    account: str = "a",
+    key: str = "",
+    deadline_ms: int = 0,
+    timeout_s: float = 20.0,
+) -> HttpReply:
+    """Send one request as a caller."""
+    headers = {"foxtailwell-account": account}
+    if key:
+        headers["idempotency-key"] = key
+    if deadline_ms:
+        headers["foxtailwell-deadline-ms"] = str(deadline_ms)
+    path = f"/v1/requests/{work_class}"
+    return await http.request("POST", path, body=body, headers=headers, timeout_s=timeout_s)
+
+
+def outcome(reply: HttpReply) -> str:
+    """Return what a response says about the request."""
+    return reply.headers["foxtailwell-outcome"]
+
+
+@asynccontextmanager
+async def entry_process(
+    directory: Path, settings: Settings, records: list[InstanceRecord]
+) -> AsyncIterator[tuple[Process, EntryPorts]]:
+    """Run an entry in its own process and end it."""
+    settings_path = directory / f"{settings.instance}.json"
+    view_path = directory / f"{settings.instance}-view.json"
+    settings_path.write_bytes(msgspec.json.encode(settings))
+    view = {"configuration": CONFIGURATION, "instances": records}
+    view_path.write_bytes(msgspec.json.encode(view))
+    program = Path(__file__).parent / "entry_process.py"
+    command = [sys.executable, str(program), str(settings_path), str(view_path)]
+    process = await anyio.open_process(command, stderr=None)
+    try:
+        line = await TextReceiveStream(process.stdout).receive()
+        callers, operators = line.split()
+        yield process, EntryPorts(int(callers), int(operators))
+    finally:
+        with anyio.CancelScope(shield=True):
+            if process.returncode is None:
+                process.kill()
+            await process.aclose()
