--- a/src/foxtailwell/core/__init__.py
+++ b/src/foxtailwell/core/__init__.py
@@ -7,7 +7,11 @@
     SlotLimits,
     Ticket,
 )
-from foxtailwell.core._allocations import Gang, Member, ZoneAllocation
+from foxtailwell.core._allocations import (
+    Gang,
+    Member,
+    ZoneAllocation,
+)
 from foxtailwell.core._claims import (
     CLAIM_SHARD_COUNT,
     Claim,
@@ -30,7 +34,9 @@
     WorkClass,
     ZoneOut,
 )
-from foxtailwell.core._first_fit import plan_first_fit
+from foxtailwell.core._first_fit import (
+    plan_first_fit,
+)
 from foxtailwell.core._freshness import (
     EVIDENCE_LIMIT_S,
     PREPARATION_LIMIT_S,
@@ -40,7 +46,10 @@
     may_start,
     newer_evidence,
 )
-from foxtailwell.core._inventory import InstanceRecord, Role
+from foxtailwell.core._inventory import (
+    InstanceRecord,
+    Role,
+)
 from foxtailwell.core._jobs import (
     JOB_SHARD_COUNT,
     GangSpec,
@@ -56,6 +65,11 @@
     transition,
     without_expired_jobs,
 )
+from foxtailwell.core._placement import (
+    Capacity,
+    fragmentation,
+    place_best_fit,
+)
 from foxtailwell.core._plan import (
     ClusterView,
     Decision,
@@ -67,6 +81,10 @@
     StopReason,
     WaitReason,
 )
+from foxtailwell.core._planner import (
+    free_capacity,
+    plan,
+)
 from foxtailwell.core._retries import (
     RetryBudget,
     earn,
@@ -91,6 +109,15 @@
     record_success,
     slot_share,
 )
+from foxtailwell.core._submissions import (
+    Submission,
+    add_job,
+    cancel_jobs,
+    check_submission,
+    job_from_submission,
+    largest_gang,
+    members_per_worker,
+)
 
 __all__ = [
     "CLAIM_SHARD_COUNT",
@@ -100,6 +127,7 @@
     "AdaptiveLimit",
     "AdmissionQueue",
     "Candidate",
+    "Capacity",
     "ChangeRecord",
     "Claim",
     "ClaimOperation",
@@ -132,6 +160,7 @@
     "StartGang",
     "StopGang",
     "StopReason",
+    "Submission",
     "Ticket",
     "Transition",
     "WaitReason",
@@ -139,9 +168,12 @@
     "ZoneAllocation",
     "ZoneOut",
     "abandon_probe",
+    "add_job",
     "apply_claims",
     "begin_attempt",
     "begin_probe",
+    "cancel_jobs",
+    "check_submission",
     "choose_minion",
     "claim_document_key",
     "claim_key",
@@ -150,9 +182,13 @@
     "ended_unix_ms",
     "evidence_from_peer",
     "evidence_from_store",
+    "fragmentation",
+    "free_capacity",
     "is_ejected",
+    "job_from_submission",
     "job_id",
     "job_shard",
+    "largest_gang",
     "less_loaded",
     "limit_after_refusal",
     "limit_after_success",
@@ -160,7 +196,10 @@
     "may_probe",
     "may_retry",
     "may_start",
+    "members_per_worker",
     "newer_evidence",
+    "place_best_fit",
+    "plan",
     "plan_first_fit",
     "put_job",
     "record_failure",
