Test the request path against failing minions, entries and store

Cause: two faults showed up. A copy that came through the entry of another copy found its record removed and got outcome_unknown although the response was known; and a class counted as ordinary until a shorter class had been seen. Ruled out: asking the store again for every local duplicate, because the owner is known. Change: a lost claim is recorded as not_run, so that the copy claims again and asks the holder; classes are taken over from the configuration.

--- a/src/foxtailwell/adapters/http_server.py
+++ b/src/foxtailwell/adapters/http_server.py
@@ -61,6 +61,7 @@
         port=port,
         log_config=None,
         access_log=False,
+        proxy_headers=False,
         lifespan="off",
         ws="none",
         timeout_graceful_shutdown=int(grace_s),
--- a/src/foxtailwell/core/_admission.py
+++ b/src/foxtailwell/core/_admission.py
@@ -70,11 +70,13 @@
         self._classes: dict[str, _RunTime] = {}
         self._shortest_target_s = float("inf")
 
-    def ensure(self, work_class: str, target_s: float) -> None:
-        """Make a class known; its target gives the first estimate."""
-        if work_class not in self._classes:
-            self._classes[work_class] = _RunTime(target_s * INITIAL_RUN_SHARE, 0.0)
-            self._shortest_target_s = min(self._shortest_target_s, target_s)
+    def configure(self, targets_s: dict[str, float]) -> None:
+        """Take over the classes and their targets; a target gives the first estimate."""
+        self._classes = {
+            name: self._classes.get(name) or _RunTime(target_s * INITIAL_RUN_SHARE, 0.0)
+            for name, target_s in targets_s.items()
+        }
+        self._shortest_target_s = min(targets_s.values(), default=float("inf"))
 
     def observe(self, work_class: str, run_s: float) -> None:
         """Learn from a completed request."""
--- a/src/foxtailwell/entry/_claim_results.py
+++ b/src/foxtailwell/entry/_claim_results.py
@@ -51,12 +51,6 @@
         self._put(key, request_id, digest, ClaimAnswer("running"))
         return True
 
-    def drop(self, key: str, request_id: str) -> None:
-        """Forget a request whose key another entry holds."""
-        current = self._results.get(key)
-        if current is not None and current.request_id == request_id:
-            self._drop(key)
-
     def finish(self, key: str, request_id: str, answer: ClaimAnswer) -> None:
         """Record the result of a claimed request."""
         current = self._results.get(key)
--- a/src/foxtailwell/entry/_daemon.py
+++ b/src/foxtailwell/entry/_daemon.py
@@ -23,14 +23,18 @@
     DAEMON_STOPPED,
     DAEMON_STOPPING,
 )
+from foxtailwell.adapters.group_commit import open_group_committer
 from foxtailwell.adapters.http_server import serve_http
 from foxtailwell.adapters.logs import log_event
 from foxtailwell.adapters.peers import Load
 from foxtailwell.adapters.settings import Endpoint, Settings
 from foxtailwell.adapters.store import StoreClient, open_store
+from foxtailwell.core import JobShard
 from foxtailwell.entry._claim_results import ClaimResults, make_claim_handler
 from foxtailwell.entry._claim_writer import open_claim_writer
 from foxtailwell.entry._dispatch import Dispatcher
+from foxtailwell.entry._jobs_api import job_routes
+from foxtailwell.entry._jobs_view import JobsView, follow_jobs
 from foxtailwell.entry._minion_pool import MinionPool
 from foxtailwell.entry._requests import RequestRunner, make_request_ids
 from foxtailwell.entry._requests_api import RequestsApi
@@ -66,7 +70,6 @@
     *,
     run_fleet: RunFleet | None = None,
     view: FleetView | None = None,
-    caller_routes: MakeRoutes | None = None,
     operator_routes: MakeRoutes | None = None,
     stop: anyio.Event | None = None,
     task_status: TaskStatus[EntryPorts] = anyio.TASK_STATUS_IGNORED,
@@ -77,7 +80,6 @@
         settings: Settings of the instance.
         run_fleet: Task that fills the view; None when the caller fills it.
         view: View of the fleet; a new one by default.
-        caller_routes: Further routes of the callers' interface.
         operator_routes: Further routes of the operators' interface.
         stop: Stops the daemon when set, besides SIGTERM and SIGINT.
         task_status: Reports the ports once the daemon listens.
@@ -106,7 +108,10 @@
         group.start_soon(_keep_pool, view, pool, dispatcher)
         group.start_soon(_report_load, view, pool, dispatcher)
         group.start_soon(api.watch_callers)
-        callers_app = _make_app(view, api, [*(caller_routes(store, view) if caller_routes else ())])
+        committer = await stack.enter_async_context(open_group_committer(store, JobShard, JobShard))
+        jobs = JobsView()
+        group.start_soon(follow_jobs, store, jobs)
+        callers_app = _make_app(view, api, job_routes(committer, jobs, view))
         operators_app = Starlette(
             routes=[
                 *_health_routes(view, api),
@@ -195,6 +200,7 @@
 async def _keep_pool(view: FleetView, pool: MinionPool, dispatcher: Dispatcher) -> None:
     """Follow the view; the interval returns minions whose pause has ended."""
     while True:
+        dispatcher.configure(view.configuration.classes.values())
         pool.refresh()
         dispatcher.dispatch()
         await pool.close_removed()
@@ -209,7 +215,7 @@
         await anyio.sleep(LOAD_INTERVAL_S)
 
 
-def _make_app(view: FleetView, api: RequestsApi, more: list[BaseRoute]) -> Starlette:
+def _make_app(view: FleetView, api: RequestsApi, more: Sequence[BaseRoute]) -> Starlette:
     return Starlette(
         routes=[
             Route("/v1/requests/{work_class}", _AsgiEndpoint(api), methods=["POST"]),
--- a/src/foxtailwell/entry/_dispatch.py
+++ b/src/foxtailwell/entry/_dispatch.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import anyio
 
@@ -66,9 +66,10 @@
         if cause is not None:
             raise RefusedError(cause)
 
-    def ensure_class(self, work_class: WorkClass) -> None:
-        """Make a class known to the run-time estimates."""
-        self.run_times.ensure(work_class.name, work_class.target_ms / 1000)
+    def configure(self, classes: Iterable[WorkClass]) -> None:
+        """Take over the classes of requests."""
+        targets_s = {c.name: c.target_ms / 1000 for c in classes if c.kind == "request"}
+        self.run_times.configure(targets_s)
 
     async def acquire(self, ticket: Ticket) -> None:
         """Wait for a slot.
--- a/src/foxtailwell/entry/_requests.py
+++ b/src/foxtailwell/entry/_requests.py
@@ -31,6 +31,7 @@
 )
 from foxtailwell.core.errors import (
     FoxtailwellError,
+    KeyReusedError,
     NotRunError,
     OutcomeUnknownError,
 )
@@ -40,7 +41,7 @@
 from foxtailwell.entry._minion_pool import Minion, MinionPool
 from foxtailwell.fleet import FleetView
 
-__all__ = ["KeyReusedError", "Request", "RequestRunner", "Respond", "make_request_ids"]
+__all__ = ["Request", "RequestRunner", "Respond", "make_request_ids"]
 
 DUPLICATE_POLL_FIRST_S = 0.01
 DUPLICATE_POLL_LONGEST_S = 0.5
@@ -91,12 +92,6 @@
         return self.work_class.idempotent or not (self.is_sending or self.may_have_run)
 
 
-class KeyReusedError(NotRunError):
-    """An idempotency key is bound to another request."""
-
-    code = "idempotency_key_reused"
-
-
 class RequestRunner:
     """Runs requests with the entry's queue, minions and claims."""
 
@@ -132,7 +127,6 @@
             OutcomeUnknownError: The request may have run.
         """
         self._budget = earn(self._budget)
-        self._dispatcher.ensure_class(request.work_class)
         ticket = self._ticket(request)
         if request.work_class.idempotent:
             answer = await self._run_in_slot(request, ticket, respond)
@@ -295,7 +289,7 @@
             raise
         if outcome.kind == "claimed":
             return None
-        self._results.drop(key, request.id)
+        self._results.finish(key, request.id, ClaimAnswer("not_run"))
         if outcome.holder is None:
             raise NotRunError(
                 "the claim store has no room for this key", "send the request again in an hour"
--- a/src/foxtailwell/entry/_requests_api.py
+++ b/src/foxtailwell/entry/_requests_api.py
@@ -19,11 +19,12 @@
 from foxtailwell.core import WorkClass
 from foxtailwell.core.errors import (
     FoxtailwellError,
+    KeyReusedError,
     NotRunError,
     OutcomeUnknownError,
     UnavailableError,
 )
-from foxtailwell.entry._requests import KeyReusedError, Request, RequestRunner
+from foxtailwell.entry._requests import Request, RequestRunner
 from foxtailwell.fleet import FleetView
 
 __all__ = ["RequestsApi"]
--- a/src/foxtailwell_standins/minions.py
+++ b/src/foxtailwell_standins/minions.py
@@ -62,6 +62,7 @@
     open_connections: int = 0
     peak_in_flight: int = 0
     refused: int = 0
+    failed: int = 0
     executed: deque[tuple[str, str, str]] = field(
         default_factory=lambda: deque(maxlen=EXECUTED_LIMIT)
     )
@@ -138,6 +139,7 @@
             "peak_in_flight": state.peak_in_flight,
             "open_connections": state.open_connections,
             "refused": state.refused,
+            "failed": state.failed,
             "executed": list(state.executed),
         }
         self._send(200, b"", msgspec.json.encode(report))
@@ -150,6 +152,7 @@
             self._close()
             return
         if mode == "error":
+            state.failed += 1
             self._send(500, request_id, b"")
             return
         if mode in ("busy", "leaving") or state.in_flight >= state.slots:
--- a/tests/request_fleet.py
+++ b/tests/request_fleet.py
@@ -4,7 +4,7 @@
 
 import sys
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -111,6 +111,13 @@
         return await handler(query) if handler else None
 
 
+async def until(condition: Callable[[], object], limit_s: float = 10.0) -> None:
+    """Wait until a condition holds."""
+    with anyio.fail_after(limit_s):
+        while not condition():  # noqa: ASYNC110 - the conditions have no event
+            await anyio.sleep(0.005)
+
+
 @asynccontextmanager
 async def open_caller(port: int) -> AsyncIterator[HttpClient]:
     """Open a caller of one entry."""
