--- a/src/foxtailwell_standins/cli.py
+++ b/src/foxtailwell_standins/cli.py
@@ -12,8 +12,9 @@
 
 from foxtailwell.adapters.http_client import open_http_client
 from foxtailwell.adapters.http_server import serve_http
-from foxtailwell.core import InstanceRecord
+from foxtailwell.core import InstanceRecord, Role
 from foxtailwell_standins.instance_list import InstanceListState, make_instance_list_app
+from foxtailwell_standins.minions import MinionState, serve_minion
 from foxtailwell_standins.store import StoreState, make_store_app
 from foxtailwell_standins.workers import WorkerFleet, make_worker_records, serve_workers
 
@@ -72,12 +73,50 @@
         anyio.run(_serve_workers, records, self.instance_list)
 
 
+@cappa.command(name="minions", help="Run minions, each on its own port.")
+@dataclass(frozen=True)
+class MinionsCommand:
+    """Run stand-ins of minions in one process."""
+
+    count: Annotated[int, cappa.Arg(long=True, help="Number of minions.")] = 1
+    port: Annotated[int, cappa.Arg(long=True, help="First port; 0 takes free ones.")] = 0
+    zones: Annotated[str, cappa.Arg(long=True, help="Zones, by comma, taken in turn.")] = "zone-a"
+    region: Annotated[str, cappa.Arg(long=True, help="Region of the zones.")] = "region"
+    slots: Annotated[int, cappa.Arg(long=True, help="Requests that a minion runs at once.")] = 8
+    connections: Annotated[int, cappa.Arg(long=True, help="Connections a minion accepts.")] = 64
+    instance_list: Annotated[str, cappa.Arg(long=True, help="URL of the instance list.")] = ""
+
+    def __call__(self) -> None:
+        """Serve until a signal arrives."""
+        anyio.run(_serve_minions, self, backend_options={"use_uvloop": True})
+
+
+@cappa.command(name="register", help="Add an instance to the instance list.")
+@dataclass(frozen=True)
+class RegisterCommand:
+    """Add one of the project's own daemons to the instance list, as the platform would."""
+
+    id: Annotated[str, cappa.Arg(help="Identifier, <instance>/<role> for own daemons.")]
+    role: Annotated[Role, cappa.Arg(help="What runs there.")]
+    zone: Annotated[str, cappa.Arg(help="Availability zone.")]
+    address: Annotated[str, cappa.Arg(help="host:port; the peer port of an own daemon.")]
+    instance_list: Annotated[str, cappa.Arg(long=True, help="URL of the instance list.")]
+    region: Annotated[str, cappa.Arg(long=True, help="Region of the zone.")] = "region"
+
+    def __call__(self) -> None:
+        """Register and return."""
+        record = InstanceRecord(self.id, self.role, self.zone, self.address, region=self.region)
+        anyio.run(_register, self.instance_list, [record])
+
+
 @cappa.command(name="foxtailwell-standin", help="Stand-ins of the platform, for tests only.")
 @dataclass(frozen=True)
 class StandinCommand:
     """Run one of the stand-ins."""
 
-    command: cappa.Subcommands[StoreCommand | InstanceListCommand | WorkersCommand]
+    command: cappa.Subcommands[
+        StoreCommand | InstanceListCommand | WorkersCommand | MinionsCommand | RegisterCommand
+    ]
 
 
 async def _serve(app: object, port: int) -> None:
@@ -85,26 +124,55 @@
     async with anyio.create_task_group() as group:
         bound = await group.start(serve_http, app, "127.0.0.1", port, stop)
         print(f"listening on 127.0.0.1:{bound}", flush=True)
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                break
-        stop.set()
+        await _wait_for_signal()
         group.cancel_scope.cancel()
 
 
-async def _serve_workers(records: list[InstanceRecord], instance_list: str) -> None:
+async def _serve_workers(records: list[InstanceRecord], instance_list_url: str) -> None:
     async with anyio.create_task_group() as group:
         placed = await group.start(serve_workers, WorkerFleet(), records)
-        async with open_http_client(instance_list) as http:
-            await http.request("PUT", "/v1/instances", body=msgspec.json.encode(placed))
-        for record in placed:
-            print(f"{record.id} listening on {record.address}", flush=True)
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                break
+        await _register(instance_list_url, placed)
+        await _wait_for_signal()
         group.cancel_scope.cancel()
 
 
+async def _serve_minions(command: MinionsCommand) -> None:
+    zones = command.zones.split(",")
+    records = []
+    async with anyio.create_task_group() as group:
+        for index in range(command.count):
+            state = MinionState(command.slots, command.connections)
+            port = command.port + index if command.port else 0
+            bound = await group.start(serve_minion, state, port)
+            record = InstanceRecord(
+                id=f"minion-{index + 1}",
+                role="minion",
+                zone=zones[index % len(zones)],
+                address=f"127.0.0.1:{bound}",
+                region=command.region,
+                slots=command.slots,
+                connections=command.connections,
+            )
+            records.append(record)
+        await _register(command.instance_list, records)
+        await _wait_for_signal()
+        group.cancel_scope.cancel()
+
+
+async def _register(instance_list_url: str, records: list[InstanceRecord]) -> None:
+    for record in records:
+        print(f"{record.id} listening on {record.address}", flush=True)
+    if instance_list_url:
+        async with open_http_client(instance_list_url) as http:
+            await http.request("PUT", "/v1/instances", body=msgspec.json.encode(records))
+
+
+async def _wait_for_signal() -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            return
+
+
 def main() -> None:
     """Run the command."""
     cappa.invoke(StandinCommand)
