Plan guarantees, urgent work, reservations, backfill, moves and quarantine

Cause: plan(view) only placed gangs by best fit. Ruled out: a proof by counting the accelerators of unused shapes; a gang that ends may leave scattered accelerators, so the proof would break at the end of a job. Instead every guaranteed shape has a slot that no other slot overlaps, and gangs outside their own slots are borrowers. ClusterView gets failing_workers, because 'in a row' cannot be derived from the jobs.

--- a/src/foxtailwell/core/__init__.py
+++ b/src/foxtailwell/core/__init__.py
@@ -19,6 +19,16 @@
     may_start,
     newer_evidence,
 )
+from foxtailwell.core._guarantees import (
+    GuaranteedSlot,
+    GuaranteePacking,
+    Holding,
+    MissingShape,
+    Reclaim,
+    check_guarantees,
+    choose_borrowers,
+    pack_guarantees,
+)
 from foxtailwell.core._inventory import InstanceRecord, Role
 from foxtailwell.core._jobs import (
     JOB_SHARD_COUNT,
@@ -39,8 +49,12 @@
     StopGang,
     StopReason,
     WaitReason,
+    WorkerFailures,
 )
-from foxtailwell.core._planner import free_capacity, plan
+from foxtailwell.core._planner import PlannerRules, is_reclaimable, plan, prove_reclaimable
+from foxtailwell.core._quarantine import WorkerHealth, is_hopeless, quarantine_until_ms
+from foxtailwell.core._runtimes import RunTimes
+from foxtailwell.core._situation import free_capacity
 
 __all__ = [
     "EVIDENCE_LIMIT_S",
@@ -56,14 +70,21 @@
     "FailJob",
     "Gang",
     "GangSpec",
+    "GuaranteePacking",
+    "GuaranteedSlot",
+    "Holding",
     "InstanceRecord",
     "Job",
     "JobShard",
     "JobState",
     "Member",
+    "MissingShape",
     "Plan",
+    "PlannerRules",
     "QuarantineWorker",
+    "Reclaim",
     "Role",
+    "RunTimes",
     "Shape",
     "StartGang",
     "StopGang",
@@ -71,15 +92,24 @@
     "Transition",
     "WaitReason",
     "WorkClass",
+    "WorkerFailures",
+    "WorkerHealth",
     "ZoneAllocation",
     "ZoneOut",
+    "check_guarantees",
+    "choose_borrowers",
     "evidence_from_peer",
     "evidence_from_store",
     "fragmentation",
     "free_capacity",
+    "is_hopeless",
+    "is_reclaimable",
     "may_start",
     "newer_evidence",
+    "pack_guarantees",
     "place_best_fit",
     "plan",
     "plan_first_fit",
+    "prove_reclaimable",
+    "quarantine_until_ms",
 ]
--- /dev/null
+++ b/src/foxtailwell/core/_guarantees.py
@@ -0,0 +1,607 @@
+"""Packing of guaranteed shapes, the proof that they can be reclaimed, and choice of borrowers.
+
+Every guaranteed shape, used or not, gets a slot: adjacent accelerators of one rack that no other
+slot overlaps. A gang inside the slots of its own account is covered; every other gang is a
+borrower and can be stopped. Slots are disjoint and hold only free accelerators, borrowers and
+gangs of their own account, so a shape stays reclaimable whichever gangs end or start.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from functools import lru_cache
+from heapq import heapify, heappop, heapreplace
+from typing import NamedTuple
+
+from foxtailwell.core._allocations import Gang, Member
+from foxtailwell.core._configuration import Configuration
+from foxtailwell.core._inventory import InstanceRecord
+from foxtailwell.core._jobs import GangSpec
+from foxtailwell.core._placement import (
+    NO_RUN,
+    Capacity,
+    RackCapacity,
+    WorkerCapacity,
+    indexes_of,
+    largest_gang,
+    mask_of,
+    runs_of,
+    shortest_run,
+)
+
+SEARCH_NODE_LIMIT = 4000
+"""Steps of the search for a packing after the greedy one failed; about 50 ms."""
+
+SEARCH_SHAPE_LIMIT = 96
+"""Larger sets of shapes are only packed greedily, because the search would not finish."""
+
+
+@dataclass(frozen=True, slots=True)
+class GuaranteedSlot:
+    """Adjacent accelerators that are kept reclaimable for one guaranteed shape."""
+
+    account: str
+    accelerators: int
+    zone: str
+    members: tuple[Member, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class MissingShape:
+    """A guaranteed shape without a slot."""
+
+    account: str
+    accelerators: int
+
+
+@dataclass(frozen=True, slots=True)
+class GuaranteePacking:
+    """Where the guaranteed shapes fit.
+
+    Attributes:
+        slots: Slots that do not overlap.
+        missing: Shapes for which no slot was found.
+        reason: Why shapes are missing; empty when all fit.
+    """
+
+    slots: tuple[GuaranteedSlot, ...]
+    missing: tuple[MissingShape, ...]
+    reason: str
+
+    @property
+    def fits(self) -> bool:
+        """Whether every guaranteed shape has a slot."""
+        return not self.missing
+
+
+def usable_workers(
+    configuration: Configuration, workers: Iterable[InstanceRecord], without_zone: str | None = None
+) -> list[InstanceRecord]:
+    """Return the workers that may get work under a configuration."""
+    leaving = set(configuration.leaving_instances)
+    return [
+        w
+        for w in workers
+        if w.role == "worker"
+        and w.state == "live"
+        and w.accelerators
+        and w.zone != without_zone
+        and w.zone not in configuration.zones_out
+        and w.id not in leaving
+    ]
+
+
+def pack_guarantees(
+    configuration: Configuration, workers: Iterable[InstanceRecord], without_zone: str | None = None
+) -> GuaranteePacking:
+    """Say whether all guaranteed shapes fit together on the workers, and where.
+
+    Args:
+        configuration: Configuration with the accounts and the zones that are out.
+        workers: Workers of the instance list.
+        without_zone: Zone that is assumed to be lost.
+
+    Returns:
+        The slots, and the reason when some shapes have none.
+    """
+    capacity = Capacity(usable_workers(configuration, workers, without_zone))
+    shapes = _shapes_of(configuration)
+    packer = _Packer(capacity)
+    missing = packer.fill(shapes)
+    if missing and len(shapes) <= SEARCH_SHAPE_LIMIT:
+        searched = _Packer(capacity)
+        if searched.search(shapes):
+            packer, missing = searched, []
+    return packer.result(missing, without_zone)
+
+
+def check_guarantees(
+    configuration: Configuration, workers: Iterable[InstanceRecord]
+) -> GuaranteePacking:
+    """Return the packing that decides whether a configuration is accepted.
+
+    With `survive_zone_loss` the shapes must also fit without any one of the zones; a smaller zone
+    can matter more than the largest when it has the larger racks. While a zone is out, its loss
+    is the one to survive, so no second loss is assumed.
+    """
+    fleet = list(workers)
+    packing = pack_guarantees(configuration, fleet)
+    if not packing.fits or not configuration.survive_zone_loss or configuration.zones_out:
+        return packing
+    for zone in sorted({w.zone for w in usable_workers(configuration, fleet)}):
+        without = pack_guarantees(configuration, fleet, zone)
+        if not without.fits:
+            return without
+    return packing
+
+
+def pack_around(
+    configuration: Configuration, capacity: Capacity, gangs: Sequence[Gang]
+) -> GuaranteePacking:
+    """Pack the guaranteed shapes so that as many running gangs as possible are covered.
+
+    Args:
+        configuration: Configuration with the accounts.
+        capacity: Usable workers, with the gangs taken.
+        gangs: Running gangs in the order in which they should be covered.
+
+    Returns:
+        The packing with the fewest missing shapes; covering fewer gangs is tried when the
+        covered ones leave no room for another account's shape.
+    """
+    shapes = _shapes_of(configuration)
+    if not shapes:
+        return GuaranteePacking((), (), "")
+    best: tuple[int, _Packer, list[MissingShape]] | None = None
+    for count in (len(gangs), len(gangs) // 2, 0):
+        packer = _Packer(capacity)
+        rest = packer.cover(shapes, gangs[:count])
+        missing = packer.fill(rest)
+        lost = sum(shape.accelerators for shape in missing)
+        if best is None or lost < best[0]:
+            best = (lost, packer, missing)
+        if not missing or not gangs:
+            break
+    assert best is not None
+    return best[1].result(best[2], None)
+
+
+def _shapes_of(configuration: Configuration) -> list[MissingShape]:
+    shapes = [
+        MissingShape(account.name, shape.accelerators)
+        for account in configuration.accounts.values()
+        for shape in account.guarantees
+        for _ in range(shape.count)
+        if shape.accelerators > 0
+    ]
+    return sorted(shapes, key=lambda s: (-s.accelerators, s.account))
+
+
+@lru_cache(maxsize=1 << 16)
+def _window(free: int, needed: int, size: int) -> int:
+    """Return the mask of `size` adjacent free accelerators around the needed ones, or 0.
+
+    Of several windows the one that leaves the longest run is returned.
+    """
+    best, best_left = 0, -1
+    for length, first in runs_of(free):
+        for start in range(first, first + length - size + 1):
+            mask = ((1 << size) - 1) << start
+            if needed & ~mask:
+                continue
+            left = max((run[0] for run in runs_of(free & ~mask)), default=0)
+            if left > best_left:
+                best, best_left = mask, left
+    return best
+
+
+class _Packer:
+    """Slots that have been placed and the accelerators that no slot holds."""
+
+    def __init__(self, capacity: Capacity) -> None:
+        self._capacity = capacity
+        self._open = {w.id: (1 << w.accelerators) - 1 for w in capacity.workers.values()}
+        self._slots: list[tuple[MissingShape, RackCapacity, dict[str, int]]] = []
+        self._own: dict[str, dict[str, int]] = {}
+
+    def result(self, missing: list[MissingShape], without_zone: str | None) -> GuaranteePacking:
+        slots = tuple(
+            GuaranteedSlot(
+                shape.account,
+                shape.accelerators,
+                rack.zone,
+                tuple(Member(worker, indexes_of(mask)) for worker, mask in sorted(masks.items())),
+            )
+            for shape, rack, masks in self._slots
+        )
+        return GuaranteePacking(slots, tuple(missing), self._reason(missing, without_zone))
+
+    def _reason(self, missing: list[MissingShape], without_zone: str | None) -> str:
+        if not missing:
+            return ""
+        first = missing[0]
+        place = f" without zone {without_zone}" if without_zone else ""
+        largest = max((largest_gang([r]) for r in self._left_racks()), default=0)
+        total = len(missing) + len(self._slots)
+        return (
+            f"{len(missing)} of {total} guaranteed shapes do not fit together{place}; the first is "
+            f"{first.accelerators} adjacent accelerators of account {first.account}, and "
+            f"{largest} adjacent accelerators of one rack are left"
+        )
+
+    def _left_racks(self) -> list[RackCapacity]:
+        return [
+            RackCapacity(
+                rack.zone,
+                rack.rack,
+                [
+                    WorkerCapacity(w.id, w.zone, w.rack, w.accelerators, self._open[w.id], 0, 0)
+                    for w in rack.workers
+                ],
+            )
+            for rack in self._capacity.racks.values()
+        ]
+
+    def _place(self, shape: MissingShape, rack: RackCapacity, masks: dict[str, int]) -> None:
+        own = self._own.setdefault(shape.account, {})
+        for worker, mask in masks.items():
+            self._open[worker] &= ~mask
+            own[worker] = own.get(worker, 0) | mask
+        self._slots.append((shape, rack, masks))
+
+    def _undo(self) -> MissingShape:
+        shape, _, masks = self._slots.pop()
+        for worker, mask in masks.items():
+            self._open[worker] |= mask
+            self._own[shape.account][worker] &= ~mask
+        return shape
+
+    def cover(self, shapes: list[MissingShape], gangs: Sequence[Gang]) -> list[MissingShape]:
+        """Place slots around running gangs of the same account; return the shapes left."""
+        left: dict[str, list[int]] = {}
+        for shape in reversed(shapes):
+            left.setdefault(shape.account, []).append(shape.accelerators)
+        for gang in gangs:
+            sizes = left.get(gang.account)
+            if sizes is not None:
+                self._cover_gang(gang, sizes)
+        rest = [MissingShape(account, n) for account, sizes in left.items() for n in sizes]
+        return sorted(rest, key=lambda s: (-s.accelerators, s.account))
+
+    def _cover_gang(self, gang: Gang, sizes: list[int]) -> None:
+        own = self._own.get(gang.account, {})
+        needed: dict[str, int] = {}
+        for member in gang.members:
+            mask = mask_of(member.accelerators)
+            if mask & ~own.get(member.worker, 0):
+                needed[member.worker] = needed.get(member.worker, 0) | mask
+        if not needed or not sizes or any(worker not in self._open for worker in needed):
+            return
+        if len(needed) > 1 and self._cover_masks(gang.account, needed, sizes):
+            return
+        for placed, (worker, mask) in enumerate(needed.items()):
+            if not self._cover_masks(gang.account, {worker: mask}, sizes):
+                for _ in range(placed):
+                    sizes.append(self._undo().accelerators)
+                sizes.sort()
+                return
+
+    def _cover_masks(self, account: str, needed: dict[str, int], sizes: list[int]) -> bool:
+        rack = self._rack_of(needed)
+        if rack is None:
+            return False
+        count = sum(mask.bit_count() for mask in needed.values())
+        previous = 0
+        for index, size in enumerate(sizes):
+            if size < count or size == previous:
+                continue
+            previous = size
+            masks = self._slot_in(rack, size, needed)
+            if masks is not None:
+                self._place(MissingShape(account, size), rack, masks)
+                del sizes[index]
+                return True
+        return False
+
+    def _rack_of(self, needed: Mapping[str, int]) -> RackCapacity | None:
+        workers = self._capacity.workers
+        keys = {(workers[w].zone, workers[w].rack) for w in needed}
+        return self._capacity.racks[keys.pop()] if len(keys) == 1 else None
+
+    def _slot_in(
+        self, rack: RackCapacity, size: int, needed: Mapping[str, int]
+    ) -> dict[str, int] | None:
+        """Return masks of a slot in a rack that contains the needed accelerators."""
+        if len(needed) == 1:
+            ((name, mask),) = needed.items()
+            if size <= self._capacity.workers[name].accelerators:
+                window = _window(self._open[name], mask, size)
+                return {name: window} if window else None
+        masks: dict[str, int] = {}
+        left = size
+        order = sorted(
+            rack.workers,
+            key=lambda w: (-needed.get(w.id, 0).bit_count(), -w.free.bit_count(), w.id),
+        )
+        for worker in order:
+            full = (1 << worker.accelerators) - 1
+            if left >= worker.accelerators and self._open[worker.id] == full:
+                masks[worker.id] = full
+                left -= worker.accelerators
+        if left:
+            part = self._part(order, masks, left, needed)
+            if part is None:
+                return None
+            masks[part[0]] = part[1]
+        covered = all(not mask & ~masks.get(name, 0) for name, mask in needed.items())
+        return masks if covered else None
+
+    def _part(
+        self,
+        workers: list[WorkerCapacity],
+        used: Mapping[str, int],
+        size: int,
+        needed: Mapping[str, int],
+    ) -> tuple[str, int] | None:
+        """Return worker and mask of the rest of a slot, on the tightest run."""
+        candidates = []
+        for order, worker in enumerate(workers):
+            if worker.id in used:
+                continue
+            window = _window(self._open[worker.id], needed.get(worker.id, 0), size)
+            if window:
+                length = shortest_run(self._open[worker.id], size)[0]
+                candidates.append((not needed.get(worker.id, 0), length, order, worker.id, window))
+        return min(candidates)[3:] if candidates else None
+
+    def fill(self, shapes: list[MissingShape]) -> list[MissingShape]:
+        """Place the shapes, largest first, in the tightest places; return those that are left."""
+        missing: list[MissingShape] = []
+        workers = list(self._capacity.workers.values())
+        size, heap = 0, list[tuple[int, int, int]]()
+        for shape in shapes:
+            if shape.accelerators != size:
+                size = shape.accelerators
+                heap = [e for i, w in enumerate(workers) if (e := self._run_entry(i, w, size))]
+                heapify(heap)
+            if heap:
+                worker = workers[heap[0][2]]
+                mask = ((1 << size) - 1) << shortest_run(self._open[worker.id], size)[1]
+                rack = self._capacity.racks[worker.zone, worker.rack]
+                self._place(shape, rack, {worker.id: mask})
+                again = self._run_entry(heap[0][2], worker, size)
+                if again:
+                    heapreplace(heap, again)
+                else:
+                    heappop(heap)
+            elif not self._place_wide(shape):
+                missing.append(shape)
+        return missing
+
+    def _run_entry(
+        self, order: int, worker: WorkerCapacity, size: int
+    ) -> tuple[int, int, int] | None:
+        length, start = shortest_run(self._open[worker.id], size)
+        if length == NO_RUN[0]:
+            return None
+        taken = ((1 << size) - 1) << start & ~worker.free
+        return (length, taken.bit_count(), order)
+
+    def _place_wide(self, shape: MissingShape) -> bool:
+        found = min(self._wide_options(shape.accelerators), key=lambda o: o[0], default=None)
+        if found is None:
+            return False
+        self._place(shape, found[1], found[2])
+        return True
+
+    def _wide_options(
+        self, size: int
+    ) -> Iterable[tuple[tuple[int, int], RackCapacity, dict[str, int]]]:
+        for rack in self._capacity.racks.values():
+            room = sum(self._open[w.id].bit_count() for w in rack.workers)
+            if room >= size:
+                masks = self._slot_in(rack, size, {})
+                if masks is not None:
+                    yield (room, -rack.free_count), rack, masks
+
+    def search(self, shapes: list[MissingShape]) -> bool:
+        """Search for a packing of all shapes; False when none is found within the limit."""
+        budget = SEARCH_NODE_LIMIT
+
+        def descend(index: int) -> bool:
+            nonlocal budget
+            if index == len(shapes):
+                return True
+            for rack, masks in self._options(shapes[index].accelerators):
+                budget -= 1
+                if budget < 0:
+                    return False
+                self._place(shapes[index], rack, masks)
+                if descend(index + 1):
+                    return True
+                self._undo()
+            return False
+
+        return descend(0)
+
+    def _options(self, size: int) -> list[tuple[RackCapacity, dict[str, int]]]:
+        """Return places that differ in what they leave, tightest first."""
+        options: dict[object, tuple[tuple[int, int], RackCapacity, dict[str, int]]] = {}
+        for rack in self._capacity.racks.values():
+            state = tuple(sorted(self._open[w.id] for w in rack.workers))
+            for worker in rack.workers:
+                free = self._open[worker.id]
+                for length, start in runs_of(free):
+                    if length >= size:
+                        mask = ((1 << size) - 1) << start
+                        room = sum(m.bit_count() for m in state)
+                        key = (state, free, mask)
+                        options.setdefault(key, ((length, room), rack, {worker.id: mask}))
+        if not options:
+            for score, rack, masks in self._wide_options(size):
+                state = tuple(sorted(self._open[w.id] for w in rack.workers))
+                options.setdefault(state, (score, rack, masks))
+        return [(rack, masks) for _, rack, masks in sorted(options.values(), key=lambda o: o[0])]
+
+
+class Holding(NamedTuple):
+    """What one gang holds on one worker."""
+
+    job_id: str
+    mask: int
+    cores: int
+    memory_gb: int
+
+
+@dataclass(frozen=True, slots=True)
+class Reclaim:
+    """A placement that becomes free when these gangs have stopped."""
+
+    zone: str
+    members: tuple[Member, ...]
+    job_ids: tuple[str, ...]
+    cost: float
+
+
+def choose_borrowers(
+    capacity: Capacity,
+    holdings: Mapping[str, Sequence[Holding]],
+    costs: Mapping[str, float],
+    spec: GangSpec,
+    *,
+    within: Mapping[str, int] | None = None,
+    zones: Collection[str] | None = None,
+) -> Reclaim | None:
+    """Choose the cheapest set of gangs to stop so that a gang can start.
+
+    Args:
+        capacity: Free accelerators.
+        holdings: What running gangs hold, by worker.
+        costs: Work lost when a gang stops, by job; gangs that are not listed may not be stopped.
+        spec: Gang that should start.
+        within: Accelerators that may be used, by worker; all when omitted.
+        zones: Zones that may be used; all when omitted.
+
+    Returns:
+        The cheapest choice found, one rack before several racks of a zone, or None.
+    """
+    best: tuple[float, Reclaim] | None = None
+    for zone, racks in capacity.zones.items():
+        if zones is not None and zone not in zones:
+            continue
+        groups = [rack.workers for rack in racks]
+        found = [r for g in groups if (r := _vacate(zone, g, holdings, costs, spec, within))]
+        if not found and len(groups) > 1:
+            everything = [worker for group in groups for worker in group]
+            whole = _vacate(zone, everything, holdings, costs, spec, within)
+            found = [whole] if whole else []
+        for reclaim in found:
+            if best is None or reclaim.cost < best[0]:
+                best = (reclaim.cost, reclaim)
+    return best[1] if best else None
+
+
+class _Cut(NamedTuple):
+    """Cheapest accelerators of one worker for one member."""
+
+    cost: float
+    loss: int
+    mask: int
+    job_ids: frozenset[str]
+
+
+def _vacate(
+    zone: str,
+    workers: list[WorkerCapacity],
+    holdings: Mapping[str, Sequence[Holding]],
+    costs: Mapping[str, float],
+    spec: GangSpec,
+    within: Mapping[str, int] | None,
+) -> Reclaim | None:
+    """Take the cheapest worker for one member after the other."""
+    if within is not None:
+        workers = [w for w in workers if within.get(w.id)]
+    if sum(w.accelerators // spec.accelerators_per_member for w in workers) < spec.members:
+        return None
+    taken: dict[str, int] = {}
+    counts: dict[str, int] = {}
+    stopped: set[str] = set()
+    members: list[Member] = []
+    total = 0.0
+
+    def cheapest(worker: WorkerCapacity) -> _Cut | None:
+        allowed = within.get(worker.id, 0) if within is not None else (1 << worker.accelerators) - 1
+        allowed &= ~taken.get(worker.id, 0)
+        held = holdings.get(worker.id, ())
+        return _cheapest_cut(worker, held, costs, spec, allowed, stopped, counts.get(worker.id, 0))
+
+    cuts = {w.id: cut for w in workers if (cut := cheapest(w))}
+    by_id = {w.id: w for w in workers}
+    while len(members) < spec.members:
+        if not cuts:
+            return None
+        name = min(cuts, key=lambda n: (cuts[n].cost, cuts[n].loss, n))
+        cut = cuts[name]
+        members.append(Member(name, indexes_of(cut.mask)))
+        total += cut.cost
+        taken[name] = taken.get(name, 0) | cut.mask
+        counts[name] = counts.get(name, 0) + 1
+        stopped |= cut.job_ids
+        changed = by_id if cut.job_ids else {name: by_id[name]}
+        for other, worker in changed.items():
+            again = cheapest(worker)
+            if again:
+                cuts[other] = again
+            else:
+                cuts.pop(other, None)
+    return Reclaim(zone, tuple(members), tuple(sorted(stopped)), total)
+
+
+def _cheapest_cut(
+    worker: WorkerCapacity,
+    held: Sequence[Holding],
+    costs: Mapping[str, float],
+    spec: GangSpec,
+    allowed: int,
+    stopped: Collection[str],
+    placed: int,
+) -> _Cut | None:
+    size = spec.accelerators_per_member
+    best: _Cut | None = None
+    usable = worker.free
+    for holding in held:
+        if holding.job_id in costs or holding.job_id in stopped:
+            usable |= holding.mask
+    for length, first in runs_of(allowed & usable):
+        for start in range(first, first + length - size + 1):
+            mask = ((1 << size) - 1) << start
+            blocked = mask & ~worker.free
+            hit = [h for h in held if h.mask & blocked and h.job_id not in stopped]
+            if not _has_room(worker, held, hit, spec, stopped, placed):
+                continue
+            jobs = frozenset(h.job_id for h in hit)
+            cut = _Cut(sum(costs[j] for j in jobs), length - size, mask, jobs)
+            if best is None or (cut.cost, cut.loss) < (best.cost, best.loss):
+                best = cut
+    return best
+
+
+def _has_room(
+    worker: WorkerCapacity,
+    held: Sequence[Holding],
+    hit: list[Holding],
+    spec: GangSpec,
+    stopped: Collection[str],
+    placed: int,
+) -> bool:
+    """Whether cores and memory suffice once the gangs have stopped."""
+    if not spec.cores_per_member and not spec.memory_gb_per_member:
+        return True
+    freed = hit + [h for h in held if h.job_id in stopped]
+    cores = worker.cores + sum(h.cores for h in freed)
+    memory_gb = worker.memory_gb + sum(h.memory_gb for h in freed)
+    wanted = placed + 1
+    return (
+        cores >= wanted * spec.cores_per_member and memory_gb >= wanted * spec.memory_gb_per_member
+    )
--- a/src/foxtailwell/core/_placement.py
+++ b/src/foxtailwell/core/_placement.py
@@ -175,7 +175,7 @@
             for rack in capacity.zones[zone]:
                 if rack.free_count < spec.accelerators:
                     continue
-                found = _fill(rack.workers, spec, adjacent=adjacent)
+                found = fill_workers(rack.workers, spec, adjacent=adjacent)
                 if found is not None:
                     preference = rank(rack) if rank else 0
                     score = (preference, found[0], rack.free_count)
@@ -202,12 +202,12 @@
         workers += rack.workers
         count += sum(_members_on(w, spec, adjacent=adjacent) for w in rack.workers)
         if count >= spec.members:
-            found = _fill(workers, spec, adjacent=adjacent)
+            found = fill_workers(workers, spec, adjacent=adjacent)
             return found[1] if found else None
     return None
 
 
-def _fill(
+def fill_workers(
     workers: list[WorkerCapacity], spec: GangSpec, *, adjacent: bool
 ) -> tuple[int, tuple[Member, ...]] | None:
     """Return the free accelerators left on workers whose runs are cut, and the members."""
--- a/src/foxtailwell/core/_plan.py
+++ b/src/foxtailwell/core/_plan.py
@@ -11,6 +11,14 @@
 from foxtailwell.core._jobs import Job
 
 
+@dataclass(frozen=True, slots=True)
+class WorkerFailures:
+    """Different jobs that failed on a worker in a row, newest last."""
+
+    job_ids: tuple[str, ...] = ()
+    last_unix_ms: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class ClusterView:
     """Everything that a plan depends on.
@@ -22,6 +30,7 @@
         jobs: Jobs that have not ended.
         allocations: Allocation document of each zone.
         run_time_s: Predicted run time by job, where one is known.
+        failing_workers: Failures in a row by worker; one success clears them.
     """
 
     now_unix_ms: int
@@ -30,6 +39,7 @@
     jobs: tuple[Job, ...]
     allocations: dict[str, ZoneAllocation]
     run_time_s: dict[str, float] = field(default_factory=dict)
+    failing_workers: dict[str, WorkerFailures] = field(default_factory=dict)
 
 
 StopReason = Literal["reclaim", "zone_out", "move", "cancel", "worker_leaving"]
--- /dev/null
+++ b/src/foxtailwell_bench/_workload.py
@@ -0,0 +1,198 @@
+"""Deployments and seeded workloads for the policy benchmark."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from random import Random
+
+from foxtailwell.core import (
+    ClientAccount,
+    Configuration,
+    GangSpec,
+    InstanceRecord,
+    Shape,
+    WorkClass,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One job that a workload submits."""
+
+    at_s: float
+    account: str
+    work_class: str
+    spec: GangSpec
+    run_s: float
+    declared_run_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Mix:
+    """One kind of work of a deployment.
+
+    Attributes:
+        account: Client account.
+        work_class: Class of work.
+        specs: Gangs to choose from.
+        run_s: Shortest and longest run time.
+        share: Share of the offered accelerator time.
+        burst: Largest number of jobs that arrive together.
+    """
+
+    account: str
+    work_class: str
+    specs: tuple[GangSpec, ...]
+    run_s: tuple[float, float]
+    share: float
+    burst: int
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """One user's fleet, accounts and work."""
+
+    name: str
+    region: str
+    zones: tuple[str, ...]
+    workers_per_zone: int
+    workers_per_rack: int
+    cores: int
+    memory_gb: int
+    classes: tuple[WorkClass, ...]
+    accounts: tuple[ClientAccount, ...]
+    mixes: tuple[Mix, ...]
+
+    def workers(self) -> tuple[InstanceRecord, ...]:
+        """Return the workers, 8 accelerators each."""
+        return tuple(
+            InstanceRecord(
+                f"{zone}-w{index:02}",
+                "worker",
+                zone,
+                "",
+                rack=f"{zone}-r{index // self.workers_per_rack}",
+                region=self.region,
+                cores=self.cores,
+                memory_gb=self.memory_gb,
+                accelerators=8,
+            )
+            for zone in self.zones
+            for index in range(self.workers_per_zone)
+        )
+
+    def configuration(self) -> Configuration:
+        """Return the configuration, with guarantees that survive the loss of a zone."""
+        return Configuration(
+            revision=1,
+            survive_zone_loss=True,
+            classes={c.name: c for c in self.classes},
+            accounts={a.name: a for a in self.accounts},
+        )
+
+
+def _wide(*members: int) -> tuple[GangSpec, ...]:
+    return tuple(GangSpec(count, 8) for count in members)
+
+
+ZOUTKOEPEL = Deployment(
+    name="zoutkoepel",
+    region="nl-oost",
+    zones=("hengelo-a", "enschede-b", "delden-c"),
+    workers_per_zone=8,
+    workers_per_rack=8,
+    cores=128,
+    memory_gb=256,
+    classes=(
+        WorkClass("convergence", "job", 1_800_000, 0, True),
+        WorkClass("picking", "job", 600_000, 0, False),
+        WorkClass("check", "job", 5_000, 0, True),
+    ),
+    accounts=(
+        ClientAccount("caverns", (Shape(32), Shape(16)), 160),
+        ClientAccount("seismic", (Shape(8, 3),), 128),
+        ClientAccount("brine", (Shape(4, 2), Shape(2, 4)), 64),
+        ClientAccount("stability", (Shape(8),), 64),
+    ),
+    mixes=(
+        Mix("caverns", "convergence", _wide(2, 3, 4, 6), (1200, 5400), 0.50, 2),
+        Mix(
+            "seismic",
+            "picking",
+            (GangSpec(1, 2), GangSpec(1, 4), GangSpec(2, 4), GangSpec(1, 8)),
+            (240, 1800),
+            0.32,
+            12,
+        ),
+        Mix("stability", "picking", (GangSpec(1, 1), GangSpec(1, 3)), (120, 1200), 0.15, 10),
+        Mix("brine", "check", (GangSpec(1, 1), GangSpec(1, 2)), (10, 60), 0.03, 4),
+    ),
+)
+
+SOMBRERETES = Deployment(
+    name="sombreretes",
+    region="norte",
+    zones=("oviedo", "gijon", "santander", "aviles"),
+    workers_per_zone=6,
+    workers_per_rack=6,
+    cores=32,
+    memory_gb=128,
+    classes=(
+        WorkClass("draught", "job", 1_800_000, 0, True),
+        WorkClass("survey", "job", 900_000, 0, False),
+        WorkClass("quote-model", "job", 5_000, 0, True),
+    ),
+    accounts=(
+        ClientAccount("models", (Shape(24), Shape(16)), 160),
+        ClientAccount("roofs", (Shape(8, 3),), 128),
+        ClientAccount("quotes", (Shape(4, 2), Shape(2, 4)), 64),
+        ClientAccount("partners", (Shape(8, 2),), 96),
+    ),
+    mixes=(
+        Mix("models", "draught", _wide(2, 3, 4), (900, 3600), 0.42, 2),
+        Mix(
+            "roofs",
+            "survey",
+            (GangSpec(1, 1), GangSpec(1, 2), GangSpec(1, 4)),
+            (180, 1500),
+            0.33,
+            16,
+        ),
+        Mix("partners", "survey", (GangSpec(1, 3), GangSpec(2, 4)), (180, 1200), 0.21, 8),
+        Mix("quotes", "quote-model", (GangSpec(1, 1), GangSpec(1, 2)), (10, 45), 0.04, 5),
+    ),
+)
+
+DEPLOYMENTS = (ZOUTKOEPEL, SOMBRERETES)
+
+
+def make_arrivals(
+    deployment: Deployment, seed: int, duration_s: float, load: float
+) -> list[Arrival]:
+    """Return seeded arrivals in bursts, with declared run times that are far off.
+
+    Args:
+        deployment: Fleet and mix of work.
+        seed: Seed of the random numbers.
+        duration_s: Time during which jobs arrive.
+        load: Offered accelerator time as a share of the fleet's.
+    """
+    random = Random(seed)
+    fleet = sum(w.accelerators for w in deployment.workers())
+    arrivals: list[Arrival] = []
+    for mix in deployment.mixes:
+        offered = 0.0
+        wanted = mix.share * load * fleet * duration_s
+        jobs: list[Arrival] = []
+        while offered < wanted:
+            at_s = random.uniform(0, duration_s)
+            for _ in range(random.randint(1, mix.burst)):
+                spec = random.choice(mix.specs)
+                run_s = random.uniform(*mix.run_s)
+                # Callers declare anything from a fifth to eight times the real run time.
+                declared = run_s * 2 ** random.uniform(-2.3, 3)
+                job = Arrival(at_s, mix.account, mix.work_class, spec, run_s, declared)
+                jobs.append(job)
+                offered += spec.accelerators * run_s
+        arrivals += jobs
+    return sorted((replace(a) for a in arrivals), key=lambda a: a.at_s)
