--- a/src/foxtailwell/core/__init__.py
+++ b/src/foxtailwell/core/__init__.py
@@ -100,6 +100,16 @@
     begin_gang,
     resume_gang,
 )
+from foxtailwell.core._guarantees import (
+    GuaranteedSlot,
+    GuaranteePacking,
+    Holding,
+    MissingShape,
+    Reclaim,
+    check_guarantees,
+    choose_borrowers,
+    pack_guarantees,
+)
 from foxtailwell.core._inventory import (
     InstanceRecord,
     Role,
@@ -134,10 +144,19 @@
     StopGang,
     StopReason,
     WaitReason,
+    WorkerFailures,
 )
 from foxtailwell.core._planner import (
+    PlannerRules,
     free_capacity,
+    is_reclaimable,
     plan,
+    prove_reclaimable,
+)
+from foxtailwell.core._quarantine import (
+    WorkerHealth,
+    is_hopeless,
+    quarantine_until_ms,
 )
 from foxtailwell.core._retries import (
     RetryBudget,
@@ -163,6 +182,12 @@
     record_success,
     slot_share,
 )
+from foxtailwell.core._runtimes import (
+    RunTimes,
+)
+from foxtailwell.core._situation import (
+    free_capacity,
+)
 from foxtailwell.core._submissions import (
     Submission,
     add_job,
@@ -216,6 +241,9 @@
     "GangSpec",
     "GangStep",
     "GuaranteeCheck",
+    "GuaranteePacking",
+    "GuaranteedSlot",
+    "Holding",
     "InstanceRecord",
     "Job",
     "JobShard",
@@ -227,10 +255,13 @@
     "MemberCommand",
     "MemberRun",
     "MinionHealth",
+    "MissingShape",
     "Operation",
     "Permission",
     "Plan",
+    "PlannerRules",
     "QuarantineWorker",
+    "Reclaim",
     "RefusalCause",
     "RetryBudget",
     "ReturnInstance",
@@ -257,6 +288,8 @@
     "Transition",
     "WaitReason",
     "WorkClass",
+    "WorkerFailures",
+    "WorkerHealth",
     "ZoneAllocation",
     "ZoneOut",
     "abandon_probe",
@@ -269,7 +302,9 @@
     "begin_gang",
     "begin_probe",
     "cancel_jobs",
+    "check_guarantees",
     "check_submission",
+    "choose_borrowers",
     "choose_minion",
     "claim_document_key",
     "claim_key",
@@ -281,6 +316,8 @@
     "fragmentation",
     "free_capacity",
     "is_ejected",
+    "is_hopeless",
+    "is_reclaimable",
     "job_from_submission",
     "job_id",
     "job_shard",
@@ -295,11 +332,14 @@
     "members_per_worker",
     "newer_evidence",
     "operation_subject",
+    "pack_guarantees",
     "place_best_fit",
     "plan",
     "plan_first_fit",
+    "prove_reclaimable",
     "put_job",
     "quarantine",
+    "quarantine_until_ms",
     "raise_term",
     "record_failure",
     "record_leaving",
