--- a/src/foxtailwell/core/__init__.py
+++ b/src/foxtailwell/core/__init__.py
@@ -3,7 +3,7 @@
 from foxtailwell.core._admission import (
     AdmissionQueue,
     RefusalCause,
-    RunTimes,
+    ServiceTimes,
     SlotLimits,
     Ticket,
 )
@@ -148,7 +148,6 @@
 )
 from foxtailwell.core._planner import (
     PlannerRules,
-    free_capacity,
     is_reclaimable,
     plan,
     prove_reclaimable,
@@ -274,6 +273,7 @@
     "SetGuarantees",
     "SetSurviveZoneLoss",
     "Shape",
+    "ServiceTimes",
     "SlotLimits",
     "StartGang",
     "StopGang",
--- a/src/foxtailwell/core/_admission.py
+++ b/src/foxtailwell/core/_admission.py
@@ -63,7 +63,7 @@
     deviation_s: float
 
 
-class RunTimes:
+class ServiceTimes:
     """Run times of request classes, learned from completed requests."""
 
     def __init__(self) -> None:
@@ -114,12 +114,12 @@
 
     Args:
         capacity: Most requests that wait.
-        run_times: Learned run times.
+        service_times: Learned run times.
     """
 
-    def __init__(self, capacity: int, run_times: RunTimes) -> None:
+    def __init__(self, capacity: int, service_times: ServiceTimes) -> None:
         self._capacity = capacity
-        self._run_times = run_times
+        self._run_times = service_times
         self._lanes: dict[LaneKey, Lane] = {}
         self._waiting_by_account: dict[str, int] = {}
         self._running_by_account: dict[str, int] = {}
--- a/src/foxtailwell/entry/_dispatch.py
+++ b/src/foxtailwell/entry/_dispatch.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from foxtailwell.core import AdmissionQueue, RefusalCause, RunTimes, Ticket, WorkClass
+from foxtailwell.core import AdmissionQueue, RefusalCause, ServiceTimes, Ticket, WorkClass
 from foxtailwell.core.errors import NotRunError
 from foxtailwell.entry._minion_pool import MinionPool
 
@@ -53,8 +53,8 @@
         self._pool = pool
         self._clock = clock
         self._waiters: dict[int, _Waiter] = {}
-        self.run_times = RunTimes()
-        self.queue = AdmissionQueue(QUEUE_CAPACITY, self.run_times)
+        self.service_times = ServiceTimes()
+        self.queue = AdmissionQueue(QUEUE_CAPACITY, self.service_times)
 
     def check(self, ticket: Ticket) -> None:
         """Refuse a request that would certainly wait too long, before it is claimed.
@@ -69,7 +69,7 @@
     def configure(self, classes: Iterable[WorkClass]) -> None:
         """Take over the classes of requests."""
         targets_s = {c.name: c.target_ms / 1000 for c in classes if c.kind == "request"}
-        self.run_times.configure(targets_s)
+        self.service_times.configure(targets_s)
 
     async def acquire(self, ticket: Ticket) -> None:
         """Wait for a slot.
@@ -102,7 +102,7 @@
         """Free the slot of a request and learn its run time if it completed."""
         self.queue.finish(ticket)
         if run_s is not None:
-            self.run_times.observe(ticket.work_class, run_s)
+            self.service_times.observe(ticket.work_class, run_s)
         if self.queue.waiting:
             self.dispatch()
 
--- a/src/foxtailwell/entry/_requests.py
+++ b/src/foxtailwell/entry/_requests.py
@@ -195,7 +195,7 @@
             may_have_run=has_run,
             attempts=attempts,
             remaining_s=request.deadline_s - self._clock(),
-            expected_run_s=self._dispatcher.run_times.mean_s(request.work_class.name),
+            expected_run_s=self._dispatcher.service_times.mean_s(request.work_class.name),
         )
 
     def _pick(self, request: Request, avoid: frozenset[str], avoid_zone: str) -> Minion:
