Serve configuration changes, audit trail, status and metrics

Cause: operators had no way to change the configuration or to see it.

Ruled out: taking a repeated compare-and-swap that conflicts for a refusal after a lost response, because the first write may be the one that moved the version; a metrics registry that lives as long as the daemon, because labels of deleted classes would stay.

Change: operator_routes serves /v1/config, /v1/config/changes, /v1/audit, /v1/status and /metrics.

A claim query also finds an entry by its instance.

--- a/src/foxtailwell/adapters/events.py
+++ b/src/foxtailwell/adapters/events.py
@@ -53,3 +53,9 @@
 PEER_MISMATCH = _event("FW1307", "WARNING", "another daemon replies at a peer's address")
 PEER_CONNECTIONS_FULL = _event("FW1308", "WARNING", "too many connections of peers")
 CLAIM_QUERY_FAILED = _event("FW1309", "ERROR", "a claim query could not be answered")
+
+# 1500-1599: operators
+CONFIGURATION_CHANGED = _event("FW1501", "INFO", "an operator's change is stored")
+CHANGE_REFUSED = _event("FW1502", "INFO", "an operator's change was refused")
+CHANGE_READ_BACK = _event("FW1503", "WARNING", "the response to a stored change was lost")
+AUDIT_NEWER = _event("FW1504", "WARNING", "an audit document holds newer changes")
--- a/src/foxtailwell/adapters/instance_list.py
+++ b/src/foxtailwell/adapters/instance_list.py
@@ -22,6 +22,11 @@
         self._timeout_s = timeout_s
         self._etag = ""
 
+    @property
+    def bytes_sent(self) -> int:
+        """Bytes sent to the instance list so far."""
+        return self._http.bytes_sent
+
     async def fetch(self) -> tuple[InstanceRecord, ...] | None:
         """Read the list.
 
--- a/src/foxtailwell/adapters/validation.py
+++ b/src/foxtailwell/adapters/validation.py
@@ -84,13 +84,14 @@
     return value
 
 
-def structure_document(value: Any, kind: type[T], source: str) -> T:
+def structure_document(value: Any, kind: type[T], source: str, *, path: str = "$") -> T:
     """Turn a parsed value into a frozen data class.
 
     Args:
         value: Parsed JSON.
         kind: Data class to build.
         source: Name of the document in error messages.
+        path: Place of the value in the document.
 
     Returns:
         The data class.
@@ -101,7 +102,7 @@
     try:
         return _CONVERTER.structure(value, kind)
     except (cattrs.BaseValidationError, ValueError, TypeError) as error:
-        raise ValidationError(source, tuple(_issues(error, "$"))) from error
+        raise ValidationError(source, tuple(_issues(error, path))) from error
 
 
 def read_document(body: bytes, kind: type[T], source: str) -> T:
--- /dev/null
+++ b/src/foxtailwell/entry/_operators_api.py
@@ -0,0 +1,211 @@
+"""Operators' HTTP interface: configuration, audit trail, status and metrics."""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import replace
+from typing import Any
+
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from foxtailwell.adapters import events
+from foxtailwell.adapters.http_server import json_response
+from foxtailwell.adapters.logs import log_event
+from foxtailwell.adapters.metrics import (
+    QueueLength,
+    TargetCounts,
+    metrics_route,
+    process_samples,
+    queue_samples,
+)
+from foxtailwell.adapters.store import StoreClient
+from foxtailwell.core import Configuration, InstanceRecord
+from foxtailwell.core.errors import (
+    ConflictError,
+    FoxtailwellError,
+    OutcomeUnknownError,
+    UnavailableError,
+    ValidationError,
+    ValidationIssue,
+)
+from foxtailwell.entry._change_bodies import read_change
+from foxtailwell.entry._change_writer import (
+    CheckGuarantees,
+    read_audit,
+    read_configuration,
+    write_change,
+)
+from foxtailwell.fleet import FleetView, make_fleet_samples
+
+__all__ = ["operator_routes"]
+
+MAX_AUDIT_LIMIT = 500
+
+Handler = Callable[[Request], Awaitable[Response]]
+QueueSource = Callable[[], Iterable[QueueLength]]
+
+
+def operator_routes(
+    store: StoreClient,
+    view: FleetView,
+    *,
+    check_guarantees: CheckGuarantees,
+    queue: QueueSource = tuple,
+    targets: TargetCounts | None = None,
+) -> list[Route]:
+    """Return the routes for operators.
+
+    Args:
+        store: Client of the store.
+        view: Configuration in force and fleet.
+        check_guarantees: Packing check of guaranteed shapes on the present workers.
+        queue: Returns the waiting requests by class and account.
+        targets: Completed work and whether it met its targets.
+    """
+    counts = targets if targets is not None else TargetCounts()
+
+    async def show_configuration(_: Request) -> Response:
+        return json_response(await _configuration(store, view))
+
+    async def change(request: Request) -> Response:
+        try:
+            wanted = read_change(await request.body())
+            instances = view.instances.values()
+            record = await write_change(store, wanted, instances, check_guarantees)
+        except FoxtailwellError as error:
+            log_event(events.CHANGE_REFUSED, code=error.code, cause=error.message)
+            raise
+        return json_response({"revision": record.revision, "change": record})
+
+    async def audit(request: Request) -> Response:
+        limit = _number(request, "limit", 50, MAX_AUDIT_LIMIT)
+        before = _number(request, "before", 0, 2**53)
+        return json_response({"changes": await read_audit(store, before or None, limit)})
+
+    async def status(_: Request) -> Response:
+        return json_response(_status(view, store, queue, counts, time.monotonic()))
+
+    return [
+        Route("/v1/config", _answering_errors(show_configuration), methods=["GET"]),
+        Route("/v1/config/changes", _answering_errors(change), methods=["POST"]),
+        Route("/v1/audit", _answering_errors(audit), methods=["GET"]),
+        Route("/v1/status", _answering_errors(status), methods=["GET"]),
+        metrics_route(
+            process_samples,
+            make_fleet_samples(view, store),
+            counts.samples,
+            lambda: queue_samples(queue()),
+        ),
+    ]
+
+
+def _answering_errors(handler: Handler) -> Handler:
+    """Return a handler that answers typed errors with their code and remedy."""
+
+    async def answer(request: Request) -> Response:
+        try:
+            return await handler(request)
+        except FoxtailwellError as error:
+            return _error_response(error)
+
+    return answer
+
+
+def _error_response(error: FoxtailwellError) -> Response:
+    body: dict[str, Any] = {
+        "code": error.code,
+        "message": error.message,
+        "remedy": error.remedy,
+    }
+    if isinstance(error, ValidationError):
+        return json_response({**body, "issues": error.issues}, 422)
+    if isinstance(error, ConflictError):
+        return json_response({**body, "current_revision": error.current_revision}, 409)
+    return json_response(body, 504 if isinstance(error, OutcomeUnknownError) else 503)
+
+
+async def _configuration(store: StoreClient, view: FleetView) -> dict[str, Any]:
+    """Return what the store holds, or what is in force while the store does not respond."""
+    try:
+        _, configuration = await read_configuration(store)
+        source = "store"
+    except UnavailableError:
+        configuration, source = view.configuration, "daemon"
+    return {
+        "source": source,
+        "revision": configuration.revision,
+        "revision_in_force": view.configuration.revision,
+        "configuration": replace(configuration, changes=()),
+    }
+
+
+def _number(request: Request, name: str, default: int, highest: int) -> int:
+    text = request.query_params.get(name, str(default))
+    if text.isascii() and text.isdigit() and len(text) < 17 and int(text) <= highest:
+        return int(text)
+    issue = ValidationIssue(f"query {name}", f'"{text[:40]}"', f"use 0 to {highest}")
+    raise ValidationError("request", (issue,))
+
+
+def _status(
+    view: FleetView,
+    store: StoreClient,
+    queue: QueueSource,
+    targets: TargetCounts,
+    now_s: float,
+) -> dict[str, Any]:
+    evidence = view.evidence
+    return {
+        "daemon": view.own_id,
+        "revision": view.configuration.revision,
+        "evidence_age_s": now_s - evidence.at_monotonic_s if evidence else None,
+        "store_is_available": view.store_is_available,
+        "store_calls": store.calls,
+        "instances": _instance_counts(view.instances.values()),
+        "peers": [
+            {
+                "id": name,
+                "zone": peer.record.zone,
+                "revision": peer.revision,
+                "reply_age_s": now_s - peer.last_reply_monotonic_s,
+                "queue_length": peer.load.queue_length,
+                "in_flight": peer.load.in_flight,
+            }
+            for name, peer in sorted(view.peers.items())
+        ],
+        "zones": _zones(view.configuration, view.instances.values()),
+        "queue": list(queue()),
+        "targets": [
+            {"class": name, "met": met, "missed": missed}
+            for name, (met, missed) in targets.totals().items()
+        ],
+    }
+
+
+def _instance_counts(records: Iterable[InstanceRecord]) -> list[dict[str, Any]]:
+    counts = Counter((r.role, r.state) for r in records)
+    return [
+        {"role": role, "state": state, "count": count}
+        for (role, state), count in sorted(counts.items())
+    ]
+
+
+def _zones(configuration: Configuration, records: Iterable[InstanceRecord]) -> list[dict[str, Any]]:
+    by_zone: dict[str, list[InstanceRecord]] = {zone: [] for zone in configuration.zones_out}
+    for record in records:
+        by_zone.setdefault(record.zone, []).append(record)
+    return [
+        {
+            "zone": zone,
+            "out": configuration.zones_out.get(zone),
+            "workers": sum(r.role == "worker" for r in found),
+            "accelerators": sum(r.accelerators for r in found),
+            "minions": sum(r.role == "minion" for r in found),
+            "slots": sum(r.slots for r in found),
+        }
+        for zone, found in sorted(by_zone.items())
+    ]
--- a/src/foxtailwell/fleet/_instances.py
+++ b/src/foxtailwell/fleet/_instances.py
@@ -37,5 +37,6 @@
             if records is not None:
                 state.view.instances = {record.id: record for record in records}
                 state.view.notify()
+        state.view.instance_list_bytes_sent = client.bytes_sent
         poll.set()
         await anyio.sleep(interval_s)
--- a/src/foxtailwell/fleet/_peer_client.py
+++ b/src/foxtailwell/fleet/_peer_client.py
@@ -189,16 +189,23 @@
     return str(ip), port
 
 
+def _find_entry(state: FleetState, instance: str) -> InstanceRecord | None:
+    """Return the entry of a claim, which may name the instance without the role."""
+    for name in (instance, f"{instance}/entry"):
+        if name in state.view.instances:
+            return state.view.instances[name]
+        if name in state.view.peers:
+            return state.view.peers[name].record
+    return None
+
+
 def make_claim_asker(
     state: FleetState,
 ) -> Callable[[str, ClaimQuery], Awaitable[ClaimAnswer | None]]:
     """Return the function that asks a peer for the response of a claimed request."""
 
     async def ask(instance: str, query: ClaimQuery) -> ClaimAnswer | None:
-        record = state.view.instances.get(instance)
-        if record is None:
-            peer_state = state.view.peers.get(instance)
-            record = peer_state.record if peer_state else None
+        record = _find_entry(state, instance)
         if record is None:
             return None
         try:
--- /dev/null
+++ b/src/foxtailwell/fleet/_samples.py
@@ -0,0 +1,45 @@
+"""Metrics of the fleet tasks."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from foxtailwell.adapters.metrics import Sample
+from foxtailwell.adapters.store import StoreClient
+from foxtailwell.fleet._view import FleetView
+
+
+def make_fleet_samples(view: FleetView, store: StoreClient) -> Callable[[], list[Sample]]:
+    """Return a source of samples: configuration, evidence, peers and calls of the daemon."""
+
+    def samples() -> list[Sample]:
+        found = [
+            _gauge("configuration_revision", "Revision in force", view.configuration.revision),
+            _gauge("store_available", "Whether the store responds", int(view.store_is_available)),
+            _gauge("peers", "Own daemons that reply", len(view.peers)),
+            _gauge("zones_out", "Zones out of service", len(view.configuration.zones_out)),
+            _counter("store_calls_total", "Calls of the store", store.calls),
+            _counter("frames_refused_total", "Refused messages of peers", view.frames_refused),
+        ]
+        if view.evidence is not None:
+            age_s = time.monotonic() - view.evidence.at_monotonic_s
+            found.append(_gauge("evidence_age_seconds", "Age of the freshness evidence", age_s))
+        for receiver, sent_bytes in (
+            ("store", store.bytes_sent),
+            ("peers", view.peer_bytes_sent),
+            ("instance_list", view.instance_list_bytes_sent),
+        ):
+            found.append(_counter("sent_bytes_total", "Control bytes sent", sent_bytes, receiver))
+        return found
+
+    return samples
+
+
+def _gauge(name: str, text: str, value: float) -> Sample:
+    return Sample("gauge", f"foxtailwell_{name}", text, value)
+
+
+def _counter(name: str, text: str, value: float, receiver: str = "") -> Sample:
+    labels = {"to": receiver} if receiver else {}
+    return Sample("counter", f"foxtailwell_{name}", text, value, labels)
--- a/src/foxtailwell/fleet/_view.py
+++ b/src/foxtailwell/fleet/_view.py
@@ -43,6 +43,7 @@
         store_is_available: Whether the last store call was answered.
         last_contact_monotonic_s: When the store or a peer last replied.
         peer_bytes_sent: Bytes sent to peers so far.
+        instance_list_bytes_sent: Bytes sent to the instance list so far.
         frames_refused: Messages of peers that were refused so far.
         own_load: Load that heartbeats report; the entry's queue task sets it.
         ask_claim: Sends a claim query to a peer by its identifier; None where it does not reply.
@@ -57,6 +58,7 @@
     store_is_available: bool = False
     last_contact_monotonic_s: float | None = None
     peer_bytes_sent: int = 0
+    instance_list_bytes_sent: int = 0
     frames_refused: int = 0
     own_load: Load = field(default_factory=Load)
     ask_claim: Callable[[str, ClaimQuery], Awaitable[ClaimAnswer | None]] | None = None
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -220,6 +220,7 @@
         await until(lambda: "i-2/entry" in first.instances)
         reply = await first.ask_claim("i-2/entry", ClaimQuery("k", "d"))
         assert reply == ClaimAnswer("answer", 200, (("a", "b"),), bytes(3))
+        assert await first.ask_claim("i-2", ClaimQuery("k", "d")) == reply
         for key in ("broken", "large"):
             reply = await first.ask_claim("i-2/entry", ClaimQuery(key, "d"))
             assert reply == ClaimAnswer("unknown")
