--- a/src/foxtailwell/core/_configuration.py
+++ b/src/foxtailwell/core/_configuration.py
@@ -198,7 +198,7 @@
     instance: str
 
 
-Operation = (
+ConfigurationOperation = (
     SetClass
     | DeleteClass
     | SetAccount
@@ -211,7 +211,7 @@
     | ReturnInstance
 )
 
-OPERATION_NAMES: dict[type[Operation], str] = {
+OPERATION_NAMES: dict[type[ConfigurationOperation], str] = {
     SetClass: "class.set",
     DeleteClass: "class.delete",
     SetAccount: "account.set",
@@ -231,7 +231,7 @@
 
     expected_revision: int
     actor: str
-    operation: Operation
+    operation: ConfigurationOperation
 
 
 @dataclass(frozen=True, slots=True)
@@ -337,7 +337,7 @@
     return (first_revision // AUDIT_BLOCK_COUNT) % AUDIT_DOCUMENT_COUNT
 
 
-def operation_subject(operation: Operation) -> str:
+def operation_subject(operation: ConfigurationOperation) -> str:
     """Return what an operation changes."""
     match operation:
         case SetClass():
@@ -371,7 +371,7 @@
 
 
 def _operation_issues(
-    configuration: Configuration, operation: Operation, fleet: KnownFleet
+    configuration: Configuration, operation: ConfigurationOperation, fleet: KnownFleet
 ) -> list[ValidationIssue]:
     """Return why an operation does not fit the present state."""
     match operation:
@@ -470,7 +470,7 @@
     return replace(after, changes=(*before.changes, record))
 
 
-def _part(configuration: Configuration, operation: Operation) -> Any:
+def _part(configuration: Configuration, operation: ConfigurationOperation) -> Any:
     """Return the part of a configuration that an operation changes; None where it is absent."""
     subject = operation_subject(operation)
     match operation:
@@ -551,7 +551,7 @@
     return sum(account.guaranteed_slots for account in configuration.accounts.values())
 
 
-def _asks_for_more(configuration: Configuration, operation: Operation) -> bool:
+def _asks_for_more(configuration: Configuration, operation: ConfigurationOperation) -> bool:
     match operation:
         case SetAccount(account):
             name, guarantees = account.name, account.guarantees
--- a/src/foxtailwell/entry/_change_bodies.py
+++ b/src/foxtailwell/entry/_change_bodies.py
@@ -9,10 +9,10 @@
 from foxtailwell.core import (
     Change,
     ClientAccount,
+    ConfigurationOperation,
     DeleteAccount,
     DeleteClass,
     MarkInstanceLeaving,
-    Operation,
     ReturnInstance,
     ReturnZone,
     SetAccount,
@@ -86,7 +86,7 @@
     return Change(change.expected_revision, change.actor, _read_operation(change))
 
 
-def _read_operation(change: _ChangeBody) -> Operation:
+def _read_operation(change: _ChangeBody) -> ConfigurationOperation:
     subject, value = change.subject, change.value
     match change.operation:
         case "class.set":
@@ -119,7 +119,7 @@
             return _read_without_value(change)
 
 
-def _read_without_value(change: _ChangeBody) -> Operation:
+def _read_without_value(change: _ChangeBody) -> ConfigurationOperation:
     if change.value is not None:
         issue = ValidationIssue("$.value", "a value", f"leave it out for {change.operation}")
         raise ValidationError(_SOURCE, (issue,))
