--- a/src/foxtailwell/cli/_client.py
+++ b/src/foxtailwell/cli/_client.py
@@ -12,6 +12,7 @@
 import msgspec
 from rich.console import Console
 from rich.table import Table
+from rich.text import Text
 
 from foxtailwell.adapters.http_client import TRANSPORT_ERRORS, HttpReply, open_http_client
 from foxtailwell.cli import _exit_codes
@@ -86,7 +87,7 @@
     """Print a table for people."""
     table = Table(*columns, title=title, title_justify="left")
     for row in rows:
-        table.add_row(*(str(cell) for cell in row))
+        table.add_row(*(Text(str(cell)) for cell in row))
     Console().print(table)
 
 
