--- a/src/foxtailwell/adapters/events.py
+++ b/src/foxtailwell/adapters/events.py
@@ -54,6 +54,7 @@
 PEER_MISMATCH = _event("FW1307", "WARNING", "another daemon replies at a peer's address")
 PEER_CONNECTIONS_FULL = _event("FW1308", "WARNING", "too many connections of peers")
 CLAIM_QUERY_FAILED = _event("FW1309", "ERROR", "a claim query could not be answered")
+
 # 1400-1499: scheduler
 ZONE_ACQUIRED = _event("FW1401", "INFO", "zone acquired")
 ZONE_LOST = _event("FW1402", "WARNING", "zone given up")
@@ -65,3 +66,9 @@
 START_REFUSED = _event("FW1415", "WARNING", "gang start given up before its preparation")
 JOB_FAILED = _event("FW1416", "WARNING", "job ended because it can never run")
 WORKER_QUARANTINED = _event("FW1417", "WARNING", "worker gets no work for a time")
+
+# 1500-1599: operators
+CONFIGURATION_CHANGED = _event("FW1501", "INFO", "an operator's change is stored")
+CHANGE_REFUSED = _event("FW1502", "INFO", "an operator's change was refused")
+CHANGE_READ_BACK = _event("FW1503", "WARNING", "the response to a stored change was lost")
+AUDIT_NEWER = _event("FW1504", "WARNING", "an audit document holds newer changes")
