--- a/src/foxtailwell/cli/entry.py
+++ b/src/foxtailwell/cli/entry.py
@@ -3,21 +3,25 @@
 from __future__ import annotations
 
 import sys
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Annotated
 
 import anyio
 import cappa
+from starlette.routing import Route
 
 from foxtailwell.adapters.logs import configure_logs
-from foxtailwell.adapters.settings import load_settings
+from foxtailwell.adapters.settings import Settings, load_settings
+from foxtailwell.adapters.store import StoreClient
+from foxtailwell.cli._exit_codes import USAGE
+from foxtailwell.core import Configuration, InstanceRecord, check_guarantees
 from foxtailwell.core.errors import ValidationError
-from foxtailwell.entry import run_entry
+from foxtailwell.entry import operator_routes, run_entry
+from foxtailwell.fleet import FleetView, run_fleet
 
 __all__ = ["main"]
 
-WRONG_SETTINGS = 2
-
 
 @cappa.command(name="foxtailwell-entry", help="Run the entry daemon.")
 @dataclass(frozen=True)
@@ -32,9 +36,27 @@
             settings = load_settings(self.settings)
         except ValidationError as error:
             print(error, file=sys.stderr)
-            raise cappa.Exit(code=WRONG_SETTINGS) from error
-        configure_logs(settings.log.form, settings.log.level, instance=settings.instance)
-        anyio.run(run_entry, settings, backend_options={"use_uvloop": True})
+            raise cappa.Exit(code=USAGE) from error
+        configure_logs(
+            settings.log.form, settings.log.level, instance=settings.instance, daemon="entry"
+        )
+        anyio.run(_run, settings, backend_options={"use_uvloop": True})
+
+
+async def _run(settings: Settings) -> None:
+    await run_entry(settings, run_fleet=run_fleet, operator_routes=_operator_routes)
+
+
+def _operator_routes(store: StoreClient, view: FleetView) -> list[Route]:
+    return operator_routes(store, view, check_guarantees=_missing_guarantees)
+
+
+def _missing_guarantees(
+    configuration: Configuration, instances: Iterable[InstanceRecord]
+) -> tuple[str, ...]:
+    workers = [record for record in instances if record.role == "worker"]
+    packing = check_guarantees(configuration, workers)
+    return () if packing.fits else (packing.reason,)
 
 
 def main() -> None:
--- a/src/foxtailwell/cli/scheduler.py
+++ b/src/foxtailwell/cli/scheduler.py
@@ -31,7 +31,7 @@
         except ValidationError as error:
             print(error, file=sys.stderr)
             raise cappa.Exit(code=USAGE) from error
-        anyio.run(run_scheduler, settings)
+        anyio.run(run_scheduler, settings, backend_options={"use_uvloop": True})
 
 
 def main() -> None:
