--- a/src/foxtailwell/cli/scheduler.py
+++ b/src/foxtailwell/cli/scheduler.py
@@ -37,3 +37,7 @@
 def main() -> None:
     """Run the command."""
     cappa.invoke(SchedulerCommand)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/foxtailwell/core/_allocations.py
+++ b/src/foxtailwell/core/_allocations.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
 from foxtailwell.core.errors import AcceleratorsTakenError
@@ -91,31 +90,22 @@
     return replace(allocation, gangs=gangs)
 
 
-def release_workers(
-    allocation: ZoneAllocation, job_id: str, attempt: int, workers: Iterable[str]
-) -> ZoneAllocation:
-    """Return the document with a gang's accelerators on some workers free.
-
-    The gang keeps its entry until `release`, so that the job cannot take accelerators twice.
-    """
-    present = allocation.gangs.get(job_id)
-    if present is None or present.attempt != attempt:
-        return allocation
-    free = set(workers)
-    left = tuple(member for member in present.members if member.worker not in free)
-    if left == present.members:
-        return allocation
-    return replace(allocation, gangs={**allocation.gangs, job_id: replace(present, members=left)})
-
-
 def raise_term(allocation: ZoneAllocation, zone: str, holder: str) -> ZoneAllocation:
     """Return the document with the next fencing token for a new holder."""
     return replace(allocation, zone=zone, term=allocation.term + 1, holder=holder)
 
 
-def quarantine(
-    allocation: ZoneAllocation, worker: str, until_unix_ms: int, now_unix_ms: int
-) -> ZoneAllocation:
-    """Return the document with a worker in quarantine, without entries that are over."""
-    kept = {name: end for name, end in allocation.quarantined.items() if end > now_unix_ms}
-    return replace(allocation, quarantined={**kept, worker: until_unix_ms})
+def quarantine(allocation: ZoneAllocation, worker: str, until_unix_ms: int) -> ZoneAllocation:
+    """Return the document with a worker in quarantine.
+
+    The entry stays after its end until `lift_quarantine`, because only a probe may start there.
+    """
+    return replace(allocation, quarantined={**allocation.quarantined, worker: until_unix_ms})
+
+
+def lift_quarantine(allocation: ZoneAllocation, worker: str) -> ZoneAllocation:
+    """Return the document without a worker's quarantine; the same object when there is none."""
+    if worker not in allocation.quarantined:
+        return allocation
+    left = {name: end for name, end in allocation.quarantined.items() if name != worker}
+    return replace(allocation, quarantined=left)
--- a/src/foxtailwell/scheduler/_daemon.py
+++ b/src/foxtailwell/scheduler/_daemon.py
@@ -7,7 +7,7 @@
 from contextlib import asynccontextmanager
 
 import anyio
-from anyio.abc import TaskGroup, TaskStatus
+from anyio.abc import TaskStatus
 
 from foxtailwell.adapters.events import DAEMON_STARTED, DAEMON_STOPPED, DAEMON_STOPPING
 from foxtailwell.adapters.group_commit import open_group_committer
@@ -86,7 +86,7 @@
         log_event(DAEMON_STARTED, operators_port=state.operators_port)
         task_status.started(state)
         if view is None:
-            await _start_fleet(settings, state, group)
+            await group.start(run_fleet, settings, "scheduler", state.store, state.view)
         group.start_soon(follow_documents, state)
         group.start_soon(keep_planning, state, planner)
         await _keep_zones_until_stopped(state)
@@ -107,10 +107,6 @@
         await keep_zones(state)
 
 
-async def _start_fleet(settings: Settings, state: SchedulerState, group: TaskGroup) -> None:
-    await group.start(run_fleet, settings, "scheduler", state.store, state.view)
-
-
 @asynccontextmanager
 async def _open_state(
     settings: Settings, stop: anyio.Event, view: FleetView
@@ -123,7 +119,7 @@
         open_group_committer(store, ZoneAllocation, ZoneAllocation) as allocations,
     ):
         yield SchedulerState(
-            settings.instance,
+            f"{settings.instance}/scheduler",
             settings.availability_zone,
             store,
             workers,
--- a/src/foxtailwell/scheduler/_mutations.py
+++ b/src/foxtailwell/scheduler/_mutations.py
@@ -18,6 +18,7 @@
     JobState,
     ZoneAllocation,
     begin_attempt,
+    lift_quarantine,
     put_job,
     quarantine,
     raise_term,
@@ -42,6 +43,7 @@
     "end_attempt",
     "expire_jobs",
     "fail_job",
+    "lift_worker_quarantine",
     "mark_job",
     "quarantine_worker",
     "release_gang",
@@ -184,13 +186,14 @@
     return _fenced(term, lambda allocation: release(allocation, job_id, attempt))
 
 
-def quarantine_worker(
-    worker: str, until_unix_ms: int, at_unix_ms: int, term: int
-) -> AllocationMutation:
+def quarantine_worker(worker: str, until_unix_ms: int, term: int) -> AllocationMutation:
     """Return the change that gives a worker no work until a time."""
-    return _fenced(
-        term, lambda allocation: quarantine(allocation, worker, until_unix_ms, at_unix_ms)
-    )
+    return _fenced(term, lambda allocation: quarantine(allocation, worker, until_unix_ms))
+
+
+def lift_worker_quarantine(worker: str, term: int) -> AllocationMutation:
+    """Return the change that gives a worker work again."""
+    return _fenced(term, lambda allocation: lift_quarantine(allocation, worker))
 
 
 def clear_holder(term: int) -> AllocationMutation:
--- a/src/foxtailwell/scheduler/_operators.py
+++ b/src/foxtailwell/scheduler/_operators.py
@@ -11,22 +11,21 @@
 from starlette.routing import Route
 
 from foxtailwell.adapters.http_server import json_response
+from foxtailwell.adapters.metrics import Sample, metrics_route, process_samples
 from foxtailwell.core import EVIDENCE_LIMIT_S, JobState
+from foxtailwell.fleet import make_fleet_samples
 from foxtailwell.scheduler._planning import Planner, make_plan
 from foxtailwell.scheduler._state import SchedulerState
 
 __all__ = ["make_operators_app"]
 
 
-def make_operators_app(
-    state: SchedulerState, planner: Planner, extra_routes: tuple[Route, ...] = ()
-) -> Starlette:
-    """Return the application with health, status and explanations.
+def make_operators_app(state: SchedulerState, planner: Planner) -> Starlette:
+    """Return the application with health, status, explanations and metrics.
 
     Args:
         state: What the tasks of the scheduler share.
         planner: Planner that a standby asks for an explanation.
-        extra_routes: Further routes, such as metrics.
     """
 
     async def healthz(_request: Request) -> Response:
@@ -74,7 +73,11 @@
             Route("/readyz", readyz),
             Route("/v1/status", status),
             Route("/v1/jobs/{id}/explain", explain),
-            *extra_routes,
+            metrics_route(
+                process_samples,
+                make_fleet_samples(state.view, state.store),
+                lambda: _samples(state),
+            ),
         ]
     )
 
@@ -90,6 +93,34 @@
     return found
 
 
+def _samples(state: SchedulerState) -> list[Sample]:
+    phases = Counter(
+        (zone, active.run.phase.value)
+        for zone, executor in state.zones.items()
+        for active in executor.runs.values()
+    )
+    found = [
+        Sample(
+            "gauge", "foxtailwell_zones_held", "Zones that this scheduler holds", len(state.zones)
+        ),
+        Sample("gauge", "foxtailwell_plan_ms", "Time of the newest plan", state.plan_ms),
+        Sample(
+            "counter", "foxtailwell_worker_calls_total", "Calls of workers", state.workers.calls
+        ),
+    ]
+    found += [
+        Sample(
+            "gauge", "foxtailwell_gangs", "Gangs by zone and phase", count, {"zone": z, "phase": p}
+        )
+        for (z, p), count in sorted(phases.items())
+    ]
+    found += [
+        Sample("gauge", "foxtailwell_jobs", "Jobs by state", count, {"state": name})
+        for name, count in sorted(Counter(job.state.value for job in state.jobs()).items())
+    ]
+    return found
+
+
 def _members(state: SchedulerState, job_id: str) -> list[dict[str, object]]:
     for executor in state.zones.values():
         active = executor.runs.get(job_id)
--- a/src/foxtailwell/scheduler/_planning.py
+++ b/src/foxtailwell/scheduler/_planning.py
@@ -102,7 +102,16 @@
         allocations[zone] = replace(base, gangs=gangs)
     jobs = tuple(_as_held(j, held) for j in state.jobs() if not j.state.is_final)
     workers = tuple(r for r in state.view.instances.values() if r.role == "worker")
-    return ClusterView(now_unix_ms(), state.view.configuration, workers, jobs, allocations)
+    now = now_unix_ms()
+    return ClusterView(
+        now,
+        state.view.configuration,
+        workers,
+        jobs,
+        allocations,
+        state.run_times.predict(jobs, now),
+        state.health.failures(),
+    )
 
 
 def _as_held(job: Job, held: set[str]) -> Job:
--- a/src/foxtailwell/scheduler/_state.py
+++ b/src/foxtailwell/scheduler/_state.py
@@ -13,7 +13,17 @@
 from foxtailwell.adapters.group_commit import GroupCommitter
 from foxtailwell.adapters.store import StoreClient
 from foxtailwell.adapters.workers import WorkerClient
-from foxtailwell.core import Job, JobShard, Permission, Plan, ZoneAllocation, job_shard
+from foxtailwell.core import (
+    Job,
+    JobShard,
+    JobState,
+    Permission,
+    Plan,
+    RunTimes,
+    WorkerHealth,
+    ZoneAllocation,
+    job_shard,
+)
 from foxtailwell.fleet import FleetView
 
 if TYPE_CHECKING:
@@ -58,7 +68,7 @@
     """State of one scheduler.
 
     Attributes:
-        instance: Identifier of the own instance.
+        instance: Identifier of this daemon, as in the instance list.
         home_zone: Availability zone of the own instance.
         store: Client of the store.
         workers: Client of the workers.
@@ -71,6 +81,8 @@
         zones: Zones held, by name.
         plan: Newest plan.
         plan_ms: Time that the newest plan took.
+        run_times: Learned run times.
+        health: Failures in a row of the workers in the zones held.
         operators_port: Port of the operators' interface.
         changed: Replaced and set whenever a document changes.
         stop: Set when the daemon stops.
@@ -89,6 +101,8 @@
     zones: dict[str, ZoneExecutor] = field(default_factory=dict)
     plan: Plan = field(default_factory=Plan)
     plan_ms: float = 0.0
+    run_times: RunTimes = field(default_factory=RunTimes)
+    health: WorkerHealth = field(default_factory=WorkerHealth)
     operators_port: int = 0
     changed: anyio.Event = field(default_factory=anyio.Event)
     stop: anyio.Event = field(default_factory=anyio.Event)
@@ -142,10 +156,23 @@
         return Permission(time.monotonic(), self.view.evidence, is_out)
 
 
+def _learn_run_times(run_times: RunTimes, before: JobShard, after: JobShard) -> None:
+    """Learn from the jobs that are newly done; every scheduler sees them all."""
+    for job in after.jobs.values():
+        previous = before.jobs.get(job.id)
+        if job.state is not JobState.DONE or (previous and previous.state is JobState.DONE):
+            continue
+        started = [t.at_unix_ms for t in job.history if t.state is JobState.RUNNING]
+        if started and not job.checkpoint:
+            run_s = (job.history[-1].at_unix_ms - started[-1]) / 1000
+            run_times.observe(job.account, job.work_class, max(0.0, run_s))
+
+
 async def follow_documents(state: SchedulerState) -> None:
     """Keep the job and allocation documents up to date until cancelled, by one watch each."""
 
     async def put_shard(key: str, shard: JobShard) -> None:
+        _learn_run_times(state.run_times, state.shards.get(key, JobShard()), shard)
         state.shards[key] = shard
         state.notify()
 
--- a/src/foxtailwell/scheduler/_zone.py
+++ b/src/foxtailwell/scheduler/_zone.py
@@ -19,6 +19,7 @@
     GANG_STOPPING,
     START_REFUSED,
     WORKER_QUARANTINED,
+    WORKER_RETURNED,
     ZONE_LOST,
 )
 from foxtailwell.adapters.logs import log_event
@@ -68,6 +69,7 @@
     begin_job,
     commit_run,
     end_attempt,
+    lift_worker_quarantine,
     mark_job,
     quarantine_worker,
     release_gang,
@@ -93,7 +95,11 @@
 """Age after which a job or gang that no run belongs to is cleaned up. It is longer than a watch
 takes to show a write, so that a start in progress is not taken for an orphan."""
 
-QUARANTINE_S = 60.0
+QUARANTINE_MS = 60_000
+UNPROBED_MS = 300_000
+"""Time after a quarantine in which no probe was possible, for example because only gangs wait; then
+the worker gets ordinary work again."""
+
 REFUSALS_TO_QUARANTINE = 3
 LONGEST_START_BACKOFF_S = 5.0
 
@@ -593,24 +599,56 @@
 
 
 def _note_end(executor: ZoneExecutor, active: _Active, end: EndAttempt) -> None:
-    """Count failed starts: delay the job, and quarantine a worker that never lets one succeed."""
-    has_run = any(m.may_have_run for m in active.run.members)
-    if has_run or end.state is not JobState.WAITING:
-        executor.backoffs.pop(active.job.id, None)
-        for member in active.run.members:
-            executor.refusals.pop(member.worker, None)
+    """Learn which workers complete and fail tasks, and delay a job whose start failed."""
+    for member in active.run.members:
+        if member.task is TaskState.DONE:
+            executor.state.health.record_success(member.worker)
+            _lift_quarantine(executor, member.worker)
+        elif member.task is TaskState.FAILED:
+            executor.state.health.record_failure(member.worker, active.job.id, now_unix_ms())
+    if end.state is JobState.WAITING and not any(m.may_have_run for m in active.run.members):
+        _delay_start(executor, active.job.id)
+        _count_refusals(executor, active.run.blamed_workers)
         return
-    _delay_start(executor, active.job.id)
-    for worker in active.run.blamed_workers:
+    executor.backoffs.pop(active.job.id, None)
+    for member in active.run.members:
+        executor.refusals.pop(member.worker, None)
+
+
+def _count_refusals(executor: ZoneExecutor, workers: tuple[str, ...]) -> None:
+    """Quarantine workers that keep gangs from starting, which no failed task would show."""
+    for worker in workers:
         executor.refusals[worker] = executor.refusals.get(worker, 0) + 1
         if executor.refusals[worker] >= REFUSALS_TO_QUARANTINE:
             del executor.refusals[worker]
-            until_unix_ms = now_unix_ms() + int(QUARANTINE_S * 1000)
+            until_unix_ms = now_unix_ms() + QUARANTINE_MS
             _spawn(executor, _quarantine, executor, worker, until_unix_ms)
 
 
+def _lift_quarantine(executor: ZoneExecutor, worker: str) -> None:
+    allocation = executor.state.allocations.get(executor.zone)
+    if allocation is not None and worker in allocation.quarantined:
+        _spawn(executor, _write_lift, executor, worker)
+
+
+async def _write_lift(executor: ZoneExecutor, worker: str) -> None:
+    mutation = lift_worker_quarantine(worker, executor.term)
+    try:
+        await executor.state.allocation_documents.apply(allocation_key(executor.zone), mutation)
+    except (StoreUnavailableError, StoreOverloadedError, UnavailableError):
+        return
+    log_event(WORKER_RETURNED, worker=worker, zone=executor.zone)
+
+
+def _lift_unprobed(executor: ZoneExecutor) -> None:
+    allocation = executor.state.allocations.get(executor.zone)
+    for worker, until_unix_ms in (allocation.quarantined if allocation else {}).items():
+        if now_unix_ms() - until_unix_ms > UNPROBED_MS:
+            _spawn(executor, _write_lift, executor, worker)
+
+
 async def _quarantine(executor: ZoneExecutor, worker: str, until_unix_ms: int) -> None:
-    mutation = quarantine_worker(worker, until_unix_ms, now_unix_ms(), executor.term)
+    mutation = quarantine_worker(worker, until_unix_ms, executor.term)
     try:
         await executor.state.allocation_documents.apply(allocation_key(executor.zone), mutation)
     except (StoreUnavailableError, StoreOverloadedError, UnavailableError):
@@ -635,6 +673,7 @@
     if now_s - executor.reconciled_s >= RECONCILE_INTERVAL_S:
         executor.reconciled_s = now_s
         _refresh_addresses(executor)
+        _lift_unprobed(executor)
         _reconcile(executor, now_s)
 
 
--- a/src/foxtailwell_standins/workers.py
+++ b/src/foxtailwell_standins/workers.py
@@ -264,6 +264,7 @@
 ) -> str:
     if task.record.state is TaskState.PREPARED:
         if _is_late(task, now_s):
+            task.end(TaskState.EXPIRED, now_s, "start was late")
             return "late"
         task.record.state = TaskState.STARTED
         task.record.started_s = now_s
@@ -278,6 +279,7 @@
     if task.record.state is TaskState.PREPARED:
         return "not_started"
     if _is_late(task, now_s):
+        task.end(TaskState.EXPIRED, now_s, "run was late")
         return "late"
     task.record.state = TaskState.RUNNING
     task.record.first_work_s = now_s
--- a/tests/scheduler_harness.py
+++ b/tests/scheduler_harness.py
@@ -23,6 +23,7 @@
     ClientAccount,
     Configuration,
     GangSpec,
+    InstanceRecord,
     Job,
     JobShard,
     JobState,
@@ -88,8 +89,15 @@
             env=os.environ,
         )
         self.processes[instance] = process
+        self.instances.put(
+            InstanceRecord(f"{instance}/scheduler", "scheduler", zone, "127.0.0.1:1")
+        )
         return process
 
+    def has_logged(self, instance: str, event: str) -> bool:
+        """Return whether a scheduler daemon has logged an event."""
+        return event in (self.tmp_path / f"{instance}.log").read_text()
+
     def signal(self, instance: str, number: signal.Signals) -> None:
         """Send a signal to a scheduler daemon that this platform started."""
         self.processes[instance].send_signal(number)
