--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -91,6 +91,21 @@
     assert Operation.START not in operations
 
 
+@pytest.mark.parametrize(
+    ("phase", "state"),
+    [(GangPhase.PREPARING, TaskState.PREPARED), (GangPhase.STARTING, TaskState.STARTED)],
+)
+def test_next_step_waits_for_every_member(phase, state):
+    """Guards against a barrier that opens while a member has not started."""
+    run = _run_to(phase)
+    for index in (0, 2):
+        step = advance(run, TaskSeen(index, state), _permission(0.1))
+        assert step.run.phase is phase
+        assert not step.commands
+        assert not step.effects
+        run = step.run
+
+
 def test_late_commit_does_not_open_the_barrier():
     """Guards against work that begins after the preparation is over."""
     run = _run_to(GangPhase.COMMITTING)
