--- a/tests/entry_process.py
+++ b/src/foxtailwell_bench/entry_process.py
@@ -1,23 +1,26 @@
 """Entry daemon in its own process, with a view filled from a file instead of the fleet tasks.
 
-Usage: python entry_process.py SETTINGS VIEW. The view is read again when the file changes.
+Usage: `python -m foxtailwell_bench.entry_process SETTINGS VIEW`. The view is read again when the
+file changes, so a test or a measure controls exactly what the entry knows.
 """
 
 from __future__ import annotations
 
-import os
 import sys
 import time
 from pathlib import Path
 
 import anyio
 import msgspec
+from anyio.abc import TaskStatus
 
 from foxtailwell.adapters.settings import Settings
 from foxtailwell.core import Configuration, Evidence, InstanceRecord
 from foxtailwell.entry import EntryPorts, run_entry
 from foxtailwell.fleet import FleetView
 
+__all__ = ["ViewFile"]
+
 
 class ViewFile(msgspec.Struct):
     """Content of the view file."""
@@ -26,13 +29,13 @@
     instances: list[InstanceRecord]
 
 
-async def _fill(view: FleetView, path: str) -> None:
+async def _fill(view: FleetView, path: Path) -> None:
     changed_ns = 0
     while True:
-        now_ns = os.stat(path).st_mtime_ns
+        now_ns = path.stat().st_mtime_ns
         if now_ns != changed_ns:
             changed_ns = now_ns
-            content = msgspec.json.decode(Path(path).read_bytes(), type=ViewFile)
+            content = msgspec.json.decode(path.read_bytes(), type=ViewFile)
             view.configuration = content.configuration
             view.instances = {r.id: r for r in content.instances}
             view.notify()
@@ -40,16 +43,17 @@
         await anyio.sleep(0.05)
 
 
-async def _main(settings_path: str, view_path: str) -> None:
+async def _main(*paths: str) -> None:
+    settings_path, view_path = paths
     settings = msgspec.json.decode(Path(settings_path).read_bytes(), type=Settings)
     view = FleetView()
 
-    async def run(*, task_status: anyio.abc.TaskStatus[EntryPorts]) -> None:
+    async def run(*, task_status: TaskStatus[EntryPorts]) -> None:
         await run_entry(settings, view=view, task_status=task_status)
         group.cancel_scope.cancel()
 
     async with anyio.create_task_group() as group:
-        group.start_soon(_fill, view, view_path)
+        group.start_soon(_fill, view, Path(view_path))
         ports = await group.start(run)
         print(f"{ports.callers} {ports.operators}", flush=True)
 
--- a/src/foxtailwell_standins/minions.py
+++ b/src/foxtailwell_standins/minions.py
@@ -9,7 +9,7 @@
 import asyncio
 from collections import deque
 from dataclasses import dataclass, field, replace
-from typing import Literal
+from typing import Literal, cast
 
 import anyio
 import httptools
@@ -93,11 +93,11 @@
         self._body = bytearray()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+        # The transports of uvloop have the methods but not the base class.
+        self._transport = cast("asyncio.Transport", transport)
         self._state.open_connections += 1
         if self._state.open_connections > self._state.connections:
-            transport.abort()
+            self._transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._state.open_connections -= 1
--- a/tests/request_fleet.py
+++ b/tests/request_fleet.py
@@ -160,8 +160,13 @@
     settings_path.write_bytes(msgspec.json.encode(settings))
     view = {"configuration": CONFIGURATION, "instances": records}
     view_path.write_bytes(msgspec.json.encode(view))
-    program = Path(__file__).parent / "entry_process.py"
-    command = [sys.executable, str(program), str(settings_path), str(view_path)]
+    command = [
+        sys.executable,
+        "-m",
+        "foxtailwell_bench.entry_process",
+        str(settings_path),
+        str(view_path),
+    ]
     process = await anyio.open_process(command, stderr=None)
     try:
         line = await TextReceiveStream(process.stdout).receive()
