--- a/src/foxtailwell_standins/cli.py
+++ b/src/foxtailwell_standins/cli.py
@@ -8,12 +8,15 @@
 
 import anyio
 import cappa
+import msgspec
 
+from foxtailwell.adapters.http_client import open_http_client
 from foxtailwell.adapters.http_server import serve_http
-from foxtailwell.core import InstanceRecord
+from foxtailwell.core import InstanceRecord, Role
 from foxtailwell_standins.instance_list import InstanceListState, make_instance_list_app
-from foxtailwell_standins.minions import MinionState, register_minions, serve_minion
+from foxtailwell_standins.minions import MinionState, serve_minion
 from foxtailwell_standins.store import StoreState, make_store_app
+from foxtailwell_standins.workers import WorkerFleet, make_worker_records, serve_workers
 
 __all__ = ["main"]
 
@@ -42,6 +45,34 @@
         anyio.run(_serve, make_instance_list_app(InstanceListState()), self.port)
 
 
+@cappa.command(name="workers", help="Run workers on a port each.")
+@dataclass(frozen=True)
+class WorkersCommand:
+    """Run stand-ins of workers and register them with the instance list."""
+
+    instance_list: Annotated[str, cappa.Arg(long=True, help="URL of the instance list.")]
+    zones: Annotated[str, cappa.Arg(long=True, help="Zones, separated by commas.")] = "zone-a"
+    region: Annotated[str, cappa.Arg(long=True, help="Region of the zones.")] = "region"
+    per_zone: Annotated[int, cappa.Arg(long=True, help="Workers in each zone.")] = 8
+    per_rack: Annotated[int, cappa.Arg(long=True, help="Workers in each rack.")] = 8
+    accelerators: Annotated[int, cappa.Arg(long=True, help="Accelerators per worker.")] = 8
+    cores: Annotated[int, cappa.Arg(long=True, help="Processor cores per worker.")] = 128
+    memory_gb: Annotated[int, cappa.Arg(long=True, help="Memory per worker.")] = 256
+
+    def __call__(self) -> None:
+        """Serve until a signal arrives."""
+        records = make_worker_records(
+            self.zones.split(","),
+            per_zone=self.per_zone,
+            per_rack=self.per_rack,
+            region=self.region,
+            accelerators=self.accelerators,
+            cores=self.cores,
+            memory_gb=self.memory_gb,
+        )
+        anyio.run(_serve_workers, records, self.instance_list)
+
+
 @cappa.command(name="minions", help="Run minions, each on its own port.")
 @dataclass(frozen=True)
 class MinionsCommand:
@@ -53,21 +84,39 @@
     region: Annotated[str, cappa.Arg(long=True, help="Region of the zones.")] = "region"
     slots: Annotated[int, cappa.Arg(long=True, help="Requests that a minion runs at once.")] = 8
     connections: Annotated[int, cappa.Arg(long=True, help="Connections a minion accepts.")] = 64
-    instance_list_url: Annotated[
-        str, cappa.Arg(long=True, help="Instance list to register the minions with.")
-    ] = ""
+    instance_list: Annotated[str, cappa.Arg(long=True, help="URL of the instance list.")] = ""
 
     def __call__(self) -> None:
         """Serve until a signal arrives."""
         anyio.run(_serve_minions, self, backend_options={"use_uvloop": True})
 
 
+@cappa.command(name="register", help="Add an instance to the instance list.")
+@dataclass(frozen=True)
+class RegisterCommand:
+    """Add one of the project's own daemons to the instance list, as the platform would."""
+
+    id: Annotated[str, cappa.Arg(help="Identifier, <instance>/<role> for own daemons.")]
+    role: Annotated[Role, cappa.Arg(help="What runs there.")]
+    zone: Annotated[str, cappa.Arg(help="Availability zone.")]
+    address: Annotated[str, cappa.Arg(help="host:port; the peer port of an own daemon.")]
+    instance_list: Annotated[str, cappa.Arg(long=True, help="URL of the instance list.")]
+    region: Annotated[str, cappa.Arg(long=True, help="Region of the zone.")] = "region"
+
+    def __call__(self) -> None:
+        """Register and return."""
+        record = InstanceRecord(self.id, self.role, self.zone, self.address, region=self.region)
+        anyio.run(_register, self.instance_list, [record])
+
+
 @cappa.command(name="foxtailwell-standin", help="Stand-ins of the platform, for tests only.")
 @dataclass(frozen=True)
 class StandinCommand:
     """Run one of the stand-ins."""
 
-    command: cappa.Subcommands[StoreCommand | InstanceListCommand | MinionsCommand]
+    command: cappa.Subcommands[
+        StoreCommand | InstanceListCommand | WorkersCommand | MinionsCommand | RegisterCommand
+    ]
 
 
 async def _serve(app: object, port: int) -> None:
@@ -75,10 +124,15 @@
     async with anyio.create_task_group() as group:
         bound = await group.start(serve_http, app, "127.0.0.1", port, stop)
         print(f"listening on 127.0.0.1:{bound}", flush=True)
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                break
-        stop.set()
+        await _wait_for_signal()
+        group.cancel_scope.cancel()
+
+
+async def _serve_workers(records: list[InstanceRecord], instance_list_url: str) -> None:
+    async with anyio.create_task_group() as group:
+        placed = await group.start(serve_workers, WorkerFleet(), records)
+        await _register(instance_list_url, placed)
+        await _wait_for_signal()
         group.cancel_scope.cancel()
 
 
@@ -100,15 +154,25 @@
                 connections=command.connections,
             )
             records.append(record)
-            print(f"listening on {record.address} as {record.id}", flush=True)
-        if command.instance_list_url:
-            await register_minions(command.instance_list_url, records)
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                break
+        await _register(command.instance_list, records)
+        await _wait_for_signal()
         group.cancel_scope.cancel()
 
 
+async def _register(instance_list_url: str, records: list[InstanceRecord]) -> None:
+    for record in records:
+        print(f"{record.id} listening on {record.address}", flush=True)
+    if instance_list_url:
+        async with open_http_client(instance_list_url) as http:
+            await http.request("PUT", "/v1/instances", body=msgspec.json.encode(records))
+
+
+async def _wait_for_signal() -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            return
+
+
 def main() -> None:
     """Run the command."""
     cappa.invoke(StandinCommand)
