--- a/src/foxtailwell_standins/minions.py
+++ b/src/foxtailwell_standins/minions.py
@@ -93,8 +93,8 @@
         self._body = bytearray()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        # uvloop's transports are no subclasses of asyncio.Transport.
-        self._transport = cast(asyncio.Transport, transport)
+        # The transports of uvloop have the methods but not the base class.
+        self._transport = cast("asyncio.Transport", transport)
         self._state.open_connections += 1
         if self._state.open_connections > self._state.connections:
             self._transport.abort()
