Keep slots off running gangs and bound reclaim of small jobs

Change: unused slots prefer free accelerators, then those not held by wide gangs or by gangs within a guarantee; slots around gangs avoid the latter; a job smaller than every guaranteed shape may reclaim only while its account is below its guarantee.

--- a/src/foxtailwell/core/_guarantees.py
+++ b/src/foxtailwell/core/_guarantees.py
@@ -137,14 +137,22 @@
 
 
 def pack_around(
-    configuration: Configuration, capacity: Capacity, gangs: Sequence[Gang]
+    configuration: Configuration,
+    capacity: Capacity,
+    gangs: Sequence[Gang],
+    kept: Sequence[Mapping[str, int]],
 ) -> GuaranteePacking:
     """Pack the guaranteed shapes so that as many running gangs as possible are covered.
 
+    Unused slots lie on free accelerators where that leaves room for all shapes, because a slot
+    on a running gang stops it when the account needs the slot.
+
     Args:
         configuration: Configuration with the accounts.
         capacity: Usable workers, with the gangs taken.
         gangs: Running gangs in the order in which they should be covered.
+        kept: Accelerators by worker that unused slots avoid; the last entry is the most important
+            and holds the gangs within their account's guarantee.
 
     Returns:
         The packing with the fewest missing shapes; covering fewer gangs is tried when the
@@ -154,10 +162,10 @@
     if not shapes:
         return GuaranteePacking((), (), "")
     best: tuple[int, _Packer, list[MissingShape]] | None = None
-    for count in (len(gangs), len(gangs) // 2, 0):
+    for count, avoid in ((len(gangs), kept), (len(gangs), ()), (len(gangs) // 2, ()), (0, ())):
         packer = _Packer(capacity)
-        rest = packer.cover(shapes, gangs[:count])
-        missing = packer.fill(rest)
+        rest = packer.cover(shapes, gangs[:count], avoid[-1] if avoid else {})
+        missing = packer.fill(rest, avoid)
         lost = sum(shape.accelerators for shape in missing)
         if best is None or lost < best[0]:
             best = (lost, packer, missing)
@@ -178,6 +186,19 @@
     return sorted(shapes, key=lambda s: (-s.accelerators, s.account))
 
 
+def _masks_by_account(gangs: Iterable[Gang]) -> dict[str, dict[str, int]]:
+    masks: dict[str, dict[str, int]] = {}
+    for gang in gangs:
+        own = masks.setdefault(gang.account, {})
+        for member in gang.members:
+            own[member.worker] = own.get(member.worker, 0) | mask_of(member.accelerators)
+    return masks
+
+
+def _subtract(kept: Mapping[str, int], own: Mapping[str, int]) -> Mapping[str, int]:
+    return {worker: mask & ~own.get(worker, 0) for worker, mask in kept.items()}
+
+
 @lru_cache(maxsize=1 << 16)
 def _window(free: int, needed: int, size: int) -> int:
     """Return the mask of `size` adjacent free accelerators around the needed ones, or 0.
@@ -204,6 +225,8 @@
         self._open = {w.id: (1 << w.accelerators) - 1 for w in capacity.workers.values()}
         self._slots: list[tuple[MissingShape, RackCapacity, dict[str, int]]] = []
         self._own: dict[str, dict[str, int]] = {}
+        self._prefers_free = False
+        self._hidden: Mapping[str, int] = {}
 
     def result(self, missing: list[MissingShape], without_zone: str | None) -> GuaranteePacking:
         slots = tuple(
@@ -243,6 +266,9 @@
             for rack in self._capacity.racks.values()
         ]
 
+    def _seen(self, worker: str) -> int:
+        return self._open[worker] & ~self._hidden.get(worker, 0)
+
     def _place(self, shape: MissingShape, rack: RackCapacity, masks: dict[str, int]) -> None:
         own = self._own.setdefault(shape.account, {})
         for worker, mask in masks.items():
@@ -257,15 +283,26 @@
             self._own[shape.account][worker] &= ~mask
         return shape
 
-    def cover(self, shapes: list[MissingShape], gangs: Sequence[Gang]) -> list[MissingShape]:
-        """Place slots around running gangs of the same account; return the shapes left."""
+    def cover(
+        self, shapes: list[MissingShape], gangs: Sequence[Gang], kept: Mapping[str, int]
+    ) -> list[MissingShape]:
+        """Place slots around running gangs of the same account; return the shapes left.
+
+        Args:
+            shapes: Shapes of all accounts.
+            gangs: Running gangs in the order in which they are covered.
+            kept: Accelerators by worker that only the slots of their own account may hold.
+        """
+        own = _masks_by_account(gangs)
         left: dict[str, list[int]] = {}
         for shape in reversed(shapes):
             left.setdefault(shape.account, []).append(shape.accelerators)
         for gang in gangs:
             sizes = left.get(gang.account)
             if sizes is not None:
+                self._hidden = _subtract(kept, own.get(gang.account, {}))
                 self._cover_gang(gang, sizes)
+        self._hidden = {}
         rest = [MissingShape(account, n) for account, sizes in left.items() for n in sizes]
         return sorted(rest, key=lambda s: (-s.accelerators, s.account))
 
@@ -316,7 +353,7 @@
         if len(needed) == 1:
             ((name, mask),) = needed.items()
             if size <= self._capacity.workers[name].accelerators:
-                window = _window(self._open[name], mask, size)
+                window = _window(self._seen(name), mask, size)
                 return {name: window} if window else None
         masks: dict[str, int] = {}
         left = size
@@ -326,7 +363,7 @@
         )
         for worker in order:
             full = (1 << worker.accelerators) - 1
-            if left >= worker.accelerators and self._open[worker.id] == full:
+            if left >= worker.accelerators and self._seen(worker.id) == full:
                 masks[worker.id] = full
                 left -= worker.accelerators
         if left:
@@ -349,28 +386,37 @@
         for order, worker in enumerate(workers):
             if worker.id in used:
                 continue
-            window = _window(self._open[worker.id], needed.get(worker.id, 0), size)
+            window = _window(self._seen(worker.id), needed.get(worker.id, 0), size)
             if window:
-                length = shortest_run(self._open[worker.id], size)[0]
+                length = shortest_run(self._seen(worker.id), size)[0]
                 candidates.append((not needed.get(worker.id, 0), length, order, worker.id, window))
         return min(candidates)[3:] if candidates else None
 
-    def fill(self, shapes: list[MissingShape]) -> list[MissingShape]:
-        """Place the shapes, largest first, in the tightest places; return those that are left."""
+    def fill(
+        self, shapes: list[MissingShape], avoid: Sequence[Mapping[str, int]] = ()
+    ) -> list[MissingShape]:
+        """Place the shapes, largest first, in the tightest places; return those that are left.
+
+        Args:
+            shapes: Shapes, largest first.
+            avoid: Accelerators to use last, by worker; with any, free ones are used first.
+        """
+        self._prefers_free = bool(avoid)
         missing: list[MissingShape] = []
         workers = list(self._capacity.workers.values())
-        size, heap = 0, list[tuple[int, int, int]]()
+        size, heap = 0, list[tuple[int, int, int, int]]()
         for shape in shapes:
             if shape.accelerators != size:
                 size = shape.accelerators
-                heap = [e for i, w in enumerate(workers) if (e := self._run_entry(i, w, size))]
+                entries = (self._run_entry(i, w, size, avoid) for i, w in enumerate(workers))
+                heap = [e for e in entries if e]
                 heapify(heap)
             if heap:
-                worker = workers[heap[0][2]]
-                mask = ((1 << size) - 1) << shortest_run(self._open[worker.id], size)[1]
+                _, _, order, start = heap[0]
+                worker = workers[order]
                 rack = self._capacity.racks[worker.zone, worker.rack]
-                self._place(shape, rack, {worker.id: mask})
-                again = self._run_entry(heap[0][2], worker, size)
+                self._place(shape, rack, {worker.id: ((1 << size) - 1) << start})
+                again = self._run_entry(order, worker, size, avoid)
                 if again:
                     heapreplace(heap, again)
                 else:
@@ -380,13 +426,18 @@
         return missing
 
     def _run_entry(
-        self, order: int, worker: WorkerCapacity, size: int
-    ) -> tuple[int, int, int] | None:
-        length, start = shortest_run(self._open[worker.id], size)
-        if length == NO_RUN[0]:
-            return None
-        taken = ((1 << size) - 1) << start & ~worker.free
-        return (length, taken.bit_count(), order)
+        self, order: int, worker: WorkerCapacity, size: int, avoid: Sequence[Mapping[str, int]]
+    ) -> tuple[int, int, int, int] | None:
+        """Return level of preference, length of the run, order and start."""
+        free = self._open[worker.id]
+        masks = [free]
+        if avoid:
+            masks = [free & worker.free, *(free & ~a.get(worker.id, 0) for a in avoid), free]
+        for level, mask in enumerate(masks):
+            length, start = shortest_run(mask, size)
+            if length != NO_RUN[0]:
+                return (level, length, order, start)
+        return None
 
     def _place_wide(self, shape: MissingShape) -> bool:
         found = min(self._wide_options(shape.accelerators), key=lambda o: o[0], default=None)
@@ -403,7 +454,10 @@
             if room >= size:
                 masks = self._slot_in(rack, size, {})
                 if masks is not None:
-                    yield (room, -rack.free_count), rack, masks
+                    taken = sum(
+                        (m & ~self._capacity.workers[w].free).bit_count() for w, m in masks.items()
+                    )
+                    yield (taken if self._prefers_free else 0, room), rack, masks
 
     def search(self, shapes: list[MissingShape]) -> bool:
         """Search for a packing of all shapes; False when none is found within the limit."""
--- a/src/foxtailwell/core/_planner.py
+++ b/src/foxtailwell/core/_planner.py
@@ -229,10 +229,9 @@
     def _ordered(self, waiting: list[Job]) -> list[Job]:
         """Return the jobs to place: guarantees, urgent work, aged large gangs, then by target."""
         facts = self._facts
-        room = {a: sum(m.bit_count() for m in masks.values()) for a, masks in facts.room.items()}
 
         def order(job: Job) -> tuple[object, ...]:
-            is_entitled = room.get(job.account, 0) >= job.spec.accelerators
+            is_entitled = facts.entitled_room(job) is not None
             is_aged = self._rules.reservation and self._is_aged(job)
             return (not is_entitled, not facts.is_urgent(job), not is_aged, *facts.due(job))
 
@@ -285,7 +284,7 @@
     def _place(self, job: Job) -> _Placement | None:
         """Return a placement on free accelerators, first in the slots of the account."""
         zones = self._open_zones()
-        room = self._facts.room.get(job.account)
+        room = self._facts.entitled_room(job)
         if room:
             own = choose_borrowers(self._facts.capacity, {}, {}, job.spec, within=room, zones=zones)
             if own is not None:
@@ -345,7 +344,7 @@
 
     def _make_room(self, job: Job) -> bool:
         """Reclaim, reserve or move for a job that does not fit; False when nothing applies."""
-        room = self._facts.room.get(job.account)
+        room = self._facts.entitled_room(job)
         zones = self._open_zones()
         if room and self._reclaim(job, self._facts.costs, zones, room):
             return True
--- a/src/foxtailwell/core/_situation.py
+++ b/src/foxtailwell/core/_situation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from collections.abc import Callable
 from functools import cached_property
 
 from foxtailwell.core._allocations import Gang, Member
@@ -139,7 +140,23 @@
     def packing(self) -> GuaranteePacking:
         """Slots of the guaranteed shapes around the running gangs, oldest first."""
         ordered = sorted(self._account_gangs, key=lambda g: (g.started_unix_ms, g.job_id))
-        return pack_around(self.view.configuration, self.capacity, ordered)
+        kept = (self._held_by(self._is_wide_or_within), self._held_by(self._is_within))
+        return pack_around(self.view.configuration, self.capacity, ordered, kept)
+
+    def _held_by(self, is_kept: Callable[[Gang], bool]) -> dict[str, int]:
+        held: dict[str, int] = {}
+        for _, gang, _ in self.gangs:
+            if is_kept(gang):
+                for member in gang.members:
+                    mask = mask_of(member.accelerators)
+                    held[member.worker] = held.get(member.worker, 0) | mask
+        return held
+
+    def _is_within(self, gang: Gang) -> bool:
+        return gang.job_id in self.within_guarantee
+
+    def _is_wide_or_within(self, gang: Gang) -> bool:
+        return len(gang.members) > 1 or self._is_within(gang)
 
     @cached_property
     def _account_gangs(self) -> list[Gang]:
@@ -184,12 +201,34 @@
         return room
 
     @cached_property
-    def within_guarantee(self) -> set[str]:
-        """Jobs that are not beyond their account's guarantee, oldest first."""
-        left = {
+    def _guaranteed(self) -> dict[str, int]:
+        return {
             account.name: sum(s.accelerators * s.count for s in account.guarantees)
             for account in self.view.configuration.accounts.values()
         }
+
+    def entitled_room(self, job: Job) -> dict[str, int] | None:
+        """Return the accelerators that the job may reclaim under its account's guarantee.
+
+        A job of exactly a guaranteed shape may always use an unused slot. A smaller one may
+        only while the account as a whole is below its guarantee; otherwise two accounts that both
+        run small jobs outside their slots stop each other's jobs in turn.
+        """
+        room = self.room.get(job.account)
+        if not room:
+            return None
+        size = job.spec.accelerators
+        shapes = self.view.configuration.accounts[job.account].guarantees
+        if self.usage.get(job.account, 0) + size > self._guaranteed[job.account] and not any(
+            shape.accelerators == size for shape in shapes
+        ):
+            return None
+        return room if sum(m.bit_count() for m in room.values()) >= size else None
+
+    @cached_property
+    def within_guarantee(self) -> set[str]:
+        """Jobs that are not beyond their account's guarantee, oldest first."""
+        left = dict(self._guaranteed)
         within = set()
         for gang in sorted(self._account_gangs, key=lambda g: (g.started_unix_ms, g.job_id)):
             count = sum(len(m.accelerators) for m in gang.members)
