Cover gangs that need several slots

Cause: a gang of 48 accelerators over the guaranteed shapes 32 and 16 was not covered, so urgent jobs stopped it although its account was within its guarantee. Change: the gang is split over several slots, largest slot first.

--- a/src/foxtailwell/core/_guarantees.py
+++ b/src/foxtailwell/core/_guarantees.py
@@ -195,6 +195,20 @@
     return masks
 
 
+def _groups(needed: Mapping[str, int], sizes: Sequence[int]) -> Iterable[dict[str, int]]:
+    """Return parts of a gang that one slot may hold: all of it, then the most for each size."""
+    yield dict(needed)
+    for size in sorted(set(sizes), reverse=True):
+        group: dict[str, int] = {}
+        left = size
+        for worker, mask in sorted(needed.items()):
+            if mask.bit_count() <= left:
+                group[worker] = mask
+                left -= mask.bit_count()
+        if group and len(group) < len(needed):
+            yield group
+
+
 def _subtract(kept: Mapping[str, int], own: Mapping[str, int]) -> Mapping[str, int]:
     return {worker: mask & ~own.get(worker, 0) for worker, mask in kept.items()}
 
@@ -315,14 +329,19 @@
                 needed[member.worker] = needed.get(member.worker, 0) | mask
         if not needed or not sizes or any(worker not in self._open for worker in needed):
             return
-        if len(needed) > 1 and self._cover_masks(gang.account, needed, sizes):
-            return
-        for placed, (worker, mask) in enumerate(needed.items()):
-            if not self._cover_masks(gang.account, {worker: mask}, sizes):
+        placed = 0
+        while needed:
+            group = next(
+                (g for g in _groups(needed, sizes) if self._cover_masks(gang.account, g, sizes)),
+                None,
+            )
+            if group is None:
                 for _ in range(placed):
                     sizes.append(self._undo().accelerators)
                 sizes.sort()
                 return
+            needed = {worker: mask for worker, mask in needed.items() if worker not in group}
+            placed += 1
 
     def _cover_masks(self, account: str, needed: dict[str, int], sizes: list[int]) -> bool:
         rack = self._rack_of(needed)
