Reserve for aged large gangs before other work takes the accelerators

Cause: urgent and guaranteed jobs came first in the order and took single accelerators of whole workers that a large gang was about to get, although other accelerators were free. Change: reservations are made first; urgent and guaranteed work uses reserved accelerators only when nothing else is free. Moves may also displace smaller borrowers to the queue.

--- a/src/foxtailwell/core/_planner.py
+++ b/src/foxtailwell/core/_planner.py
@@ -52,6 +52,7 @@
     reservation: bool = True
     backfill: bool = True
     moves: bool = True
+    displacement: bool = True
     reservation_age_s: float = RESERVATION_AGE_S
     reservation_limit: int = RESERVATION_LIMIT
 
@@ -89,8 +90,8 @@
         self._decisions: list[Decision] = []
         self._waiting: dict[str, WaitReason] = {}
         self._settled: set[str] = set()
-        self._reservations: list[Reservation] = []
-        self._reserved: dict[str, int] = {}
+        self._reservations: dict[str, Reservation] = {}
+        self._given: dict[str, int] = {}
         # Capacity only shrinks while a plan is made, so what failed once fails again.
         self._failed: set[tuple[object, ...]] = set()
         self._reasons: dict[tuple[object, ...], WaitReason] = {}
@@ -102,7 +103,9 @@
         waiting = [j for j in self._facts.view.jobs if j.state is JobState.WAITING]
         self._settle(waiting)
         self._probe_workers(waiting)
-        for job in self._ordered(waiting):
+        ordered = self._ordered(waiting)
+        self._reserve(ordered)
+        for job in ordered:
             self._consider(job)
         return Plan(tuple(self._decisions), self._waiting)
 
@@ -258,11 +261,37 @@
             self._waiting[job.id] = WaitReason("no_zone", "no zone is in service", "a zone back")
             return
         with self._avoiding(job.failed_workers):
-            found = self._place(job)
-            if found is not None:
-                self._start(job, *found)
-            elif not self._make_room(job):
-                self._waiting[job.id] = self._capacity_reason(job)
+            held = self._reservations.get(job.id)
+            if held is None:
+                self._start_or_make_room(job)
+            else:
+                self._start_reserved(job, held)
+
+    def _start_or_make_room(self, job: Job) -> None:
+        found = self._place(job)
+        if found is not None:
+            self._start(job, *found)
+        elif not self._make_room(job):
+            self._waiting[job.id] = self._capacity_reason(job)
+
+    def _start_reserved(self, job: Job, held: Reservation) -> None:
+        """Start an aged large gang, move others out of its way, or keep its reservation."""
+        zones = self._open_zones()
+        with self._lent([held]):
+            found = place_best_fit(self._facts.capacity, job.spec, zones=zones)
+            moved = found is None and self._rules.moves and self._move(job, held.due_in_s)
+        if found is not None:
+            self._start(job, *found)
+        if found is not None or moved:
+            self._drop_reservation(held)
+            return
+        self._waiting[job.id] = WaitReason(
+            "reserved",
+            f"accelerators in zone {held.zone} are reserved, predicted to be free in "
+            f"{held.due_in_s:.0f} s",
+            _needs(job.spec),
+            self._holders(held.members),
+        )
 
     @contextmanager
     def _avoiding(self, names: Iterable[str]) -> Iterator[None]:
@@ -299,11 +328,12 @@
         return found
 
     def _backfill(self, job: Job, zones: list[str]) -> _Placement | None:
-        """Return a placement on reserved accelerators that the job frees before they are due."""
-        if not self._rules.backfill or not self._reservations:
-            return None
-        run_s = self._facts.view.run_time_s.get(job.id, job.declared_run_s)
-        lenders = [r for r in self._reservations if r.due_in_s >= run_s and any(r.free.values())]
+        """Return a placement on reserved accelerators that may be lent to the job.
+
+        Urgent work and guarantees may use them at once; other work must be predicted to end
+        before the reservation is due.
+        """
+        lenders = self._lenders(job)
         key = (job.spec, job.failed_workers, tuple(r.job_id for r in lenders))
         if not lenders or key in self._failed:
             return None
@@ -319,8 +349,18 @@
                     reservation.free[member.worker] &= ~mask
         return found
 
+    def _lenders(self, job: Job) -> list[Reservation]:
+        holding = [r for r in self._reservations.values() if any(r.free.values())]
+        if self._facts.is_urgent(job) or self._facts.entitled_room(job):
+            return holding
+        if not self._rules.backfill:
+            return []
+        run_s = self._facts.view.run_time_s.get(job.id, job.declared_run_s)
+        return [r for r in holding if r.due_in_s >= run_s]
+
     @contextmanager
-    def _lent(self, reservations: list[Reservation]) -> Iterator[None]:
+    def _lent(self, reservations: Iterable[Reservation]) -> Iterator[None]:
+        """Show the reserved free accelerators as free."""
         free = [
             Member(worker, indexes_of(mask))
             for reservation in reservations
@@ -333,8 +373,17 @@
         finally:
             self._facts.capacity.take(free, NO_SPEC)
 
+    def _drop_reservation(self, held: Reservation) -> None:
+        """Give up a reservation; accelerators that were taken meanwhile stay taken."""
+        del self._reservations[held.job_id]
+        for worker, mask in held.free.items():
+            mask &= ~self._given.get(worker, 0)
+            self._facts.capacity.release([Member(worker, indexes_of(mask))], NO_SPEC)
+        self._failed.clear()
+
     def _start(self, job: Job, zone: str, members: tuple[Member, ...]) -> None:
         self._facts.take(job, members)
+        self._note_given(members)
         self._facts.usage[job.account] = (
             self._facts.usage.get(job.account, 0) + job.spec.accelerators
         )
@@ -343,16 +392,18 @@
         self._decisions.append(StartGang(job.id, zone, members))
 
     def _make_room(self, job: Job) -> bool:
-        """Reclaim, reserve or move for a job that does not fit; False when nothing applies."""
+        """Reclaim for a job that does not fit; False when nothing applies."""
         room = self._facts.entitled_room(job)
         zones = self._open_zones()
         if room and self._reclaim(job, self._facts.costs, zones, room):
             return True
-        if self._facts.is_urgent(job) and self._reclaim(job, self._facts.urgent_costs, zones, None):
-            return True
-        if self._rules.reservation and self._is_aged(job):
-            return self._reserve(job)
-        return False
+        is_urgent = self._facts.is_urgent(job)
+        return is_urgent and self._reclaim(job, self._facts.urgent_costs, zones, None)
+
+    def _note_given(self, members: Iterable[Member]) -> None:
+        for member in members:
+            mask = mask_of(member.accelerators)
+            self._given[member.worker] = self._given.get(member.worker, 0) | mask
 
     def _reclaim(
         self,
@@ -387,34 +438,40 @@
             if victim.state is JobState.RUNNING and job_id not in self._facts.stopped:
                 self._stop(job_id, found.zone, reason, wait_s)
         self._facts.promise(job, found.members)
+        self._note_given(found.members)
 
-    def _reserve(self, job: Job) -> bool:
-        if len(self._reservations) >= self._rules.reservation_limit:
-            return False
+    def _reserve(self, ordered: list[Job]) -> None:
+        """Reserve accelerators for the first aged large gangs, before other work takes them."""
         facts = self._facts
-        zones = list(facts.capacity.zones)
-        earliest = facts.ends.earliest(job.spec, zones, self._reserved)
-        if earliest is None:
-            return False
-        due_in_s, zone, members = earliest
-        if self._rules.moves and self._move(job, due_in_s):
-            return True
-        free: dict[str, int] = {}
-        for member in members:
-            mask = mask_of(member.accelerators)
-            self._reserved[member.worker] = self._reserved.get(member.worker, 0) | mask
-            mask &= facts.capacity.workers[member.worker].free
-            free[member.worker] = free.get(member.worker, 0) | mask
-        held = [Member(worker, indexes_of(mask)) for worker, mask in free.items() if mask]
-        facts.capacity.take(held, NO_SPEC)
-        self._reservations.append(Reservation(job.id, zone, members, due_in_s, free))
-        self._waiting[job.id] = WaitReason(
-            "reserved",
-            f"accelerators in zone {zone} are reserved, predicted to be free in {due_in_s:.0f} s",
-            _needs(job.spec),
-            self._holders(members),
+        reserved: dict[str, int] = {}
+        for job in ordered:
+            if len(self._reservations) >= self._rules.reservation_limit:
+                return
+            if not self._may_reserve(job):
+                continue
+            earliest = facts.ends.earliest(job.spec, list(facts.capacity.zones), reserved)
+            if earliest is None:
+                continue
+            due_in_s, zone, members = earliest
+            free: dict[str, int] = {}
+            for member in members:
+                mask = mask_of(member.accelerators)
+                reserved[member.worker] = reserved.get(member.worker, 0) | mask
+                mask &= facts.capacity.workers[member.worker].free
+                free[member.worker] = free.get(member.worker, 0) | mask
+            held = [Member(worker, indexes_of(mask)) for worker, mask in free.items() if mask]
+            facts.capacity.take(held, NO_SPEC)
+            self._reservations[job.id] = Reservation(job.id, zone, members, due_in_s, free)
+
+    def _may_reserve(self, job: Job) -> bool:
+        return (
+            self._rules.reservation
+            and self._is_aged(job)
+            and not self._is_over_quota(job)
+            and not self._facts.is_urgent(job)
+            and not job.failed_workers
+            and self._facts.entitled_room(job) is None
         )
-        return True
 
     def _holders(self, members: Iterable[Member]) -> tuple[str, ...]:
         found: dict[str, None] = {}
@@ -431,12 +488,15 @@
         if due_in_s <= MOVE_OVERHEAD_S:
             return False
         zones = self._open_zones()
-        found = choose_borrowers(
-            facts.capacity, facts.holdings, facts.move_costs, job.spec, zones=zones
-        )
-        if found is None or found.cost >= job.spec.accelerators * (due_in_s - MOVE_OVERHEAD_S):
+        smaller = {
+            job_id: cost
+            for job_id, cost in facts.move_costs.items()
+            if facts.jobs[job_id].spec.accelerators < job.spec.accelerators
+        }
+        found = choose_borrowers(facts.capacity, facts.holdings, smaller, job.spec, zones=zones)
+        if found is None or found.cost >= job.spec.accelerators * due_in_s:
             return False
-        if not self._fit_elsewhere(found):
+        if not self._fit_elsewhere(found) and not self._may_displace(job, found):
             return False
         self._vacate(job, found, "move", CHECKPOINT_WAIT_S)
         self._waiting[job.id] = WaitReason(
@@ -447,6 +507,14 @@
         )
         return True
 
+    def _may_displace(self, job: Job, found: Reclaim) -> bool:
+        """Whether gangs may return to the queue, which keeps their work by checkpoint.
+
+        They may not hold more than the large gang takes, or accelerators would lie idle.
+        """
+        sizes = (self._facts.jobs[job_id].spec.accelerators for job_id in found.job_ids)
+        return self._rules.displacement and sum(sizes) <= job.spec.accelerators
+
     def _fit_elsewhere(self, found: Reclaim) -> bool:
         """Whether every gang that would move fits on accelerators that are free now."""
         capacity: Capacity = self._facts.capacity
@@ -494,10 +562,10 @@
                 "start_rate", f"the zones {', '.join(closed)} started enough for this second", needs
             )
         if self._reservations:
-            with self._lent(self._reservations):
+            with self._lent(self._reservations.values()):
                 found = place_best_fit(capacity, job.spec)
             if found:
-                holders = tuple(r.job_id for r in self._reservations)
+                holders = tuple(self._reservations)
                 return WaitReason(
                     "reserved_for_larger",
                     "the accelerators that fit are reserved for larger jobs that wait longer",
--- a/src/foxtailwell/core/_situation.py
+++ b/src/foxtailwell/core/_situation.py
@@ -27,12 +27,15 @@
 STARTS_PER_ZONE_AND_S = 8
 """A zone that returns is not flooded: image pulls and checkpoint reads share its links."""
 
-MOVE_OVERHEAD_S = 60.0
+MOVE_OVERHEAD_S = 20.0
 """Time that a moved gang loses: checkpoint, stop, start and reading the checkpoint."""
 
 MOVE_AFTER_S = 120.0
 """A gang is not moved again sooner than this after its start."""
 
+MOVE_ATTEMPT_LIMIT = 4
+"""Attempts after which a gang is no longer moved, so that it completes."""
+
 RESTART_OVERHEAD_S = 30.0
 """Work lost by any stop, in seconds of all accelerators of the gang."""
 
@@ -281,7 +284,8 @@
             elif (
                 self.now_ms - job.started_unix_ms >= MOVE_AFTER_S * 1000
                 and self.remaining_s[job_id] > 2 * MOVE_OVERHEAD_S
-                and (job.idempotent or job.checkpoint)
+                and job.attempt <= MOVE_ATTEMPT_LIMIT
+                and job.id not in self.within_guarantee
                 and not self.is_urgent(job)
             ):
                 movable[job_id] = MOVE_OVERHEAD_S * job.spec.accelerators
