--- a/src/foxtailwell/cli/entry.py
+++ b/src/foxtailwell/cli/entry.py
@@ -4,6 +4,7 @@
 
 import sys
 from dataclasses import dataclass
+from functools import partial
 from typing import Annotated
 
 import anyio
@@ -12,7 +13,8 @@
 from foxtailwell.adapters.logs import configure_logs
 from foxtailwell.adapters.settings import load_settings
 from foxtailwell.core.errors import ValidationError
-from foxtailwell.entry import run_entry
+from foxtailwell.entry import operator_routes, run_entry
+from foxtailwell.fleet import run_fleet
 
 __all__ = ["main"]
 
@@ -34,7 +36,8 @@
             print(error, file=sys.stderr)
             raise cappa.Exit(code=WRONG_SETTINGS) from error
         configure_logs(settings.log.form, settings.log.level, instance=settings.instance)
-        anyio.run(run_entry, settings, backend_options={"use_uvloop": True})
+        run = partial(run_entry, settings, run_fleet=run_fleet, operator_routes=operator_routes)
+        anyio.run(run, backend_options={"use_uvloop": True})
 
 
 def main() -> None:
--- a/src/foxtailwell/entry/_change_writer.py
+++ b/src/foxtailwell/entry/_change_writer.py
@@ -20,6 +20,7 @@
     KnownFleet,
     apply_change,
     audit_slot,
+    check_guarantees,
     split_changes,
 )
 from foxtailwell.core.errors import (
@@ -31,7 +32,13 @@
     UnavailableError,
 )
 
-__all__ = ["CheckGuarantees", "read_audit", "read_configuration", "write_change"]
+__all__ = [
+    "CheckGuarantees",
+    "packing_problems",
+    "read_audit",
+    "read_configuration",
+    "write_change",
+]
 
 CONFIGURATION_KEY = "config"
 READ_BACK_ATTEMPTS = 4
@@ -41,11 +48,19 @@
 """Returns which guaranteed shapes of a configuration do not fit on the present workers."""
 
 
+def packing_problems(
+    configuration: Configuration, instances: Iterable[InstanceRecord]
+) -> tuple[str, ...]:
+    """Return why the guaranteed shapes of a configuration do not fit on the present workers."""
+    packing = check_guarantees(configuration, [r for r in instances if r.role == "worker"])
+    return () if packing.fits else (packing.reason,)
+
+
 async def write_change(
     store: StoreClient,
     change: Change,
     instances: Iterable[InstanceRecord],
-    check_guarantees: CheckGuarantees,
+    check: CheckGuarantees = packing_problems,
 ) -> ChangeRecord:
     """Apply a change and return once the store holds it.
 
@@ -53,7 +68,7 @@
         store: Client of the store.
         change: Change of an operator.
         instances: Instance list.
-        check_guarantees: Packing check of the guaranteed shapes.
+        check: Packing check of the guaranteed shapes.
 
     Returns:
         The record of the change, with its revision.
@@ -72,7 +87,7 @@
         change,
         now_unix_ms=time.time_ns() // 1_000_000,
         fleet=_known_fleet(records),
-        check_guarantees=lambda configuration: check_guarantees(configuration, records),
+        check_guarantees=lambda configuration: check(configuration, records),
     )
     old, kept = split_changes(after)
     if old is not None:
--- a/src/foxtailwell/entry/_daemon.py
+++ b/src/foxtailwell/entry/_daemon.py
@@ -5,10 +5,10 @@
 import random
 import signal
 import time
-from collections.abc import Awaitable, Callable, Coroutine, Sequence
+from collections.abc import Awaitable, Callable, Coroutine, Iterable, Sequence
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 import anyio
 from anyio.abc import TaskGroup, TaskStatus
@@ -26,6 +26,7 @@
 from foxtailwell.adapters.group_commit import open_group_committer
 from foxtailwell.adapters.http_server import serve_http
 from foxtailwell.adapters.logs import log_event
+from foxtailwell.adapters.metrics import QueueLength
 from foxtailwell.adapters.peers import Load
 from foxtailwell.adapters.settings import Endpoint, Settings
 from foxtailwell.adapters.store import StoreClient, open_store
@@ -36,6 +37,7 @@
 from foxtailwell.entry._jobs_api import job_routes
 from foxtailwell.entry._jobs_view import JobsView, follow_jobs
 from foxtailwell.entry._minion_pool import MinionPool
+from foxtailwell.entry._request_outcomes import RequestOutcomes
 from foxtailwell.entry._requests import RequestRunner, make_request_ids
 from foxtailwell.entry._requests_api import RequestsApi
 from foxtailwell.fleet import FleetView
@@ -54,7 +56,20 @@
 PROGRESS_INTERVAL_S = 1.0
 
 RunFleet = Callable[..., Awaitable[Any]]
-MakeRoutes = Callable[[StoreClient, FleetView], Sequence[BaseRoute]]
+
+
+class MakeRoutes(Protocol):
+    """Makes the routes of the operators' interface."""
+
+    def __call__(
+        self,
+        store: StoreClient,
+        view: FleetView,
+        *,
+        queue: Callable[[], Iterable[QueueLength]],
+        outcomes: RequestOutcomes,
+    ) -> Sequence[BaseRoute]:
+        """Return the routes."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,7 +115,8 @@
         results = ClaimResults()
         dispatcher = Dispatcher(pool, clock)
         runner = RequestRunner(view, settings.instance, dispatcher, pool, claims, results, clock)
-        api = RequestsApi(view, runner, make_request_ids(settings.instance), clock)
+        outcomes = RequestOutcomes()
+        api = RequestsApi(view, runner, make_request_ids(settings.instance), clock, outcomes)
         group = await stack.enter_async_context(anyio.create_task_group())
         if run_fleet is not None:
             handler = make_claim_handler(results)
@@ -112,10 +128,14 @@
         jobs = JobsView()
         group.start_soon(follow_jobs, store, jobs)
         callers_app = _make_app(view, api, job_routes(committer, jobs, view))
+        more_routes: Sequence[BaseRoute] = ()
+        if operator_routes is not None:
+            queue = _make_queue_source(dispatcher)
+            more_routes = operator_routes(store, view, queue=queue, outcomes=outcomes)
         operators_app = Starlette(
             routes=[
                 *_health_routes(view, api),
-                *(operator_routes(store, view) if operator_routes else ()),
+                *more_routes,
             ]
         )
         servers = _Servers(group, settings.shutdown_grace_ms / 1000)
@@ -215,6 +235,16 @@
         await anyio.sleep(LOAD_INTERVAL_S)
 
 
+def _make_queue_source(dispatcher: Dispatcher) -> Callable[[], list[QueueLength]]:
+    def lengths() -> list[QueueLength]:
+        return [
+            QueueLength(work_class, account, count)
+            for (account, work_class), count in sorted(dispatcher.queue.lengths().items())
+        ]
+
+    return lengths
+
+
 def _make_app(view: FleetView, api: RequestsApi, more: Sequence[BaseRoute]) -> Starlette:
     return Starlette(
         routes=[
--- a/src/foxtailwell/entry/_operators_api.py
+++ b/src/foxtailwell/entry/_operators_api.py
@@ -35,10 +35,12 @@
 from foxtailwell.entry._change_bodies import read_change
 from foxtailwell.entry._change_writer import (
     CheckGuarantees,
+    packing_problems,
     read_audit,
     read_configuration,
     write_change,
 )
+from foxtailwell.entry._request_outcomes import RequestOutcomes
 from foxtailwell.fleet import FleetView, make_fleet_samples
 
 __all__ = ["operator_routes"]
@@ -53,9 +55,9 @@
     store: StoreClient,
     view: FleetView,
     *,
-    check_guarantees: CheckGuarantees,
+    check_guarantees: CheckGuarantees = packing_problems,
     queue: QueueSource = tuple,
-    targets: TargetCounts | None = None,
+    outcomes: RequestOutcomes | None = None,
 ) -> list[Route]:
     """Return the routes for operators.
 
@@ -64,9 +66,9 @@
         view: Configuration in force and fleet.
         check_guarantees: Packing check of guaranteed shapes on the present workers.
         queue: Returns the waiting requests by class and account.
-        targets: Completed work and whether it met its targets.
+        outcomes: Ended requests and whether they met their targets.
     """
-    counts = targets if targets is not None else TargetCounts()
+    ended = outcomes if outcomes is not None else RequestOutcomes()
 
     async def show_configuration(_: Request) -> Response:
         return json_response(await _configuration(store, view))
@@ -87,17 +89,31 @@
         return json_response({"changes": await read_audit(store, before or None, limit)})
 
     async def status(_: Request) -> Response:
-        return json_response(_status(view, store, queue, counts, time.monotonic()))
+        return json_response(_status(view, store, queue, ended.targets, time.monotonic()))
+
+    async def explain(request: Request) -> Response:
+        found = ended.find(request.path_params["id"])
+        if found is not None:
+            return json_response(found)
+        return json_response(
+            {
+                "code": "unknown_request",
+                "message": f"no ended request {request.path_params['id']} on this entry",
+                "remedy": "ask the entry named at the start of the identifier, soon after the end",
+            },
+            404,
+        )
 
     return [
         Route("/v1/config", _answering_errors(show_configuration), methods=["GET"]),
         Route("/v1/config/changes", _answering_errors(change), methods=["POST"]),
         Route("/v1/audit", _answering_errors(audit), methods=["GET"]),
         Route("/v1/status", _answering_errors(status), methods=["GET"]),
+        Route("/v1/requests/{id}/explain", explain, methods=["GET"]),
         metrics_route(
             process_samples,
             make_fleet_samples(view, store),
-            counts.samples,
+            ended.targets.samples,
             lambda: queue_samples(queue()),
         ),
     ]
--- a/src/foxtailwell/entry/_requests_api.py
+++ b/src/foxtailwell/entry/_requests_api.py
@@ -24,6 +24,7 @@
     OutcomeUnknownError,
     UnavailableError,
 )
+from foxtailwell.entry._request_outcomes import RequestOutcomes
 from foxtailwell.entry._requests import Request, RequestRunner
 from foxtailwell.fleet import FleetView
 
@@ -85,7 +86,9 @@
         runner: RequestRunner,
         ids: Iterator[tuple[int, str]],
         clock: Callable[[], float] = time.monotonic,
+        outcomes: RequestOutcomes | None = None,
     ) -> None:
+        self._outcomes = outcomes if outcomes is not None else RequestOutcomes()
         self._view = view
         self._runner = runner
         self._ids = ids
@@ -148,10 +151,22 @@
         self._buffered_bytes += len(body)
         try:
             await self._run(request, send)
+        except (FoxtailwellError, MinionFailure) as error:
+            is_unknown = isinstance(error, OutcomeUnknownError | MinionFailure)
+            self._record(request, "outcome_unknown" if is_unknown else "not_run", str(error))
+            raise
+        else:
+            self._record(request, "answer")
         finally:
             self._buffered_bytes -= len(body)
             del self._active[number]
 
+    def _record(self, request: Request, outcome: str, detail: str = "") -> None:
+        elapsed_s = self._clock() - request.arrived_s
+        self._outcomes.record(
+            request.id, request.account, request.work_class, elapsed_s, outcome, detail
+        )
+
     async def _run(self, request: Request, send: Send) -> None:
         async def respond(answer: MinionAnswer) -> None:
             request.has_response_begun = True
--- a/src/foxtailwell/scheduler/_daemon.py
+++ b/src/foxtailwell/scheduler/_daemon.py
@@ -17,8 +17,7 @@
 from foxtailwell.adapters.store import open_store
 from foxtailwell.adapters.workers import open_workers
 from foxtailwell.core import JobShard, ZoneAllocation, plan
-from foxtailwell.fleet import FleetView
-from foxtailwell.scheduler._fleet import run_fleet
+from foxtailwell.fleet import FleetView, run_fleet
 from foxtailwell.scheduler._leases import keep_zones
 from foxtailwell.scheduler._operators import make_operators_app
 from foxtailwell.scheduler._planning import Planner, keep_planning
--- a/src/foxtailwell/scheduler/_operators.py
+++ b/src/foxtailwell/scheduler/_operators.py
@@ -11,7 +11,10 @@
 from starlette.routing import Route
 
 from foxtailwell.adapters.http_server import json_response
+from foxtailwell.adapters.metrics import metrics_route, process_samples
 from foxtailwell.core import EVIDENCE_LIMIT_S, JobState
+from foxtailwell.fleet import make_fleet_samples
+from foxtailwell.scheduler._fragmentation import fragmentation_route
 from foxtailwell.scheduler._planning import Planner, make_plan
 from foxtailwell.scheduler._state import SchedulerState
 
@@ -21,12 +24,12 @@
 def make_operators_app(
     state: SchedulerState, planner: Planner, extra_routes: tuple[Route, ...] = ()
 ) -> Starlette:
-    """Return the application with health, status and explanations.
+    """Return the application with health, status, explanations, fragmentation and metrics.
 
     Args:
         state: What the tasks of the scheduler share.
         planner: Planner that a standby asks for an explanation.
-        extra_routes: Further routes, such as metrics.
+        extra_routes: Further routes.
     """
 
     async def healthz(_request: Request) -> Response:
@@ -74,6 +77,8 @@
             Route("/readyz", readyz),
             Route("/v1/status", status),
             Route("/v1/jobs/{id}/explain", explain),
+            fragmentation_route(state),
+            metrics_route(process_samples, make_fleet_samples(state.view, state.store)),
             *extra_routes,
         ]
     )
--- a/src/foxtailwell/scheduler/_planning.py
+++ b/src/foxtailwell/scheduler/_planning.py
@@ -24,7 +24,7 @@
 from foxtailwell.scheduler._mutations import expire_jobs, fail_job
 from foxtailwell.scheduler._state import SchedulerState, now_unix_ms, shard_key
 
-__all__ = ["Planner", "keep_planning", "make_plan"]
+__all__ = ["Planner", "cluster_view", "keep_planning", "make_plan"]
 
 Planner = Callable[[ClusterView], Plan]
 
@@ -67,7 +67,7 @@
 
     The planner runs in a thread, so that a large fleet does not delay commands and renewals.
     """
-    view = _cluster_view(state)
+    view = cluster_view(state)
     return await anyio.to_thread.run_sync(planner, view)
 
 
@@ -96,7 +96,8 @@
     return bool(zones) and zones[0] in state.zones
 
 
-def _cluster_view(state: SchedulerState) -> ClusterView:
+def cluster_view(state: SchedulerState) -> ClusterView:
+    """Return what a plan depends on, with the gangs that the zones held know already."""
     allocations = dict(state.allocations)
     held: set[str] = set()
     for zone, executor in state.zones.items():
--- a/tests/test_operators_api.py
+++ b/tests/test_operators_api.py
@@ -14,7 +14,7 @@
 
 from foxtailwell.adapters.documents import encode_document
 from foxtailwell.adapters.http_client import open_http_client
-from foxtailwell.adapters.metrics import QueueLength, TargetCounts
+from foxtailwell.adapters.metrics import QueueLength
 from foxtailwell.adapters.store import new_write_id
 from foxtailwell.core import (
     Change,
@@ -24,6 +24,7 @@
     ReturnInstance,
     SetSurviveZoneLoss,
     TakeZoneOut,
+    WorkClass,
 )
 from foxtailwell.core.errors import (
     ConflictError,
@@ -36,10 +37,12 @@
 from foxtailwell.entry._change_bodies import read_change
 from foxtailwell.entry._change_writer import read_audit, read_configuration, write_change
 from foxtailwell.entry._operators_api import operator_routes
+from foxtailwell.entry._request_outcomes import RequestOutcomes
 from foxtailwell.fleet import FleetView
 from foxtailwell_standins.store import StoreFailures
 
 pytestmark = pytest.mark.anyio
+BRINE = WorkClass("brine", "request", 100, 0, idempotent=True)
 WORKER = InstanceRecord("w-1", "worker", "hengelo-a", "", accelerators=8)
 
 
@@ -75,15 +78,15 @@
 @pytest.fixture
 async def operators(serving, store):
     view = FleetView(instances={"w-1": WORKER}, own_id="i-1/entry")
-    targets = TargetCounts()
-    targets.record("brine", True)
-    targets.record("brine", False)
+    outcomes = RequestOutcomes(limit=2)
+    for number, elapsed_s in enumerate((0.2, 0.05, 0.2)):
+        outcomes.record(f"r-{number}", "acme", BRINE, elapsed_s, "answer")
     routes = operator_routes(
         store,
         view,
         check_guarantees=accept_guarantees,
         queue=lambda: [QueueLength("brine", "acme", 4)],
-        targets=targets,
+        outcomes=outcomes,
     )
     async with serving(Starlette(routes=routes)) as url, open_http_client(url) as http:
         yield Operators(http)
@@ -226,7 +229,7 @@
     assert status == 200
     assert body["instances"] == [{"role": "worker", "state": "live", "count": 1}]
     assert body["zones"][0]["accelerators"] == 8
-    assert body["targets"] == [{"class": "brine", "met": 1, "missed": 1}]
+    assert body["targets"] == [{"class": "brine", "met": 1, "missed": 2}]
     assert body["queue"] == [{"work_class": "brine", "account": "acme", "waiting_count": 4}]
     reply = await operators.http.request("GET", "/metrics")
     text = reply.body.decode()
@@ -244,6 +247,14 @@
     assert (status, body["code"]) == (503, "unavailable")
 
 
+async def test_request_is_explained_while_it_is_remembered(operators):
+    """Guards against explanations of the wrong request, and against memory without bound."""
+    status, body = await operators.get("/v1/requests/r-1/explain")
+    assert (status, body["outcome"], body["target_met"]) == (200, "answer", True)
+    status, body = await operators.get("/v1/requests/r-0/explain")
+    assert (status, body["code"]) == (404, "unknown_request")
+
+
 async def test_newer_configuration_is_left_as_it_is(operators, store):
     """Guards against an older release that overwrites fields it does not know."""
     text = encode_document(replace(Configuration(revision=3), schema_version=99))
