Add the specification of claims

Cause: at-most-once execution rests on the order of claim, send, release and response, with store answers lost at any point. Change: three requests for one key at different entries, late writes, a kill before any step; 12 rules, each with its mutant.

--- /dev/null
+++ b/src/foxtailwell_model/_claims.py
@@ -0,0 +1,290 @@
+"""Claims of one idempotency key by requests at different entries.
+
+Request 0 arrives at entry A and its duplicate, request 1, at entry B, with the same body or with
+another one. Request 2 is the caller's repetition after request 0 ended without a response. The
+store holds one claim; a write names the version that was read, so it takes effect only if no
+other write came between. Writes and answers may be delayed or lost, and an entry may be killed
+before any step; its request then counts as `unknown`. A paused entry is one whose steps come
+later.
+
+A request is `(phase, based, message, late, minion, duty)`:
+
+- `phase`: step of the request; `waiting n` and `not_run says n` name the owner n of the claim.
+- `based`: the version that the entry read is still the store's version.
+- `message`: write whose answer the entry awaits, as `(kind, is_based)`, or the store's answer:
+  `ok`, `conflict`, or `none` when the write never arrives.
+- `late`: kinds of writes under way whose answer nobody awaits. One whose version has moved is left
+  out, because the store refuses it.
+- `minion`: `""`, `sent`, `ran` or `refused`.
+- `duty`: `""`, `owed` (the entry must still release) or `lost` (it must, and an answer of the
+  store was lost).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from itertools import chain
+from typing import Any
+
+from foxtailwell_model._specification import Specification, State, Step, Transitions
+
+__all__ = ["CLAIMS"]
+
+RULES = {
+    "claim_comes_before_send": "entry._requests.RequestRunner",
+    "claim_is_never_taken_over": "core._claims.apply_claims",
+    "write_names_the_version_it_read": "adapters.store.StoreClient.compare_and_swap",
+    "own_write_is_read_back": "adapters.store.StoreClient.write_recognised",
+    "lost_claim_is_fenced_by_a_write": "entry._claim_writer.ClaimWriter.run",
+    "release_names_its_request": "core._claims.apply_claims",
+    "release_comes_before_not_run": "entry._requests.RequestRunner",
+    "cut_is_outcome_unknown": "entry._requests.RequestRunner",
+    "cut_is_not_sent_again": "core.may_retry",
+    "response_must_carry_the_request_id": "adapters.minions",
+    "key_is_bound_to_the_digest": "entry._requests.RequestRunner",
+    "owner_says_running_until_it_knows": "entry._claim_results.ClaimResults",
+}
+
+FIELDS = ("holder", "same_body", "r0", "r1", "r2")
+PARTS = {"phase": 0, "based": 1, "message": 2, "late": 3, "minion": 4, "duty": 5}
+FREE = -1
+NEW: State = ("idle", False, None, (), "", "")
+INITIAL: State = (FREE, True, NEW, NEW, NEW)
+ENDED = frozenset({"answered", "forwarded", "mixed_up", "not_run", "unknown"})
+REQUESTS = range(3)
+
+
+def _make_transitions(removed: frozenset[str]) -> Transitions:
+    parts = (_arrive, _claim, _store, _send, _release, _duplicate, _kill)
+
+    def transitions(state: State) -> Iterable[Step]:
+        for number in REQUESTS:
+            phase, _, message, late, minion, duty = state[2 + number]
+            if phase in ENDED and not (message or late or duty or minion == "sent"):
+                continue
+            steps = chain.from_iterable(part(state, number, removed) for part in parts)
+            for label, after in steps:
+                yield f"r{number} {label}", after
+
+    return transitions
+
+
+def _put(state: State, number: int, **changes: object) -> State:
+    request = list(state[2 + number])
+    for name, value in changes.items():
+        request[PARTS[name]] = value
+    after = list(state)
+    after[2 + number] = tuple(request)
+    return tuple(after)
+
+
+def _arrive(state: State, number: int, removed: frozenset[str]) -> Iterator[Step]:
+    phase = state[2 + number][0]
+    if phase != "idle" or (number == 2 and state[2][0] not in ("not_run", "unknown")):
+        return
+    begun = "claimed" if "claim_comes_before_send" in removed else "reading"
+    yield "arrives", _put(state, number, phase=begun)
+    if number == 1:
+        yield "arrives with another body", (state[0], False, *_put(state, 1, phase=begun)[2:])
+
+
+def _claim(state: State, number: int, removed: frozenset[str]) -> Iterator[Step]:
+    holder = state[0]
+    phase, based, message, late, _, _ = state[2 + number]
+    if phase == "reading":
+        if holder in (FREE, number) or "claim_is_never_taken_over" in removed:
+            yield "reads", _put(state, number, phase="read", based=True)
+        else:
+            yield "reads a claim", _put(state, number, phase=f"waiting {holder}")
+        yield "gives up", _put(state, number, phase="not_run")
+    elif phase == "read":
+        yield "sends its claim", _put(state, number, phase="writing", message=("claim", based))
+    elif phase == "writing":
+        if message == "ok":
+            yield "is claimed", _put(state, number, phase="claimed", based=False, message=None)
+        elif message == "conflict":
+            yield "is in conflict", _put(state, number, phase="reading", message=None)
+        late = _late(message, late, removed)
+        yield "loses the answer", _put(state, number, phase="lost", message=None, late=late)
+    elif phase == "lost":
+        if "own_write_is_read_back" in removed:
+            yield "takes the claim as written", _put(state, number, phase="claimed")
+        elif holder == number:
+            yield "reads its own write", _put(state, number, phase="claimed", based=False)
+        elif not based:
+            yield "reads another version", _put(state, number, phase="reading")
+        # The version is unchanged or the store does not answer: the write may still arrive.
+        yield "gives up its claim", _put(state, number, phase="not_run", based=False, duty="lost")
+
+
+def _late(message: Any, late: tuple[str, ...], removed: frozenset[str]) -> tuple[str, ...]:
+    if not isinstance(message, tuple):
+        return late
+    kind, is_based = message
+    is_refused = not is_based and "write_names_the_version_it_read" not in removed
+    return late if is_refused else tuple(sorted({*late, kind}))
+
+
+def _store(state: State, number: int, removed: frozenset[str]) -> Iterator[Step]:
+    _, _, message, late, _, _ = state[2 + number]
+    for kind in late:
+        left = tuple(k for k in late if k != kind)
+        yield (
+            f"late {kind} takes effect",
+            _written(_put(state, number, late=left), number, kind, removed),
+        )
+    if not isinstance(message, tuple):
+        return
+    yield "loses a write on the way", _put(state, number, message="none")
+    kind, is_based = message
+    if is_based or "write_names_the_version_it_read" in removed:
+        yield (
+            f"{kind} takes effect",
+            _written(_put(state, number, message="ok"), number, kind, removed),
+        )
+    else:
+        yield f"{kind} is refused", _put(state, number, message="conflict")
+
+
+def _written(state: State, number: int, kind: str, removed: frozenset[str]) -> State:
+    holder = state[0]
+    if kind == "claim":
+        holder = number
+    elif holder == number or kind == "release of any":
+        holder = FREE
+    after = (holder, *state[1:])
+    for other in REQUESTS:
+        _, _, message, late, _, _ = after[2 + other]
+        if isinstance(message, tuple):
+            message = (message[0], False)
+        late = late if "write_names_the_version_it_read" in removed else ()
+        after = _put(after, other, based=False, message=message, late=late)
+    return after
+
+
+def _send(state: State, number: int, removed: frozenset[str]) -> Iterator[Step]:
+    phase, _, _, _, minion, _ = state[2 + number]
+    if minion == "sent":
+        yield "runs at the minion", _put(state, number, minion="ran")
+        yield "is refused by the minion", _put(state, number, minion="refused")
+    if phase == "claimed":
+        yield "is sent", _put(state, number, phase="sent", minion=_sent_again(minion))
+        yield from _begin_release(state, number, "gives up unsent", removed)
+    elif phase == "sent":
+        if minion in ("ran", "ran twice"):
+            yield "gets its response", _put(state, number, phase="answered")
+        if minion == "refused":
+            yield "may be sent again", _put(state, number, phase="claimed", minion="")
+            yield from _begin_release(state, number, "is told the refusal", removed)
+        foreign = "mixed_up" if "response_must_carry_the_request_id" in removed else "unknown"
+        yield "gets another request's response", _put(state, number, phase=foreign)
+        lost = "unknown" if "cut_is_outcome_unknown" not in removed else "not_run"
+        yield "is cut", _put(state, number, phase=lost)
+        if "cut_is_not_sent_again" in removed:
+            yield "is cut and kept", _put(state, number, phase="claimed")
+
+
+def _sent_again(minion: str) -> str:
+    return "ran twice" if minion == "ran" else "sent"
+
+
+def _begin_release(
+    state: State, number: int, label: str, removed: frozenset[str]
+) -> Iterator[Step]:
+    if "release_comes_before_not_run" in removed:
+        yield label, _put(state, number, phase="not_run", duty="owed")
+    else:
+        yield label, _put(state, number, phase="releasing", duty="owed")
+
+
+def _release(state: State, number: int, removed: frozenset[str]) -> Iterator[Step]:
+    """Release now, or in the background after the response when the store gave no answer."""
+    holder = state[0]
+    phase, _, message, late, _, duty = state[2 + number]
+    if not duty or phase not in ("releasing", "not_run"):
+        return
+    any_holder = "release_names_its_request" in removed
+    kind = "release of any" if any_holder else "release"
+    is_written = holder == number or any_holder
+    if message in (None, "conflict"):
+        if is_written or "lost_claim_is_fenced_by_a_write" not in removed:
+            yield "sends its release", _put(state, number, message=(kind, True))
+        else:
+            yield "finds nothing to release", _put(state, number, phase="not_run", duty="")
+    elif message == "ok":
+        yield "is released", _put(state, number, phase="not_run", message=None, duty="")
+    if message is not None:
+        late = _late(message, late, removed)
+        yield (
+            "loses the answer to its release",
+            _put(state, number, phase="not_run", message=None, late=late, duty="lost"),
+        )
+
+
+def _duplicate(state: State, number: int, removed: frozenset[str]) -> Iterator[Step]:
+    phase = state[2 + number][0]
+    if not phase.startswith("waiting "):
+        return
+    owner = int(phase.removeprefix("waiting "))
+    is_same = state[1] or 1 not in (number, owner)
+    if not is_same and "key_is_bound_to_the_digest" not in removed:
+        yield "is refused", _put(state, number, phase="not_run")
+        return
+    owner_phase = state[2 + owner][0]
+    if owner_phase in ("answered", "forwarded"):
+        got = "forwarded" if is_same else "mixed_up"
+        yield "gets the owner's response", _put(state, number, phase=got)
+    elif owner_phase not in ENDED and "owner_says_running_until_it_knows" in removed:
+        yield (
+            "hears that the owner has not run it",
+            _put(state, number, phase=f"not_run says {owner}"),
+        )
+    # The owner is dead or does not answer, or the caller's deadline has passed.
+    yield "gets no answer from the owner", _put(state, number, phase="unknown")
+
+
+def _kill(state: State, number: int, removed: frozenset[str]) -> Iterator[Step]:
+    if state[2 + number][0] not in ENDED | {"idle"}:
+        late = _late(state[2 + number][2], state[2 + number][3], removed)
+        killed = _put(state, number, phase="unknown", based=False, message=None, late=late, duty="")
+        yield "is killed", killed
+
+
+def _requests(values: Mapping[str, Any]) -> tuple[State, ...]:
+    return values["r0"], values["r1"], values["r2"]
+
+
+def _every(rule: Callable[[int, State, Mapping[str, Any]], bool]) -> Callable[..., bool]:
+    return lambda d: all(rule(i, r, d) for i, r in enumerate(_requests(d)))
+
+
+def _runs_at_most_once(values: Mapping[str, Any]) -> bool:
+    ran = [request[4] for request in _requests(values)]
+    return sum(m in ("ran", "sent") for m in ran) + 2 * ran.count("ran twice") <= 1
+
+
+def _not_run_is_true(number: int, request: State, values: Mapping[str, Any]) -> bool:
+    phase = request[0]
+    if phase == "not_run":
+        return request[4] in ("", "refused")
+    if phase.startswith("not_run says "):
+        owner = _requests(values)[int(phase.removeprefix("not_run says "))]
+        return owner[4] in ("", "refused")
+    return True
+
+
+CLAIMS = Specification(
+    name="claims",
+    fields=FIELDS,
+    initial=INITIAL,
+    make_transitions=_make_transitions,
+    invariants={
+        "runs_at_most_once": _runs_at_most_once,
+        "not_run_is_true": _every(_not_run_is_true),
+        "no_other_response": _every(lambda i, r, d: r[0] != "mixed_up"),
+        "not_run_leaves_no_claim": _every(
+            lambda i, r, d: r[0] != "not_run" or r[5] == "lost" or d["holder"] != i
+        ),
+    },
+    rules=RULES,
+)
