Add the specification of a zone's failover

Cause: nothing checked that an old holder which wakes can neither write nor command. Change: two schedulers that hold a zone in turn, terms up to 3, lost answers, late writes, commands that arrive at any time and more than once.

--- /dev/null
+++ b/src/foxtailwell_model/_failover.py
@@ -0,0 +1,262 @@
+"""Failover of a zone's scheduler with fencing.
+
+Two schedulers A and B hold the zone in turn. A lease may lapse at any moment while its holder is
+paused; the old holder does not know and goes on with its next step whenever it wakes. The holder
+starts one gang on one worker: take the accelerators, `start`, write the job as running, `run`.
+Writes name the version that was read; their answers may be lost and they may arrive late. A
+command that was sent may arrive at any time, more than once, or never.
+
+The documents of the allocation and of the job are one document here: the rule under check is the
+same for both, a compare-and-swap that also compares the term.
+
+A scheduler is `(phase, term, based, write, late)`, as in the specification of claims: `write` is
+`(kind, is_based)` while its answer is awaited, or the answer, and `late` holds writes whose answer
+nobody awaits. A command is `(operation, term, attempt)`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+from foxtailwell_model._specification import Specification, State, Step, Transitions
+
+__all__ = ["FAILOVER"]
+
+RULES = {
+    "worker_refuses_a_lower_term": "the worker",
+    "worker_refuses_a_lower_attempt": "the worker",
+    "new_holder_raises_the_term": "core.raise_term",
+    "raise_is_read_back": "adapters.store.StoreClient.write_recognised",
+    "write_names_the_version_it_read": "adapters.store.StoreClient.compare_and_swap",
+    "write_compares_the_term_again": "scheduler._mutations",
+    "query_carries_the_term": "scheduler._links",
+    "running_is_written_before_run": "core.advance (CommitRun)",
+    "running_gang_is_resumed": "core.resume_gang",
+}
+
+MAX_TERM = 3
+MAX_ATTEMPT = 2
+NOBODY = -1
+FIELDS = (
+    "lease",  # holder
+    "term",
+    "raiser",  # scheduler that wrote the term
+    "gang",  # absent, taken or running
+    "attempt",
+    "a",
+    "b",
+    "worker",  # (highest term, attempt, task)
+    "commands",  # sent so far
+    "fault",  # a step that must not happen
+)
+LEASE, TERM, RAISER, GANG, ATTEMPT, A, B, WORKER, COMMANDS, FAULT = range(10)
+OUT: State = ("out", 0, False, None, ())
+INITIAL: State = (NOBODY, 0, NOBODY, "absent", 0, OUT, OUT, (0, 0, "none"), (), "")
+PHASE_AFTER_WRITE = {"raise": "asking", "take": "taken", "commit": "open", "release": "ready"}
+
+
+def _make_transitions(removed: frozenset[str]) -> Transitions:
+    def transitions(state: State) -> Iterable[Step]:
+        if state[FAULT]:
+            return
+        if state[LEASE] != NOBODY:
+            yield "the lease lapses", _with(state, (LEASE, NOBODY))
+        for own, name in ((A, "a"), (B, "b")):
+            for part in (_elect, _ask, _start, _await, _store):
+                for label, after in part(state, own, removed):
+                    yield f"{name} {label}", after
+        yield from _worker(state, removed)
+
+    return transitions
+
+
+def _with(state: State, *changes: tuple[int, Any]) -> State:
+    after = list(state)
+    for index, value in changes:
+        after[index] = value
+    return tuple(after)
+
+
+def _phase(state: State, own: int, phase: str) -> State:
+    return _with(state, (own, (phase, *state[own][1:])))
+
+
+def _elect(state: State, own: int, removed: frozenset[str]) -> Iterator[Step]:
+    phase = state[own][0]
+    if phase == "out" and state[LEASE] == NOBODY and state[TERM] < MAX_TERM:
+        yield "acquires the lease", _with(_phase(state, own, "elected"), (LEASE, own))
+    elif phase == "elected":
+        rise = 0 if "new_holder_raises_the_term" in removed else 1
+        term = state[TERM] + rise
+        if term <= MAX_TERM:
+            late = state[own][4]
+            elected = ("raising", term, True, ("raise", True), late)
+            yield "sends the new term", _with(state, (own, elected))
+        yield "gives up", _phase(state, own, "out")
+
+
+def _ask(state: State, own: int, removed: frozenset[str]) -> Iterator[Step]:
+    """Ask the worker for its tasks, and continue from the documents and its answer."""
+    phase, term = state[own][:2]
+    seen, _, task = state[WORKER]
+    if phase != "asking" or (seen > term and "worker_refuses_a_lower_term" not in removed):
+        return
+    if "query_carries_the_term" not in removed:
+        state = _with(state, (WORKER, (max(seen, term), *state[WORKER][1:])))
+    gang = state[GANG]
+    if gang == "absent":
+        yield "finds no gang", _phase(state, own, "ready")
+    elif gang == "running" and task == "running" and "running_gang_is_resumed" not in removed:
+        yield "resumes the running gang", _phase(state, own, "running")
+    else:
+        yield "stops the gang", _send(_phase(state, own, "stopping"), own, "stop")
+
+
+def _send(state: State, own: int, operation: str) -> State:
+    command = (operation, state[own][1], state[ATTEMPT])
+    return _with(state, (COMMANDS, tuple(sorted({*state[COMMANDS], command}))))
+
+
+def _start(state: State, own: int, removed: frozenset[str]) -> Iterator[Step]:
+    phase, term = state[own][:2]
+    seen, attempt, task = state[WORKER]
+    is_heard = seen <= term or "worker_refuses_a_lower_term" in removed
+    if phase == "ready" and state[ATTEMPT] < MAX_ATTEMPT:
+        yield "takes the accelerators", _write(state, own, "take")
+    elif phase == "taken":
+        yield "sends start", _send(_phase(state, own, "starting"), own, "start")
+    elif phase == "starting":
+        if is_heard and attempt == state[ATTEMPT] and task == "started":
+            yield "hears that the task has started", _phase(state, own, "started")
+    elif phase == "started":
+        if "running_is_written_before_run" in removed:
+            yield "sends run", _send(_phase(state, own, "running late"), own, "run")
+        else:
+            yield "writes running", _write(state, own, "commit")
+    elif phase == "running late":
+        yield "writes running", _write(state, own, "commit")
+    elif phase == "open":
+        yield "sends run", _send(_phase(state, own, "running"), own, "run")
+    elif phase == "stopping" and is_heard and task in ("none", "stopped"):
+        yield "releases the accelerators", _write(state, own, "release")
+
+
+def _write(state: State, own: int, kind: str) -> State:
+    _, term, _, _, late = state[own]
+    # Another scheduler's document is seen now, or by the conflict when it comes later.
+    is_based = state[TERM] == term
+    return _with(state, (own, (f"writing {kind}", term, is_based, (kind, is_based), late)))
+
+
+def _await(state: State, own: int, removed: frozenset[str]) -> Iterator[Step]:
+    phase, term, _, write, late = state[own]
+    if write is None:
+        return
+    kind = "raise" if phase == "raising" else phase.removeprefix("writing ")
+    if write == "ok":
+        done = (PHASE_AFTER_WRITE[kind], term, False, None, late)
+        yield f"has written {kind}", _with(state, (own, done))
+        return
+    if isinstance(write, tuple):
+        late = tuple(sorted({*late, (kind, term)})) if write[1] else late
+        if kind == "raise" and "raise_is_read_back" in removed:
+            assumed = (PHASE_AFTER_WRITE[kind], term, False, None, late)
+            yield "takes the term as written", _with(state, (own, assumed))
+    yield f"reads back after {kind}", _read_back(state, own, kind, late, removed)
+
+
+def _read_back(
+    state: State, own: int, kind: str, late: tuple[Any, ...], removed: frozenset[str]
+) -> State:
+    _, term, based, _, _ = state[own]
+    is_own = state[TERM] == term and state[RAISER] == own
+    if kind == "raise":
+        phase = "asking" if is_own else "elected" if not based else "out"
+        return _with(state, (own, (phase, term, False, None, late)))
+    if not is_own and "write_compares_the_term_again" not in removed:
+        return _with(state, (own, ("out", term, False, None, late)))
+    has_effect = {
+        "take": state[GANG] == "taken",
+        "commit": state[GANG] == "running",
+        "release": state[GANG] == "absent",
+    }[kind]
+    if has_effect and is_own:
+        return _with(state, (own, (PHASE_AFTER_WRITE[kind], term, False, None, late)))
+    return _with(state, (own, (f"writing {kind}", term, True, (kind, True), late)))
+
+
+def _store(state: State, own: int, removed: frozenset[str]) -> Iterator[Step]:
+    phase, term, based, write, late = state[own]
+    for kind, late_term in late:
+        left = tuple(w for w in late if w != (kind, late_term))
+        before = _with(state, (own, (phase, term, based, write, left)))
+        yield f"has a late {kind} take effect", _effect(before, own, kind, late_term, removed)
+    if not isinstance(write, tuple):
+        return
+    kind, is_based = write
+    if is_based or "write_names_the_version_it_read" in removed:
+        before = _with(state, (own, (phase, term, based, "ok", late)))
+        yield f"has its {kind} take effect", _effect(before, own, kind, term, removed)
+    else:
+        refused = (phase, term, based, "conflict", late)
+        yield f"has its {kind} refused", _with(state, (own, refused))
+
+
+def _effect(state: State, own: int, kind: str, term: int, removed: frozenset[str]) -> State:
+    if kind == "raise":
+        state = _with(state, (TERM, term), (RAISER, own))
+    elif term < state[TERM]:
+        return _with(state, (FAULT, "a write of an old holder took effect"))
+    elif kind == "take":
+        state = _with(state, (GANG, "taken"), (ATTEMPT, state[ATTEMPT] + 1))
+    else:
+        state = _with(state, (GANG, {"commit": "running", "release": "absent"}[kind]))
+    for other in (A, B):
+        phase, other_term, _, write, late = state[other]
+        write = (write[0], False) if isinstance(write, tuple) else write
+        late = late if "write_names_the_version_it_read" in removed else ()
+        state = _with(state, (other, (phase, other_term, False, write, late)))
+    return state
+
+
+def _worker(state: State, removed: frozenset[str]) -> Iterator[Step]:
+    seen, attempt, task = state[WORKER]
+    for operation, term, number in state[COMMANDS]:
+        if term < seen and "worker_refuses_a_lower_term" not in removed:
+            continue
+        if number < attempt and "worker_refuses_a_lower_attempt" not in removed:
+            continue
+        if term < seen:
+            yield "obeys an old term", _with(state, (FAULT, "an old term was obeyed"))
+        new_task = _task_after(task if number == attempt else "none", operation)
+        is_failover_stop = operation == "stop" and task == "running"
+        fault = "a running gang was stopped by a failover" if is_failover_stop else ""
+        after = (max(seen, term), number, new_task)
+        yield f"the worker takes {operation}", _with(state, (WORKER, after), (FAULT, fault))
+
+
+def _task_after(task: str, operation: str) -> str:
+    if operation == "stop":
+        return "stopped"
+    if operation == "start":
+        return "started" if task == "none" else task
+    return "running" if task == "started" else task
+
+
+FAILOVER = Specification(
+    name="failover",
+    fields=FIELDS,
+    initial=INITIAL,
+    make_transitions=_make_transitions,
+    invariants={
+        "no_fault": lambda d: not d["fault"],
+        "one_scheduler_per_term": lambda d: not _share_a_term(d["a"], d["b"]),
+    },
+    rules=RULES,
+)
+
+
+def _share_a_term(a: State, b: State) -> bool:
+    idle = ("out", "elected", "raising")
+    return a[0] not in idle and b[0] not in idle and bool(a[1] == b[1])
