Let a job return to a worker on which it failed when nothing else can hold it

Cause: the planner never placed a job on a worker on which it had failed. A job of three members on a fleet of three workers waited for ever after one failure (test_failed_task_returns_the_job_with_its_worker timed out after 20 s). Ruled out: ending the job, which would lose work for one bad task. Change: failed workers are avoided only while the other usable workers of a zone can hold the gang. Conclusion: avoidance is a preference; the rule of three failing workers stays.

--- a/src/foxtailwell/core/__init__.py
+++ b/src/foxtailwell/core/__init__.py
@@ -193,7 +193,7 @@
     cancel_jobs,
     check_submission,
     job_from_submission,
-    largest_gang,
+    largest_member_count,
     members_per_worker,
 )
 
@@ -321,7 +321,7 @@
     "job_from_submission",
     "job_id",
     "job_shard",
-    "largest_gang",
+    "largest_member_count",
     "less_loaded",
     "limit_after_refusal",
     "limit_after_success",
--- a/src/foxtailwell/core/_planner.py
+++ b/src/foxtailwell/core/_planner.py
@@ -31,6 +31,7 @@
     URGENT_CHECKPOINT_WAIT_S,
     Situation,
 )
+from foxtailwell.core._submissions import largest_member_count
 
 CHECKPOINT_WAIT_S = 30.0
 """Longest wait for a checkpoint when no urgent work needs the accelerators."""
@@ -260,13 +261,25 @@
         if not self._facts.capacity.zones:
             self._waiting[job.id] = WaitReason("no_zone", "no zone is in service", "a zone back")
             return
-        with self._avoiding(job.failed_workers):
+        with self._avoiding(self._avoidable_workers(job)):
             held = self._reservations.get(job.id)
             if held is None:
                 self._start_or_make_room(job)
             else:
                 self._start_reserved(job, held)
 
+    def _avoidable_workers(self, job: Job) -> tuple[str, ...]:
+        """Return the workers on which the job failed, as long as the others could hold it.
+
+        In a small fleet a job may need a worker on which it failed once; it would wait for ever.
+        """
+        if not job.failed_workers:
+            return ()
+        excluded = {*job.failed_workers, *self._facts.quarantined}
+        others = [w for w in self._facts.usable if w.id not in excluded]
+        fits = largest_member_count(job.spec, others) >= job.spec.members
+        return job.failed_workers if fits else ()
+
     def _start_or_make_room(self, job: Job) -> None:
         found = self._place(job)
         if found is not None:
--- a/src/foxtailwell/core/_submissions.py
+++ b/src/foxtailwell/core/_submissions.py
@@ -83,7 +83,7 @@
     return tuple(issues)
 
 
-def largest_gang(spec: GangSpec, workers: Iterable[InstanceRecord]) -> int:
+def largest_member_count(spec: GangSpec, workers: Iterable[InstanceRecord]) -> int:
     """Return how many members of a gang the best zone can hold when it is empty."""
     zones: dict[str, int] = {}
     for worker in workers:
@@ -167,7 +167,7 @@
     if not workers:
         # Without an instance list nothing is known about sizes; the planner checks again.
         return
-    fitting = largest_gang(submission.spec, workers)
+    fitting = largest_member_count(submission.spec, workers)
     if fitting < submission.members:
         yield _issue(
             path,
