Add the specifications of gangs and task leases

Cause: I2 and I10 rest on the order of prepare, start, commit, run and release. Ruled out: one specification with leases and start protocol together; the states grow past the budget, and a start lasts 2 s while a lease lasts 30 s. Change: gang_of_two, gang_of_three and task_lease.

--- a/src/foxtailwell_model/_specifications.py
+++ b/src/foxtailwell_model/_specifications.py
@@ -3,8 +3,17 @@
 from foxtailwell_model._claims import CLAIMS
 from foxtailwell_model._failover import FAILOVER
 from foxtailwell_model._freshness import FRESHNESS
+from foxtailwell_model._gangs import GANG_OF_THREE, GANG_OF_TWO
 from foxtailwell_model._specification import Specification
+from foxtailwell_model._task_lease import TASK_LEASE
 
 __all__ = ["SPECIFICATIONS"]
 
-SPECIFICATIONS: tuple[Specification, ...] = (FRESHNESS, CLAIMS, FAILOVER)
+SPECIFICATIONS: tuple[Specification, ...] = (
+    FRESHNESS,
+    CLAIMS,
+    GANG_OF_THREE,
+    GANG_OF_TWO,
+    TASK_LEASE,
+    FAILOVER,
+)
