--- a/src/foxtailwell/core/errors.py
+++ b/src/foxtailwell/core/errors.py
@@ -5,13 +5,16 @@
 from dataclasses import dataclass
 
 __all__ = [
+    "AcceleratorsTakenError",
     "ConflictError",
     "DocumentError",
     "FoxtailwellError",
+    "FrameError",
     "IllegalTransitionError",
     "KeyReusedError",
     "NotRunError",
     "OutcomeUnknownError",
+    "StaleTermError",
     "StoreConflictError",
     "StoreOverloadedError",
     "StoreUnavailableError",
@@ -90,6 +93,30 @@
         )
 
 
+class AcceleratorsTakenError(FoxtailwellError):
+    """A gang cannot take all of its accelerators, so it took none."""
+
+    code = "accelerators_taken"
+
+    def __init__(self, job_id: str, cause: str) -> None:
+        super().__init__(
+            f"gang of job {job_id} cannot be taken: {cause}", "plan again with the newest document"
+        )
+
+
+class StaleTermError(FoxtailwellError):
+    """Another scheduler holds the zone with a higher fencing token."""
+
+    code = "stale_term"
+
+    def __init__(self, zone: str, term: int, seen_term: int) -> None:
+        super().__init__(
+            f"zone {zone}: term {term} is older than {seen_term}",
+            "give the zone up; its new holder continues the gangs",
+        )
+        self.seen_term = seen_term
+
+
 class KeyReusedError(FoxtailwellError):
     """An idempotency key was used again for different work; nothing was accepted."""
 
@@ -143,3 +170,9 @@
     """A document was written by a newer release."""
 
     code = "unsupported_schema"
+
+
+class FrameError(FoxtailwellError):
+    """A message of a peer cannot be accepted; its connection is closed."""
+
+    code = "bad_frame"
