--- a/src/foxtailwell_model/_gangs.py
+++ b/src/foxtailwell_model/_gangs.py
@@ -21,7 +21,7 @@
 from foxtailwell.core import PREPARATION_LIMIT_S
 from foxtailwell_model._specification import Specification, State, Step, Transitions
 
-__all__ = ["GANG_OF_THREE", "GANG_OF_TWO"]
+__all__ = ["GANG_OF_THREE", "GANG_OF_TWO", "gang_steps"]
 
 RULES = {
     "run_waits_until_all_have_started": "core.advance (CommitRun)",
@@ -58,17 +58,15 @@
 S1, SENT, KNOWN, COMMIT, JOB, TERM, S2, FOUND, ENDED, MEMBERS, VERDICT = range(11)
 
 
-def _make_transitions(removed: frozenset[str]) -> Transitions:
-    parts = (_first, _hear, _commit, _end_first, _second, _workers)
+def gang_steps(state: State, removed: frozenset[str] = frozenset()) -> Iterator[Step]:
+    """Return the steps out of a state, with the members where they are."""
+    yield "tick", _with(state, (MEMBERS, tuple(_older(m) for m in state[MEMBERS])))
+    for part in (_first, _hear, _commit, _end_first, _second, _workers):
+        yield from part(state, removed)
 
-    def transitions(state: State) -> Iterable[Step]:
-        aged = _with(state, (MEMBERS, tuple(_older(m) for m in state[MEMBERS])))
-        yield "tick", _sorted(aged)
-        for part in parts:
-            for label, after in part(state, removed):
-                yield label, _sorted(after)
 
-    return transitions
+def _make_transitions(removed: frozenset[str]) -> Transitions:
+    return lambda state: ((label, _sorted(after)) for label, after in gang_steps(state, removed))
 
 
 def _sorted(state: State) -> State:
--- a/src/foxtailwell_model/_run.py
+++ b/src/foxtailwell_model/_run.py
@@ -5,13 +5,14 @@
 import json
 import os
 import sys
+from collections.abc import Iterable
 from concurrent.futures import Future, ProcessPoolExecutor
 from multiprocessing import get_context
 
 from foxtailwell_model._specification import Outcome, Specification, check
 from foxtailwell_model._specifications import SPECIFICATIONS
 
-__all__ = ["main"]
+__all__ = ["is_proved", "main"]
 
 MAX_PROCESSES = 4
 
@@ -53,4 +54,9 @@
     print(json.dumps(report), flush=True)
     for label, state in outcome.trace:
         print(f"  {label}: {state}", file=sys.stderr)
-    return outcome.exhaustive and outcome.holds and all(m.refuted for m in mutants.values())
+    return is_proved(outcome, mutants.values())
+
+
+def is_proved(outcome: Outcome, mutants: Iterable[Outcome]) -> bool:
+    """Return whether a specification holds in all of its states and no mutant does."""
+    return outcome.exhaustive and outcome.holds and all(m.refuted for m in mutants)
