Add a TCP relay for failure tests

Cause: cut and slow links between real processes had no test tool. Change: relay with control over HTTP: cut, delay, jitter, bandwidth, loss of one direction, cut after n bytes; a stream that lost bytes is closed once the link heals. Also: core.take and core.release are compared with a plain set of accelerators.

--- a/src/foxtailwell_standins/cli.py
+++ b/src/foxtailwell_standins/cli.py
@@ -15,6 +15,7 @@
 from foxtailwell.core import InstanceRecord, Role
 from foxtailwell_standins.instance_list import InstanceListState, make_instance_list_app
 from foxtailwell_standins.minions import MinionState, serve_minion
+from foxtailwell_standins.relay import RelayState, make_relay_app, serve_relay
 from foxtailwell_standins.store import StoreState, make_store_app
 from foxtailwell_standins.workers import WorkerFleet, make_worker_records, serve_workers
 
@@ -91,6 +92,20 @@
         anyio.run(_serve_minions, self, backend_options={"use_uvloop": True})
 
 
+@cappa.command(name="relay", help="Run a TCP relay whose link can be disturbed.")
+@dataclass(frozen=True)
+class RelayCommand:
+    """Run a relay to one target, with its control interface."""
+
+    target: Annotated[str, cappa.Arg(help="host:port of the far end.")]
+    port: Annotated[int, cappa.Arg(long=True, help="Port on 127.0.0.1; 0 takes a free one.")] = 0
+    control_port: Annotated[int, cappa.Arg(long=True, help="Port of the control interface.")] = 0
+
+    def __call__(self) -> None:
+        """Serve until a signal arrives."""
+        anyio.run(_serve_relay, self)
+
+
 @cappa.command(name="register", help="Add an instance to the instance list.")
 @dataclass(frozen=True)
 class RegisterCommand:
@@ -115,7 +130,12 @@
     """Run one of the stand-ins."""
 
     command: cappa.Subcommands[
-        StoreCommand | InstanceListCommand | WorkersCommand | MinionsCommand | RegisterCommand
+        StoreCommand
+        | InstanceListCommand
+        | WorkersCommand
+        | MinionsCommand
+        | RelayCommand
+        | RegisterCommand
     ]
 
 
@@ -159,6 +179,18 @@
         group.cancel_scope.cancel()
 
 
+async def _serve_relay(command: RelayCommand) -> None:
+    state, stop = RelayState(command.target), anyio.Event()
+    async with anyio.create_task_group() as group:
+        app = make_relay_app(state)
+        control = await group.start(serve_http, app, "127.0.0.1", command.control_port, stop)
+        bound = await group.start(serve_relay, state, command.port)
+        print(f"control on 127.0.0.1:{control}", flush=True)
+        print(f"listening on 127.0.0.1:{bound}", flush=True)
+        await _wait_for_signal()
+        group.cancel_scope.cancel()
+
+
 async def _register(instance_list_url: str, records: list[InstanceRecord]) -> None:
     for record in records:
         print(f"{record.id} listening on {record.address}", flush=True)
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -31,6 +31,7 @@
     TaskSeen,
     TaskState,
     TimePassed,
+    ZoneAllocation,
     advance,
     apply_claims,
     begin_gang,
@@ -38,7 +39,11 @@
     evidence_from_store,
     may_start,
     newer_evidence,
+    release,
+    take,
+    taken_accelerators,
 )
+from foxtailwell.core.errors import AcceleratorsTakenError
 from foxtailwell_model import SPECIFICATIONS, check
 from foxtailwell_model._claims import CLAIMS
 from foxtailwell_model._freshness import FRESHNESS, STALE
@@ -205,6 +210,37 @@
     return changed, outcomes[0]
 
 
+# Allocations
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_no_accelerator_is_taken_twice(seed):
+    """Guards against two gangs on one accelerator, and a release of a newer attempt."""
+    rng = random.Random(seed)
+    allocation, held, refusals = ZoneAllocation(), {}, 0
+    for _ in range(400):
+        job, attempt = f"j{rng.randrange(4)}", rng.randrange(3)
+        if rng.random() < 0.4:
+            allocation = release(allocation, job, attempt)
+            held = {k: v for k, v in held.items() if v != (job, attempt)}
+        else:
+            wanted = rng.sample([(f"w{i % 2}", i // 2) for i in range(8)], 3)
+            members = tuple(Member(worker, (index,)) for worker, index in wanted)
+            is_free = not any(k in held for k in wanted)
+            is_free = is_free and all(holder != job for holder, _ in held.values())
+            try:
+                allocation = take(allocation, Gang(job, attempt, "account", members))
+            except AcceleratorsTakenError:
+                refusals += 1
+                assert not is_free
+                continue
+            assert is_free
+            held |= dict.fromkeys(wanted, (job, attempt))
+        taken = {(w, i) for w, indexes in taken_accelerators(allocation).items() for i in indexes}
+        assert taken == set(held)
+    assert refusals > 50, "the sequence must reach conflicts"
+
+
 # Gangs
 
 PHASES = {
