--- a/src/foxtailwell_bench/_workload.py
+++ b/src/foxtailwell_bench/_workload.py
@@ -115,7 +115,7 @@
         ClientAccount("stability", (Shape(8),), 64),
     ),
     mixes=(
-        Mix("caverns", "convergence", _wide(2, 3, 4, 6), (600, 2400), 0.50, 2),
+        Mix("caverns", "convergence", _wide(2, 2, 3, 4, 6), (300, 1500), 0.50, 3),
         Mix(
             "seismic",
             "picking",
@@ -124,8 +124,8 @@
             0.32,
             12,
         ),
-        Mix("stability", "picking", (GangSpec(1, 1), GangSpec(1, 3)), (120, 1200), 0.15, 10),
-        Mix("brine", "check", (GangSpec(1, 1), GangSpec(1, 2)), (10, 60), 0.03, 4),
+        Mix("stability", "picking", (GangSpec(1, 1), GangSpec(1, 3)), (120, 1200), 0.17, 10),
+        Mix("brine", "check", (GangSpec(1, 1), GangSpec(1, 2)), (10, 60), 0.01, 4),
     ),
 )
 
@@ -149,7 +149,7 @@
         ClientAccount("partners", (Shape(8, 2),), 96),
     ),
     mixes=(
-        Mix("models", "draught", _wide(2, 3, 4), (600, 2400), 0.42, 2),
+        Mix("models", "draught", _wide(2, 2, 3, 4), (300, 1500), 0.42, 3),
         Mix(
             "roofs",
             "survey",
@@ -158,8 +158,8 @@
             0.33,
             16,
         ),
-        Mix("partners", "survey", (GangSpec(1, 3), GangSpec(2, 4)), (180, 1200), 0.21, 8),
-        Mix("quotes", "quote-model", (GangSpec(1, 1), GangSpec(1, 2)), (10, 45), 0.04, 5),
+        Mix("partners", "survey", (GangSpec(1, 3), GangSpec(2, 4)), (180, 1200), 0.24, 8),
+        Mix("quotes", "quote-model", (GangSpec(1, 1), GangSpec(1, 2)), (10, 45), 0.01, 5),
     ),
 )
 
