--- a/src/foxtailwell/core/__init__.py
+++ b/src/foxtailwell/core/__init__.py
@@ -9,6 +9,7 @@
     WorkClass,
     ZoneOut,
 )
+from foxtailwell.core._explain import Explanation, Holder, explain_job, explanation_text
 from foxtailwell.core._first_fit import plan_first_fit
 from foxtailwell.core._freshness import (
     EVIDENCE_LIMIT_S,
@@ -67,11 +68,13 @@
     "Configuration",
     "Decision",
     "Evidence",
+    "Explanation",
     "FailJob",
     "Gang",
     "GangSpec",
     "GuaranteePacking",
     "GuaranteedSlot",
+    "Holder",
     "Holding",
     "InstanceRecord",
     "Job",
@@ -100,6 +103,8 @@
     "choose_borrowers",
     "evidence_from_peer",
     "evidence_from_store",
+    "explain_job",
+    "explanation_text",
     "fragmentation",
     "free_capacity",
     "is_hopeless",
--- /dev/null
+++ b/tests/test_planner.py
@@ -0,0 +1,505 @@
+"""Rules of the planner."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from foxtailwell.core import (
+    ClientAccount,
+    ClusterView,
+    Configuration,
+    FailJob,
+    Gang,
+    GangSpec,
+    InstanceRecord,
+    Job,
+    JobState,
+    Member,
+    QuarantineWorker,
+    RunTimes,
+    Shape,
+    StartGang,
+    StopGang,
+    WorkClass,
+    WorkerFailures,
+    WorkerHealth,
+    ZoneAllocation,
+    ZoneOut,
+    check_guarantees,
+    explain_job,
+    explanation_text,
+    is_reclaimable,
+    pack_guarantees,
+    plan,
+)
+
+ZONES = ("a", "b", "c")
+CLASSES = {
+    "urgent": WorkClass("urgent", "job", 5_000, 0, True),
+    "batch": WorkClass("batch", "job", 600_000, 0, True),
+}
+NOW_MS = 1_000_000
+
+
+def make_workers(zones=ZONES, per_zone=4, accelerators=8):
+    return tuple(
+        InstanceRecord(f"{z}{i}", "worker", z, "", rack=f"r{z}", accelerators=accelerators)
+        for z in zones
+        for i in range(per_zone)
+    )
+
+
+def make_job(job_id, account="lender", work_class="batch", members=1, size=1, **fields):
+    fields = {"submitted_unix_ms": NOW_MS, "state": JobState.WAITING, **fields}
+    spec = GangSpec(members, size)
+    return Job(job_id, account, work_class, spec, 600.0, True, "", **fields)
+
+
+def make_running(job_id, account, zone, members, started_ms=NOW_MS - 300_000):
+    """Return a running job and its gang."""
+    size = len(members[0].accelerators)
+    job = make_job(job_id, account, members=len(members), size=size, attempt=1)
+    job = replace(job, state=JobState.RUNNING, zone=zone, started_unix_ms=started_ms)
+    return job, Gang(job_id, 1, account, tuple(members), started_ms)
+
+
+def make_view(jobs=(), gangs=(), accounts=(), workers=None, **fields):
+    """Return a view; `gangs` are pairs of a job and its gang."""
+    allocations = {z: ZoneAllocation(zone=z) for z in ZONES}
+    for job, gang in gangs:
+        allocations[job.zone].gangs[job.id] = gang
+    configuration = fields.pop("configuration", None) or Configuration(
+        classes=CLASSES, accounts={a.name: a for a in accounts}
+    )
+    return ClusterView(
+        NOW_MS,
+        configuration,
+        make_workers() if workers is None else workers,
+        (*jobs, *(job for job, _ in gangs)),
+        allocations,
+        **fields,
+    )
+
+
+def fill_with_borrowers(zones=ZONES):
+    """Return gangs of one account that hold every accelerator."""
+    return [
+        make_running(f"b-{w.id}", "borrower", w.zone, [Member(w.id, tuple(range(8)))])
+        for w in make_workers(zones)
+    ]
+
+
+def decisions_of(view, kind):
+    return [d for d in plan(view).decisions if isinstance(d, kind)]
+
+
+def test_guarantees_pack_or_name_the_shape_that_does_not():
+    """Guards against accepting guarantees that do not fit, also after the loss of a zone."""
+    accounts = {"x": ClientAccount("x", (Shape(32, 2), Shape(8)))}
+    configuration = Configuration(accounts=accounts, survive_zone_loss=True)
+    assert pack_guarantees(configuration, make_workers()).fits
+    assert not pack_guarantees(configuration, make_workers(), without_zone="b").fits
+    packing = check_guarantees(configuration, make_workers())
+    assert packing.missing
+    assert "account x" in packing.reason
+
+
+def test_packing_searches_when_the_greedy_order_fails():
+    """Guards against refusing a configuration that fits: 4+2+2 and 3+3+2 fill two workers."""
+    shapes = (Shape(4), Shape(3, 2), Shape(2, 3))
+    configuration = Configuration(accounts={"x": ClientAccount("x", shapes)})
+    packing = pack_guarantees(configuration, make_workers(("a",), per_zone=2))
+    assert packing.fits
+    taken = [(m.worker, i) for s in packing.slots for m in s.members for i in m.accelerators]
+    assert len(taken) == len(set(taken)) == 16
+
+
+def test_guarantee_reclaims_the_cheapest_borrowers():
+    """Guards against a guaranteed shape that cannot be had from a full fleet."""
+    lender = ClientAccount("lender", (Shape(16),))
+    gangs = fill_with_borrowers()
+    cheap = {"b-b1", "b-b2"}
+    gangs = [
+        (replace(j, checkpoint="c", started_unix_ms=NOW_MS - 1000), g) if j.id in cheap else (j, g)
+        for j, g in gangs
+    ]
+    view = make_view([make_job("want", members=2, size=8)], gangs, [lender])
+    stops = decisions_of(view, StopGang)
+    assert {s.reason for s in stops} == {"reclaim"}
+    assert len(stops) == 2
+    assert plan(view).waiting["want"].code == "reclaiming"
+
+
+def test_urgent_work_waits_two_seconds_for_checkpoints():
+    """Guards against urgent work behind a long checkpoint."""
+    jobs = [make_job("u", "other", "urgent")]
+    stops = decisions_of(make_view(jobs, fill_with_borrowers()), StopGang)
+    assert [s.checkpoint_wait_s for s in stops] == [2.0]
+
+
+def test_reserved_gang_is_not_overtaken_but_backfilled():
+    """Guards against small jobs that starve a large gang, and against idle reservations."""
+    gangs = [
+        make_running(f"r{w.id}", "other", w.zone, [Member(w.id, tuple(range(8)))], NOW_MS)
+        for w in make_workers()
+        if w.id not in ("a0", "a1")
+    ]
+    large = make_job("large", "x", members=3, size=8, submitted_unix_ms=NOW_MS - 60_000)
+    small = make_job("small", "x", size=2, submitted_unix_ms=NOW_MS)
+    times = {job.id: 300.0 for job, _ in gangs}
+    late = make_view([large, small], gangs, run_time_s={**times, "small": 400.0})
+    assert plan(late).waiting["large"].code == "reserved"
+    assert plan(late).waiting["small"].code == "reserved_for_larger"
+    early = make_view([large, small], gangs, run_time_s={**times, "small": 200.0})
+    assert [d.job_id for d in decisions_of(early, StartGang)] == ["small"]
+
+
+def test_small_gangs_move_out_of_the_way_of_a_large_one():
+    """Guards against a large gang that waits for one small job on each worker."""
+    gangs = [
+        make_running(f"r{w.id}", "other", w.zone, [Member(w.id, (3,))]) for w in make_workers()
+    ]
+    large = make_job("large", "x", members=2, size=8, submitted_unix_ms=NOW_MS - 60_000)
+    stops = decisions_of(make_view([large], gangs), StopGang)
+    assert [s.reason for s in stops] == ["move", "move"]
+
+
+@pytest.mark.parametrize(
+    ("change", "reason"),
+    [
+        ({"cancel_requested": True}, "cancel"),
+        ({}, "zone_out"),
+        ({}, "worker_leaving"),
+    ],
+)
+def test_gangs_stop_when_they_may_not_go_on(change, reason):
+    """Guards against gangs that run on after a cancel, in a zone out or on a leaving worker."""
+    job, gang = make_running("r", "x", "a", [Member("a0", (0,))])
+    out = {"a": ZoneOut("a", 0, "o", "r")} if reason == "zone_out" else {}
+    workers = make_workers()
+    if reason == "worker_leaving":
+        workers = (replace(workers[0], state="leaving"), *workers[1:])
+    configuration = Configuration(classes=CLASSES, zones_out=out)
+    view = make_view(
+        gangs=[(replace(job, **change), gang)], workers=workers, configuration=configuration
+    )
+    assert [s.reason for s in decisions_of(view, StopGang)] == [reason]
+
+
+def test_starts_per_zone_and_second_are_bounded():
+    """Guards against a returned zone that is flooded with starts."""
+    jobs = [make_job(f"j{i:02}") for i in range(40)]
+    view = make_view(jobs)
+    zones = [d.zone for d in decisions_of(view, StartGang)]
+    assert {z: zones.count(z) for z in ZONES} == dict.fromkeys(ZONES, 8)
+    assert plan(view).waiting["j39"].code == "start_rate"
+
+
+def test_job_that_never_fits_fails_with_what_would_fit():
+    """Guards against a job that waits for ever, and one that fails while a zone is lost."""
+    jobs = [make_job("wide", size=9), make_job("many", members=5, size=8)]
+    reasons = {d.job_id: d.reason for d in decisions_of(make_view(jobs), FailJob)}
+    assert "largest worker has 8" in reasons["wide"]
+    assert "at most 4" in reasons["many"]
+    assert not decisions_of(make_view(jobs, workers=make_workers(("a", "b"))), FailJob)
+
+
+def test_failing_workers_and_jobs_end_their_row():
+    """Guards against a worker that fails every job and a job that fails on every worker."""
+    health = WorkerHealth()
+    for _ in range(3):
+        health.record_failure("a0", "same", NOW_MS)
+        assert len(health.failures()["a0"].job_ids) == 1
+    for index in range(3):
+        health.record_failure("a0", f"j{index}", NOW_MS)
+    hopeless = make_job("h", failed_workers=("b0", "b1", "b2"))
+    view = make_view([hopeless], failing_workers=health.failures())
+    assert decisions_of(view, QuarantineWorker) == [QuarantineWorker("a", "a0", NOW_MS + 60_000)]
+    assert [d.job_id for d in decisions_of(view, FailJob)] == ["h"]
+
+
+def test_worker_is_probed_with_one_job_after_its_quarantine():
+    """Guards against a full load on a worker that may still fail everything."""
+    failing = {"a0": WorkerFailures(("x", "y", "z"), NOW_MS - 70_000)}
+    view = make_view([make_job("p"), make_job("q")], failing_workers=failing)
+    view.allocations["a"].quarantined["a0"] = NOW_MS - 10
+    assert not decisions_of(view, QuarantineWorker)
+    on_worker = [d for d in decisions_of(view, StartGang) if d.members[0].worker == "a0"]
+    assert len(on_worker) == 1
+
+
+def test_run_times_are_learned_and_bounded():
+    """Guards against trusting declared run times and against state that grows with jobs."""
+    times = RunTimes()
+    job = make_job("j")
+    assert times.predict([job], NOW_MS) == {"j": 600.0}
+    for index in range(5000):
+        times.observe(f"account-{index}", "batch", 20.0)
+    for run_s in range(1, 101):
+        times.observe("lender", "batch", float(run_s))
+    assert times.predict([job], NOW_MS)["j"] == 94.0
+    assert times.quantile_s("lender", "batch", 0.5, longer_than_s=98.0) == 100.0
+    assert len(times._samples) <= 2048
+
+
+def test_explanation_names_what_is_needed_and_who_holds_it():
+    """Guards against a wait that nobody can explain."""
+    view = make_view([make_job("want", size=8)], fill_with_borrowers())
+    explanation = explain_job(view, plan(view), "want")
+    text = explanation_text(explanation)
+    assert explanation.code == "no_capacity"
+    assert "1 x 8 adjacent accelerators" in text
+    assert "held by: job b-" in text
+    assert explain_job(view, plan(view), "absent") is None
+
+
+class PlannerMachine(RuleBasedStateMachine):
+    """Carries out plans at once under arrivals, ends, cancels, failures and zone changes."""
+
+    accounts = (
+        ClientAccount("a1", (Shape(16), Shape(4, 2)), 40),
+        ClientAccount("a2", (Shape(8, 2),), 0),
+        ClientAccount("a3", (), 96),
+    )
+
+    @initialize()
+    def start(self):
+        """Begin with an empty fleet."""
+        self.now_ms = NOW_MS
+        self.configuration = Configuration(
+            survive_zone_loss=True, classes=CLASSES, accounts={a.name: a for a in self.accounts}
+        )
+        self.workers = {w.id: w for w in make_workers()}
+        self.jobs = {}
+        self.gangs = {z: {} for z in ZONES}
+        self.quarantined = {z: {} for z in ZONES}
+        self.failing = {}
+        self.number = 0
+        assert check_guarantees(self.configuration, self.workers.values()).fits
+
+    def view(self):
+        """Return what the planner sees."""
+        allocations = {
+            z: ZoneAllocation(zone=z, gangs=dict(self.gangs[z]), quarantined=self.quarantined[z])
+            for z in ZONES
+        }
+        jobs = tuple(self.jobs.values())
+        return ClusterView(
+            self.now_ms,
+            self.configuration,
+            tuple(self.workers.values()),
+            jobs,
+            allocations,
+            {},
+            dict(self.failing),
+        )
+
+    def submit(self, account, work_class, members, size):
+        """Add a waiting job."""
+        self.number += 1
+        job = make_job(f"j{self.number:03}", account, work_class, members, size)
+        self.jobs[job.id] = replace(job, submitted_unix_ms=self.now_ms)
+        return job.id
+
+    def step(self, seconds=2):
+        """Plan, check the plan and carry it out."""
+        self.now_ms += seconds * 1000
+        view = self.view()
+        result = plan(view)
+        self.check(view, result)
+        for decision in result.decisions:
+            if isinstance(decision, StartGang):
+                self.run(decision)
+            elif isinstance(decision, StopGang):
+                self.stop(decision.job_id)
+                if decision.reason == "cancel":
+                    del self.jobs[decision.job_id]
+            elif isinstance(decision, FailJob):
+                del self.jobs[decision.job_id]
+            else:
+                self.quarantined[decision.zone][decision.worker] = decision.until_unix_ms
+                self.failing.pop(decision.worker)
+        return result
+
+    def run(self, decision):
+        """Carry out a start."""
+        job = self.jobs[decision.job_id]
+        self.gangs[decision.zone][job.id] = Gang(
+            job.id, job.attempt + 1, job.account, decision.members, self.now_ms
+        )
+        self.jobs[job.id] = replace(
+            job,
+            state=JobState.RUNNING,
+            zone=decision.zone,
+            attempt=job.attempt + 1,
+            started_unix_ms=self.now_ms,
+        )
+
+    def stop(self, job_id):
+        """Carry out a stop with a checkpoint."""
+        job = self.jobs[job_id]
+        del self.gangs[job.zone][job_id]
+        self.jobs[job_id] = replace(job, state=JobState.WAITING, zone="", checkpoint="c")
+
+    def check(self, view, result):
+        """Check the invariants of one plan."""
+        starts = [d for d in result.decisions if isinstance(d, StartGang)]
+        taken = set()
+        used = dict.fromkeys(self.configuration.accounts, 0)
+        for gangs in self.gangs.values():
+            for gang in gangs.values():
+                for member in gang.members:
+                    taken |= {(member.worker, i) for i in member.accelerators}
+                    used[gang.account] += len(member.accelerators)
+        quarantined = {
+            w for z in self.quarantined.values() for w, until in z.items() if until > self.now_ms
+        }
+        per_zone = dict.fromkeys(ZONES, 0)
+        for start in starts:
+            job = self.jobs[start.job_id]
+            per_zone[start.zone] += 1
+            assert job.state is JobState.WAITING
+            assert not job.cancel_requested
+            assert start.zone not in self.configuration.zones_out
+            assert [len(m.accelerators) for m in start.members] == [
+                job.spec.accelerators_per_member
+            ] * job.spec.members
+            for member in start.members:
+                worker = self.workers[member.worker]
+                assert worker.zone == start.zone
+                assert worker.state == "live"
+                assert member.worker not in quarantined
+                assert member.worker not in job.failed_workers
+                assert set(member.accelerators) <= set(range(worker.accelerators))
+                held = {(member.worker, i) for i in member.accelerators}
+                assert not held & taken
+                taken |= held
+            used[job.account] += job.spec.accelerators
+            quota = self.configuration.accounts[job.account].quota_accelerators
+            assert not quota or used[job.account] <= quota
+        assert max(per_zone.values()) <= 8
+        waiting = {j.id for j in view.jobs if j.state is JobState.WAITING}
+        decided = {s.job_id for s in starts}
+        decided |= {d.job_id for d in result.decisions if isinstance(d, FailJob)}
+        assert waiting - decided == set(result.waiting)
+        assert all(reason.code and reason.detail for reason in result.waiting.values())
+
+    @rule(
+        account=st.sampled_from(["a1", "a2", "a3"]),
+        work_class=st.sampled_from(["urgent", "batch"]),
+        members=st.sampled_from([1, 1, 1, 2, 4, 5]),
+        size=st.sampled_from([1, 2, 3, 4, 8, 8, 9]),
+        count=st.integers(1, 6),
+    )
+    def arrive(self, account, work_class, members, size, count):
+        """Submit a burst."""
+        for _ in range(count):
+            self.submit(account, work_class, members, size)
+        self.step()
+
+    @rule(size=st.sampled_from([1, 2, 4, 8]))
+    def fill_every_rack(self, size):
+        """Let an account without a guarantee borrow everything that is free."""
+        for _ in range(96 // size):
+            self.submit("a3", "batch", 1, size)
+        for _ in range(6):
+            self.step()
+
+    @precondition(lambda self: self.running())
+    @rule(index=st.integers(0, 1000), count=st.integers(1, 5))
+    def end(self, index, count):
+        """End running jobs."""
+        for _ in range(count):
+            running = self.running()
+            if running:
+                job_id = running[index % len(running)]
+                del self.gangs[self.jobs[job_id].zone][job_id]
+                del self.jobs[job_id]
+        self.step()
+
+    def running(self):
+        """Return the running jobs."""
+        return [j.id for j in self.jobs.values() if j.state is JobState.RUNNING]
+
+    @precondition(lambda self: self.jobs)
+    @rule(index=st.integers(0, 1000))
+    def cancel(self, index):
+        """Cancel a waiting or running job."""
+        job = list(self.jobs.values())[index % len(self.jobs)]
+        self.jobs[job.id] = replace(job, cancel_requested=True)
+        self.step()
+
+    @rule(zone=st.sampled_from(ZONES))
+    def zone_out_or_back(self, zone):
+        """Take a zone out, or return the one that is out."""
+        out = dict(self.configuration.zones_out)
+        if not out:
+            out[zone] = ZoneOut(zone, self.now_ms, "operator", "test")
+        else:
+            out.clear()
+        self.configuration = replace(self.configuration, zones_out=out)
+        self.step()
+        assert not any(self.gangs[z] for z in out)
+
+    @rule(worker=st.sampled_from(["a0", "b1", "c2"]), seconds=st.sampled_from([2, 70]))
+    def fail_worker(self, worker, seconds):
+        """Fail all tasks of a worker; after 70 s it may be probed."""
+        zone = self.workers[worker].zone
+        for job_id, gang in list(self.gangs[zone].items()):
+            if any(m.worker == worker for m in gang.members):
+                self.stop(job_id)
+                failed = (*self.jobs[job_id].failed_workers, worker)
+                self.jobs[job_id] = replace(self.jobs[job_id], failed_workers=failed)
+        self.failing[worker] = WorkerFailures(("x", "y", "z"), self.now_ms)
+        self.step()
+        self.step(seconds)
+
+    @rule(worker=st.sampled_from(["a3", "b3"]))
+    def leave_or_return(self, worker):
+        """Let a worker leave or return."""
+        record = self.workers[worker]
+        state = "live" if record.state == "leaving" else "leaving"
+        self.workers[worker] = replace(record, state=state)
+        self.step()
+
+    @rule()
+    def clear_quarantine(self):
+        """End all quarantines after successful probes."""
+        self.quarantined = {z: {} for z in ZONES}
+        self.step()
+
+    @precondition(lambda self: self.is_complete())
+    @rule(account=st.sampled_from(["a1", "a2"]))
+    def claim_guarantee(self, account):
+        """An account that runs nothing gets its largest shape within a few plans."""
+        for job in list(self.jobs.values()):
+            if job.account == account:
+                if job.state is JobState.RUNNING:
+                    del self.gangs[job.zone][job.id]
+                del self.jobs[job.id]
+        shape = self.configuration.accounts[account].guarantees[0].accelerators
+        job_id = self.submit(account, "batch", shape // 8, 8)
+        for _ in range(4):
+            self.step()
+        assert self.jobs[job_id].state is JobState.RUNNING
+
+    def is_complete(self):
+        """Whether capacity is lost to at most one zone."""
+        return all(w.state == "live" for w in self.workers.values()) and not any(
+            self.quarantined.values()
+        )
+
+    @invariant()
+    def guarantees_are_reclaimable(self):
+        """Check that the shapes fit on free accelerators and borrowers."""
+        if self.is_complete():
+            assert is_reclaimable(self.view())
+
+
+PlannerMachine.TestCase.settings = settings(max_examples=25, stateful_step_count=20)
+TestPlannerMachine = PlannerMachine.TestCase
