--- a/src/foxtailwell/core/__init__.py
+++ b/src/foxtailwell/core/__init__.py
@@ -61,6 +61,12 @@
     split_changes,
     validate_configuration,
 )
+from foxtailwell.core._explain import (
+    Explanation,
+    Holder,
+    explain_job,
+    explanation_text,
+)
 from foxtailwell.core._first_fit import (
     plan_first_fit,
 )
@@ -232,6 +238,7 @@
     "Effect",
     "EndAttempt",
     "Evidence",
+    "Explanation",
     "FailJob",
     "Gang",
     "GangEvent",
@@ -242,6 +249,7 @@
     "GuaranteeCheck",
     "GuaranteePacking",
     "GuaranteedSlot",
+    "Holder",
     "Holding",
     "InstanceRecord",
     "Job",
@@ -268,12 +276,12 @@
     "Role",
     "RunCommitted",
     "RunTimes",
+    "ServiceTimes",
     "SetAccount",
     "SetClass",
     "SetGuarantees",
     "SetSurviveZoneLoss",
     "Shape",
-    "ServiceTimes",
     "SlotLimits",
     "StartGang",
     "StopGang",
@@ -313,6 +321,8 @@
     "ended_unix_ms",
     "evidence_from_peer",
     "evidence_from_store",
+    "explain_job",
+    "explanation_text",
     "fragmentation",
     "free_capacity",
     "is_ejected",
