--- a/src/foxtailwell/scheduler/_operators.py
+++ b/src/foxtailwell/scheduler/_operators.py
@@ -14,6 +14,7 @@
 from foxtailwell.adapters.metrics import Sample, metrics_route, process_samples
 from foxtailwell.core import EVIDENCE_LIMIT_S, JobState
 from foxtailwell.fleet import make_fleet_samples
+from foxtailwell.scheduler._fragmentation import fragmentation_route
 from foxtailwell.scheduler._planning import Planner, make_plan
 from foxtailwell.scheduler._state import SchedulerState
 
@@ -21,7 +22,7 @@
 
 
 def make_operators_app(state: SchedulerState, planner: Planner) -> Starlette:
-    """Return the application with health, status, explanations and metrics.
+    """Return the application with health, status, explanations, fragmentation and metrics.
 
     Args:
         state: What the tasks of the scheduler share.
@@ -73,6 +74,7 @@
             Route("/readyz", readyz),
             Route("/v1/status", status),
             Route("/v1/jobs/{id}/explain", explain),
+            fragmentation_route(state),
             metrics_route(
                 process_samples,
                 make_fleet_samples(state.view, state.store),
