--- a/src/foxtailwell/core/_guarantees.py
+++ b/src/foxtailwell/core/_guarantees.py
@@ -209,10 +209,6 @@
             yield group
 
 
-def _subtract(kept: Mapping[str, int], own: Mapping[str, int]) -> Mapping[str, int]:
-    return {worker: mask & ~own.get(worker, 0) for worker, mask in kept.items()}
-
-
 @lru_cache(maxsize=1 << 16)
 def _window(free: int, needed: int, size: int) -> int:
     """Return the mask of `size` adjacent free accelerators around the needed ones, or 0.
@@ -240,7 +236,8 @@
         self._slots: list[tuple[MissingShape, RackCapacity, dict[str, int]]] = []
         self._own: dict[str, dict[str, int]] = {}
         self._prefers_free = False
-        self._hidden: Mapping[str, int] = {}
+        self._kept: Mapping[str, int] = {}
+        self._exempt: Mapping[str, int] = {}
 
     def result(self, missing: list[MissingShape], without_zone: str | None) -> GuaranteePacking:
         slots = tuple(
@@ -281,7 +278,9 @@
         ]
 
     def _seen(self, worker: str) -> int:
-        return self._open[worker] & ~self._hidden.get(worker, 0)
+        """Return what a slot may hold: not the kept gangs of other accounts."""
+        kept = self._kept.get(worker, 0) & ~self._exempt.get(worker, 0)
+        return self._open[worker] & ~kept
 
     def _place(self, shape: MissingShape, rack: RackCapacity, masks: dict[str, int]) -> None:
         own = self._own.setdefault(shape.account, {})
@@ -313,13 +312,36 @@
             left.setdefault(shape.account, []).append(shape.accelerators)
         for gang in gangs:
             sizes = left.get(gang.account)
-            if sizes is not None:
-                self._hidden = _subtract(kept, own.get(gang.account, {}))
+            if not sizes:
+                continue
+            self._kept, self._exempt = kept, own[gang.account]
+            if len(gang.members) > 1 or not self._cover_single(gang, sizes):
                 self._cover_gang(gang, sizes)
-        self._hidden = {}
+        self._kept, self._exempt = {}, {}
         rest = [MissingShape(account, n) for account, sizes in left.items() for n in sizes]
         return sorted(rest, key=lambda s: (-s.accelerators, s.account))
 
+    def _cover_single(self, gang: Gang, sizes: list[int]) -> bool:
+        """Cover a gang of one member, which most gangs are, on its worker alone."""
+        member = gang.members[0]
+        worker = self._capacity.workers.get(member.worker)
+        mask = mask_of(member.accelerators)
+        if worker is None or not mask & ~self._own.get(gang.account, {}).get(worker.id, 0):
+            return True
+        seen = self._seen(worker.id)
+        if mask & ~seen:
+            return True
+        for index, size in enumerate(sizes):
+            if size > worker.accelerators:
+                return False
+            window = _window(seen, mask, size)
+            if window:
+                rack = self._capacity.racks[worker.zone, worker.rack]
+                self._place(MissingShape(gang.account, size), rack, {worker.id: window})
+                del sizes[index]
+                return True
+        return True
+
     def _cover_gang(self, gang: Gang, sizes: list[int]) -> None:
         own = self._own.get(gang.account, {})
         needed: dict[str, int] = {}
@@ -560,10 +582,9 @@
         The cheapest choice found, one rack before several racks of a zone, or None.
     """
     best: tuple[float, Reclaim] | None = None
-    for zone, racks in capacity.zones.items():
+    for zone, groups in _groups_of(capacity, within).items():
         if zones is not None and zone not in zones:
             continue
-        groups = [rack.workers for rack in racks]
         found = [r for g in groups if (r := _vacate(zone, g, holdings, costs, spec, within))]
         if not found and len(groups) > 1:
             everything = [worker for group in groups for worker in group]
@@ -575,6 +596,22 @@
     return best[1] if best else None
 
 
+def _groups_of(
+    capacity: Capacity, within: Mapping[str, int] | None
+) -> dict[str, list[list[WorkerCapacity]]]:
+    """Return the workers that may be used by zone and rack."""
+    if within is None:
+        return {z: [rack.workers for rack in racks] for z, racks in capacity.zones.items()}
+    by_rack: dict[tuple[str, str], list[WorkerCapacity]] = {}
+    for name in sorted(name for name, mask in within.items() if mask):
+        worker = capacity.workers[name]
+        by_rack.setdefault((worker.zone, worker.rack), []).append(worker)
+    groups: dict[str, list[list[WorkerCapacity]]] = {}
+    for (zone, _), workers in sorted(by_rack.items()):
+        groups.setdefault(zone, []).append(workers)
+    return groups
+
+
 class _Cut(NamedTuple):
     """Cheapest accelerators of one worker for one member."""
 
@@ -593,8 +630,6 @@
     within: Mapping[str, int] | None,
 ) -> Reclaim | None:
     """Take the cheapest worker for one member after the other."""
-    if within is not None:
-        workers = [w for w in workers if within.get(w.id)]
     if sum(w.accelerators // spec.accelerators_per_member for w in workers) < spec.members:
         return None
     taken: dict[str, int] = {}
--- a/src/foxtailwell/core/_reservations.py
+++ b/src/foxtailwell/core/_reservations.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
-from typing import NamedTuple
 
 from foxtailwell.core._allocations import Member
 from foxtailwell.core._guarantees import Holding
@@ -36,12 +35,8 @@
     free: dict[str, int]
 
 
-class _End(NamedTuple):
-    """Predicted end of a holding."""
-
-    in_s: float
-    worker: str
-    mask: int
+# Plain tuples of the time left, the worker and its accelerators; a plan makes one per member.
+_End = tuple[float, str, int]
 
 
 class EndTimes:
@@ -69,7 +64,7 @@
         ends = self._ends.get(key)
         if ends is None:
             ends = [
-                _End(self._remaining_s.get(h.job_id, 0.0), w.id, h.mask)
+                (self._remaining_s.get(h.job_id, 0.0), w.id, h.mask)
                 for w in workers
                 for h in self._holdings.get(w.id, ())
             ]
@@ -119,14 +114,14 @@
         free = {w.id: w.free & ~promised.get(w.id, 0) for w in workers}
         places = sum(places_in(mask, size) for mask in free.values())
         at_s = 0.0
-        for end in self._of(key, workers):
-            if places >= spec.members or end.in_s >= limit_s:
+        for in_s, worker, mask in self._of(key, workers):
+            if places >= spec.members or in_s >= limit_s:
                 break
-            before = free[end.worker]
-            after = before | (end.mask & ~promised.get(end.worker, 0))
-            free[end.worker] = after
+            before = free[worker]
+            after = before | (mask & ~promised.get(worker, 0))
+            free[worker] = after
             places += places_in(after, size) - places_in(before, size)
-            at_s = end.in_s
+            at_s = in_s
         if places < spec.members or at_s >= limit_s:
             return None
         later = [replace(w, free=free[w.id]) for w in workers]
--- a/src/foxtailwell/core/_situation.py
+++ b/src/foxtailwell/core/_situation.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Callable
 from functools import cached_property
 
 from foxtailwell.core._allocations import Gang, Member
@@ -143,23 +142,23 @@
     def packing(self) -> GuaranteePacking:
         """Slots of the guaranteed shapes around the running gangs, oldest first."""
         ordered = sorted(self._account_gangs, key=lambda g: (g.started_unix_ms, g.job_id))
-        kept = (self._held_by(self._is_wide_or_within), self._held_by(self._is_within))
-        return pack_around(self.view.configuration, self.capacity, ordered, kept)
+        return pack_around(self.view.configuration, self.capacity, ordered, self._kept)
 
-    def _held_by(self, is_kept: Callable[[Gang], bool]) -> dict[str, int]:
-        held: dict[str, int] = {}
+    @property
+    def _kept(self) -> tuple[dict[str, int], dict[str, int]]:
+        """Accelerators of gangs on several workers or within a guarantee, and of the latter."""
+        both: dict[str, int] = {}
+        within: dict[str, int] = {}
         for _, gang, _ in self.gangs:
-            if is_kept(gang):
-                for member in gang.members:
-                    mask = mask_of(member.accelerators)
-                    held[member.worker] = held.get(member.worker, 0) | mask
-        return held
-
-    def _is_within(self, gang: Gang) -> bool:
-        return gang.job_id in self.within_guarantee
-
-    def _is_wide_or_within(self, gang: Gang) -> bool:
-        return len(gang.members) > 1 or self._is_within(gang)
+            is_within = gang.job_id in self.within_guarantee
+            if not is_within and len(gang.members) == 1:
+                continue
+            for member in gang.members:
+                name, mask = member.worker, mask_of(member.accelerators)
+                both[name] = both.get(name, 0) | mask
+                if is_within:
+                    within[name] = within.get(name, 0) | mask
+        return both, within
 
     @cached_property
     def _account_gangs(self) -> list[Gang]:
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -191,6 +191,13 @@
     assert [s.reason for s in decisions_of(view, StopGang)] == [reason]
 
 
+def test_cancelled_job_never_starts():
+    """Guards against a start after a confirmed cancel while accelerators are free."""
+    view = make_view([make_job("c", cancel_requested=True)])
+    assert not plan(view).decisions
+    assert plan(view).waiting["c"].code == "cancelled"
+
+
 def test_starts_per_zone_and_second_are_bounded():
     """Guards against a returned zone that is flooded with starts."""
     jobs = [make_job(f"j{i:02}") for i in range(40)]
