Test coverage by slots, failed workers and stops in turn

Still not caught: leaving covered gangs in the costs and in the room of their account; each is implied by the other two rules on the tested paths.

--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -135,6 +135,48 @@
     assert plan(view).waiting["want"].code == "reclaiming"
 
 
+def test_gang_within_its_guarantee_is_not_stopped_for_others():
+    """Guards against urgent work that stops a gang inside the slots of its own account."""
+    owner = ClientAccount("borrower", (Shape(8, 12),))
+    view = make_view([make_job("u", "other", "urgent")], fill_with_borrowers(), [owner])
+    assert not decisions_of(view, StopGang)
+    assert plan(view).waiting["u"].code == "no_capacity"
+
+
+def test_slot_avoids_gangs_within_the_guarantee_of_another_account():
+    """Guards against a slot that is extended over a gang which its account may keep."""
+    accounts = [ClientAccount("x", (Shape(8),)), ClientAccount("y", (Shape(4),))]
+    first = [
+        make_running("rx", "x", "a", [Member("a0", (0,))], NOW_MS - 900_000),
+        make_running("ry", "y", "a", [Member("a0", (4, 5, 6, 7))]),
+        make_running("rb", "borrower", "a", [Member("a0", (1, 2, 3))]),
+    ]
+    gangs = first + [pair for pair in fill_with_borrowers() if pair[0].id != "b-a0"]
+    stops = decisions_of(make_view([make_job("wx", "x", size=7)], gangs, accounts), StopGang)
+    assert [stop.reason for stop in stops] == ["reclaim"]
+    assert stops[0].job_id.startswith("b-")
+
+
+def test_two_accounts_do_not_stop_each_others_small_jobs():
+    """Guards against stops in turn when slots of one account hold jobs of another."""
+    accounts = [ClientAccount(name, (Shape(8, 6),)) for name in ("x", "y")]
+    gangs = []
+    for worker in make_workers():
+        for index in range(8):
+            member = Member(worker.id, (index,))
+            account = "xy"[index % 2]
+            job, gang = make_running(f"{worker.id}-{index}", account, worker.zone, [member])
+            gangs.append((job, gang))
+    waiting = [make_job("wx", "x"), make_job("wy", "y")]
+    assert not decisions_of(make_view(waiting, gangs, accounts), StopGang)
+
+
+def test_job_does_not_return_to_a_worker_that_failed_it():
+    """Guards against a job that fails again and again on the same worker."""
+    view = make_view([make_job("f", failed_workers=("a0", "b1"))], workers=make_workers()[:2])
+    assert [d.members[0].worker for d in decisions_of(view, StartGang)] == ["a1"]
+
+
 def test_urgent_work_waits_two_seconds_for_checkpoints():
     """Guards against urgent work behind a long checkpoint."""
     jobs = [make_job("u", "other", "urgent")]
