--- a/src/foxtailwell/adapters/events.py
+++ b/src/foxtailwell/adapters/events.py
@@ -32,8 +32,43 @@
 DAEMON_STARTED = _event("FW1001", "INFO", "daemon started")
 DAEMON_STOPPING = _event("FW1002", "INFO", "graceful shutdown began")
 DAEMON_STOPPED = _event("FW1003", "INFO", "daemon stopped")
+DAEMON_DRAINING = _event("FW1004", "INFO", "requests are still in progress")
 
 # 1100-1199: store
 STORE_UNAVAILABLE = _event("FW1101", "WARNING", "the store does not respond")
 STORE_AVAILABLE = _event("FW1102", "INFO", "the store responds again")
-SCHEMA_UNSUPPORTED = _event("FW1103", "ERROR", "a document has a newer schema version")
+DOCUMENT_REFUSED = _event("FW1103", "ERROR", "a document cannot be read and was left as it is")
+
+# 1200-1299: configuration in force
+CONFIGURATION_APPLIED = _event("FW1201", "INFO", "a configuration is in force")
+CONFIGURATION_UNREADABLE = _event("FW1202", "ERROR", "a configuration cannot be read")
+CONFIGURATION_OLDER = _event("FW1203", "ERROR", "the store holds an older configuration")
+
+# 1300-1399: instance list and peers
+INSTANCE_LIST_UNAVAILABLE = _event("FW1301", "WARNING", "the instance list does not respond")
+INSTANCE_LIST_AVAILABLE = _event("FW1302", "INFO", "the instance list responds again")
+PEER_LISTENING = _event("FW1303", "INFO", "listening for peers")
+PEER_REACHED = _event("FW1304", "INFO", "a peer replies")
+PEER_LOST = _event("FW1305", "WARNING", "a peer does not reply")
+PEER_FRAME_REFUSED = _event("FW1306", "WARNING", "a message of a peer was refused")
+PEER_MISMATCH = _event("FW1307", "WARNING", "another daemon replies at a peer's address")
+PEER_CONNECTIONS_FULL = _event("FW1308", "WARNING", "too many connections of peers")
+CLAIM_QUERY_FAILED = _event("FW1309", "ERROR", "a claim query could not be answered")
+
+# 1400-1499: scheduler
+ZONE_ACQUIRED = _event("FW1401", "INFO", "zone acquired")
+ZONE_LOST = _event("FW1402", "WARNING", "zone given up")
+ZONE_RELEASED = _event("FW1403", "INFO", "zone released")
+GANG_BEGUN = _event("FW1411", "INFO", "gang start began")
+GANG_RESUMED = _event("FW1412", "INFO", "gang of a previous scheduler continued")
+GANG_STOPPING = _event("FW1413", "INFO", "gang stops")
+GANG_ENDED = _event("FW1414", "INFO", "attempt of a job ended")
+START_REFUSED = _event("FW1415", "WARNING", "gang start given up before its preparation")
+JOB_FAILED = _event("FW1416", "WARNING", "job ended because it can never run")
+WORKER_QUARANTINED = _event("FW1417", "WARNING", "worker gets no work for a time")
+
+# 1500-1599: operators
+CONFIGURATION_CHANGED = _event("FW1501", "INFO", "an operator's change is stored")
+CHANGE_REFUSED = _event("FW1502", "INFO", "an operator's change was refused")
+CHANGE_READ_BACK = _event("FW1503", "WARNING", "the response to a stored change was lost")
+AUDIT_NEWER = _event("FW1504", "WARNING", "an audit document holds newer changes")
--- a/src/foxtailwell/core/errors.py
+++ b/src/foxtailwell/core/errors.py
@@ -5,10 +5,16 @@
 from dataclasses import dataclass
 
 __all__ = [
+    "AcceleratorsTakenError",
     "ConflictError",
+    "DocumentError",
     "FoxtailwellError",
+    "FrameError",
+    "IllegalTransitionError",
+    "KeyReusedError",
     "NotRunError",
     "OutcomeUnknownError",
+    "StaleTermError",
     "StoreConflictError",
     "StoreOverloadedError",
     "StoreUnavailableError",
@@ -75,6 +81,48 @@
     code = "unavailable"
 
 
+class IllegalTransitionError(FoxtailwellError):
+    """A job cannot enter a state from the one it is in."""
+
+    code = "illegal_transition"
+
+    def __init__(self, job_id: str, present: str, wanted: str) -> None:
+        super().__init__(
+            f"job {job_id} is {present} and cannot become {wanted}",
+            "read the job again and decide on its present state",
+        )
+
+
+class AcceleratorsTakenError(FoxtailwellError):
+    """A gang cannot take all of its accelerators, so it took none."""
+
+    code = "accelerators_taken"
+
+    def __init__(self, job_id: str, cause: str) -> None:
+        super().__init__(
+            f"gang of job {job_id} cannot be taken: {cause}", "plan again with the newest document"
+        )
+
+
+class StaleTermError(FoxtailwellError):
+    """Another scheduler holds the zone with a higher fencing token."""
+
+    code = "stale_term"
+
+    def __init__(self, zone: str, term: int, seen_term: int) -> None:
+        super().__init__(
+            f"zone {zone}: term {term} is older than {seen_term}",
+            "give the zone up; its new holder continues the gangs",
+        )
+        self.seen_term = seen_term
+
+
+class KeyReusedError(FoxtailwellError):
+    """An idempotency key was used again for different work; nothing was accepted."""
+
+    code = "key_reused"
+
+
 class NotRunError(FoxtailwellError):
     """The work did not run; sending it again is safe."""
 
@@ -112,7 +160,19 @@
         self.current_version = current_version
 
 
+class DocumentError(FoxtailwellError):
+    """A document of the store cannot be read."""
+
+    code = "document_unreadable"
+
+
 class UnsupportedSchemaError(FoxtailwellError):
     """A document was written by a newer release."""
 
     code = "unsupported_schema"
+
+
+class FrameError(FoxtailwellError):
+    """A message of a peer cannot be accepted; its connection is closed."""
+
+    code = "bad_frame"
