Answer outcome_unknown when a duplicate's deadline passes

Cause: a duplicate that waited for the owner of its claim got not_run when its deadline passed, although the first copy was running; a caller who repeats a request through another entry would take that for its request. Seen with a paused owner in tests/test_processes.py. Conclusion: not_run is true for the key as well as for the copy.

--- a/src/foxtailwell/entry/_requests.py
+++ b/src/foxtailwell/entry/_requests.py
@@ -66,6 +66,8 @@
         deadline_s: Time after which the response is of no use.
         scope: Cancelled when the caller disconnects or the deadline passes.
         may_have_run: Whether an attempt may have run.
+        waits_for_copy: Whether it waits for the response of another request with its key, which
+            may run.
         is_sending: Whether an attempt is on its way.
         has_response_begun: Whether the caller has got the first byte.
     """
@@ -81,6 +83,7 @@
     deadline_s: float
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     may_have_run: bool = False
+    waits_for_copy: bool = False
     is_sending: bool = False
     has_response_begun: bool = False
 
@@ -343,6 +346,7 @@
         self, request: Request, look: Callable[[], Awaitable[ClaimAnswer]]
     ) -> ClaimAnswer:
         """Ask for the result of another copy until it has ended."""
+        request.waits_for_copy = True
         pause_s = DUPLICATE_POLL_FIRST_S
         while True:
             answer = await look()
--- a/src/foxtailwell/entry/_requests_api.py
+++ b/src/foxtailwell/entry/_requests_api.py
@@ -312,7 +312,7 @@
 
 
 def _deadline_error(request: Request) -> FoxtailwellError:
-    if request.may_have_run:
+    if request.may_have_run or request.waits_for_copy:
         return OutcomeUnknownError(
             "the deadline passed before a response arrived",
             "repeat the request if running it twice does no harm",
--- a/src/foxtailwell_model/_claims.py
+++ b/src/foxtailwell_model/_claims.py
@@ -43,6 +43,7 @@
     "response_must_carry_the_request_id": "adapters.minions",
     "key_is_bound_to_the_digest": "entry._requests.RequestRunner",
     "owner_says_running_until_it_knows": "entry._claim_results.ClaimResults",
+    "deadline_of_a_duplicate_is_outcome_unknown": "entry._requests.Request.waits_for_copy",
 }
 
 FIELDS = ("holder", "same_body", "r0", "r1", "r2")
@@ -239,6 +240,8 @@
             "hears that the owner has not run it",
             _put(state, number, phase=f"not_run says {owner}"),
         )
+    if "deadline_of_a_duplicate_is_outcome_unknown" in removed:
+        yield "passes its deadline", _put(state, number, phase=f"not_run says {owner}")
     # The owner is dead or does not answer, or the caller's deadline has passed.
     yield "gets no answer from the owner", _put(state, number, phase="unknown")
 
