--- /dev/null
+++ b/tests/deployment.py
@@ -0,0 +1,377 @@
+"""A deployment of real processes on loopback ports: stand-ins, entries and schedulers."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import signal
+import socket
+import subprocess
+import sys
+import time
+from concurrent.futures import Future, ThreadPoolExecutor
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+GUARD_S = 30.0
+"""Limit of every wait. It only ends a test that would hang; no verdict depends on it."""
+
+PROGRAMS = {
+    "standin": "foxtailwell_standins.cli",
+    "entry": "foxtailwell.cli.entry",
+    "scheduler": "foxtailwell.cli.scheduler",
+}
+
+
+@dataclass(frozen=True)
+class Reply:
+    """A response; status 0 when none arrived whole."""
+
+    status: int
+    outcome: str = ""
+    body: bytes = b""
+
+    @property
+    def json(self) -> Any:
+        """Body as JSON."""
+        return json.loads(self.body)
+
+
+@dataclass(frozen=True)
+class Instance:
+    """Ports of one instance."""
+
+    number: int
+    callers: int
+    entry_operators: int
+    scheduler_operators: int
+
+
+@dataclass
+class Deployment:
+    """Processes that this object started, by name; it ends these and no others."""
+
+    directory: Path
+    processes: dict[str, subprocess.Popen] = field(default_factory=dict)
+    instances: dict[int, Instance] = field(default_factory=dict)
+    pool: ThreadPoolExecutor = field(default_factory=lambda: ThreadPoolExecutor(16))
+    store: str = ""
+    instance_list: str = ""
+    workers: str = ""
+    minions: list[str] = field(default_factory=list)
+
+    # Processes
+
+    def start_platform(self, *, zones: str = "a", minions: int = 2, per_zone: int = 2) -> None:
+        """Start the store, the instance list, minions and workers."""
+        self._start("store", "standin", "store")
+        self._start("list", "standin", "instance-list")
+        (self.store,) = self._addresses("store", 1)
+        (self.instance_list,) = self._addresses("list", 1)
+        where = ["--instance-list", f"http://{self.instance_list}", "--zones", zones]
+        self._start("minions", "standin", "minions", "--count", str(minions), *where)
+        self._start("workers", "standin", "workers", "--per-zone", str(per_zone), *where)
+        self.minions = self._addresses("minions", minions)
+        self.workers = self._addresses("workers", per_zone * len(zones.split(",")))[0]
+
+    def _addresses(self, name: str, count: int) -> list[str]:
+        """Wait until a stand-in listens, and return where."""
+        output = self.directory / f"{name}.out"
+
+        def listening() -> list[str]:
+            lines = output.read_text().splitlines()
+            return [line.split()[-1] for line in lines if "listening on" in line]
+
+        self.until(lambda: len(listening()) >= count, f"{name} listens")
+        return listening()
+
+    def start_relay(self, name: str, target: str) -> tuple[str, str]:
+        """Start a relay; return its address and that of its control interface."""
+        self._start(name, "standin", "relay", target)
+        (address,) = self._addresses(name, 1)
+        first = (self.directory / f"{name}.out").read_text().splitlines()[0]
+        return address, first.split()[-1]
+
+    def start_instance(
+        self, number: int, zone: str = "a", *, store: str = "", roles: str = "entry scheduler"
+    ) -> Instance:
+        """Start the daemons of an instance, or start them again on other ports."""
+        ports = _free_ports(5)
+        instance = Instance(number, ports[0], ports[1], ports[2])
+        self.instances[number] = instance
+        for role, peers, operators in (
+            ("entry", ports[3], ports[1]),
+            ("scheduler", ports[4], ports[2]),
+        ):
+            if role not in roles:
+                continue
+            self._register(f"i{number}/{role}", role, zone, peers)
+            settings = self._write_settings(number, role, zone, peers, operators, ports[0], store)
+            self._start(f"{role}-{number}", role, "--settings", str(settings))
+        return instance
+
+    def _register(self, identifier: str, role: str, zone: str, port: int) -> None:
+        record = {"id": identifier, "role": role, "zone": zone, "address": f"127.0.0.1:{port}"}
+        self.call("PUT", self.instance_list, "/v1/instances", [record])
+
+    def _write_settings(
+        self,
+        number: int,
+        role: str,
+        zone: str,
+        peers: int,
+        operators: int,
+        callers: int,
+        store: str,
+    ) -> Path:
+        def endpoint(port: int) -> dict[str, Any]:
+            return {"host": "127.0.0.1", "port": port}
+
+        path = self.directory / f"{role}-{number}.json"
+        settings = {
+            "instance": f"i{number}",
+            "region": "region",
+            "availability_zone": zone,
+            "platform": {
+                "store_url": f"http://{store or self.store}",
+                "instance_list_url": f"http://{self.instance_list}",
+            },
+            "peers": endpoint(peers),
+            "operators": endpoint(operators),
+            "callers": endpoint(callers),
+        }
+        path.write_text(json.dumps(settings))
+        return path
+
+    def _start(self, name: str, program: str, *arguments: str) -> None:
+        command = f"from {PROGRAMS[program]} import main; main()"
+        with (
+            (self.directory / f"{name}.out").open("w") as out,
+            (self.directory / f"{name}.log").open("a") as log,
+        ):
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-c", command, *arguments], stdout=out, stderr=log
+            )
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one of the own processes."""
+        self.processes[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill one of the own processes and wait for its end."""
+        self.signal(name, signal.SIGKILL)
+        self.processes[name].wait()
+
+    def close(self) -> None:
+        """End all own processes."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+        self.pool.shutdown()
+
+    # Calls
+
+    def call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        body: Any = None,
+        *,
+        headers: dict[str, str] | None = None,
+        timeout_s: float = GUARD_S,
+    ) -> Reply:
+        """Send one HTTP request; JSON unless the body is bytes."""
+        host, _, port = address.rpartition(":")
+        data = body if isinstance(body, bytes) or body is None else json.dumps(body).encode()
+        connection = http.client.HTTPConnection(host, int(port), timeout=timeout_s)
+        try:
+            connection.request(method, path, data, headers or {})
+            response = connection.getresponse()
+            outcome = response.headers.get("Foxtailwell-Outcome", "")
+            return Reply(response.status, outcome, response.read())
+        except (OSError, http.client.HTTPException):
+            return Reply(0)
+        finally:
+            connection.close()
+
+    def request(
+        self, instance: int, work_class: str, body: bytes, *, key: str = "", deadline_ms: int = 0
+    ) -> Reply:
+        """Send a caller's request to an entry."""
+        headers = {"Foxtailwell-Account": "acme"}
+        headers |= {"Idempotency-Key": key} if key else {}
+        headers |= {"Foxtailwell-Deadline-Ms": str(deadline_ms)} if deadline_ms else {}
+        address = f"127.0.0.1:{self.instances[instance].callers}"
+        return self.call("POST", address, f"/v1/requests/{work_class}", body, headers=headers)
+
+    def begin(self, *arguments: Any, **options: Any) -> Future[Reply]:
+        """Send a caller's request in the background."""
+        return self.pool.submit(self.request, *arguments, **options)
+
+    def change(self, instance: int, operation: str, subject: str, value: Any = None) -> Reply:
+        """Make an operator's change on the newest revision."""
+        address = f"127.0.0.1:{self.instances[instance].entry_operators}"
+        revision = self.call("GET", address, "/v1/config").json["revision"]
+        body = {
+            "expected_revision": revision,
+            "actor": "test",
+            "operation": operation,
+            "subject": subject,
+            "value": value,
+        }
+        return self.call("POST", address, "/v1/config/changes", body)
+
+    def configure(self, instance: int = 1) -> None:
+        """Set an account and classes, and wait until every daemon is ready with them."""
+        operators = f"127.0.0.1:{self.instances[instance].entry_operators}"
+        self.until(lambda: self.call("GET", operators, "/v1/config").status == 200, "entry answers")
+        classes = {
+            "ask": ("request", True),
+            "once": ("request", False),
+            "model": ("job", True),
+            "survey": ("job", False),
+        }
+        for name, (kind, idempotent) in classes.items():
+            value = {
+                "kind": kind,
+                "target_ms": 60_000,
+                "patience_ms": 60_000,
+                "idempotent": idempotent,
+            }
+            assert self.change(instance, "class.set", name, value).status == 200
+        account = {"guarantees": [], "quota_accelerators": 0, "guaranteed_slots": 0}
+        assert self.change(instance, "account.set", "acme", account).status == 200
+        self.until(lambda: set(self.revisions().values()) == {5}, "all daemons run revision 5")
+        self.until(lambda: self.request(instance, "ask", b"x").status == 200, "minions answer")
+
+    def revisions(self) -> dict[str, int]:
+        """Return the configuration revision that each running daemon reports."""
+        found = {}
+        for number, instance in self.instances.items():
+            for role in ("entry", "scheduler"):
+                process = self.processes.get(f"{role}-{number}")
+                if process is None or process.poll() is not None:
+                    continue
+                port = getattr(instance, f"{role}_operators")
+                reply = self.call("GET", f"127.0.0.1:{port}", "/v1/status", timeout_s=2.0)
+                found[f"{role}-{number}"] = reply.json["revision"] if reply.status == 200 else -1
+        return found
+
+    def executed(self, key: str) -> int:
+        """Return how often the minions ran the request of a key."""
+        states = [self.call("GET", m, "/control").json for m in self.minions]
+        return sum(run[1] == key for state in states for run in state["executed"])
+
+    def set_minions(self, **failures: Any) -> None:
+        """Set the failures of all minions."""
+        for minion in self.minions:
+            self.call("POST", minion, "/control", failures)
+
+    def set_store(self, **failures: Any) -> None:
+        """Set the failures of the store."""
+        assert self.call("POST", self.store, "/control", failures).status == 200
+
+    # Jobs
+
+    def submit(self, instance: int, key: str, *, members: int = 2, run_s: float = 1.0) -> str:
+        """Submit a job and return its identifier."""
+        job = {
+            "account": "acme",
+            "work_class": "model",
+            "idempotency_key": key,
+            "members": members,
+            "accelerators_per_member": 4,
+            "declared_run_s": run_s,
+            "payload": json.dumps({"run_s": run_s}),
+        }
+        address = f"127.0.0.1:{self.instances[instance].callers}"
+        reply = self.call("POST", address, "/v1/jobs", job, headers={"Foxtailwell-Account": "acme"})
+        assert reply.status == 201, reply
+        return reply.json["jobs"][0]["id"]
+
+    def job(self, identifier: str) -> dict[str, Any]:
+        """Return a job's document from the store."""
+        for shard in range(16):
+            reply = self.call("GET", self.store, f"/v1/kv/jobs%2F{shard}")
+            if reply.status == 200:
+                jobs = json.loads(reply.json["value"])["jobs"]
+                if identifier in jobs:
+                    return jobs[identifier]
+        return {"state": "", "attempt": 0}
+
+    def until_state(self, identifier: str, state: str, limit_s: float = GUARD_S) -> None:
+        """Wait until a job is in a state."""
+        self.until(lambda: self.job(identifier)["state"] == state, f"job is {state}", limit_s)
+
+    def allocation(self, zone: str = "a") -> dict[str, Any]:
+        """Return a zone's allocation document."""
+        reply = self.call("GET", self.store, f"/v1/kv/alloc%2F{zone}")
+        return json.loads(reply.json["value"]) if reply.status == 200 else {}
+
+    def holder(self, zone: str = "a") -> int:
+        """Return the number of the instance that holds a zone; 0 is none."""
+        name = self.allocation(zone).get("holder", "").partition("/")[0]
+        return int(name.removeprefix("i") or 0)
+
+    def work(self, job_id: str = "") -> list[dict[str, Any]]:
+        """Return what the workers' tasks did, in one list of all workers."""
+        log = self.call("GET", self.workers, "/log").json
+        return [record for record in log if not job_id or record["job_id"] == job_id]
+
+    def until(self, condition: Any, what: str, limit_s: float = GUARD_S) -> float:
+        """Wait for a condition; return the seconds that it took."""
+        started_s = time.monotonic()
+        while not condition():
+            if time.monotonic() - started_s > limit_s:
+                raise AssertionError(f"not within {limit_s} s: {what}\n{self._log_ends()}")
+            time.sleep(0.02)
+        return time.monotonic() - started_s
+
+    def _log_ends(self) -> str:
+        parts = []
+        for path in sorted(self.directory.glob("*.log")):
+            parts += [f"-- {path.name}", *path.read_text().splitlines()[-4:]]
+        return "\n".join(parts)
+
+
+def _free_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for each in sockets:
+            each.bind(("127.0.0.1", 0))
+        return [each.getsockname()[1] for each in sockets]
+    finally:
+        for each in sockets:
+            each.close()
+
+
+def check_work(records: list[dict[str, Any]]) -> None:
+    """Check that no gang ran partially, no job twice at once and no accelerator for two.
+
+    Raises:
+        AssertionError: One of them happened.
+    """
+    now_s = time.monotonic()
+    worked = [r for r in records if r["first_work_s"]]
+    for one in worked:
+        gang = [
+            r for r in records if (r["job_id"], r["attempt"]) == (one["job_id"], one["attempt"])
+        ]
+        assert all(0 < r["started_s"] <= one["first_work_s"] for r in gang), (one, gang)
+    for index, one in enumerate(worked):
+        for other in worked[index + 1 :]:
+            if not _overlap(one, other, now_s):
+                continue
+            is_same_job = one["job_id"] == other["job_id"]
+            assert not (is_same_job and one["attempt"] != other["attempt"]), (one, other)
+            shared = set(one["accelerators"]) & set(other["accelerators"])
+            assert not (one["worker"] == other["worker"] and shared), (one, other)
+
+
+def _overlap(one: dict[str, Any], other: dict[str, Any], now_s: float) -> bool:
+    one_end, other_end = one["stopped_s"] or now_s, other["stopped_s"] or now_s
+    return one["first_work_s"] < other_end and other["first_work_s"] < one_end
