--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -252,3 +252,20 @@
     async with running_scheduler(platform):
         identifier = await platform.submit("k")
         await platform.until_state(identifier, JobState.DONE)
+
+
+async def test_unreachable_worker_keeps_its_accelerators_for_its_task_lease(platform):
+    """Guards against a job that starts again while a member of its last attempt still works."""
+    async with running_scheduler(platform):
+        identifier = await platform.submit("k", members=3, size=8, run_s=600.0)
+        await platform.until(lambda: len(_worked(platform)) == 3)
+        platform.fail("a-w1", unreachable=True)
+        await platform.until_state(identifier, JobState.STOPPING)
+        rest = [r for r in _worked(platform) if r.worker != "a-w1"]
+        await platform.until(lambda: all(r.stopped_s for r in rest))
+        await platform.until_state(identifier, JobState.WAITING, limit_s=40.0)
+        platform.log()
+        lost = next(r for r in _worked(platform) if r.worker == "a-w1")
+        assert lost.stopped_s
+        await platform.until(lambda: not platform.allocation().gangs)
+        await platform.cancel(identifier)
