Give each worker a connection pool of its own

Cause: an httpcore pool looks at all of its connections several times per call, so one pool for all workers cost time in proportion to the square of their number. Ruled out: a limit on connections, which makes commands wait for each other. Change: the link to a worker holds a pool with at most two connections.

--- a/src/foxtailwell/adapters/workers.py
+++ b/src/foxtailwell/adapters/workers.py
@@ -21,9 +21,10 @@
     "SyncReply",
     "SyncRequest",
     "TaskReport",
+    "WorkerCalls",
     "WorkerClient",
     "WorkerCommand",
-    "open_workers",
+    "open_worker",
 ]
 
 
@@ -116,18 +117,21 @@
     term: int
 
 
+@dataclass(slots=True)
+class WorkerCalls:
+    """Number of calls sent to all workers so far."""
+
+    calls: int = 0
+
+
 class WorkerClient:
-    """Calls of all workers over one connection pool."""
+    """Calls of one worker."""
 
-    def __init__(self, http: HttpClient, timeout_s: float) -> None:
+    def __init__(self, http: HttpClient, totals: WorkerCalls, timeout_s: float) -> None:
         self._http = http
+        self._totals = totals
         self._timeout_s = timeout_s
 
-    @property
-    def calls(self) -> int:
-        """Number of calls sent so far."""
-        return self._http.calls
-
     async def sync(self, address: str, request: SyncRequest) -> SyncReply:
         """Send commands and renewals to a worker.
 
@@ -142,6 +146,7 @@
             StaleTermError: The worker has seen a higher term for the zone; it did nothing.
             UnavailableError: No response arrived; the commands may have been carried out.
         """
+        self._totals.calls += 1
         try:
             reply = await self._http.request(
                 "POST",
@@ -170,14 +175,15 @@
 
 
 @asynccontextmanager
-async def open_workers(
-    *, timeout_s: float = 1.0, max_connections: int = 256
-) -> AsyncIterator[WorkerClient]:
-    """Open a client of the workers.
+async def open_worker(totals: WorkerCalls, *, timeout_s: float) -> AsyncIterator[WorkerClient]:
+    """Open a client for one worker, whose address may change.
+
+    Each worker has a pool of its own, because a pool looks at all of its connections with every
+    call.
 
     Args:
+        totals: Where the calls are counted.
         timeout_s: Limit of each step of a call.
-        max_connections: Size of the connection pool.
     """
-    async with open_http_client("", max_connections=max_connections) as http:
-        yield WorkerClient(http, timeout_s)
+    async with open_http_client("", max_connections=2) as http:
+        yield WorkerClient(http, totals, timeout_s)
--- a/src/foxtailwell/scheduler/_daemon.py
+++ b/src/foxtailwell/scheduler/_daemon.py
@@ -15,7 +15,7 @@
 from foxtailwell.adapters.logs import configure_logs, log_event
 from foxtailwell.adapters.settings import Settings
 from foxtailwell.adapters.store import open_store
-from foxtailwell.adapters.workers import open_workers
+from foxtailwell.adapters.workers import WorkerCalls
 from foxtailwell.core import JobShard, ZoneAllocation, plan
 from foxtailwell.fleet import FleetView, run_fleet
 from foxtailwell.scheduler._leases import keep_zones
@@ -27,10 +27,6 @@
 
 STOP_GRACE_S = 2.0
 
-WORKER_TIMEOUT_S = 0.4
-"""Shorter than the 1 s in which a gang must pass prepare and start, so that a command whose
-response was lost is repeated within the same attempt."""
-
 
 async def run_scheduler(settings: Settings) -> None:
     """Run the scheduler until SIGTERM or SIGINT, then release the zones and stop."""
@@ -114,7 +110,6 @@
     timeout_s = settings.platform.store_timeout_ms / 1000
     async with (
         open_store(settings.platform.store_url, timeout_s=timeout_s) as store,
-        open_workers(timeout_s=WORKER_TIMEOUT_S) as workers,
         open_group_committer(store, JobShard, JobShard) as jobs,
         open_group_committer(store, ZoneAllocation, ZoneAllocation) as allocations,
     ):
@@ -122,7 +117,7 @@
             f"{settings.instance}/scheduler",
             settings.availability_zone,
             store,
-            workers,
+            WorkerCalls(),
             view,
             jobs,
             allocations,
--- a/src/foxtailwell/scheduler/_links.py
+++ b/src/foxtailwell/scheduler/_links.py
@@ -8,12 +8,24 @@
 
 import anyio
 
-from foxtailwell.adapters.workers import SyncReply, SyncRequest, WorkerClient, WorkerCommand
+from foxtailwell.adapters.workers import (
+    SyncReply,
+    SyncRequest,
+    WorkerCalls,
+    WorkerClient,
+    WorkerCommand,
+    open_worker,
+)
 from foxtailwell.core.errors import StaleTermError, UnavailableError
 
 __all__ = ["RENEW_INTERVAL_S", "WorkerLink", "run_link"]
 
 RENEW_INTERVAL_S = 5.0
+
+TIMEOUT_S = 0.4
+"""Shorter than the 1 s in which a gang must pass prepare and start, so that a command whose
+response was lost is repeated within the same attempt."""
+
 FIRST_INTERVAL_S = 0.5
 """Interval of a young gang, so that short jobs and workers that fail at once are seen early; it
 grows to the renewal interval with the age of the youngest gang."""
@@ -61,7 +73,7 @@
 
 async def run_link(
     link: WorkerLink,
-    client: WorkerClient,
+    totals: WorkerCalls,
     zone: str,
     term: int,
     on_reply: Callable[[str, SyncReply], None],
@@ -73,12 +85,24 @@
 
     Args:
         link: Commands and renewals.
-        client: Client of the workers.
+        totals: Where calls are counted.
         zone: Zone of the worker.
         term: Fencing token.
         on_reply: Called with the worker and its reply.
         on_stale: Called when the worker has seen a higher token.
     """
+    async with open_worker(totals, timeout_s=TIMEOUT_S) as client:
+        await _call_until_closed(link, client, zone, term, on_reply, on_stale)
+
+
+async def _call_until_closed(
+    link: WorkerLink,
+    client: WorkerClient,
+    zone: str,
+    term: int,
+    on_reply: Callable[[str, SyncReply], None],
+    on_stale: Callable[[StaleTermError], None],
+) -> None:
     while link.is_open:
         link.wake = anyio.Event()
         commands, link.commands = tuple(link.commands), []
--- a/src/foxtailwell/scheduler/_state.py
+++ b/src/foxtailwell/scheduler/_state.py
@@ -12,7 +12,7 @@
 from foxtailwell.adapters.document_watch import watch_documents
 from foxtailwell.adapters.group_commit import GroupCommitter
 from foxtailwell.adapters.store import StoreClient
-from foxtailwell.adapters.workers import WorkerClient
+from foxtailwell.adapters.workers import WorkerCalls
 from foxtailwell.core import (
     Job,
     JobShard,
@@ -71,7 +71,7 @@
         instance: Identifier of this daemon, as in the instance list.
         home_zone: Availability zone of the own instance.
         store: Client of the store.
-        workers: Client of the workers.
+        workers: Calls of workers so far.
         view: Configuration and fleet; the fleet tasks write it.
         job_documents: Writes the job documents.
         allocation_documents: Writes the allocation documents.
@@ -91,7 +91,7 @@
     instance: str
     home_zone: str
     store: StoreClient
-    workers: WorkerClient
+    workers: WorkerCalls
     view: FleetView
     job_documents: GroupCommitter[JobShard]
     allocation_documents: GroupCommitter[ZoneAllocation]
