Test the request core, and report queue and targets as metrics

Ruled out: counting in the fleet view, because only the request path knows its outcomes. Change: tests by example and by property; the entry hands queue lengths and target counts to the operators' routes; the driver refuses expired requests on the virtual clock.

--- a/src/foxtailwell/cli/entry.py
+++ b/src/foxtailwell/cli/entry.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import sys
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Annotated
 
@@ -12,6 +12,7 @@
 from starlette.routing import Route
 
 from foxtailwell.adapters.logs import configure_logs
+from foxtailwell.adapters.metrics import QueueLength, TargetCounts
 from foxtailwell.adapters.settings import Settings, load_settings
 from foxtailwell.adapters.store import StoreClient
 from foxtailwell.cli._exit_codes import USAGE
@@ -47,8 +48,15 @@
     await run_entry(settings, run_fleet=run_fleet, operator_routes=_operator_routes)
 
 
-def _operator_routes(store: StoreClient, view: FleetView) -> list[Route]:
-    return operator_routes(store, view, check_guarantees=_missing_guarantees)
+def _operator_routes(
+    store: StoreClient,
+    view: FleetView,
+    queue: Callable[[], list[QueueLength]],
+    targets: TargetCounts,
+) -> list[Route]:
+    return operator_routes(
+        store, view, check_guarantees=_missing_guarantees, queue=queue, targets=targets
+    )
 
 
 def _missing_guarantees(
--- a/src/foxtailwell/core/_admission.py
+++ b/src/foxtailwell/core/_admission.py
@@ -247,6 +247,14 @@
             self.remove(ticket)
         return late
 
+    def lengths(self) -> dict[tuple[str, str], int]:
+        """Return the number of waiting tickets by account and class."""
+        found: dict[tuple[str, str], int] = {}
+        for lanes in (self._lanes, self._late_lanes):
+            for key, lane in lanes.items():
+                found[key] = found.get(key, 0) + len(lane)
+        return found
+
     def predicted_wait_s(self, ticket: Ticket, limits: SlotLimits) -> float:
         """Return the predicted wait of a new ticket.
 
--- a/src/foxtailwell/entry/_daemon.py
+++ b/src/foxtailwell/entry/_daemon.py
@@ -26,6 +26,7 @@
 from foxtailwell.adapters.group_commit import open_group_committer
 from foxtailwell.adapters.http_server import serve_http
 from foxtailwell.adapters.logs import log_event
+from foxtailwell.adapters.metrics import QueueLength, TargetCounts
 from foxtailwell.adapters.peers import Load
 from foxtailwell.adapters.settings import Endpoint, Settings
 from foxtailwell.adapters.store import StoreClient, open_store
@@ -40,7 +41,7 @@
 from foxtailwell.entry._requests_api import RequestsApi
 from foxtailwell.fleet import FleetView
 
-__all__ = ["EntryPorts", "MakeRoutes", "run_entry"]
+__all__ = ["EntryPorts", "OperatorRoutes", "run_entry"]
 
 CONTACT_LIMIT_S = 5.0
 """Time without store and peers after which the entry is not ready: it could not learn that a zone
@@ -54,7 +55,9 @@
 PROGRESS_INTERVAL_S = 1.0
 
 RunFleet = Callable[..., Awaitable[Any]]
-MakeRoutes = Callable[[StoreClient, FleetView], Sequence[BaseRoute]]
+OperatorRoutes = Callable[
+    [StoreClient, FleetView, Callable[[], list[QueueLength]], TargetCounts], Sequence[BaseRoute]
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +73,7 @@
     *,
     run_fleet: RunFleet | None = None,
     view: FleetView | None = None,
-    operator_routes: MakeRoutes | None = None,
+    operator_routes: OperatorRoutes | None = None,
     stop: anyio.Event | None = None,
     task_status: TaskStatus[EntryPorts] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -100,7 +103,9 @@
         results = ClaimResults()
         dispatcher = Dispatcher(pool, clock)
         runner = RequestRunner(view, settings.instance, dispatcher, pool, claims, results, clock)
-        api = RequestsApi(view, runner, make_request_ids(settings.instance), clock)
+        targets = TargetCounts()
+        ids = make_request_ids(settings.instance)
+        api = RequestsApi(view, runner, ids, targets, clock)
         group = await stack.enter_async_context(anyio.create_task_group())
         if run_fleet is not None:
             handler = make_claim_handler(results)
@@ -112,10 +117,14 @@
         jobs = JobsView()
         group.start_soon(follow_jobs, store, jobs)
         callers_app = _make_app(view, api, job_routes(committer, jobs, view))
+        more_routes: Sequence[BaseRoute] = ()
+        if operator_routes is not None:
+            lengths = _make_queue_lengths(dispatcher)
+            more_routes = operator_routes(store, view, lengths, targets)
         operators_app = Starlette(
             routes=[
                 *_health_routes(view, api),
-                *(operator_routes(store, view) if operator_routes else ()),
+                *more_routes,
             ]
         )
         servers = _Servers(group, settings.shutdown_grace_ms / 1000)
@@ -132,6 +141,16 @@
     log_event(DAEMON_STOPPED, role="entry")
 
 
+def _make_queue_lengths(dispatcher: Dispatcher) -> Callable[[], list[QueueLength]]:
+    def lengths() -> list[QueueLength]:
+        return [
+            QueueLength(work_class, account, count)
+            for (account, work_class), count in dispatcher.queue.lengths().items()
+        ]
+
+    return lengths
+
+
 class _Servers:
     """HTTP servers of the daemon; they stop in the order in which they started."""
 
--- a/src/foxtailwell/entry/_requests_api.py
+++ b/src/foxtailwell/entry/_requests_api.py
@@ -15,6 +15,7 @@
 import msgspec
 from anyio.abc import TaskGroup
 
+from foxtailwell.adapters.metrics import TargetCounts
 from foxtailwell.adapters.minions import MinionAnswer, MinionFailure
 from foxtailwell.core import WorkClass
 from foxtailwell.core.errors import (
@@ -84,11 +85,13 @@
         view: FleetView,
         runner: RequestRunner,
         ids: Iterator[tuple[int, str]],
+        targets: TargetCounts,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._view = view
         self._runner = runner
         self._ids = ids
+        self._targets = targets
         self._clock = clock
         self._active: dict[int, _Active] = {}
         self._buffered_bytes = 0
@@ -151,6 +154,9 @@
         finally:
             self._buffered_bytes -= len(body)
             del self._active[number]
+            target_s = work_class.target_ms / 1000
+            is_met = request.has_response_begun and self._clock() - arrived_s <= target_s
+            self._targets.record(work_class.name, is_met)
 
     async def _run(self, request: Request, send: Send) -> None:
         async def respond(answer: MinionAnswer) -> None:
--- a/src/foxtailwell_bench/request_driver.py
+++ b/src/foxtailwell_bench/request_driver.py
@@ -33,6 +33,7 @@
 QUEUE_CAPACITY = 2048
 RUN_TIME_SIGMA = 0.4
 PLACE_ATTEMPTS = 3
+EXPIRE_INTERVAL_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -208,7 +209,11 @@
         self.ordinary = scenario.classes[0].name
 
     def run(self) -> DriverResult:
+        expire_at_s = 0.0
         for number, arrival in enumerate(self.arrivals):
+            if arrival.at_s >= expire_at_s:
+                expire_at_s = arrival.at_s + EXPIRE_INTERVAL_S
+                self._expire(arrival.at_s)
             for _ in self._completions_until(arrival.at_s):
                 pass
             self._arrive(number, arrival)
@@ -245,6 +250,10 @@
             return
         self._dispatch(now_s, entry, arrival.entry)
 
+    def _expire(self, now_s: float) -> None:
+        for entry in self.entries:
+            self.result.refused += len(entry.queue.expired(now_s))
+
     def _dispatch(self, now_s: float, entry: _Entry, number: int) -> None:
         while (ticket := self._next(now_s, entry)) is not None:
             if self.policy != "first_come" and ticket.give_up_s <= now_s:
--- /dev/null
+++ b/tests/test_request_core.py
@@ -0,0 +1,227 @@
+"""Admission, routing, retries and claims of the core."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from foxtailwell.core import (
+    AdmissionQueue,
+    Candidate,
+    Claim,
+    ClaimRelease,
+    ClaimRequest,
+    ClaimShard,
+    MinionHealth,
+    RetryBudget,
+    ServiceTimes,
+    SlotLimits,
+    Ticket,
+    apply_claims,
+    choose_minion,
+    earn,
+    is_ejected,
+    may_probe,
+    may_retry,
+    record_failure,
+    record_success,
+    slot_share,
+    spend,
+)
+
+
+def make_queue(capacity: int = 100) -> AdmissionQueue:
+    """Return a queue for an ordinary and a long class."""
+    times = ServiceTimes()
+    times.configure({"check": 0.5, "model": 100.0})
+    return AdmissionQueue(capacity, times)
+
+
+def ticket(number: int, account="a", work_class="check", now_s=0.0, patience_s=2.0) -> Ticket:
+    """Return a ticket with the target of its class."""
+    target_s = 0.5 if work_class == "check" else 100.0
+    return Ticket(number, account, work_class, now_s, now_s + target_s, now_s + patience_s)
+
+
+@given(
+    slots=st.integers(0, 64),
+    count=st.integers(1, 25),
+    minion=st.text(min_size=1, max_size=8),
+)
+def test_slot_shares_add_up(slots, count, minion):
+    """Guards against entries that together use more slots than a minion has, or fewer."""
+    entries = [f"e{n}" for n in range(count)]
+    shares = [slot_share(slots, minion, entries, own) for own in entries]
+    assert sum(shares) == slots
+    assert max(shares) - min(shares) <= 1
+
+
+def test_queue_takes_the_least_slack_first():
+    """Guards against a long model that is taken before an urgent check."""
+    queue, limits = make_queue(), SlotLimits(4)
+    queue.offer(ticket(1, work_class="model", patience_s=600), limits, 0.0)
+    queue.offer(ticket(2), limits, 0.0)
+    assert [queue.take(limits, 0.0).id, queue.take(limits, 0.0).id] == [2, 1]
+
+
+def test_late_ticket_does_not_precede_one_in_time():
+    """Guards against an overload in which every request becomes late."""
+    queue, limits = make_queue(), SlotLimits(1)
+    queue.offer(ticket(1, now_s=0.0), limits, 0.0)
+    queue.offer(ticket(2, now_s=1.0, patience_s=2), limits, 1.0)
+    assert queue.take(limits, 1.0).id == 2
+
+
+def test_accounts_share_slots_fairly():
+    """Guards against one account that takes all slots by sending first."""
+    queue, limits = make_queue(), SlotLimits(4)
+    for number in range(10):
+        queue.offer(ticket(number, "a"), limits, 0.0)
+    for number in range(10, 14):
+        queue.offer(ticket(number, "b"), limits, 0.0)
+    taken = [queue.take(limits, 0.0).account for _ in range(4)]
+    assert sorted(taken) == ["a", "a", "b", "b"]
+
+
+def test_guaranteed_account_is_neither_refused_nor_shed():
+    """Guards against shedding below guaranteed_slots while another account fills the queue."""
+    queue, limits = make_queue(capacity=5), SlotLimits(1, {"b": 2})
+    for number in range(50):
+        queue.offer(ticket(number, "a"), limits, 0.0)
+    cause, shed = queue.offer(ticket(100, "b"), limits, 0.0)
+    assert cause is None
+    assert shed is None or shed.account == "a"
+    assert queue.take(limits, 0.0).id == 100
+
+
+@given(st.lists(st.tuples(st.sampled_from("abc"), st.booleans(), st.booleans()), max_size=80))
+def test_queue_counts_stay_within_slots_and_capacity(steps):
+    """Guards against slots that are lost or used twice over any order of steps."""
+    queue, limits, running, now_s = make_queue(6), SlotLimits(4, {"c": 1}), [], 0.0
+    for number, (account, is_long, may_finish) in enumerate(steps):
+        now_s += 0.05
+        work_class = "model" if is_long else "check"
+        offered = ticket(number, account, work_class, now_s, patience_s=300)
+        if queue.start_now(offered, limits):
+            running.append(offered)
+        else:
+            queue.offer(offered, limits, now_s)
+        if may_finish and running:
+            queue.finish(running.pop(0))
+        while (taken := queue.take(limits, now_s)) is not None:
+            running.append(taken)
+        assert queue.running == len(running) <= limits.slots
+        assert queue.long_running <= 3
+        assert queue.waiting == sum(queue.lengths().values()) <= 6
+
+
+def test_predicted_wait_refuses_early():
+    """Guards against a queue in which requests wait for a refusal that was certain."""
+    queue, limits = make_queue(1000), SlotLimits(1)
+    causes = [queue.offer(ticket(n, patience_s=0.5), limits, 0.0)[0] for n in range(20)]
+    assert causes[0] is None
+    assert causes[-1] == "predicted_wait"
+
+
+def test_at_most_half_of_the_minions_are_ejected():
+    """Guards against ejecting everything when the cause is elsewhere."""
+    healths = [MinionHealth() for _ in range(5)]
+    for _ in range(20):
+        for index, health in enumerate(healths):
+            others = sum(is_ejected(h) for h in healths if h is not health)
+            healths[index] = record_failure(health, 0.0, others, len(healths))
+    assert sum(map(is_ejected, healths)) == 2
+
+
+def test_ejected_minion_is_probed_and_returns():
+    """Guards against a minion that never returns, or returns without a probe."""
+    health = MinionHealth()
+    for _ in range(3):
+        health = record_failure(health, 10.0, 0, 4)
+    assert is_ejected(health)
+    assert not may_probe(health, 10.5)
+    assert may_probe(health, 11.0)
+    again = record_failure(health, 11.0, 0, 4)
+    assert not may_probe(again, 12.5)
+    assert not is_ejected(record_success(again))
+
+
+def test_choice_prefers_near_zone_less_load_and_other_minions():
+    """Guards against far, loaded or already failed minions while better ones have room."""
+    near = Candidate("near", "z1", 8, 8, 7, 0)
+    far = Candidate("far", "z2", 8, 8, 0, 0)
+    idle = Candidate("idle", "z1", 8, 8, 0, 0)
+    full = Candidate("full", "z1", 8, 2, 2, 0)
+    assert choose_minion([near, far], "z1", (0.9, 0.9)).id == "near"
+    assert choose_minion([near, idle], "z1", (0.0, 0.0)).id == "idle"
+    assert choose_minion([full, far], "z1", (0.0, 0.0)).id == "far"
+    assert choose_minion([near, far], "z1", (0.0, 0.0), avoid=frozenset({"near"})).id == "far"
+    assert choose_minion([near, far], "z1", (0.0, 0.0), avoid_zone="z1").id == "far"
+    assert choose_minion([full], "z1", (0.0, 0.0)) is None
+
+
+@given(st.lists(st.booleans(), max_size=300))
+def test_retries_stay_within_their_budget(wishes):
+    """Guards against retries that multiply the load of an outage."""
+    budget, retries = RetryBudget(), 0
+    for wish in wishes:
+        budget = earn(budget)
+        if wish and _may_retry(budget):
+            budget, retries = spend(budget), retries + 1
+    assert retries <= 10 + 0.1 * len(wishes) + 1e-6
+
+
+def _may_retry(budget: RetryBudget, **changes) -> bool:
+    values = {
+        "is_idempotent": True,
+        "may_have_run": True,
+        "attempts": 1,
+        "remaining_s": 1.0,
+        "expected_run_s": 0.1,
+    }
+    return may_retry(budget, **{**values, **changes})
+
+
+def test_retry_is_refused_where_it_could_run_twice_or_too_late():
+    """Guards against a second run of a request that may not be repeated (I6)."""
+    assert _may_retry(RetryBudget())
+    assert not _may_retry(RetryBudget(), is_idempotent=False)
+    assert _may_retry(RetryBudget(), is_idempotent=False, may_have_run=False)
+    assert not _may_retry(RetryBudget(), remaining_s=0.05)
+    assert not _may_retry(RetryBudget(), attempts=3)
+
+
+def claim(request_id: str, at_unix_ms: int = 0) -> Claim:
+    """Return a claim."""
+    return Claim(request_id, "e1", "d", at_unix_ms)
+
+
+def test_claim_has_one_holder_and_is_never_taken_over():
+    """Guards against two requests that both hold a key (I6)."""
+    first, outcomes = apply_claims(
+        ClaimShard(), [ClaimRequest("k", claim("r1")), ClaimRequest("k", claim("r2"))], 0
+    )
+    assert [o.kind for o in outcomes] == ["claimed", "held"]
+    unchanged, later = apply_claims(first, [ClaimRequest("k", claim("r3"))], 1)
+    assert unchanged is first
+    assert later[0].holder == claim("r1")
+    _, again = apply_claims(first, [ClaimRequest("k", claim("r1"))], 1)
+    assert again[0].kind == "claimed"
+
+
+def test_release_frees_only_the_own_claim():
+    """Guards against a release that frees the claim of a request that runs (I6)."""
+    shard, _ = apply_claims(ClaimShard(), [ClaimRequest("k", claim("r1"))], 0)
+    kept, _ = apply_claims(shard, [ClaimRelease("k", "r2")], 1)
+    assert kept is shard
+    freed, _ = apply_claims(shard, [ClaimRelease("k", "r1")], 1)
+    assert not freed.claims
+
+
+@pytest.mark.parametrize(("age_ms", "kind"), [(3_599_999, "held"), (3_600_000, "claimed")])
+def test_claim_expires_after_an_hour(age_ms, kind):
+    """Guards against claims that expire early, and documents that only grow."""
+    shard, _ = apply_claims(ClaimShard(), [ClaimRequest("k", claim("r1"))], 0)
+    _, outcomes = apply_claims(shard, [ClaimRequest("k", claim("r2", age_ms))], age_ms)
+    assert outcomes[0].kind == kind
