Keep gangs when planning fails, and wake executors on a planned stop

A fault of the planner would have ended every scheduler at once, since all plan from the same view. The planned stop waited for the executor's next tick, up to 1 s.

--- a/src/foxtailwell/adapters/events.py
+++ b/src/foxtailwell/adapters/events.py
@@ -67,6 +67,7 @@
 JOB_FAILED = _event("FW1416", "WARNING", "job ended because it can never run")
 WORKER_QUARANTINED = _event("FW1417", "WARNING", "worker gets no work for a time")
 WORKER_RETURNED = _event("FW1418", "INFO", "worker gets work again")
+PLAN_FAILED = _event("FW1419", "ERROR", "planning failed, running gangs continue")
 
 # 1500-1599: operators
 CONFIGURATION_CHANGED = _event("FW1501", "INFO", "an operator's change is stored")
--- a/src/foxtailwell/scheduler/_leases.py
+++ b/src/foxtailwell/scheduler/_leases.py
@@ -175,6 +175,8 @@
         async def stop_on_request() -> None:
             await state.stop.wait()
             executor.is_stopping = True
+            # An empty message wakes the executor, which may be waiting for its next tick.
+            executor.submit(())
             await anyio.sleep(DRAIN_S)
             group.cancel_scope.cancel()
 
--- a/src/foxtailwell/scheduler/_planning.py
+++ b/src/foxtailwell/scheduler/_planning.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from foxtailwell.adapters.events import JOB_FAILED
+from foxtailwell.adapters.events import JOB_FAILED, PLAN_FAILED
 from foxtailwell.adapters.logs import log_event
 from foxtailwell.core import (
     ClusterView,
@@ -68,7 +68,13 @@
 
 async def _plan_once(state: SchedulerState, planner: Planner) -> None:
     begun_s = time.perf_counter()
-    state.plan = await make_plan(state, planner)
+    try:
+        state.plan = await make_plan(state, planner)
+    except Exception as error:
+        # Every scheduler plans from the same view, so a fault of the planner would end them all,
+        # and running gangs would lose their renewals.
+        log_event(PLAN_FAILED, error=repr(error))
+        state.plan = Plan()
     state.plan_ms = (time.perf_counter() - begun_s) * 1000
     by_zone: dict[str, list[Decision]] = {}
     failures = []
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -8,7 +8,7 @@
 import anyio
 import pytest
 
-from foxtailwell.core import JobState
+from foxtailwell.core import JobState, plan
 from foxtailwell_standins.store import StoreFailures
 from scheduler_harness import open_platform, running_scheduler
 
@@ -269,3 +269,21 @@
         assert lost.stopped_s
         await platform.until(lambda: not platform.allocation().gangs)
         await platform.cancel(identifier)
+
+
+async def test_fault_of_the_planner_ends_no_gang(platform):
+    """Guards against a planner fault that ends every scheduler and with them the renewals."""
+    faults = []
+
+    def plan_or_fail(view):
+        if faults:
+            raise ZeroDivisionError
+        return plan(view)
+
+    async with running_scheduler(platform, planner=plan_or_fail) as state:
+        identifier = await platform.submit("k", run_s=2.0)
+        await platform.until(lambda: len(_worked(platform)) == 2)
+        faults.append(True)
+        await platform.submit("other")
+        await platform.until(lambda: not state.plan.decisions)
+        await platform.until_state(identifier, JobState.DONE)
