Take no silence from the scheduler's own pause

A scheduler that was stopped while a barrier opened woke up, found the limit for the barrier passed, and stopped a running gang before it read the workers' reports; its successor had to start the attempt again. Ruled out: waiting for a confirmed lease before any command, which would leave lost members alone during a store outage. Change: silence and the limit of the barrier count only since the end of the newest pause of the process; limits of a start before run are unchanged. Before: the new test of the protocol stops the gang; after: it continues.

--- a/src/foxtailwell/core/_gangs.py
+++ b/src/foxtailwell/core/_gangs.py
@@ -167,11 +167,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Permission:
-    """What the scheduler knows about its right to start tasks now."""
+    """What the scheduler knows about its right to start tasks now.
+
+    Attributes:
+        now_s: Present time.
+        evidence: Newest evidence that the configuration is current.
+        zone_is_out: Whether the zone is out of service.
+        observing_since_s: Since when the scheduler has run without a pause. Silence before it
+            means nothing: the workers' reports may still wait to be read.
+    """
 
     now_s: float
     evidence: Evidence | None
     zone_is_out: bool
+    observing_since_s: float = 0.0
 
     @property
     def allows_start(self) -> bool:
@@ -370,7 +379,7 @@
 
 def _prepare(run: GangRun, permission: Permission) -> GangStep:
     now_s = permission.now_s
-    if lost := _lost_members(run, now_s):
+    if lost := _lost_members(run, permission):
         return _stop(run, _loss_text(lost), now_s, _workers(lost))
     if all(m.task is TaskState.PREPARED for m in run.members):
         if permission.zone_is_out:
@@ -387,7 +396,7 @@
 
 def _start(run: GangRun, permission: Permission) -> GangStep:
     now_s = permission.now_s
-    if lost := _lost_members(run, now_s):
+    if lost := _lost_members(run, permission):
         return _stop(run, _loss_text(lost), now_s, _workers(lost))
     if now_s - run.since_s > RUN_LATEST_S:
         late = tuple(m for m in run.members if m.task is not TaskState.STARTED)
@@ -399,7 +408,7 @@
 
 def _commit(run: GangRun, permission: Permission) -> GangStep:
     now_s = permission.now_s
-    if lost := _lost_members(run, now_s):
+    if lost := _lost_members(run, permission):
         return _stop(run, _loss_text(lost), now_s, _workers(lost))
     if now_s - run.since_s > RUN_LATEST_S:
         return _stop(run, "the store did not confirm the start in time", now_s)
@@ -414,7 +423,7 @@
         return _stop(run, event.reason, now_s)
     if permission.zone_is_out:
         return _stop(run, "zone taken out of service", now_s)
-    if now_s - run.since_s > RUN_LATEST_S or _lost_members(run, now_s):
+    if now_s - run.since_s > RUN_LATEST_S or _lost_members(run, permission):
         return _commit(run, permission)
     members = tuple(replace(m, may_have_run=True) for m in run.members)
     run = replace(run, phase=GangPhase.OPENING, members=members, sent_s=now_s)
@@ -423,11 +432,12 @@
 
 def _open(run: GangRun, permission: Permission) -> GangStep:
     now_s = permission.now_s
-    if lost := _lost_members(run, now_s):
+    if lost := _lost_members(run, permission):
         return _stop(run, _loss_text(lost), now_s, _workers(lost))
     if all(m.task in (TaskState.RUNNING, TaskState.DONE) for m in run.members):
         return _run(replace(run, phase=GangPhase.RUNNING), permission)
-    if now_s - run.since_s > PREPARATION_LIMIT_S + REPEAT_S:
+    is_late = now_s - run.since_s > PREPARATION_LIMIT_S + REPEAT_S
+    if is_late and now_s - permission.observing_since_s > RUN_LATEST_S:
         late = tuple(m for m in run.members if m.task is TaskState.STARTED)
         return _stop(run, "not all members passed the barrier", now_s, _workers(late))
     return _repeat(run, Operation.RUN, {TaskState.STARTED}, now_s)
@@ -437,7 +447,7 @@
     now_s = permission.now_s
     if all(m.task is TaskState.DONE for m in run.members):
         return _end(run)
-    if lost := _lost_members(run, now_s):
+    if lost := _lost_members(run, permission):
         return _stop(run, _loss_text(lost), now_s, _workers(lost))
     # Only a gang that was taken over can have a member at the barrier here. Its `run` was lost
     # with the previous scheduler, and the worker would refuse another one by now.
@@ -450,7 +460,7 @@
     now_s = permission.now_s
     if all(m.task is TaskState.DONE for m in run.members):
         return _end(run)
-    if lost := _lost_members(run, now_s):
+    if lost := _lost_members(run, permission):
         return _stop(run, _loss_text(lost), now_s, _workers(lost))
     if run.checkpoint == run.wanted_checkpoint or now_s >= run.stop_by_s:
         return _stop(run, run.stop_reason, now_s)
@@ -537,13 +547,17 @@
     return EndAttempt(JobState.WAITING, run.stop_reason, run.checkpoint, workers)
 
 
-def _lost_members(run: GangRun, now_s: float) -> tuple[MemberRun, ...]:
+def _lost_members(run: GangRun, permission: Permission) -> tuple[MemberRun, ...]:
+    silent_before_s = permission.now_s - LOST_AFTER_S
     return tuple(
         m
         for m in run.members
         if m.has_lapsed
         or m.task in _LOST
-        or (m.task is not TaskState.DONE and now_s - m.heard_s > LOST_AFTER_S)
+        or (
+            m.task is not TaskState.DONE
+            and max(m.heard_s, permission.observing_since_s) < silent_before_s
+        )
     )
 
 
--- a/src/foxtailwell/scheduler/_zone.py
+++ b/src/foxtailwell/scheduler/_zone.py
@@ -5,7 +5,7 @@
 import random
 import time
 from collections.abc import Awaitable, Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TypeVar
 
 import anyio
@@ -43,6 +43,7 @@
     Member,
     MemberCommand,
     Operation,
+    Permission,
     QuarantineWorker,
     RunCommitted,
     StartGang,
@@ -91,6 +92,9 @@
 STEADY_TICK_S = 1.0
 RECONCILE_INTERVAL_S = 2.0
 
+PAUSE_S = 2.0
+"""Time between two looks at the clock that only a pause of the process explains."""
+
 ORPHAN_AFTER_S = 3.0
 """Age after which a job or gang that no run belongs to is cleaned up. It is longer than a watch
 takes to show a write, so that a start in progress is not taken for an orphan."""
@@ -170,6 +174,8 @@
         refusals: Failed starts in a row by worker.
         orphans: When a job or gang without a run was first seen.
         group: Task group of the executor's tasks.
+        active_s: When the executor last looked at the clock.
+        observing_since_s: End of the newest pause of the process.
         reconciled_s: Newest comparison of the documents with the runs.
     """
 
@@ -188,6 +194,8 @@
     refusals: dict[str, int] = field(default_factory=dict)
     orphans: dict[str, float] = field(default_factory=dict)
     group: TaskGroup | None = None
+    active_s: float = 0.0
+    observing_since_s: float = 0.0
     reconciled_s: float = 0.0
 
     def submit(self, decisions: Iterable[Decision]) -> None:
@@ -205,6 +213,14 @@
         active = {job_id: active.gang for job_id, active in self.runs.items()}
         return {**active, **self.starting}
 
+    def permission(self) -> Permission:
+        """Return what is known now, and notice when the process was paused."""
+        known = self.state.permission(self.zone)
+        if known.now_s - self.active_s > PAUSE_S:
+            self.observing_since_s = known.now_s
+        self.active_s = known.now_s
+        return replace(known, observing_since_s=self.observing_since_s)
+
     @property
     def is_idle(self) -> bool:
         """Whether no start and no write is in progress."""
@@ -458,8 +474,7 @@
 
 
 def _advance(executor: ZoneExecutor, active: _Active, event: GangEvent) -> None:
-    permission = executor.state.permission(executor.zone)
-    _apply(executor, active, advance(active.run, event, permission))
+    _apply(executor, active, advance(active.run, event, executor.permission()))
 
 
 def _apply(executor: ZoneExecutor, active: _Active, step: GangStep) -> None:
@@ -663,7 +678,7 @@
 
 
 def _tick(executor: ZoneExecutor) -> None:
-    now_s = time.monotonic()
+    now_s = executor.permission().now_s
     for active in list(executor.runs.values()):
         job = executor.state.find_job(active.job.id)
         is_cancelled = job is not None and job.cancel_requested
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -118,6 +118,18 @@
     assert not any(m.may_have_run for m in step.run.members)
 
 
+@pytest.mark.parametrize("phase", [GangPhase.OPENING, GangPhase.RUNNING])
+def test_pause_of_the_scheduler_is_no_silence_of_the_workers(phase):
+    """Guards against a scheduler that wakes up and stops gangs whose reports it has not read."""
+    run = _run_to(phase)
+    woken = replace(_permission(20.0), observing_since_s=20.0)
+    run = advance(run, TimePassed(), woken).run
+    for index in range(3):
+        assert run.phase is phase
+        run = advance(run, TaskSeen(index, TaskState.RUNNING, True), woken).run
+    assert run.phase is GangPhase.RUNNING
+
+
 def test_silent_worker_keeps_its_accelerators_until_the_lease_lapsed():
     """Guards against accelerators that are given away while the task may still run."""
     run = _run_to(GangPhase.RUNNING)
