Hold reserved accelerators for a share of the wait only

Change: a reservation holds accelerators when it is due within a tenth of the time that the gang has waited, so it ages with the gang.

--- a/src/foxtailwell/core/_planner.py
+++ b/src/foxtailwell/core/_planner.py
@@ -46,6 +46,13 @@
 _STOPPABLE = (JobState.PREPARING, JobState.RUNNING)
 
 
+DISPLACEMENT_SHARE = 1.0
+"""Displaced gangs may hold at most this share of what the large gang takes."""
+
+RESERVATION_HORIZON = 0.1
+"""Accelerators are held for at most this share of the time that the gang has waited."""
+
+
 @dataclass(frozen=True, slots=True)
 class PlannerRules:
     """Optional rules, so that a benchmark can measure what each of them changes."""
@@ -56,6 +63,8 @@
     displacement: bool = True
     reservation_age_s: float = RESERVATION_AGE_S
     reservation_limit: int = RESERVATION_LIMIT
+    displacement_share: float = DISPLACEMENT_SHARE
+    reservation_horizon: float = RESERVATION_HORIZON
 
 
 def plan(view: ClusterView, rules: PlannerRules | None = None) -> Plan:
@@ -466,11 +475,13 @@
             if earliest is None:
                 continue
             due_in_s, zone, members = earliest
+            age_s = (facts.now_ms - job.submitted_unix_ms) / 1000
+            holds = due_in_s <= self._rules.reservation_horizon * age_s
             free: dict[str, int] = {}
             for member in members:
                 mask = mask_of(member.accelerators)
                 reserved[member.worker] = reserved.get(member.worker, 0) | mask
-                mask &= facts.capacity.workers[member.worker].free
+                mask &= facts.capacity.workers[member.worker].free if holds else 0
                 free[member.worker] = free.get(member.worker, 0) | mask
             held = [Member(worker, indexes_of(mask)) for worker, mask in free.items() if mask]
             facts.capacity.take(held, NO_SPEC)
@@ -526,7 +537,9 @@
         They may not hold more than the large gang takes, or accelerators would lie idle.
         """
         sizes = (self._facts.jobs[job_id].spec.accelerators for job_id in found.job_ids)
-        return self._rules.displacement and sum(sizes) <= job.spec.accelerators
+        return self._rules.displacement and (
+            sum(sizes) <= self._rules.displacement_share * job.spec.accelerators
+        )
 
     def _fit_elsewhere(self, found: Reclaim) -> bool:
         """Whether every gang that would move fits on accelerators that are free now."""
