--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -8,7 +8,7 @@
 import anyio
 import pytest
 
-from foxtailwell.core import JobState
+from foxtailwell.core import JobState, plan
 from foxtailwell_standins.store import StoreFailures
 from scheduler_harness import open_platform, running_scheduler
 
@@ -252,3 +252,38 @@
     async with running_scheduler(platform):
         identifier = await platform.submit("k")
         await platform.until_state(identifier, JobState.DONE)
+
+
+async def test_unreachable_worker_keeps_its_accelerators_for_its_task_lease(platform):
+    """Guards against a job that starts again while a member of its last attempt still works."""
+    async with running_scheduler(platform):
+        identifier = await platform.submit("k", members=3, size=8, run_s=600.0)
+        await platform.until(lambda: len(_worked(platform)) == 3)
+        platform.fail("a-w1", unreachable=True)
+        await platform.until_state(identifier, JobState.STOPPING)
+        rest = [r for r in _worked(platform) if r.worker != "a-w1"]
+        await platform.until(lambda: all(r.stopped_s for r in rest))
+        await platform.until_state(identifier, JobState.WAITING, limit_s=40.0)
+        platform.log()
+        lost = next(r for r in _worked(platform) if r.worker == "a-w1")
+        assert lost.stopped_s
+        await platform.until(lambda: not platform.allocation().gangs)
+        await platform.cancel(identifier)
+
+
+async def test_fault_of_the_planner_ends_no_gang(platform):
+    """Guards against a planner fault that ends every scheduler and with them the renewals."""
+    faults = []
+
+    def plan_or_fail(view):
+        if faults:
+            raise ZeroDivisionError
+        return plan(view)
+
+    async with running_scheduler(platform, planner=plan_or_fail) as state:
+        identifier = await platform.submit("k", run_s=2.0)
+        await platform.until(lambda: len(_worked(platform)) == 2)
+        faults.append(True)
+        await platform.submit("other")
+        await platform.until(lambda: not state.plan.decisions)
+        await platform.until_state(identifier, JobState.DONE)
