--- a/src/foxtailwell/core/_admission.py
+++ b/src/foxtailwell/core/_admission.py
@@ -147,10 +147,6 @@
         """Number of running requests of long classes."""
         return len(self._long)
 
-    def lengths(self) -> dict[LaneKey, int]:
-        """Return the number of waiting requests by account and class."""
-        return {key: len(lane) for key, lane in self._lanes.items()}
-
     def offer(
         self, ticket: Ticket, limits: SlotLimits, now_s: float
     ) -> tuple[RefusalCause | None, Ticket | None]:
@@ -251,9 +247,9 @@
             self.remove(ticket)
         return late
 
-    def lengths(self) -> dict[tuple[str, str], int]:
+    def lengths(self) -> dict[LaneKey, int]:
         """Return the number of waiting tickets by account and class."""
-        found: dict[tuple[str, str], int] = {}
+        found: dict[LaneKey, int] = {}
         for lanes in (self._lanes, self._late_lanes):
             for key, lane in lanes.items():
                 found[key] = found.get(key, 0) + len(lane)
