Refuse a claim that arrives after its release

Cause: an entry without an answer to a claim refuses the request as not_run and releases the claim in the background. If the claim was still on its way, the release found nothing, wrote nothing, and the claim then took effect and blocked its key for an hour. Ruled out: always writing releases, because the usual release has seen its claim. Change: before such a release the shard is written unchanged, which moves its version.

--- a/src/foxtailwell/entry/_claim_writer.py
+++ b/src/foxtailwell/entry/_claim_writer.py
@@ -126,10 +126,33 @@
         while True:
             await anyio.sleep(RELEASE_INTERVAL_S)
             for request_id, operation in list(self._unreleased.items()):
+                if not await self._fence(claim_shard_of(operation.key)):
+                    break
                 if await self._submit(_Pending(operation)) is None:
                     break
                 self._unreleased.pop(request_id, None)
 
+    async def _fence(self, shard: int) -> bool:
+        """Move the version of a shard, so that a write that is still under way is refused.
+
+        Without it a claim could take effect after its release had found nothing, and block its key
+        until it expires.
+
+        Returns:
+            Whether the version has moved.
+        """
+        try:
+            current = await self._read(shard)
+            key, text = claim_document_key(shard), encode_document(current.document)
+            await self._store.write_recognised(key, current.version, text, new_write_id())
+        except StoreConflictError:
+            pass
+        except FoxtailwellError:
+            return False
+        # The cached copy may be older than a late claim.
+        self._cache.pop(shard, None)
+        return True
+
     async def _submit(self, pending: _Pending) -> ClaimOutcome | None:
         shard = claim_shard_of(pending.operation.key)
         if shard in self._pending:
