Cut the processor time of an idle scheduler

Cause: with 171 workers and 1,368 tasks a scheduler used 26.7 % of a core. The profile shows a step of every gang after each message (58,000 of 58,402 steps), a step per task report, and a failing import of sniffio in each httpcore call (10,665 searches of the path, a sixth of the time). Ruled out: the JSON of the replies (under 1 %).

--- a/src/foxtailwell/core/_gangs.py
+++ b/src/foxtailwell/core/_gangs.py
@@ -132,6 +132,13 @@
     detail: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class TasksSeen:
+    """A worker reported the states of several members' tasks at once."""
+
+    tasks: tuple[TaskSeen, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class CommandRefused:
     """A worker refused a command for a reason that repeating does not cure."""
@@ -162,7 +169,7 @@
     """Nothing happened; time limits are checked."""
 
 
-GangEvent = TaskSeen | CommandRefused | RunCommitted | StopRequested | TimePassed
+GangEvent = TaskSeen | TasksSeen | CommandRefused | RunCommitted | StopRequested | TimePassed
 
 
 @dataclass(frozen=True, slots=True)
@@ -322,8 +329,10 @@
     if run.phase is GangPhase.ENDED:
         return GangStep(run)
     now_s = permission.now_s
-    if isinstance(event, TaskSeen):
-        run = _note_report(run, event, now_s)
+    if isinstance(event, TasksSeen):
+        run = _note_reports(run, event.tasks, now_s)
+    elif isinstance(event, TaskSeen):
+        run = _note_reports(run, (event,), now_s)
     elif isinstance(event, StopRequested):
         return _request_stop(run, event, now_s)
     elif isinstance(event, CommandRefused):
@@ -333,17 +342,27 @@
     return _PHASES[run.phase](_note_lapses(run, now_s), permission)
 
 
-def _note_report(run: GangRun, seen: TaskSeen, now_s: float) -> GangRun:
-    member = run.members[seen.member]
+def _note_reports(run: GangRun, reports: Iterable[TaskSeen], now_s: float) -> GangRun:
+    members = list(run.members)
+    for seen in reports:
+        members[seen.member] = _reported(members[seen.member], seen, run.phase, now_s)
+    run = replace(run, members=tuple(members))
+    wanted = run.wanted_checkpoint
+    if wanted and all(m.checkpoint == wanted or m.task is TaskState.DONE for m in members):
+        run = replace(run, checkpoint=wanted)
+    return run
+
+
+def _reported(member: MemberRun, seen: TaskSeen, phase: GangPhase, now_s: float) -> MemberRun:
     if member.task in _ENDED:
-        return run
-    if seen.state is TaskState.ABSENT and member.task is None and run.phase is GangPhase.PREPARING:
+        return member
+    if seen.state is TaskState.ABSENT and member.task is None and phase is GangPhase.PREPARING:
         # The report may be older than the preparation.
-        return run
+        return member
     is_idle = seen.state is not TaskState.ABSENT and not seen.has_run
     # A report that the task has not worked clears the doubt only when no `run` is under way.
     may_have_run = seen.has_run or (member.may_have_run and not (is_idle and seen.state in _ENDED))
-    changed = replace(
+    return replace(
         member,
         task=seen.state,
         heard_s=now_s,
@@ -351,12 +370,6 @@
         checkpoint=seen.checkpoint or member.checkpoint,
         detail=seen.detail or member.detail,
     )
-    members = (*run.members[: seen.member], changed, *run.members[seen.member + 1 :])
-    run = replace(run, members=members)
-    wanted = run.wanted_checkpoint
-    if wanted and all(m.checkpoint == wanted or m.task is TaskState.DONE for m in members):
-        run = replace(run, checkpoint=wanted)
-    return run
 
 
 def _note_lapses(run: GangRun, now_s: float) -> GangRun:
--- a/src/foxtailwell/scheduler/_zone.py
+++ b/src/foxtailwell/scheduler/_zone.py
@@ -4,7 +4,7 @@
 
 import random
 import time
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from typing import TypeVar
 
@@ -23,7 +23,7 @@
     ZONE_LOST,
 )
 from foxtailwell.adapters.logs import log_event
-from foxtailwell.adapters.workers import SyncReply, WorkerCommand
+from foxtailwell.adapters.workers import SyncReply, TaskReport, WorkerCommand
 from foxtailwell.core import (
     PREPARATION_LIMIT_S,
     TASK_LEASE_S,
@@ -50,6 +50,7 @@
     StopGang,
     StopRequested,
     TaskSeen,
+    TasksSeen,
     TaskState,
     TimePassed,
     ZoneAllocation,
@@ -117,6 +118,12 @@
     job: Job
     gang: Gang
     run: GangRun
+    members_by_worker: dict[str, list[int]] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.members_by_worker = {}
+        for index, member in enumerate(self.gang.members):
+            self.members_by_worker.setdefault(member.worker, []).append(index)
 
 
 @dataclass(frozen=True, slots=True)
@@ -177,6 +184,7 @@
         active_s: When the executor last looked at the clock.
         observing_since_s: End of the newest pause of the process.
         reconciled_s: Newest comparison of the documents with the runs.
+        ticked_s: Newest check of the time limits of all gangs.
     """
 
     state: SchedulerState
@@ -197,6 +205,7 @@
     active_s: float = 0.0
     observing_since_s: float = 0.0
     reconciled_s: float = 0.0
+    ticked_s: float = 0.0
 
     def submit(self, decisions: Iterable[Decision]) -> None:
         """Give the executor the newest decisions of the planner."""
@@ -306,10 +315,13 @@
         for active in executor.runs.values():
             _watch_workers(executor, active)
         while not (executor.is_stopping and executor.is_idle):
-            with anyio.move_on_after(_tick_s(executor)):
+            with anyio.move_on_after(_until_tick_s(executor)):
                 _handle(executor, await executor.receive.receive())
                 _handle_waiting(executor)
-            _tick(executor)
+            # A tick costs time for every gang, so a busy stream of messages must not cause more.
+            if _until_tick_s(executor) <= 0:
+                executor.ticked_s = time.monotonic()
+                _tick(executor)
         group.cancel_scope.cancel()
 
 
@@ -327,9 +339,10 @@
         _handle(executor, message)
 
 
-def _tick_s(executor: ZoneExecutor) -> float:
+def _until_tick_s(executor: ZoneExecutor) -> float:
     is_steady = all(a.run.phase is GangPhase.RUNNING for a in executor.runs.values())
-    return STEADY_TICK_S if is_steady and not executor.is_stopping else ACTIVE_TICK_S
+    interval_s = STEADY_TICK_S if is_steady and not executor.is_stopping else ACTIVE_TICK_S
+    return executor.ticked_s + interval_s - time.monotonic()
 
 
 def _handle(executor: ZoneExecutor, message: _Message) -> None:
@@ -525,16 +538,20 @@
         if active is not None and active.run.attempt == refusal.attempt:
             _advance(executor, active, CommandRefused(refusal.member, refusal.op, refusal.reason))
     for active in list(executor.runs.values()):
-        for index, member in enumerate(active.gang.members):
-            if member.worker != message.worker:
-                continue
-            report = reports.get((active.job.id, active.gang.attempt, index))
-            seen = (
-                TaskSeen(index, TaskState.ABSENT)
-                if report is None
-                else TaskSeen(index, report.state, report.has_run, report.checkpoint, report.detail)
-            )
-            _advance(executor, active, seen)
+        indexes = active.members_by_worker.get(message.worker)
+        if indexes:
+            # One event for a worker's tasks: a step costs time for every member of the gang.
+            seen = tuple(_seen(active, index, reports) for index in indexes)
+            _advance(executor, active, TasksSeen(seen))
+
+
+def _seen(
+    active: _Active, index: int, reports: Mapping[tuple[str, int, int], TaskReport]
+) -> TaskSeen:
+    report = reports.get((active.job.id, active.gang.attempt, index))
+    if report is None:
+        return TaskSeen(index, TaskState.ABSENT)
+    return TaskSeen(index, report.state, report.has_run, report.checkpoint, report.detail)
 
 
 async def _carry_out(executor: ZoneExecutor, active: _Active, effect: Effect) -> None:
