Recognise the own entry in the instance list, and bound claim documents by size

Cause: the instance list names daemons <instance>/<role>, but the entry looked for its instance name, so two entries would have used slots as if they were three; and a claim document of long names could pass the store's 1 MB although its count was bounded. Ruled out: a lower count of claims, because names differ in length. Change: slot shares and claims use <instance>/entry; a document over 950 kB takes no more claims, and releases still apply.

--- a/src/foxtailwell/core/_claims.py
+++ b/src/foxtailwell/core/_claims.py
@@ -15,9 +15,6 @@
 CLAIM_LIFETIME_MS = 3_600_000
 CLAIMS_SCHEMA_VERSION = 1
 
-CLAIMS_PER_SHARD_LIMIT = 7_500
-"""Claims of up to about 130 bytes keep a document below the store's limit of 1 MB."""
-
 
 class Claim(NamedTuple):
     """One claim. A tuple, because it is stored as a JSON array to keep the document small.
@@ -97,7 +94,11 @@
 
 
 def apply_claims(
-    shard: ClaimShard, operations: Sequence[ClaimOperation], now_unix_ms: int
+    shard: ClaimShard,
+    operations: Sequence[ClaimOperation],
+    now_unix_ms: int,
+    *,
+    has_room: bool = True,
 ) -> tuple[ClaimShard, list[ClaimOutcome]]:
     """Apply a batch of operations in order, and remove expired claims.
 
@@ -105,13 +106,14 @@
         shard: Current document.
         operations: The batch.
         now_unix_ms: Current time.
+        has_room: Whether the document may hold further claims.
 
     Returns:
         The document to write and one outcome for each operation. The document is the given one
         when no write is needed.
     """
     claims = dict(_live_claims(shard, now_unix_ms))
-    outcomes = [_apply(claims, operation) for operation in operations]
+    outcomes = [_apply(claims, operation, has_room) for operation in operations]
     if not any(o.kind in ("claimed", "released") for o in outcomes):
         return shard, outcomes
     if claims == shard.claims:
@@ -119,7 +121,7 @@
     return replace(shard, claims=claims), outcomes
 
 
-def _apply(claims: dict[str, Claim], operation: ClaimOperation) -> ClaimOutcome:
+def _apply(claims: dict[str, Claim], operation: ClaimOperation, has_room: bool) -> ClaimOutcome:
     held = claims.get(operation.key)
     if isinstance(operation, ClaimRelease):
         if held is not None and held.request_id == operation.request_id:
@@ -127,7 +129,7 @@
         return ClaimOutcome("released")
     if held is not None and held.request_id != operation.claim.request_id:
         return ClaimOutcome("held", held)
-    if held is None and len(claims) >= CLAIMS_PER_SHARD_LIMIT:
+    if held is None and not has_room:
         return ClaimOutcome("full")
     claims.setdefault(operation.key, operation.claim)
     return ClaimOutcome("claimed")
--- a/src/foxtailwell/entry/_claim_writer.py
+++ b/src/foxtailwell/entry/_claim_writer.py
@@ -41,6 +41,9 @@
 BURST_WRITES = 16.0
 """Writes that may go out at once, so that a quiet entry writes without waiting."""
 
+DOCUMENT_LIMIT_BYTES = 950_000
+"""Largest document; the store takes 1 MB. A full shard refuses new claims until old ones expire."""
+
 MAX_ATTEMPTS = 20
 RELEASE_INTERVAL_S = 1.0
 
@@ -175,20 +178,24 @@
     async def _write(self, shard: int, batch: list[_Pending]) -> list[ClaimOutcome]:
         operations = [p.operation for p in batch]
         cached = self._cache.get(shard) or await self._read(shard)
+        has_room = True
         for _ in range(MAX_ATTEMPTS):
-            document, outcomes = apply_claims(cached.document, operations, _unix_ms())
+            document, outcomes = apply_claims(
+                cached.document, operations, _unix_ms(), has_room=has_room
+            )
             if document is cached.document:
                 if cached.is_fresh or all(o.kind == "released" for o in outcomes):
                     return outcomes
                 # A cached document may name a holder that has released the key since.
                 cached = await self._read(shard)
                 continue
+            text = encode_document(document)
+            if len(text) > DOCUMENT_LIMIT_BYTES and has_room:
+                has_room = False
+                continue
             try:
                 version = await self._store.write_recognised(
-                    claim_document_key(shard),
-                    cached.version,
-                    encode_document(document),
-                    new_write_id(),
+                    claim_document_key(shard), cached.version, text, new_write_id()
                 )
             except StoreConflictError:
                 cached = await self._read(shard)
--- a/src/foxtailwell/entry/_daemon.py
+++ b/src/foxtailwell/entry/_daemon.py
@@ -97,12 +97,14 @@
             open_store(settings.platform.store_url, timeout_s=timeout_s)
         )
         clock, rng = time.monotonic, random.Random()
-        pool = MinionPool(view, settings.instance, settings.availability_zone, clock, rng)
+        # The instance list names own daemons by instance and role.
+        own = f"{settings.instance}/entry"
+        pool = MinionPool(view, own, settings.availability_zone, clock, rng)
         stack.push_async_callback(pool.aclose)
         claims = await stack.enter_async_context(open_claim_writer(store, lambda: pool.entry_count))
         results = ClaimResults()
         dispatcher = Dispatcher(pool, clock)
-        runner = RequestRunner(view, settings.instance, dispatcher, pool, claims, results, clock)
+        runner = RequestRunner(view, own, dispatcher, pool, claims, results, clock)
         targets = TargetCounts()
         ids = make_request_ids(settings.instance)
         api = RequestsApi(view, runner, ids, targets, clock)
--- a/src/foxtailwell_bench/_entry_rate.py
+++ b/src/foxtailwell_bench/_entry_rate.py
@@ -65,7 +65,7 @@
         lines = await stack.enter_async_context(
             _process(*_STANDIN, "minions", "--count", str(MINIONS), lines=MINIONS)
         )
-        addresses = [line.split()[2] for line in lines]
+        addresses = [line.split()[-1] for line in lines]
         entry = await stack.enter_async_context(_entry(directory, store_url, addresses))
         plain = await stack.enter_async_context(
             _process("-m", "foxtailwell_bench.pass_through", *addresses)
--- a/tests/request_fleet.py
+++ b/tests/request_fleet.py
@@ -75,11 +75,12 @@
         """Start an entry in this process."""
         view = self.views[name] = FleetView(configuration=CONFIGURATION)
         view.ask_claim = self._ask
-        self.records[name] = InstanceRecord(name, "entry", "zone-a", "127.0.0.1:1")
+        own = f"{name}/entry"
+        self.records[own] = InstanceRecord(own, "entry", "zone-a", "127.0.0.1:1")
         self.publish()
 
         async def fleet(settings, role, store, view, *, claim_handler, task_status):
-            self.handlers[name] = claim_handler
+            self.handlers[own] = claim_handler
             task_status.started()
             while True:
                 view.evidence = Evidence(1, time.monotonic())
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -320,3 +320,34 @@
         reply = await http.request("POST", f"/v1/requests/{path}", headers=headers)
     assert (reply.status, outcome(reply)) == (status, "not_run")
     assert not minion.executed
+
+
+async def test_full_claim_document_refuses_truthfully(fleet, store_state, monkeypatch):
+    """Guards against a claim document that grows beyond what the store takes (I5)."""
+    monkeypatch.setattr("foxtailwell.entry._claim_writer.DOCUMENT_LIMIT_BYTES", 200)
+    minion = await fleet.add_minion("m1")
+    ports = await fleet.add_entry("e1")
+    async with open_caller(ports.callers) as http:
+        replies = [await send(http, "survey", b"x", key=f"k{n}") for n in range(60)]
+    outcomes = [outcome(r) for r in replies]
+    assert outcomes.count("answer") == len(minion.executed)
+    assert 0 < outcomes.count("not_run") == 60 - len(minion.executed)
+    assert all(len(e.value) <= 200 for e in store_state.entries.values())
+
+
+async def test_two_entries_share_the_slots_of_a_minion(fleet):
+    """Guards against an entry that does not recognise itself in the instance list."""
+    minion = await fleet.add_minion("m1", run_ms=60_000)
+    first, second = await fleet.add_entry("e1"), await fleet.add_entry("e2")
+    loads = [fleet.views[name] for name in ("e1", "e2")]
+    async with (
+        open_caller(first.callers) as one,
+        open_caller(second.callers) as two,
+        anyio.create_task_group() as group,
+    ):
+        for _ in range(10):
+            group.start_soon(send, one)
+            group.start_soon(send, two)
+        await until(lambda: [view.own_load.in_flight for view in loads] == [4, 4])
+        assert (minion.in_flight, minion.refused) == (8, 0)
+        group.cancel_scope.cancel()
