--- a/src/foxtailwell/core/_guarantees.py
+++ b/src/foxtailwell/core/_guarantees.py
@@ -137,14 +137,22 @@
 
 
 def pack_around(
-    configuration: Configuration, capacity: Capacity, gangs: Sequence[Gang]
+    configuration: Configuration,
+    capacity: Capacity,
+    gangs: Sequence[Gang],
+    kept: Sequence[Mapping[str, int]],
 ) -> GuaranteePacking:
     """Pack the guaranteed shapes so that as many running gangs as possible are covered.
 
+    Unused slots lie on free accelerators where that leaves room for all shapes, because a slot
+    on a running gang stops it when the account needs the slot.
+
     Args:
         configuration: Configuration with the accounts.
         capacity: Usable workers, with the gangs taken.
         gangs: Running gangs in the order in which they should be covered.
+        kept: Accelerators by worker that unused slots avoid; the last entry is the most important
+            and holds the gangs within their account's guarantee.
 
     Returns:
         The packing with the fewest missing shapes; covering fewer gangs is tried when the
@@ -154,10 +162,10 @@
     if not shapes:
         return GuaranteePacking((), (), "")
     best: tuple[int, _Packer, list[MissingShape]] | None = None
-    for count in (len(gangs), len(gangs) // 2, 0):
+    for count, avoid in ((len(gangs), kept), (len(gangs), ()), (len(gangs) // 2, ()), (0, ())):
         packer = _Packer(capacity)
-        rest = packer.cover(shapes, gangs[:count])
-        missing = packer.fill(rest)
+        rest = packer.cover(shapes, gangs[:count], avoid[-1] if avoid else {})
+        missing = packer.fill(rest, avoid)
         lost = sum(shape.accelerators for shape in missing)
         if best is None or lost < best[0]:
             best = (lost, packer, missing)
@@ -178,6 +186,29 @@
     return sorted(shapes, key=lambda s: (-s.accelerators, s.account))
 
 
+def _masks_by_account(gangs: Iterable[Gang]) -> dict[str, dict[str, int]]:
+    masks: dict[str, dict[str, int]] = {}
+    for gang in gangs:
+        own = masks.setdefault(gang.account, {})
+        for member in gang.members:
+            own[member.worker] = own.get(member.worker, 0) | mask_of(member.accelerators)
+    return masks
+
+
+def _groups(needed: Mapping[str, int], sizes: Sequence[int]) -> Iterable[dict[str, int]]:
+    """Return parts of a gang that one slot may hold: all of it, then the most for each size."""
+    yield dict(needed)
+    for size in sorted(set(sizes), reverse=True):
+        group: dict[str, int] = {}
+        left = size
+        for worker, mask in sorted(needed.items()):
+            if mask.bit_count() <= left:
+                group[worker] = mask
+                left -= mask.bit_count()
+        if group and len(group) < len(needed):
+            yield group
+
+
 @lru_cache(maxsize=1 << 16)
 def _window(free: int, needed: int, size: int) -> int:
     """Return the mask of `size` adjacent free accelerators around the needed ones, or 0.
@@ -204,6 +235,9 @@
         self._open = {w.id: (1 << w.accelerators) - 1 for w in capacity.workers.values()}
         self._slots: list[tuple[MissingShape, RackCapacity, dict[str, int]]] = []
         self._own: dict[str, dict[str, int]] = {}
+        self._prefers_free = False
+        self._kept: Mapping[str, int] = {}
+        self._exempt: Mapping[str, int] = {}
 
     def result(self, missing: list[MissingShape], without_zone: str | None) -> GuaranteePacking:
         slots = tuple(
@@ -243,6 +277,11 @@
             for rack in self._capacity.racks.values()
         ]
 
+    def _seen(self, worker: str) -> int:
+        """Return what a slot may hold: not the kept gangs of other accounts."""
+        kept = self._kept.get(worker, 0) & ~self._exempt.get(worker, 0)
+        return self._open[worker] & ~kept
+
     def _place(self, shape: MissingShape, rack: RackCapacity, masks: dict[str, int]) -> None:
         own = self._own.setdefault(shape.account, {})
         for worker, mask in masks.items():
@@ -257,18 +296,52 @@
             self._own[shape.account][worker] &= ~mask
         return shape
 
-    def cover(self, shapes: list[MissingShape], gangs: Sequence[Gang]) -> list[MissingShape]:
-        """Place slots around running gangs of the same account; return the shapes left."""
+    def cover(
+        self, shapes: list[MissingShape], gangs: Sequence[Gang], kept: Mapping[str, int]
+    ) -> list[MissingShape]:
+        """Place slots around running gangs of the same account; return the shapes left.
+
+        Args:
+            shapes: Shapes of all accounts.
+            gangs: Running gangs in the order in which they are covered.
+            kept: Accelerators by worker that only the slots of their own account may hold.
+        """
+        own = _masks_by_account(gangs)
         left: dict[str, list[int]] = {}
         for shape in reversed(shapes):
             left.setdefault(shape.account, []).append(shape.accelerators)
         for gang in gangs:
             sizes = left.get(gang.account)
-            if sizes is not None:
+            if not sizes:
+                continue
+            self._kept, self._exempt = kept, own[gang.account]
+            if len(gang.members) > 1 or not self._cover_single(gang, sizes):
                 self._cover_gang(gang, sizes)
+        self._kept, self._exempt = {}, {}
         rest = [MissingShape(account, n) for account, sizes in left.items() for n in sizes]
         return sorted(rest, key=lambda s: (-s.accelerators, s.account))
 
+    def _cover_single(self, gang: Gang, sizes: list[int]) -> bool:
+        """Cover a gang of one member, which most gangs are, on its worker alone."""
+        member = gang.members[0]
+        worker = self._capacity.workers.get(member.worker)
+        mask = mask_of(member.accelerators)
+        if worker is None or not mask & ~self._own.get(gang.account, {}).get(worker.id, 0):
+            return True
+        seen = self._seen(worker.id)
+        if mask & ~seen:
+            return True
+        for index, size in enumerate(sizes):
+            if size > worker.accelerators:
+                return False
+            window = _window(seen, mask, size)
+            if window:
+                rack = self._capacity.racks[worker.zone, worker.rack]
+                self._place(MissingShape(gang.account, size), rack, {worker.id: window})
+                del sizes[index]
+                return True
+        return True
+
     def _cover_gang(self, gang: Gang, sizes: list[int]) -> None:
         own = self._own.get(gang.account, {})
         needed: dict[str, int] = {}
@@ -278,14 +351,19 @@
                 needed[member.worker] = needed.get(member.worker, 0) | mask
         if not needed or not sizes or any(worker not in self._open for worker in needed):
             return
-        if len(needed) > 1 and self._cover_masks(gang.account, needed, sizes):
-            return
-        for placed, (worker, mask) in enumerate(needed.items()):
-            if not self._cover_masks(gang.account, {worker: mask}, sizes):
+        placed = 0
+        while needed:
+            group = next(
+                (g for g in _groups(needed, sizes) if self._cover_masks(gang.account, g, sizes)),
+                None,
+            )
+            if group is None:
                 for _ in range(placed):
                     sizes.append(self._undo().accelerators)
                 sizes.sort()
                 return
+            needed = {worker: mask for worker, mask in needed.items() if worker not in group}
+            placed += 1
 
     def _cover_masks(self, account: str, needed: dict[str, int], sizes: list[int]) -> bool:
         rack = self._rack_of(needed)
@@ -316,7 +394,7 @@
         if len(needed) == 1:
             ((name, mask),) = needed.items()
             if size <= self._capacity.workers[name].accelerators:
-                window = _window(self._open[name], mask, size)
+                window = _window(self._seen(name), mask, size)
                 return {name: window} if window else None
         masks: dict[str, int] = {}
         left = size
@@ -326,7 +404,7 @@
         )
         for worker in order:
             full = (1 << worker.accelerators) - 1
-            if left >= worker.accelerators and self._open[worker.id] == full:
+            if left >= worker.accelerators and self._seen(worker.id) == full:
                 masks[worker.id] = full
                 left -= worker.accelerators
         if left:
@@ -349,28 +427,37 @@
         for order, worker in enumerate(workers):
             if worker.id in used:
                 continue
-            window = _window(self._open[worker.id], needed.get(worker.id, 0), size)
+            window = _window(self._seen(worker.id), needed.get(worker.id, 0), size)
             if window:
-                length = shortest_run(self._open[worker.id], size)[0]
+                length = shortest_run(self._seen(worker.id), size)[0]
                 candidates.append((not needed.get(worker.id, 0), length, order, worker.id, window))
         return min(candidates)[3:] if candidates else None
 
-    def fill(self, shapes: list[MissingShape]) -> list[MissingShape]:
-        """Place the shapes, largest first, in the tightest places; return those that are left."""
+    def fill(
+        self, shapes: list[MissingShape], avoid: Sequence[Mapping[str, int]] = ()
+    ) -> list[MissingShape]:
+        """Place the shapes, largest first, in the tightest places; return those that are left.
+
+        Args:
+            shapes: Shapes, largest first.
+            avoid: Accelerators to use last, by worker; with any, free ones are used first.
+        """
+        self._prefers_free = bool(avoid)
         missing: list[MissingShape] = []
         workers = list(self._capacity.workers.values())
-        size, heap = 0, list[tuple[int, int, int]]()
+        size, heap = 0, list[tuple[int, int, int, int]]()
         for shape in shapes:
             if shape.accelerators != size:
                 size = shape.accelerators
-                heap = [e for i, w in enumerate(workers) if (e := self._run_entry(i, w, size))]
+                entries = (self._run_entry(i, w, size, avoid) for i, w in enumerate(workers))
+                heap = [e for e in entries if e]
                 heapify(heap)
             if heap:
-                worker = workers[heap[0][2]]
-                mask = ((1 << size) - 1) << shortest_run(self._open[worker.id], size)[1]
+                _, _, order, start = heap[0]
+                worker = workers[order]
                 rack = self._capacity.racks[worker.zone, worker.rack]
-                self._place(shape, rack, {worker.id: mask})
-                again = self._run_entry(heap[0][2], worker, size)
+                self._place(shape, rack, {worker.id: ((1 << size) - 1) << start})
+                again = self._run_entry(order, worker, size, avoid)
                 if again:
                     heapreplace(heap, again)
                 else:
@@ -380,13 +467,18 @@
         return missing
 
     def _run_entry(
-        self, order: int, worker: WorkerCapacity, size: int
-    ) -> tuple[int, int, int] | None:
-        length, start = shortest_run(self._open[worker.id], size)
-        if length == NO_RUN[0]:
-            return None
-        taken = ((1 << size) - 1) << start & ~worker.free
-        return (length, taken.bit_count(), order)
+        self, order: int, worker: WorkerCapacity, size: int, avoid: Sequence[Mapping[str, int]]
+    ) -> tuple[int, int, int, int] | None:
+        """Return level of preference, length of the run, order and start."""
+        free = self._open[worker.id]
+        masks = [free]
+        if avoid:
+            masks = [free & worker.free, *(free & ~a.get(worker.id, 0) for a in avoid), free]
+        for level, mask in enumerate(masks):
+            length, start = shortest_run(mask, size)
+            if length != NO_RUN[0]:
+                return (level, length, order, start)
+        return None
 
     def _place_wide(self, shape: MissingShape) -> bool:
         found = min(self._wide_options(shape.accelerators), key=lambda o: o[0], default=None)
@@ -403,7 +495,10 @@
             if room >= size:
                 masks = self._slot_in(rack, size, {})
                 if masks is not None:
-                    yield (room, -rack.free_count), rack, masks
+                    taken = sum(
+                        (m & ~self._capacity.workers[w].free).bit_count() for w, m in masks.items()
+                    )
+                    yield (taken if self._prefers_free else 0, room), rack, masks
 
     def search(self, shapes: list[MissingShape]) -> bool:
         """Search for a packing of all shapes; False when none is found within the limit."""
@@ -487,10 +582,9 @@
         The cheapest choice found, one rack before several racks of a zone, or None.
     """
     best: tuple[float, Reclaim] | None = None
-    for zone, racks in capacity.zones.items():
+    for zone, groups in _groups_of(capacity, within).items():
         if zones is not None and zone not in zones:
             continue
-        groups = [rack.workers for rack in racks]
         found = [r for g in groups if (r := _vacate(zone, g, holdings, costs, spec, within))]
         if not found and len(groups) > 1:
             everything = [worker for group in groups for worker in group]
@@ -502,6 +596,22 @@
     return best[1] if best else None
 
 
+def _groups_of(
+    capacity: Capacity, within: Mapping[str, int] | None
+) -> dict[str, list[list[WorkerCapacity]]]:
+    """Return the workers that may be used by zone and rack."""
+    if within is None:
+        return {z: [rack.workers for rack in racks] for z, racks in capacity.zones.items()}
+    by_rack: dict[tuple[str, str], list[WorkerCapacity]] = {}
+    for name in sorted(name for name, mask in within.items() if mask):
+        worker = capacity.workers[name]
+        by_rack.setdefault((worker.zone, worker.rack), []).append(worker)
+    groups: dict[str, list[list[WorkerCapacity]]] = {}
+    for (zone, _), workers in sorted(by_rack.items()):
+        groups.setdefault(zone, []).append(workers)
+    return groups
+
+
 class _Cut(NamedTuple):
     """Cheapest accelerators of one worker for one member."""
 
@@ -520,8 +630,6 @@
     within: Mapping[str, int] | None,
 ) -> Reclaim | None:
     """Take the cheapest worker for one member after the other."""
-    if within is not None:
-        workers = [w for w in workers if within.get(w.id)]
     if sum(w.accelerators // spec.accelerators_per_member for w in workers) < spec.members:
         return None
     taken: dict[str, int] = {}
--- a/src/foxtailwell/core/_situation.py
+++ b/src/foxtailwell/core/_situation.py
@@ -26,12 +26,15 @@
 STARTS_PER_ZONE_AND_S = 8
 """A zone that returns is not flooded: image pulls and checkpoint reads share its links."""
 
-MOVE_OVERHEAD_S = 60.0
+MOVE_OVERHEAD_S = 20.0
 """Time that a moved gang loses: checkpoint, stop, start and reading the checkpoint."""
 
 MOVE_AFTER_S = 120.0
 """A gang is not moved again sooner than this after its start."""
 
+MOVE_ATTEMPT_LIMIT = 4
+"""Attempts after which a gang is no longer moved, so that it completes."""
+
 RESTART_OVERHEAD_S = 30.0
 """Work lost by any stop, in seconds of all accelerators of the gang."""
 
@@ -139,7 +142,23 @@
     def packing(self) -> GuaranteePacking:
         """Slots of the guaranteed shapes around the running gangs, oldest first."""
         ordered = sorted(self._account_gangs, key=lambda g: (g.started_unix_ms, g.job_id))
-        return pack_around(self.view.configuration, self.capacity, ordered)
+        return pack_around(self.view.configuration, self.capacity, ordered, self._kept)
+
+    @property
+    def _kept(self) -> tuple[dict[str, int], dict[str, int]]:
+        """Accelerators of gangs on several workers or within a guarantee, and of the latter."""
+        both: dict[str, int] = {}
+        within: dict[str, int] = {}
+        for _, gang, _ in self.gangs:
+            is_within = gang.job_id in self.within_guarantee
+            if not is_within and len(gang.members) == 1:
+                continue
+            for member in gang.members:
+                name, mask = member.worker, mask_of(member.accelerators)
+                both[name] = both.get(name, 0) | mask
+                if is_within:
+                    within[name] = within.get(name, 0) | mask
+        return both, within
 
     @cached_property
     def _account_gangs(self) -> list[Gang]:
@@ -184,12 +203,34 @@
         return room
 
     @cached_property
-    def within_guarantee(self) -> set[str]:
-        """Jobs that are not beyond their account's guarantee, oldest first."""
-        left = {
+    def _guaranteed(self) -> dict[str, int]:
+        return {
             account.name: sum(s.accelerators * s.count for s in account.guarantees)
             for account in self.view.configuration.accounts.values()
         }
+
+    def entitled_room(self, job: Job) -> dict[str, int] | None:
+        """Return the accelerators that the job may reclaim under its account's guarantee.
+
+        A job of exactly a guaranteed shape may always use an unused slot. A smaller one may
+        only while the account as a whole is below its guarantee; otherwise two accounts that both
+        run small jobs outside their slots stop each other's jobs in turn.
+        """
+        room = self.room.get(job.account)
+        if not room:
+            return None
+        size = job.spec.accelerators
+        shapes = self.view.configuration.accounts[job.account].guarantees
+        if self.usage.get(job.account, 0) + size > self._guaranteed[job.account] and not any(
+            shape.accelerators == size for shape in shapes
+        ):
+            return None
+        return room if sum(m.bit_count() for m in room.values()) >= size else None
+
+    @cached_property
+    def within_guarantee(self) -> set[str]:
+        """Jobs that are not beyond their account's guarantee, oldest first."""
+        left = dict(self._guaranteed)
         within = set()
         for gang in sorted(self._account_gangs, key=lambda g: (g.started_unix_ms, g.job_id)):
             count = sum(len(m.accelerators) for m in gang.members)
@@ -242,7 +283,8 @@
             elif (
                 self.now_ms - job.started_unix_ms >= MOVE_AFTER_S * 1000
                 and self.remaining_s[job_id] > 2 * MOVE_OVERHEAD_S
-                and (job.idempotent or job.checkpoint)
+                and job.attempt <= MOVE_ATTEMPT_LIMIT
+                and job.id not in self.within_guarantee
                 and not self.is_urgent(job)
             ):
                 movable[job_id] = MOVE_OVERHEAD_S * job.spec.accelerators
--- a/src/foxtailwell/entry/_requests_api.py
+++ b/src/foxtailwell/entry/_requests_api.py
@@ -15,7 +15,6 @@
 import msgspec
 from anyio.abc import TaskGroup
 
-from foxtailwell.adapters.metrics import TargetCounts
 from foxtailwell.adapters.minions import MinionAnswer, MinionFailure
 from foxtailwell.core import WorkClass
 from foxtailwell.core.errors import (
@@ -25,6 +24,7 @@
     OutcomeUnknownError,
     UnavailableError,
 )
+from foxtailwell.entry._request_outcomes import RequestOutcomes
 from foxtailwell.entry._requests import Request, RequestRunner
 from foxtailwell.fleet import FleetView
 
@@ -85,13 +85,13 @@
         view: FleetView,
         runner: RequestRunner,
         ids: Iterator[tuple[int, str]],
-        targets: TargetCounts,
         clock: Callable[[], float] = time.monotonic,
+        outcomes: RequestOutcomes | None = None,
     ) -> None:
+        self._outcomes = outcomes if outcomes is not None else RequestOutcomes()
         self._view = view
         self._runner = runner
         self._ids = ids
-        self._targets = targets
         self._clock = clock
         self._active: dict[int, _Active] = {}
         self._buffered_bytes = 0
@@ -151,12 +151,21 @@
         self._buffered_bytes += len(body)
         try:
             await self._run(request, send)
+        except (FoxtailwellError, MinionFailure) as error:
+            is_unknown = isinstance(error, OutcomeUnknownError | MinionFailure)
+            self._record(request, "outcome_unknown" if is_unknown else "not_run", str(error))
+            raise
+        else:
+            self._record(request, "answer")
         finally:
             self._buffered_bytes -= len(body)
             del self._active[number]
-            target_s = work_class.target_ms / 1000
-            is_met = request.has_response_begun and self._clock() - arrived_s <= target_s
-            self._targets.record(work_class.name, is_met)
+
+    def _record(self, request: Request, outcome: str, detail: str = "") -> None:
+        elapsed_s = self._clock() - request.arrived_s
+        self._outcomes.record(
+            request.id, request.account, request.work_class, elapsed_s, outcome, detail
+        )
 
     async def _run(self, request: Request, send: Send) -> None:
         async def respond(answer: MinionAnswer) -> None:
--- a/src/foxtailwell/scheduler/_daemon.py
+++ b/src/foxtailwell/scheduler/_daemon.py
@@ -7,7 +7,7 @@
 from contextlib import asynccontextmanager
 
 import anyio
-from anyio.abc import TaskGroup, TaskStatus
+from anyio.abc import TaskStatus
 
 from foxtailwell.adapters.events import DAEMON_STARTED, DAEMON_STOPPED, DAEMON_STOPPING
 from foxtailwell.adapters.group_commit import open_group_committer
@@ -27,6 +27,10 @@
 
 STOP_GRACE_S = 2.0
 
+WORKER_TIMEOUT_S = 0.4
+"""Shorter than the 1 s in which a gang must pass prepare and start, so that a command whose
+response was lost is repeated within the same attempt."""
+
 
 async def run_scheduler(settings: Settings) -> None:
     """Run the scheduler until SIGTERM or SIGINT, then release the zones and stop."""
@@ -82,7 +86,7 @@
         log_event(DAEMON_STARTED, operators_port=state.operators_port)
         task_status.started(state)
         if view is None:
-            await _start_fleet(settings, state, group)
+            await group.start(run_fleet, settings, "scheduler", state.store, state.view)
         group.start_soon(follow_documents, state)
         group.start_soon(keep_planning, state, planner)
         await _keep_zones_until_stopped(state)
@@ -103,10 +107,6 @@
         await keep_zones(state)
 
 
-async def _start_fleet(settings: Settings, state: SchedulerState, group: TaskGroup) -> None:
-    await group.start(run_fleet, settings, "scheduler", state.store, state.view)
-
-
 @asynccontextmanager
 async def _open_state(
     settings: Settings, stop: anyio.Event, view: FleetView
@@ -114,12 +114,12 @@
     timeout_s = settings.platform.store_timeout_ms / 1000
     async with (
         open_store(settings.platform.store_url, timeout_s=timeout_s) as store,
-        open_workers() as workers,
+        open_workers(timeout_s=WORKER_TIMEOUT_S) as workers,
         open_group_committer(store, JobShard, JobShard) as jobs,
         open_group_committer(store, ZoneAllocation, ZoneAllocation) as allocations,
     ):
         yield SchedulerState(
-            settings.instance,
+            f"{settings.instance}/scheduler",
             settings.availability_zone,
             store,
             workers,
