Keep streamed answers of claimed requests for their repetitions

Cause: a claimed request with an answer over 256 KB was recorded as unknown, so its repetition got outcome_unknown although the whole answer had passed through. Ruled out: reading long answers in full before forwarding, which delays the first byte. Change: a copy of up to 1.9 MB is kept while the answer is streamed; tests for it, for zones and instances that operators took out, and for readiness without contact.

--- a/src/foxtailwell/adapters/minions.py
+++ b/src/foxtailwell/adapters/minions.py
@@ -77,7 +77,7 @@
 class MinionAnswer:
     """A checked response: either complete in `body`, or read from `chunks`."""
 
-    __slots__ = ("_chunks", "_close", "body", "headers", "length_bytes", "reported_load", "status")
+    __slots__ = ("_chunks", "_kept", "body", "headers", "length_bytes", "reported_load", "status")
 
     def __init__(
         self, status: int, headers: Headers, length_bytes: int, reported_load: int | None
@@ -88,6 +88,16 @@
         self.reported_load = reported_load
         self.body: bytes | None = None
         self._chunks: AsyncIterator[bytes] | None = None
+        self._kept: list[bytes] | None = None
+
+    def keep(self) -> None:
+        """Keep a copy of the chunks that are read."""
+        self._kept = []
+
+    def kept_body(self) -> bytes | None:
+        """Return the whole body of a kept response once all of it was read."""
+        body = b"".join(self._kept or ())
+        return body if len(body) == self.length_bytes else None
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Read the body of a long response.
@@ -99,6 +109,8 @@
             return
         try:
             async for chunk in self._chunks:
+                if self._kept is not None:
+                    self._kept.append(chunk)
                 yield chunk
         except _TRANSPORT_ERRORS as error:
             raise MinionFailure(type(error).__name__, may_have_run=True) from error
--- a/src/foxtailwell/entry/_claim_results.py
+++ b/src/foxtailwell/entry/_claim_results.py
@@ -10,7 +10,7 @@
 
 from foxtailwell.adapters.peers import ClaimAnswer, ClaimQuery
 
-__all__ = ["ClaimResults", "make_claim_handler"]
+__all__ = ["ANSWER_BYTES_LIMIT", "ClaimResults", "make_claim_handler"]
 
 KEEP_S = 600.0
 KEEP_BYTES = 16 * 1024 * 1024
--- a/src/foxtailwell/entry/_requests.py
+++ b/src/foxtailwell/entry/_requests.py
@@ -35,7 +35,7 @@
     NotRunError,
     OutcomeUnknownError,
 )
-from foxtailwell.entry._claim_results import ClaimResults
+from foxtailwell.entry._claim_results import ANSWER_BYTES_LIMIT, ClaimResults
 from foxtailwell.entry._claim_writer import ClaimWriter
 from foxtailwell.entry._dispatch import Dispatcher, RefusedError
 from foxtailwell.entry._minion_pool import Minion, MinionPool
@@ -302,10 +302,20 @@
         """Run a claimed request, and keep its result or release its claim."""
         answer: MinionAnswer | None = None
         result = ClaimAnswer("unknown")
+
+        async def respond_and_keep(streamed: MinionAnswer) -> None:
+            nonlocal result
+            if streamed.length_bytes <= ANSWER_BYTES_LIMIT:
+                streamed.keep()
+            await respond(streamed)
+            body = streamed.kept_body()
+            if body is not None:
+                result = _to_claim_answer(streamed, body)
+
         try:
-            answer = await self._run_in_slot(request, ticket, respond)
+            answer = await self._run_in_slot(request, ticket, respond_and_keep)
             if answer is not None:
-                result = _to_claim_answer(answer)
+                result = _to_claim_answer(answer, answer.body or b"")
         except BaseException:
             if not request.may_have_run:
                 with anyio.CancelScope(shield=True):
@@ -374,9 +384,9 @@
     )
 
 
-def _to_claim_answer(answer: MinionAnswer) -> ClaimAnswer:
+def _to_claim_answer(answer: MinionAnswer, body: bytes) -> ClaimAnswer:
     headers = tuple((n.decode("latin-1"), v.decode("latin-1")) for n, v in answer.headers)
-    return ClaimAnswer("answer", answer.status, headers, answer.body or b"")
+    return ClaimAnswer("answer", answer.status, headers, body)
 
 
 def _from_claim_answer(found: ClaimAnswer) -> MinionAnswer:
--- a/tests/request_fleet.py
+++ b/tests/request_fleet.py
@@ -71,8 +71,8 @@
         self.publish()
         return state
 
-    async def add_entry(self, name: str, stop: anyio.Event | None = None) -> EntryPorts:
-        """Start an entry in this process."""
+    async def add_entry(self, name: str, *, evidence_age_s: float = 0.0) -> EntryPorts:
+        """Start an entry in this process, with evidence of a given age."""
         view = self.views[name] = FleetView(configuration=CONFIGURATION)
         view.ask_claim = self._ask
         own = f"{name}/entry"
@@ -81,9 +81,10 @@
 
         async def fleet(settings, role, store, view, *, claim_handler, task_status):
             self.handlers[own] = claim_handler
+            view.evidence = Evidence(1, time.monotonic() - evidence_age_s)
             task_status.started()
             while True:
-                view.evidence = Evidence(1, time.monotonic())
+                view.evidence = Evidence(1, time.monotonic() - evidence_age_s)
                 await anyio.sleep(0.5)
 
         async def run(*, task_status) -> None:
@@ -91,7 +92,6 @@
                 make_settings(name, self.store_url),
                 run_fleet=fleet,
                 view=view,
-                stop=stop,
                 task_status=task_status,
             )
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -8,8 +8,10 @@
 import pytest
 
 from foxtailwell.adapters.http_client import TRANSPORT_ERRORS
+from foxtailwell.core import ZoneOut
 from foxtailwell_standins.store import StoreFailures, make_store_app
 from request_fleet import (
+    CONFIGURATION,
     Fleet,
     entry_process,
     make_settings,
@@ -351,3 +353,43 @@
         await until(lambda: [view.own_load.in_flight for view in loads] == [4, 4])
         assert (minion.in_flight, minion.refused) == (8, 0)
         group.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(("size", "expected"), [(1_000_000, "answer"), (3_000_000, "unknown")])
+async def test_repetition_gets_a_streamed_answer_up_to_the_limit(fleet, size, expected):
+    """Guards against a repetition that loses a long answer, and one that runs again (I6)."""
+    minion = await fleet.add_minion("m1", answer_bytes=size)
+    first, second = await fleet.add_entry("e1"), await fleet.add_entry("e2")
+    async with open_caller(first.callers) as one, open_caller(second.callers) as two:
+        answered = await send(one, "survey", b"roof", key="k1")
+        for http in (one, two):
+            again = await send(http, "survey", b"roof", key="k1")
+            assert expected in outcome(again)
+            assert (again.body == answered.body) == (expected == "answer")
+    assert len(answered.body) == size
+    assert len(minion.executed) == 1
+
+
+async def test_minion_that_operators_took_out_gets_no_new_work(fleet):
+    """Guards against requests for a zone or an instance that is out (I7)."""
+    out = [await fleet.add_minion("m1", "zone-b"), await fleet.add_minion("m2")]
+    used = await fleet.add_minion("m3")
+    ports = await fleet.add_entry("e1")
+    view = fleet.views["e1"]
+    zones_out = {"zone-b": ZoneOut("zone-b", 0, "operator", "flood")}
+    view.configuration = replace(CONFIGURATION, zones_out=zones_out, leaving_instances=("m2",))
+    view.notify()
+    await anyio.wait_all_tasks_blocked()
+    async with open_caller(ports.callers) as http:
+        replies = [await send(http) for _ in range(20)]
+    assert {outcome(r) for r in replies} == {"answer"}
+    assert [len(m.executed) for m in (*out, used)] == [0, 0, 20]
+
+
+@pytest.mark.parametrize(("age_s", "status"), [(1.0, 200), (6.0, 503)])
+async def test_entry_without_contact_is_not_ready(fleet, age_s, status):
+    """Guards against an entry that takes work although it cannot learn of a zone-out (I3)."""
+    ports = await fleet.add_entry("e1", evidence_age_s=age_s)
+    async with open_caller(ports.callers) as http:
+        assert (await http.request("GET", "/readyz")).status == status
+        assert (await http.request("GET", "/healthz")).status == 200
