--- a/src/foxtailwell/scheduler/_zone.py
+++ b/src/foxtailwell/scheduler/_zone.py
@@ -352,7 +352,9 @@
             starts.append(decision)
         elif isinstance(decision, StopGang):
             active = executor.runs.get(decision.job_id)
-            if active is not None:
+            # While `run` is under way nothing can be checkpointed, and a job that may not run
+            # twice would end with an unknown outcome. The planner asks again with its next plan.
+            if active is not None and active.run.phase is not GangPhase.OPENING:
                 event = StopRequested(decision.reason, decision.checkpoint_wait_s)
                 _advance(executor, active, event)
         elif isinstance(decision, QuarantineWorker):
