--- a/src/foxtailwell/cli/entry.py
+++ b/src/foxtailwell/cli/entry.py
@@ -4,22 +4,20 @@
 
 import sys
 from dataclasses import dataclass
-from functools import partial
 from typing import Annotated
 
 import anyio
 import cappa
 
 from foxtailwell.adapters.logs import configure_logs
-from foxtailwell.adapters.settings import load_settings
+from foxtailwell.adapters.settings import Settings, load_settings
+from foxtailwell.cli._exit_codes import USAGE
 from foxtailwell.core.errors import ValidationError
 from foxtailwell.entry import operator_routes, run_entry
 from foxtailwell.fleet import run_fleet
 
 __all__ = ["main"]
 
-WRONG_SETTINGS = 2
-
 
 @cappa.command(name="foxtailwell-entry", help="Run the entry daemon.")
 @dataclass(frozen=True)
@@ -34,10 +32,15 @@
             settings = load_settings(self.settings)
         except ValidationError as error:
             print(error, file=sys.stderr)
-            raise cappa.Exit(code=WRONG_SETTINGS) from error
-        configure_logs(settings.log.form, settings.log.level, instance=settings.instance)
-        run = partial(run_entry, settings, run_fleet=run_fleet, operator_routes=operator_routes)
-        anyio.run(run, backend_options={"use_uvloop": True})
+            raise cappa.Exit(code=USAGE) from error
+        configure_logs(
+            settings.log.form, settings.log.level, instance=settings.instance, daemon="entry"
+        )
+        anyio.run(_run, settings, backend_options={"use_uvloop": True})
+
+
+async def _run(settings: Settings) -> None:
+    await run_entry(settings, run_fleet=run_fleet, operator_routes=operator_routes)
 
 
 def main() -> None:
