Test the relay of the configuration and list the log events

Operators could not look up an event.

Ruled out: decimal times in the state machine, because rounding between clocks with an offset made an exact bound fail by 1e-13 s.

Change: a hypothesis state machine drives two daemons, each with its own clock, one store and late messages through the functions of the fleet tasks; take_result is shared by the watch task and the machine. docs/events.md lists every event with what to do, and a test compares it with the program.

--- a/src/foxtailwell/fleet/_store_watch.py
+++ b/src/foxtailwell/fleet/_store_watch.py
@@ -41,12 +41,7 @@
             continue
         failures = 0
         _set_available(state, True)
-        if result.revision < after_revision:
-            after_revision = 0  # A restored store must be read from the start.
-        else:
-            _take_result(state, result, is_complete=after_revision == 0)
-            note_store_reply(state, sent_at_s, time.monotonic())
-            after_revision = result.revision
+        after_revision = take_result(state, result, after_revision, sent_at_s, time.monotonic())
         await anyio.sleep(max(0.0, sent_at_s + _SHORTEST_INTERVAL_S - time.monotonic()))
 
 
@@ -61,11 +56,34 @@
     return longest_s * (0.5 + share / 2)
 
 
-def _take_result(state: FleetState, result: WatchResult, *, is_complete: bool) -> None:
+def take_result(
+    state: FleetState,
+    result: WatchResult,
+    after_revision: int,
+    sent_at_s: float,
+    now_s: float,
+) -> int:
+    """Take the result of a watch.
+
+    Args:
+        state: State to change.
+        result: Answer of the store.
+        after_revision: Store revision that the call named; 0 reads from the start.
+        sent_at_s: When the call was sent.
+        now_s: Current time.
+
+    Returns:
+        Store revision for the next call.
+    """
+    if result.revision < after_revision:
+        return 0  # A restored store must be read from the start.
     documents = [c.value for c in result.changes if c.key == CONFIGURATION_KEY]
+    is_complete = after_revision == 0
     if documents or is_complete:
         document = documents[-1].encode() if documents else None
         note_store_document(state, document, is_complete=is_complete)
+    note_store_reply(state, sent_at_s, now_s)
+    return result.revision
 
 
 def _note_failure(state: FleetState, error: Exception) -> None:
