--- a/src/foxtailwell/core/_admission.py
+++ b/src/foxtailwell/core/_admission.py
@@ -147,10 +147,6 @@
         """Number of running requests of long classes."""
         return len(self._long)
 
-    def lengths(self) -> dict[LaneKey, int]:
-        """Return the number of waiting requests by account and class."""
-        return {key: len(lane) for key, lane in self._lanes.items()}
-
     def offer(
         self, ticket: Ticket, limits: SlotLimits, now_s: float
     ) -> tuple[RefusalCause | None, Ticket | None]:
