--- a/src/foxtailwell/core/_allocations.py
+++ b/src/foxtailwell/core/_allocations.py
@@ -57,13 +57,17 @@
         gang: Gang with its members.
 
     Returns:
-        The document with the gang; the same object when the gang holds them already.
+        The document with the gang; the same object when the gang holds them already. A gang of an
+        older attempt is replaced: a new attempt begins only after the older one has ended, and its
+        release may have been lost.
 
     Raises:
         AcceleratorsTakenError: One of the accelerators is taken, or the job holds others.
     """
     present = allocation.gangs.get(gang.job_id)
-    if present is not None:
+    if present is not None and present.attempt < gang.attempt:
+        allocation = release(allocation, gang.job_id, present.attempt)
+    elif present is not None:
         if (present.attempt, present.members) == (gang.attempt, gang.members):
             return allocation
         raise AcceleratorsTakenError(gang.job_id, f"attempt {present.attempt} still holds some")
--- a/src/foxtailwell/core/_gangs.py
+++ b/src/foxtailwell/core/_gangs.py
@@ -497,6 +497,10 @@
         return GangStep(run)
     if run.phase is GangPhase.STOPPING:
         return GangStep(replace(run, stop_kind=event.reason))
+    if run.phase is GangPhase.OPENING and event.reason != "cancel":
+        # `run` is under way: work that has just begun could not be checkpointed. The planner asks
+        # again with its next plan.
+        return GangStep(run)
     reason = event.reason.replace("_", " ")
     run = replace(run, stop_kind=event.reason, stop_reason=reason)
     if run.phase is not GangPhase.RUNNING or event.checkpoint_wait_s <= 0:
--- a/src/foxtailwell/scheduler/_mutations.py
+++ b/src/foxtailwell/scheduler/_mutations.py
@@ -177,19 +177,8 @@
 
 
 def take_gang(gang: Gang, term: int) -> AllocationMutation:
-    """Return the change that takes all accelerators of a gang.
-
-    A gang of an older attempt is released first: the job began a new attempt, so the older one has
-    ended, and only its release was lost.
-    """
-
-    def change(allocation: ZoneAllocation) -> ZoneAllocation:
-        present = allocation.gangs.get(gang.job_id)
-        if present is not None and present.attempt < gang.attempt:
-            allocation = release(allocation, gang.job_id, present.attempt)
-        return take(allocation, gang)
-
-    return _fenced(term, change)
+    """Return the change that takes all accelerators of a gang."""
+    return _fenced(term, lambda allocation: take(allocation, gang))
 
 
 def release_gang(job_id: str, attempt: int, term: int) -> AllocationMutation:
--- a/src/foxtailwell/scheduler/_zone.py
+++ b/src/foxtailwell/scheduler/_zone.py
@@ -365,9 +365,7 @@
             starts.append(decision)
         elif isinstance(decision, StopGang):
             active = executor.runs.get(decision.job_id)
-            # While `run` is under way nothing can be checkpointed, and a job that may not run
-            # twice would end with an unknown outcome. The planner asks again with its next plan.
-            if active is not None and active.run.phase is not GangPhase.OPENING:
+            if active is not None:
                 event = StopRequested(decision.reason, decision.checkpoint_wait_s)
                 _advance(executor, active, event)
         elif isinstance(decision, QuarantineWorker):
