--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
-test: lint
+test: lint model
 	$(BIN)/python -m pytest
 
 model: setup
--- a/tests/deployment.py
+++ b/src/foxtailwell_bench/deployment.py
@@ -10,7 +10,7 @@
 import sys
 import time
 from concurrent.futures import Future, ThreadPoolExecutor
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -53,7 +53,7 @@
     """Processes that this object started, by name; it ends these and no others."""
 
     directory: Path
-    processes: dict[str, subprocess.Popen] = field(default_factory=dict)
+    processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
     instances: dict[int, Instance] = field(default_factory=dict)
     pool: ThreadPoolExecutor = field(default_factory=lambda: ThreadPoolExecutor(16))
     store: str = ""
@@ -99,6 +99,9 @@
         """Start the daemons of an instance, or start them again on other ports."""
         ports = _free_ports(5)
         instance = Instance(number, ports[0], ports[1], ports[2])
+        running = self.instances.get(number)
+        if running is not None and "entry" not in roles:
+            instance = replace(running, scheduler_operators=ports[2])
         self.instances[number] = instance
         for role, peers, operators in (
             ("entry", ports[3], ports[1]),
@@ -291,7 +294,7 @@
         address = f"127.0.0.1:{self.instances[instance].callers}"
         reply = self.call("POST", address, "/v1/jobs", job, headers={"Foxtailwell-Account": "acme"})
         assert reply.status == 201, reply
-        return reply.json["jobs"][0]["id"]
+        return str(reply.json["jobs"][0]["id"])
 
     def job(self, identifier: str) -> dict[str, Any]:
         """Return a job's document from the store."""
@@ -300,7 +303,7 @@
             if reply.status == 200:
                 jobs = json.loads(reply.json["value"])["jobs"]
                 if identifier in jobs:
-                    return jobs[identifier]
+                    return dict(jobs[identifier])
         return {"state": "", "attempt": 0}
 
     def until_state(self, identifier: str, state: str, limit_s: float = GUARD_S) -> None:
@@ -374,4 +377,4 @@
 
 def _overlap(one: dict[str, Any], other: dict[str, Any], now_s: float) -> bool:
     one_end, other_end = one["stopped_s"] or now_s, other["stopped_s"] or now_s
-    return one["first_work_s"] < other_end and other["first_work_s"] < one_end
+    return bool(one["first_work_s"] < other_end and other["first_work_s"] < one_end)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from deployment import Deployment, check_work
+from foxtailwell_bench.deployment import Deployment, check_work
 
 START_BOUND_S = 5.0
 TAKEOVER_S = 5.0
