Count the bytes that a scheduler sends to workers

Cause: the control bytes of a scheduler left out its largest receiver. Change: the calls of workers are counted in bytes and shown as a metric.

--- a/src/foxtailwell/adapters/workers.py
+++ b/src/foxtailwell/adapters/workers.py
@@ -119,9 +119,10 @@
 
 @dataclass(slots=True)
 class WorkerCalls:
-    """Number of calls sent to all workers so far."""
+    """Calls sent to all workers so far, and their bytes."""
 
     calls: int = 0
+    bytes_sent: int = 0
 
 
 class WorkerClient:
@@ -146,6 +147,7 @@
             StaleTermError: The worker has seen a higher term for the zone; it did nothing.
             UnavailableError: No response arrived; the commands may have been carried out.
         """
+        sent_before_bytes = self._http.bytes_sent
         self._totals.calls += 1
         try:
             reply = await self._http.request(
@@ -157,6 +159,8 @@
             )
         except TRANSPORT_ERRORS as error:
             raise _unavailable(address, type(error).__name__) from error
+        finally:
+            self._totals.bytes_sent += self._http.bytes_sent - sent_before_bytes
         try:
             if reply.status == 409:
                 seen = msgspec.json.decode(reply.body, type=_StaleTerm)
--- a/src/foxtailwell/scheduler/_operators.py
+++ b/src/foxtailwell/scheduler/_operators.py
@@ -109,6 +109,13 @@
         Sample(
             "counter", "foxtailwell_worker_calls_total", "Calls of workers", state.workers.calls
         ),
+        Sample(
+            "counter",
+            "foxtailwell_sent_bytes_total",
+            "Control bytes sent",
+            state.workers.bytes_sent,
+            {"to": "workers"},
+        ),
     ]
     found += [
         Sample(
