--- a/Makefile
+++ b/Makefile
@@ -36,8 +36,13 @@
 bench: setup
 	$(BIN)/python -m foxtailwell_bench
 
-report: setup
-	$(BIN)/python -m foxtailwell_bench.report
+report: report/bench.jsonl
+	$(BIN)/python -m foxtailwell_bench.report report/bench.jsonl report/index.html
+
+report/bench.jsonl: $(STAMP)
+	mkdir -p report
+	$(BIN)/python -m foxtailwell_bench > $@.part
+	mv $@.part $@
 
 clean:
 	rm -rf $(VENV)
--- /dev/null
+++ b/src/foxtailwell_bench/report.py
@@ -0,0 +1,125 @@
+"""Turn benchmark lines into one self-contained page with tables and charts.
+
+Usage: `python -m foxtailwell_bench.report BENCH.jsonl PAGE.html`.
+"""
+
+from __future__ import annotations
+
+import base64
+import html
+import io
+import sys
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+import matplotlib as mpl
+import msgspec
+
+mpl.use("Agg")
+
+from matplotlib import pyplot
+
+Row = dict[str, Any]
+
+SCALES = ("workers", "tasks", "instances", "entries")
+"""Fields that say at which size a measure was taken, in the order of preference for an axis."""
+
+HIDDEN = frozenset({"measure", "unit"})
+
+
+def make_page(rows: Iterable[Row]) -> str:
+    """Return the page for the lines of a benchmark run."""
+    by_measure: dict[str, list[Row]] = {}
+    for row in rows:
+        by_measure.setdefault(str(row["measure"]), []).append(row)
+    sections = "".join(_section(name, found) for name, found in sorted(by_measure.items()))
+    style = (
+        "body{font-family:sans-serif;max-width:70em;margin:2em auto}"
+        "table{border-collapse:collapse}td,th{border:1px solid #bbb;padding:.2em .6em}"
+        "td{text-align:right}img{max-width:100%}"
+    )
+    return (
+        "<!doctype html><html lang='en'><meta charset='utf-8'><title>foxtailwell measures</title>"
+        f"<style>{style}</style><h1>foxtailwell measures</h1>{sections}</html>"
+    )
+
+
+def _section(measure: str, rows: list[Row]) -> str:
+    unit = html.escape(str(rows[0].get("unit", "")))
+    title = f"<h2>{html.escape(measure)} ({unit})</h2>"
+    return title + _chart(measure, rows) + _table(rows)
+
+
+def _table(rows: list[Row]) -> str:
+    columns = [c for c in dict.fromkeys(k for row in rows for k in row) if c not in HIDDEN]
+    columns = [c for c in columns if any(row.get(c) is not None for row in rows)]
+    head = "".join(f"<th>{html.escape(c)}</th>" for c in columns)
+    body = "".join(
+        "<tr>" + "".join(f"<td>{_cell(row.get(c))}</td>" for c in columns) + "</tr>" for row in rows
+    )
+    return f"<table><tr>{head}</tr>{body}</table>"
+
+
+def _cell(value: Any) -> str:
+    if value is None:
+        return ""
+    return html.escape(f"{value:.4g}" if isinstance(value, float) else str(value))
+
+
+def _chart(measure: str, rows: list[Row]) -> str:
+    figure, axes = pyplot.subplots(figsize=(7, 3))
+    axis = next((s for s in SCALES if len({r[s] for r in rows if s in r}) > 1), None)
+    if axis is None:
+        _draw_bars(axes, rows)
+    else:
+        _draw_slopes(axes, rows, axis)
+    axes.set_ylabel(str(rows[0].get("unit", "")))
+    axes.set_title(measure)
+    buffer = io.BytesIO()
+    figure.savefig(buffer, format="png", bbox_inches="tight", dpi=90)
+    pyplot.close(figure)
+    data = base64.b64encode(buffer.getvalue()).decode()
+    return f"<img alt='{html.escape(measure)}' src='data:image/png;base64,{data}'>"
+
+
+def _draw_bars(axes: Any, rows: list[Row]) -> None:
+    """Draw each row beside its baseline."""
+    labels = [f"{row.get('deployment', '')} {row.get('seed') or ''}".strip() for row in rows]
+    places = range(len(rows))
+    axes.bar([p - 0.2 for p in places], [row["value"] for row in rows], 0.4, label="measured")
+    baselines = [row.get("baseline_value") for row in rows]
+    if any(value is not None for value in baselines):
+        heights = [value or 0 for value in baselines]
+        axes.bar([p + 0.2 for p in places], heights, 0.4, label="baseline")
+        axes.legend()
+    axes.set_xticks(list(places), labels, rotation=30, ha="right", fontsize=7)
+
+
+def _draw_slopes(axes: Any, rows: list[Row], axis: str) -> None:
+    """Draw one line for each group of rows over the size of the fleet."""
+    groups: dict[str, list[tuple[float, float]]] = {}
+    for row in rows:
+        if axis in row:
+            keys = [str(row[k]) for k in ("role", "policy", "deployment") if row.get(k)]
+            point = (float(row[axis]), float(row["value"]))
+            groups.setdefault(" ".join(keys) or "measured", []).append(point)
+    for name, points in sorted(groups.items()):
+        points.sort()
+        axes.plot([x for x, _ in points], [y for _, y in points], marker="o", label=name)
+    axes.set_xlabel(axis)
+    axes.set_ylim(bottom=0)
+    axes.legend(fontsize=7)
+
+
+def main() -> None:
+    """Read the lines and write the page."""
+    source, target = (Path(argument) for argument in sys.argv[1:3])
+    lines = source.read_bytes().splitlines()
+    rows = [msgspec.json.decode(line, type=dict[str, Any]) for line in lines if line.strip()]
+    target.parent.mkdir(parents=True, exist_ok=True)
+    target.write_text(make_page(rows), encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
