Accept submissions in one step of the core

Change: accept_submission returns the job or all issues as a Result. Conclusion: the checks and the job belong to one configuration.

--- a/src/foxtailwell/core/__init__.py
+++ b/src/foxtailwell/core/__init__.py
@@ -197,10 +197,9 @@
 )
 from foxtailwell.core._submissions import (
     Submission,
+    accept_submission,
     add_job,
     cancel_jobs,
-    check_submission,
-    job_from_submission,
     largest_member_count,
     members_per_worker,
 )
@@ -305,6 +304,7 @@
     "ZoneAllocation",
     "ZoneOut",
     "abandon_probe",
+    "accept_submission",
     "add_job",
     "advance",
     "apply_change",
@@ -315,7 +315,6 @@
     "begin_probe",
     "cancel_jobs",
     "check_guarantees",
-    "check_submission",
     "choose_borrowers",
     "choose_minion",
     "claim_document_key",
@@ -332,7 +331,6 @@
     "is_ejected",
     "is_hopeless",
     "is_reclaimable",
-    "job_from_submission",
     "job_id",
     "job_shard",
     "largest_member_count",
--- a/src/foxtailwell/core/_submissions.py
+++ b/src/foxtailwell/core/_submissions.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
+from result import Err, Ok, Result
+
 from foxtailwell.core._configuration import Configuration
 from foxtailwell.core._inventory import InstanceRecord
 from foxtailwell.core._jobs import (
@@ -63,24 +65,30 @@
         )
 
 
-def check_submission(
+def accept_submission(
     submission: Submission,
+    identifier: str,
     configuration: Configuration,
     workers: Iterable[InstanceRecord],
+    now_unix_ms: int,
     path: str,
-) -> tuple[ValidationIssue, ...]:
-    """Return everything that is wrong with a submission.
+) -> Result[Job, tuple[ValidationIssue, ...]]:
+    """Return the waiting job that a submission describes, or everything that is wrong with it.
 
     Args:
         submission: What the caller sent.
+        identifier: Identifier of the job.
         configuration: Configuration in force.
         workers: Workers of the instance list, zones out of service included, since they return.
+        now_unix_ms: Time of acceptance.
         path: Where the submission stands in the caller's document.
     """
     issues = [*_check_names(submission, configuration, path), *_check_bounds(submission, path)]
     if not issues:
         issues.extend(_check_size(submission, configuration, list(workers), path))
-    return tuple(issues)
+    if issues:
+        return Err(tuple(issues))
+    return Ok(_waiting_job(submission, identifier, configuration, now_unix_ms))
 
 
 def largest_member_count(spec: GangSpec, workers: Iterable[InstanceRecord]) -> int:
@@ -181,10 +189,9 @@
     return ValidationIssue(f"{path}.{name}", found, remedy)
 
 
-def job_from_submission(
+def _waiting_job(
     submission: Submission, identifier: str, configuration: Configuration, now_unix_ms: int
 ) -> Job:
-    """Return the waiting job that a checked submission describes."""
     work_class = configuration.classes[submission.work_class]
     return Job(
         id=identifier,
--- a/src/foxtailwell/entry/_jobs_api.py
+++ b/src/foxtailwell/entry/_jobs_api.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import anyio
+from result import Err, Ok
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
@@ -21,10 +22,9 @@
     JobShard,
     JobState,
     Submission,
+    accept_submission,
     add_job,
     cancel_jobs,
-    check_submission,
-    job_from_submission,
     job_id,
 )
 from foxtailwell.core.errors import (
@@ -83,9 +83,8 @@
     """
 
     async def submit(request: Request) -> Response:
-        submissions = _read_submissions(await request.body())
-        _check(submissions, view)
-        outcomes = await _for_each(submissions, lambda s: _submit_one(s, committer, view))
+        accepted = _accept(_read_submissions(await request.body()), view)
+        outcomes = await _for_each(accepted, lambda job: _submit_one(job, committer))
         return json_response({"jobs": outcomes}, _status(outcomes, 201))
 
     async def cancel(request: Request) -> Response:
@@ -184,14 +183,21 @@
     return wait_s
 
 
-def _check(submissions: tuple[Submission, ...], view: FleetView) -> None:
+def _accept(submissions: tuple[Submission, ...], view: FleetView) -> list[Job]:
+    """Return the jobs of a call, or refuse all of them when one is wrong."""
     workers = [r for r in view.instances.values() if r.role == "worker"]
-    issues: list[ValidationIssue] = []
+    now = _now_unix_ms()
+    results = []
     for index, submission in enumerate(submissions):
+        identifier = job_id(submission.account, submission.idempotency_key or uuid.uuid4().hex)
         path = f"$.jobs[{index}]"
-        issues.extend(check_submission(submission, view.configuration, workers, path))
+        results.append(
+            accept_submission(submission, identifier, view.configuration, workers, now, path)
+        )
+    issues = [issue for result in results if isinstance(result, Err) for issue in result.err_value]
     if issues:
         raise ValidationError("submission", tuple(issues))
+    return [result.ok_value for result in results if isinstance(result, Ok)]
 
 
 async def _for_each(
@@ -209,11 +215,8 @@
     return [results[index] for index in sorted(results)]
 
 
-async def _submit_one(
-    submission: Submission, committer: GroupCommitter[JobShard], view: FleetView
-) -> _JobOutcome:
-    identifier = job_id(submission.account, submission.idempotency_key or uuid.uuid4().hex)
-    job = job_from_submission(submission, identifier, view.configuration, _now_unix_ms())
+async def _submit_one(job: Job, committer: GroupCommitter[JobShard]) -> _JobOutcome:
+    identifier = job.id
     try:
         stored = await committer.apply(shard_key(identifier), lambda shard: add_job(shard, job))
     except StoreUnavailableError as error:
