Refuse unexpected statuses of the store and share error responses

Cause: a write that the store refused with 413 was read as stored at version 0, because every status below 500 but 409 and 429 counted as success; two HTTP interfaces had their own copy of the error responses. Change: StoreRefusedError for other statuses; one module for error responses. Conclusion: a refused write is never taken for a stored one.

--- a/src/foxtailwell/adapters/store.py
+++ b/src/foxtailwell/adapters/store.py
@@ -24,6 +24,7 @@
 from foxtailwell.core.errors import (
     StoreConflictError,
     StoreOverloadedError,
+    StoreRefusedError,
     StoreUnavailableError,
 )
 
@@ -32,6 +33,8 @@
 T = TypeVar("T")
 
 _OVERLOAD_REMEDY = "call again after a pause; nothing took effect"
+_REFUSED_REMEDY = "check the size of the document and the release of the store"
+_EXPECTED_STATUSES = frozenset({200, 404, 409})
 _OUTAGE_REMEDY = "read the key back before sending the write again"
 
 
@@ -226,6 +229,8 @@
             raise StoreOverloadedError(f"{method} {path}: rate limit", _OVERLOAD_REMEDY)
         if reply.status >= 500:
             raise StoreUnavailableError(f"{method} {path}: status {reply.status}", _OUTAGE_REMEDY)
+        if reply.status not in _EXPECTED_STATUSES:
+            raise StoreRefusedError(f"{method} {path}: status {reply.status}", _REFUSED_REMEDY)
         return reply
 
 
--- a/src/foxtailwell/core/errors.py
+++ b/src/foxtailwell/core/errors.py
@@ -17,8 +17,10 @@
     "StaleTermError",
     "StoreConflictError",
     "StoreOverloadedError",
+    "StoreRefusedError",
     "StoreUnavailableError",
     "UnavailableError",
+    "UnknownJobError",
     "UnsupportedSchemaError",
     "ValidationError",
     "ValidationIssue",
@@ -147,6 +149,12 @@
     code = "store_overloaded"
 
 
+class StoreRefusedError(FoxtailwellError):
+    """The store refused a call for good, such as a value that is too large; nothing took effect."""
+
+    code = "store_refused"
+
+
 class StoreConflictError(FoxtailwellError):
     """The expected version of a compare-and-swap is not the current one."""
 
@@ -166,6 +174,15 @@
     code = "document_unreadable"
 
 
+class UnknownJobError(FoxtailwellError):
+    """No job has the identifier."""
+
+    code = "unknown_job"
+
+    def __init__(self, job_id: str) -> None:
+        super().__init__(f"no job {job_id}", "check the identifier; ended jobs are kept for 24 h")
+
+
 class UnsupportedSchemaError(FoxtailwellError):
     """A document was written by a newer release."""
 
--- a/src/foxtailwell/entry/_jobs_api.py
+++ b/src/foxtailwell/entry/_jobs_api.py
@@ -14,6 +14,7 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from foxtailwell.adapters.error_responses import answering_errors
 from foxtailwell.adapters.group_commit import GroupCommitter
 from foxtailwell.adapters.http_server import json_response
 from foxtailwell.adapters.validation import parse_json, structure_document
@@ -31,6 +32,7 @@
     FoxtailwellError,
     KeyReusedError,
     StoreUnavailableError,
+    UnknownJobError,
     ValidationError,
     ValidationIssue,
 )
@@ -111,14 +113,7 @@
         if job is None:
             job = (await committer.read(shard_key(identifier))).jobs.get(identifier)
         if job is None:
-            return json_response(
-                {
-                    "code": "unknown_job",
-                    "message": f"no job {identifier}",
-                    "remedy": "check the identifier; ended jobs are kept for 24 h",
-                },
-                404,
-            )
+            raise UnknownJobError(identifier)
         return json_response(job)
 
     return [
@@ -129,33 +124,6 @@
     ]
 
 
-Handler = Callable[[Request], Awaitable[Response]]
-
-
-def answering_errors(handler: Handler) -> Handler:
-    """Return a handler that answers typed errors with their code and remedy."""
-
-    async def answer(request: Request) -> Response:
-        try:
-            return await handler(request)
-        except FoxtailwellError as error:
-            return _error_response(error)
-
-    return answer
-
-
-def _error_response(error: FoxtailwellError) -> Response:
-    body: dict[str, Any] = {
-        "code": error.code,
-        "message": error.message,
-        "remedy": error.remedy,
-    }
-    if isinstance(error, ValidationError):
-        body["issues"] = error.issues
-        return json_response(body, 422)
-    return json_response(body, 409 if isinstance(error, KeyReusedError) else 503)
-
-
 def _read_submissions(body: bytes) -> tuple[Submission, ...]:
     value = parse_json(body, "submission", max_bytes=MAX_BODY_BYTES)
     items = value["jobs"] if isinstance(value, dict) and set(value) == {"jobs"} else [value]
--- a/src/foxtailwell/entry/_operators_api.py
+++ b/src/foxtailwell/entry/_operators_api.py
@@ -4,7 +4,7 @@
 
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from typing import Any
 
@@ -13,6 +13,7 @@
 from starlette.routing import Route
 
 from foxtailwell.adapters import events
+from foxtailwell.adapters.error_responses import answering_errors
 from foxtailwell.adapters.http_server import json_response
 from foxtailwell.adapters.logs import log_event
 from foxtailwell.adapters.metrics import (
@@ -25,9 +26,7 @@
 from foxtailwell.adapters.store import StoreClient
 from foxtailwell.core import Configuration, InstanceRecord
 from foxtailwell.core.errors import (
-    ConflictError,
     FoxtailwellError,
-    OutcomeUnknownError,
     UnavailableError,
     ValidationError,
     ValidationIssue,
@@ -47,7 +46,6 @@
 
 MAX_AUDIT_LIMIT = 500
 
-Handler = Callable[[Request], Awaitable[Response]]
 QueueSource = Callable[[], Iterable[QueueLength]]
 
 
@@ -105,10 +103,10 @@
         )
 
     return [
-        Route("/v1/config", _answering_errors(show_configuration), methods=["GET"]),
-        Route("/v1/config/changes", _answering_errors(change), methods=["POST"]),
-        Route("/v1/audit", _answering_errors(audit), methods=["GET"]),
-        Route("/v1/status", _answering_errors(status), methods=["GET"]),
+        Route("/v1/config", answering_errors(show_configuration), methods=["GET"]),
+        Route("/v1/config/changes", answering_errors(change), methods=["POST"]),
+        Route("/v1/audit", answering_errors(audit), methods=["GET"]),
+        Route("/v1/status", answering_errors(status), methods=["GET"]),
         Route("/v1/requests/{id}/explain", explain, methods=["GET"]),
         metrics_route(
             process_samples,
@@ -119,31 +117,6 @@
     ]
 
 
-def _answering_errors(handler: Handler) -> Handler:
-    """Return a handler that answers typed errors with their code and remedy."""
-
-    async def answer(request: Request) -> Response:
-        try:
-            return await handler(request)
-        except FoxtailwellError as error:
-            return _error_response(error)
-
-    return answer
-
-
-def _error_response(error: FoxtailwellError) -> Response:
-    body: dict[str, Any] = {
-        "code": error.code,
-        "message": error.message,
-        "remedy": error.remedy,
-    }
-    if isinstance(error, ValidationError):
-        return json_response({**body, "issues": error.issues}, 422)
-    if isinstance(error, ConflictError):
-        return json_response({**body, "current_revision": error.current_revision}, 409)
-    return json_response(body, 504 if isinstance(error, OutcomeUnknownError) else 503)
-
-
 async def _configuration(store: StoreClient, view: FleetView) -> dict[str, Any]:
     """Return what the store holds, or what is in force while the store does not respond."""
     try:
--- a/src/foxtailwell/scheduler/_operators.py
+++ b/src/foxtailwell/scheduler/_operators.py
@@ -10,9 +10,11 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from foxtailwell.adapters.error_responses import answering_errors
 from foxtailwell.adapters.http_server import json_response
 from foxtailwell.adapters.metrics import Sample, metrics_route, process_samples
 from foxtailwell.core import EVIDENCE_LIMIT_S, JobState
+from foxtailwell.core.errors import UnknownJobError
 from foxtailwell.fleet import make_fleet_samples
 from foxtailwell.scheduler._fragmentation import fragmentation_route
 from foxtailwell.scheduler._planning import Planner, make_plan
@@ -46,14 +48,7 @@
         job_id = request.path_params["id"]
         job = state.find_job(job_id)
         if job is None:
-            return json_response(
-                {
-                    "code": "unknown_job",
-                    "message": f"no job {job_id}",
-                    "remedy": "check the identifier; ended jobs are kept for 24 h",
-                },
-                404,
-            )
+            raise UnknownJobError(job_id)
         plan = state.plan if state.zones else await make_plan(state, planner)
         waiting = plan.waiting.get(job_id) if job.state is JobState.WAITING else None
         return json_response(
@@ -73,7 +68,7 @@
             Route("/healthz", healthz),
             Route("/readyz", readyz),
             Route("/v1/status", status),
-            Route("/v1/jobs/{id}/explain", explain),
+            Route("/v1/jobs/{id}/explain", answering_errors(explain)),
             fragmentation_route(state),
             metrics_route(
                 process_samples,
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -9,6 +9,7 @@
 from foxtailwell.core.errors import (
     StoreConflictError,
     StoreOverloadedError,
+    StoreRefusedError,
     StoreUnavailableError,
 )
 from foxtailwell_standins.store import StoreFailures
@@ -82,3 +83,10 @@
     assert not (await store.lease_renew("lease/z", "a", 5)).held
     await store.lease_release("lease/z", "b")
     assert (await store.lease_acquire("lease/z", "a", 5)).term == 3
+
+
+async def test_value_over_the_limit_is_not_taken_for_written(store, store_state):
+    """Guards against a refused write that is reported as stored."""
+    with pytest.raises(StoreRefusedError):
+        await store.compare_and_swap("jobs/1", 0, "x" * 1_000_001, new_write_id())
+    assert store_state.entries == {}
