Do not count the own instance as contact with the fleet

Cause: an instance cut off from the store and from all other instances stayed ready, because the scheduler on the same instance replied to its heartbeats; it could not learn that a zone was taken out. Change: only daemons of other instances count as contact. Conclusion: a cut-off instance leaves the load balancer after 5 s.

--- a/src/foxtailwell/entry/_daemon.py
+++ b/src/foxtailwell/entry/_daemon.py
@@ -129,14 +129,15 @@
         committer = await stack.enter_async_context(open_group_committer(store, JobShard, JobShard))
         jobs = JobsView()
         group.start_soon(follow_jobs, store, jobs)
-        callers_app = _make_app(view, api, job_routes(committer, jobs, view))
+        routes = job_routes(committer, jobs, view)
+        callers_app = _make_app(view, api, routes, settings.instance)
         more_routes: Sequence[BaseRoute] = ()
         if operator_routes is not None:
             queue = _make_queue_source(dispatcher)
             more_routes = operator_routes(store, view, queue=queue, outcomes=outcomes)
         operators_app = Starlette(
             routes=[
-                *_health_routes(view, api),
+                *_health_routes(view, api, settings.instance),
                 *more_routes,
             ]
         )
@@ -247,11 +248,13 @@
     return lengths
 
 
-def _make_app(view: FleetView, api: RequestsApi, more: Sequence[BaseRoute]) -> Starlette:
+def _make_app(
+    view: FleetView, api: RequestsApi, more: Sequence[BaseRoute], instance: str
+) -> Starlette:
     return Starlette(
         routes=[
             Route("/v1/requests/{work_class}", _AsgiEndpoint(api), methods=["POST"]),
-            *_health_routes(view, api),
+            *_health_routes(view, api, instance),
             *more,
         ]
     )
@@ -267,24 +270,27 @@
         await self._api(scope, receive, send)
 
 
-def _health_routes(view: FleetView, api: RequestsApi) -> list[BaseRoute]:
+def _health_routes(view: FleetView, api: RequestsApi, instance: str) -> list[BaseRoute]:
     async def is_healthy(_: Request) -> Response:
         return JSONResponse({"status": "healthy"})
 
     async def is_ready(_: Request) -> Response:
-        reason = _not_ready_reason(view, api)
+        reason = _not_ready_reason(view, api, instance)
         body = {"status": "not_ready" if reason else "ready", "reason": reason}
         return JSONResponse(body, 503 if reason else 200)
 
     return [Route("/healthz", is_healthy), Route("/readyz", is_ready)]
 
 
-def _not_ready_reason(view: FleetView, api: RequestsApi) -> str:
+def _not_ready_reason(view: FleetView, api: RequestsApi, instance: str) -> str:
     if api.is_draining:
         return "shutting down"
     if not view.configuration.revision:
         return "no configuration yet"
     limit_s = time.monotonic() - CONTACT_LIMIT_S
     has_store = view.evidence is not None and view.evidence.at_monotonic_s >= limit_s
-    has_peer = any(p.last_reply_monotonic_s >= limit_s for p in view.peers.values())
+    # The scheduler of the same instance shares its links, so it is no contact with the fleet.
+    own = f"{instance}/"
+    others = [p for i, p in view.peers.items() if not i.startswith(own)]
+    has_peer = any(p.last_reply_monotonic_s >= limit_s for p in others)
     return "" if has_store or has_peer else "no contact with the store or a peer for 5 s"
--- a/src/foxtailwell/scheduler/_zone.py
+++ b/src/foxtailwell/scheduler/_zone.py
@@ -285,13 +285,13 @@
             shard_key(job_id), adopt_job(job_id, executor.zone, executor.term)
         )
 
-    async with _flat_task_group() as group:
+    async with _FlatTaskGroup() as group:
         for job_id in seen | set(allocation.gangs):
             group.start_soon(adopt, job_id)
     return jobs
 
 
-class _flat_task_group:  # noqa: N801 - used like a function
+class _FlatTaskGroup:
     """Task group that raises the first typed error of its tasks by itself."""
 
     def __init__(self) -> None:
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import time
 from dataclasses import replace
 
 import anyio
 import pytest
 
 from foxtailwell.adapters.http_client import TRANSPORT_ERRORS
-from foxtailwell.core import ZoneOut
+from foxtailwell.adapters.peers import Load
+from foxtailwell.core import InstanceRecord, ZoneOut
+from foxtailwell.fleet import PeerState
 from foxtailwell_standins.store import StoreFailures, make_store_app
 from request_fleet import (
     CONFIGURATION,
@@ -393,3 +396,13 @@
     async with open_caller(ports.callers) as http:
         assert (await http.request("GET", "/readyz")).status == status
         assert (await http.request("GET", "/healthz")).status == 200
+
+
+@pytest.mark.parametrize(("peer", "status"), [("e1/scheduler", 503), ("e2/entry", 200)])
+async def test_scheduler_of_the_same_instance_is_no_contact(fleet, peer, status):
+    """Guards against a cut-off instance that stays ready because its own scheduler replies."""
+    ports = await fleet.add_entry("e1", evidence_age_s=60.0)
+    record = InstanceRecord(peer, "scheduler", "zone-a", "127.0.0.1:1")
+    fleet.views["e1"].peers[peer] = PeerState(record, 1, Load(), time.monotonic())
+    async with open_caller(ports.callers) as http:
+        assert (await http.request("GET", "/readyz")).status == status
