--- a/src/foxtailwell/cli/entry.py
+++ b/src/foxtailwell/cli/entry.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import sys
 from dataclasses import dataclass
 from functools import partial
 from typing import Annotated
@@ -10,33 +9,27 @@
 import anyio
 import cappa
 
-from foxtailwell.adapters.logs import configure_logs
-from foxtailwell.adapters.settings import load_settings
-from foxtailwell.cli._exit_codes import USAGE
-from foxtailwell.core.errors import ValidationError
+from foxtailwell.cli._daemon import prepare_daemon
 from foxtailwell.entry import operator_routes, run_entry
 from foxtailwell.fleet import run_fleet
 
 __all__ = ["main"]
 
 
-@cappa.command(name="foxtailwell-entry", help="Run the entry daemon.")
+@cappa.command(
+    name="foxtailwell-entry",
+    help="Run the entry daemon.",
+    description="Example: foxtailwell-entry --settings /etc/foxtailwell/entry.jsonc",
+)
 @dataclass(frozen=True)
 class EntryCommand:
-    """Run the entry daemon of one instance."""
+    """Run the entry daemon of one instance until SIGTERM."""
 
     settings: Annotated[str, cappa.Arg(long=True, help="Settings file, JSON with comments.")]
 
     def __call__(self) -> None:
-        """Run until SIGTERM."""
-        try:
-            settings = load_settings(self.settings)
-        except ValidationError as error:
-            print(error, file=sys.stderr)
-            raise cappa.Exit(code=USAGE) from error
-        configure_logs(
-            settings.log.form, settings.log.level, instance=settings.instance, daemon="entry"
-        )
+        """Read the settings and run."""
+        settings = prepare_daemon(self.settings, "entry")
         run = partial(run_entry, settings, run_fleet=run_fleet, operator_routes=operator_routes)
         anyio.run(run, backend_options={"use_uvloop": True})
 
--- a/src/foxtailwell/cli/scheduler.py
+++ b/src/foxtailwell/cli/scheduler.py
@@ -2,22 +2,23 @@
 
 from __future__ import annotations
 
-import sys
 from dataclasses import dataclass
 from typing import Annotated
 
 import anyio
 import cappa
 
-from foxtailwell.adapters.settings import load_settings
-from foxtailwell.cli._exit_codes import USAGE
-from foxtailwell.core.errors import ValidationError
+from foxtailwell.cli._daemon import prepare_daemon
 from foxtailwell.scheduler import run_scheduler
 
 __all__ = ["main"]
 
 
-@cappa.command(name="foxtailwell-scheduler", help="Schedule gangs in availability zones.")
+@cappa.command(
+    name="foxtailwell-scheduler",
+    help="Schedule gangs in availability zones.",
+    description="Example: foxtailwell-scheduler --settings /etc/foxtailwell/scheduler.jsonc",
+)
 @dataclass(frozen=True)
 class SchedulerCommand:
     """Run the scheduler daemon until a signal arrives."""
@@ -26,11 +27,7 @@
 
     def __call__(self) -> None:
         """Read the settings and run."""
-        try:
-            settings = load_settings(self.settings)
-        except ValidationError as error:
-            print(error, file=sys.stderr)
-            raise cappa.Exit(code=USAGE) from error
+        settings = prepare_daemon(self.settings, "scheduler")
         anyio.run(run_scheduler, settings, backend_options={"use_uvloop": True})
 
 
--- a/src/foxtailwell/scheduler/_daemon.py
+++ b/src/foxtailwell/scheduler/_daemon.py
@@ -12,7 +12,7 @@
 from foxtailwell.adapters.events import DAEMON_STARTED, DAEMON_STOPPED, DAEMON_STOPPING
 from foxtailwell.adapters.group_commit import open_group_committer
 from foxtailwell.adapters.http_server import serve_http
-from foxtailwell.adapters.logs import configure_logs, log_event
+from foxtailwell.adapters.logs import log_event
 from foxtailwell.adapters.settings import Settings
 from foxtailwell.adapters.store import open_store
 from foxtailwell.adapters.workers import WorkerCalls
@@ -30,9 +30,6 @@
 
 async def run_scheduler(settings: Settings) -> None:
     """Run the scheduler until SIGTERM or SIGINT, then release the zones and stop."""
-    configure_logs(
-        settings.log.form, settings.log.level, instance=settings.instance, daemon="scheduler"
-    )
     stop = anyio.Event()
     async with anyio.create_task_group() as group:
         group.start_soon(_stop_on_signal, stop)
