Draw one chart for each scale of a measure

Cause: the chart of processor time joined points over workers with points over instances, so its line showed neither slope. Change: a line holds only rows that differ in one scale. Figures: the new test failed with one image and passes with two.

--- a/src/foxtailwell_bench/report.py
+++ b/src/foxtailwell_bench/report.py
@@ -9,7 +9,8 @@
 import html
 import io
 import sys
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -22,8 +23,8 @@
 
 Row = dict[str, Any]
 
-SCALES = ("workers", "tasks", "instances", "entries")
-"""Fields that say at which size a measure was taken, in the order of preference for an axis."""
+SCALES = ("workers", "instances", "entries")
+"""Fields that say at which size a measure was taken; each that varies gets a chart."""
 
 HIDDEN = frozenset({"measure", "unit"})
 
@@ -68,12 +69,31 @@
 
 
 def _chart(measure: str, rows: list[Row]) -> str:
+    slopes = [(axis, lines) for axis in SCALES if (lines := _lines(rows, axis))]
+    if not slopes:
+        return _image(measure, rows, lambda axes: _draw_bars(axes, rows))
+    return "".join(
+        _image(measure, rows, partial(_draw_slopes, lines=lines, axis=axis))
+        for axis, lines in slopes
+    )
+
+
+def _lines(rows: list[Row], axis: str) -> dict[str, list[tuple[float, float]]]:
+    """Return the lines over one scale; all else is the same along a line."""
+    lines: dict[str, list[tuple[float, float]]] = {}
+    for row in rows:
+        if axis in row:
+            others = [f"{row[s]} {s}" for s in SCALES if s != axis and s in row]
+            load = ["with tasks" if row["tasks"] else "without tasks"] if "tasks" in row else []
+            names = [str(row[k]) for k in ("role", "policy", "deployment") if row.get(k)]
+            point = (float(row[axis]), float(row["value"]))
+            lines.setdefault(", ".join([*names, *others, *load]), []).append(point)
+    return {name: sorted(points) for name, points in lines.items() if len(points) > 1}
+
+
+def _image(measure: str, rows: list[Row], draw: Callable[[Any], None]) -> str:
     figure, axes = pyplot.subplots(figsize=(7, 3))
-    axis = next((s for s in SCALES if len({r[s] for r in rows if s in r}) > 1), None)
-    if axis is None:
-        _draw_bars(axes, rows)
-    else:
-        _draw_slopes(axes, rows, axis)
+    draw(axes)
     axes.set_ylabel(str(rows[0].get("unit", "")))
     axes.set_title(measure)
     buffer = io.BytesIO()
@@ -96,16 +116,8 @@
     axes.set_xticks(list(places), labels, rotation=30, ha="right", fontsize=7)
 
 
-def _draw_slopes(axes: Any, rows: list[Row], axis: str) -> None:
-    """Draw one line for each group of rows over the size of the fleet."""
-    groups: dict[str, list[tuple[float, float]]] = {}
-    for row in rows:
-        if axis in row:
-            keys = [str(row[k]) for k in ("role", "policy", "deployment") if row.get(k)]
-            point = (float(row[axis]), float(row["value"]))
-            groups.setdefault(" ".join(keys) or "measured", []).append(point)
-    for name, points in sorted(groups.items()):
-        points.sort()
+def _draw_slopes(axes: Any, lines: dict[str, list[tuple[float, float]]], axis: str) -> None:
+    for name, points in sorted(lines.items()):
         axes.plot([x for x, _ in points], [y for _, y in points], marker="o", label=name)
     axes.set_xlabel(axis)
     axes.set_ylim(bottom=0)
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -26,3 +26,10 @@
     """Guards against a page that fails on lines with a fleet size."""
     page = make_page([_row(role="entry", workers=n, value=float(n)) for n in (24, 96)])
     assert page.count("<img") == 1
+
+
+def test_two_scales_are_not_drawn_as_one_line():
+    """Guards against a slope over workers that holds points of other numbers of instances."""
+    rows = [_row(role="entry", workers=n, instances=1, value=1.0) for n in (24, 96)]
+    rows += [_row(role="entry", workers=24, instances=n, value=9.0) for n in (3, 7)]
+    assert make_page(rows).count("<img") == 2
