Use one rule for contact with the fleet and remove dead code

Cause: the readiness of the entry and FleetView.is_isolated stood for the same rule with two limits and two states, and only the first left out the own instance; register_minions and a signal hook that uvicorn no longer calls had no caller. Change: is_isolated derives its answer from evidence and peers, and the entry calls it; the field last_contact_monotonic_s is gone. Conclusion: one rule decides whether an instance is cut off.

--- a/src/foxtailwell/adapters/http_server.py
+++ b/src/foxtailwell/adapters/http_server.py
@@ -28,9 +28,6 @@
 class _Server(uvicorn.Server):
     """A server that leaves signals to the daemon."""
 
-    def install_signal_handlers(self) -> None:
-        """Do nothing: the daemon's own task handles signals."""
-
     def capture_signals(self) -> Any:
         """Leave the process's signal handlers as they are."""
         return nullcontext()
--- a/src/foxtailwell/entry/_daemon.py
+++ b/src/foxtailwell/entry/_daemon.py
@@ -40,14 +40,10 @@
 from foxtailwell.entry._request_outcomes import RequestOutcomes
 from foxtailwell.entry._requests import RequestRunner, make_request_ids
 from foxtailwell.entry._requests_api import RequestsApi
-from foxtailwell.fleet import FleetView
+from foxtailwell.fleet import ISOLATION_LIMIT_S, FleetView
 
 __all__ = ["EntryPorts", "MakeRoutes", "run_entry"]
 
-CONTACT_LIMIT_S = 5.0
-"""Time without store and peers after which the entry is not ready: it could not learn that a zone
-was taken out."""
-
 READINESS_WITHDRAWAL_S = 1.0
 """Time between withdrawing readiness and refusing connections, for the load balancer to see it."""
 
@@ -130,14 +126,14 @@
         jobs = JobsView()
         group.start_soon(follow_jobs, store, jobs)
         routes = job_routes(committer, jobs, view)
-        callers_app = _make_app(view, api, routes, settings.instance)
+        callers_app = _make_app(view, api, routes)
         more_routes: Sequence[BaseRoute] = ()
         if operator_routes is not None:
             queue = _make_queue_source(dispatcher)
             more_routes = operator_routes(store, view, queue=queue, outcomes=outcomes)
         operators_app = Starlette(
             routes=[
-                *_health_routes(view, api, settings.instance),
+                *_health_routes(view, api),
                 *more_routes,
             ]
         )
@@ -248,13 +244,11 @@
     return lengths
 
 
-def _make_app(
-    view: FleetView, api: RequestsApi, more: Sequence[BaseRoute], instance: str
-) -> Starlette:
+def _make_app(view: FleetView, api: RequestsApi, more: Sequence[BaseRoute]) -> Starlette:
     return Starlette(
         routes=[
             Route("/v1/requests/{work_class}", _AsgiEndpoint(api), methods=["POST"]),
-            *_health_routes(view, api, instance),
+            *_health_routes(view, api),
             *more,
         ]
     )
@@ -270,27 +264,23 @@
         await self._api(scope, receive, send)
 
 
-def _health_routes(view: FleetView, api: RequestsApi, instance: str) -> list[BaseRoute]:
+def _health_routes(view: FleetView, api: RequestsApi) -> list[BaseRoute]:
     async def is_healthy(_: Request) -> Response:
         return JSONResponse({"status": "healthy"})
 
     async def is_ready(_: Request) -> Response:
-        reason = _not_ready_reason(view, api, instance)
+        reason = _not_ready_reason(view, api)
         body = {"status": "not_ready" if reason else "ready", "reason": reason}
         return JSONResponse(body, 503 if reason else 200)
 
     return [Route("/healthz", is_healthy), Route("/readyz", is_ready)]
 
 
-def _not_ready_reason(view: FleetView, api: RequestsApi, instance: str) -> str:
+def _not_ready_reason(view: FleetView, api: RequestsApi) -> str:
     if api.is_draining:
         return "shutting down"
     if not view.configuration.revision:
         return "no configuration yet"
-    limit_s = time.monotonic() - CONTACT_LIMIT_S
-    has_store = view.evidence is not None and view.evidence.at_monotonic_s >= limit_s
-    # The scheduler of the same instance shares its links, so it is no contact with the fleet.
-    own = f"{instance}/"
-    others = [p for i, p in view.peers.items() if not i.startswith(own)]
-    has_peer = any(p.last_reply_monotonic_s >= limit_s for p in others)
-    return "" if has_store or has_peer else "no contact with the store or a peer for 5 s"
+    if view.is_isolated(time.monotonic()):
+        return f"no contact with the store or a peer for {ISOLATION_LIMIT_S:g} s"
+    return ""
--- a/src/foxtailwell/fleet/_state.py
+++ b/src/foxtailwell/fleet/_state.py
@@ -112,7 +112,6 @@
     that this release cannot read, or an older one after the store was restored.
     """
     view = state.view
-    view.last_contact_monotonic_s = now_s
     if state.store_revision == view.configuration.revision:
         offer_evidence(view, evidence_from_store(view.configuration.revision, sent_at_s), now_s)
 
@@ -144,7 +143,6 @@
 ) -> None:
     """Take a peer's reply to the heartbeat that was sent at a time."""
     view = state.view
-    view.last_contact_monotonic_s = now_s
     is_new = record.id not in view.peers
     load = state.loads.get(record.id, reply.load)
     view.peers[record.id] = PeerState(record, reply.revision, load, now_s)
--- a/src/foxtailwell/fleet/_view.py
+++ b/src/foxtailwell/fleet/_view.py
@@ -41,7 +41,6 @@
         peers: Own daemons that replied within the last seconds, by identifier.
         own_id: Identifier of this daemon, `<instance>/<role>`.
         store_is_available: Whether the last store call was answered.
-        last_contact_monotonic_s: When the store or a peer last replied.
         peer_bytes_sent: Bytes sent to peers so far.
         instance_list_bytes_sent: Bytes sent to the instance list so far.
         frames_refused: Messages of peers that were refused so far.
@@ -56,7 +55,6 @@
     peers: dict[str, PeerState] = field(default_factory=dict)
     own_id: str = ""
     store_is_available: bool = False
-    last_contact_monotonic_s: float | None = None
     peer_bytes_sent: int = 0
     instance_list_bytes_sent: int = 0
     frames_refused: int = 0
@@ -65,12 +63,16 @@
     changed: anyio.Event = field(default_factory=anyio.Event)
 
     def is_isolated(self, now_s: float) -> bool:
-        """Return whether neither the store nor a peer replied lately.
+        """Return whether neither the store nor a daemon of another instance replied lately.
 
-        An isolated daemon could not learn that a zone was taken out.
+        An isolated daemon could not learn that a zone was taken out. Daemons of the same instance
+        share its links, so they are no contact with the fleet.
         """
-        last_s = self.last_contact_monotonic_s
-        return last_s is None or now_s - last_s > ISOLATION_LIMIT_S
+        limit_s = now_s - ISOLATION_LIMIT_S
+        has_store = self.evidence is not None and self.evidence.at_monotonic_s >= limit_s
+        own = self.own_id.partition("/")[0] + "/"
+        others = (p for i, p in self.peers.items() if not i.startswith(own))
+        return not has_store and all(p.last_reply_monotonic_s < limit_s for p in others)
 
     def notify(self) -> None:
         """Wake the tasks that wait for a change of the view."""
--- a/src/foxtailwell_standins/minions.py
+++ b/src/foxtailwell_standins/minions.py
@@ -16,10 +16,7 @@
 import msgspec
 from anyio.abc import TaskStatus
 
-from foxtailwell.adapters.http_client import open_http_client
-from foxtailwell.core import InstanceRecord
-
-__all__ = ["MinionFailures", "MinionState", "register_minions", "serve_minion"]
+__all__ = ["MinionFailures", "MinionState", "serve_minion"]
 
 Mode = Literal[
     "", "crossed", "short", "late", "error", "busy", "leaving", "cut_before", "cut_during", "extra"
@@ -234,14 +231,3 @@
     async with server:
         task_status.started(server.sockets[0].getsockname()[1])
         await anyio.sleep_forever()
-
-
-async def register_minions(instance_list_url: str, records: list[InstanceRecord]) -> None:
-    """Add minions to the instance list stand-in.
-
-    Args:
-        instance_list_url: Scheme, host and port of the stand-in.
-        records: Records of the minions.
-    """
-    async with open_http_client(instance_list_url) as http:
-        await http.request("PUT", "/v1/instances", body=msgspec.json.encode(records))
