Prove the configuration current without reading it

Every instance read it every 1.5 s and got it again from its watch, and each read was given up after 1.2 s; no instance could confirm it after the power cut.

Change: a transaction with only the condition on the configuration's revision proves it current; the value comes with the answer when it has changed. Calls time out without progress rather than as a whole. A failed condition of a start tells the controller what has changed. Routes are found by host.

--- a/src/foxtailwell/adapters/http_connection.py
+++ b/src/foxtailwell/adapters/http_connection.py
@@ -19,6 +19,9 @@
 CONNECT_TIMEOUT_S = 0.4
 """Longest wait for a connection; a lost opening packet would otherwise cost 1 s."""
 
+TOTAL_TIMEOUT_S = 8.0
+"""Longest time of one call, however slowly its response arrives."""
+
 IDLE_LIMIT_S = 10.0
 """Age at which an idle connection is not used again; servers close idle ones after 15 s."""
 
@@ -58,6 +61,7 @@
         self._waiter: asyncio.Future[CallReply] | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._body = bytearray()
+        self.received_s = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports have the interface of asyncio.Transport but do not inherit from it.
@@ -72,6 +76,7 @@
         self._fail("connection lost")
 
     def data_received(self, data: bytes) -> None:
+        self.received_s = asyncio.get_running_loop().time()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -111,6 +116,21 @@
             waiter.set_exception(CallError(reason, is_sent=True))
 
 
+async def _await_progress(
+    connection: _Connection, waiter: asyncio.Future[CallReply], timeout_s: float
+) -> CallReply:
+    loop = asyncio.get_running_loop()
+    sent_s = loop.time()
+    while True:
+        last_s = max(connection.received_s, sent_s)
+        left_s = min(last_s + timeout_s, sent_s + TOTAL_TIMEOUT_S) - loop.time()
+        if left_s <= 0:
+            raise TimeoutError
+        await asyncio.wait((waiter,), timeout=left_s)
+        if waiter.done():
+            return waiter.result()
+
+
 class HttpEndpoint:
     """Calls to one address over connections that are kept open.
 
@@ -142,7 +162,8 @@
             path: Path with its query.
             body: JSON body; empty for none.
             headers: Further headers.
-            timeout_s: Longest time from sending to the last byte of the response.
+            timeout_s: Longest time without a byte of the response; a large value takes a second
+                over the slowest link of the platform's instances.
 
         Returns:
             The response, whatever its status.
@@ -159,8 +180,7 @@
         self.call_count += 1
         waiter = connection.call(request)
         try:
-            async with asyncio.timeout(timeout_s):
-                reply = await waiter
+            reply = await _await_progress(connection, waiter, timeout_s)
         except TimeoutError as error:
             connection.close()
             raise CallError(f"no response within {timeout_s:.1f} s", is_sent=True) from error
--- a/src/foxtailwell/controller/_commits.py
+++ b/src/foxtailwell/controller/_commits.py
@@ -17,7 +17,15 @@
     progress_key,
     waiting_key,
 )
-from foxtailwell.workflows import Committed, Conflict, Job, KeyValueStore, Put, StoreCallError
+from foxtailwell.workflows import (
+    Committed,
+    Conflict,
+    Item,
+    Job,
+    KeyValueStore,
+    Put,
+    StoreCallError,
+)
 
 __all__ = ["Commits", "ControllerLostError", "JobChange", "Rejected"]
 
@@ -55,12 +63,12 @@
 
     Attributes:
         cancelled: Jobs with a cancellation mark.
-        is_configuration_changed: The configuration or the zones out of service have changed.
+        operator_items: What operators wrote meanwhile.
     """
 
     jobs: tuple[str, ...]
     cancelled: tuple[str, ...]
-    is_configuration_changed: bool
+    operator_items: Mapping[str, Item]
 
 
 @dataclass(slots=True)
@@ -190,14 +198,16 @@
         jobs = tuple(job.submission.job_id for job in transaction.jobs)
         cancelled = tuple(job_id for job_id in jobs if cancel_key(job_id) in conflict.items)
         own = {CONTROLLER_KEY} | {progress_key(j) for j in jobs} | {cancel_key(j) for j in jobs}
-        changed = any(
-            (conflict.items[key].revision if key in conflict.items else 0) != revision
+        changed = {
+            key
             for key, revision in transaction.conditions.items()
             if key not in own
-        )
+            and (conflict.items[key].revision if key in conflict.items else 0) != revision
+        }
         if not cancelled and not changed:
             raise ControllerLostError("a job record was changed by another writer")
-        return Rejected(jobs, cancelled, changed)
+        items = {key: item for key, item in conflict.items.items() if key in changed}
+        return Rejected(jobs, cancelled, items)
 
 
 def _own_earlier_write(transaction: _Transaction, conflict: Conflict) -> Committed | None:
--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -49,6 +49,7 @@
     ClusterConfiguration,
     EndKind,
     FleetView,
+    Item,
     JobBook,
     JobProgress,
     KeyValueStore,
@@ -109,11 +110,13 @@
     Attributes:
         zones_out: Zones in which no task may start.
         guards: Store conditions under which a start in the given zones is allowed.
+        learn: Takes over what a failed condition showed.
     """
 
     configuration: ClusterConfiguration
     zones_out: frozenset[str]
     guards: Callable[[frozenset[str]], Mapping[str, int]]
+    learn: Callable[[Mapping[str, Item]], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -672,8 +675,11 @@
             STARTS_REJECTED,
             jobs=list(answer.jobs),
             cancelled=list(answer.cancelled),
-            configuration_changed=answer.is_configuration_changed,
+            changed=sorted(answer.operator_items),
         )
+        view = self._operators()
+        if view is not None:
+            view.learn(answer.operator_items)
         for placement in pending.placements:
             if placement.unit.job_id in answer.jobs:
                 for task_id in placement.workers:
--- a/src/foxtailwell/instance/_operators.py
+++ b/src/foxtailwell/instance/_operators.py
@@ -15,15 +15,25 @@
 )
 from foxtailwell.adapters.logs import log_event
 from foxtailwell.controller import OperatorView, Snapshot, follow_prefix
-from foxtailwell.workflows import Change, ClusterConfiguration, KeyValueStore, StoreCallError
+from foxtailwell.workflows import (
+    Change,
+    ClusterConfiguration,
+    Committed,
+    Item,
+    KeyValueStore,
+    StoreCallError,
+)
 
 __all__ = ["OperatorKeys", "OperatorWatch"]
 
-WATCH_WAIT_MS = 1000
-"""Wait of the watch, which bounds how long a silent connection goes unnoticed."""
+ZONES_WAIT_MS = 4000
+"""Wait of the watch on zones; a start is refused by its own condition before the watch tells."""
+
+CONFIRM_PAUSE_S = 0.7
+"""Pause between two checks of the configuration; it must be in force within 2 s."""
 
-CONFIRM_PAUSE_S = 1.5
-"""Pause between two reads that prove the configuration current; less than half the limit."""
+RETRY_PAUSE_S = 0.25
+"""Pause after a check without an answer."""
 
 EVIDENCE_MARGIN_S = 0.5
 """Time kept for an answer between the check of the evidence and its use."""
@@ -33,7 +43,6 @@
 class OperatorKeys:
     """Where operators write, and how to read it."""
 
-    prefix: str
     configuration_key: str
     zones_out_prefix: str
     decode_configuration: Callable[[bytes], ClusterConfiguration]
@@ -93,9 +102,13 @@
         if self._configuration is None:
             return None
         return OperatorView(
-            self._configuration, frozenset(self._zone_revisions), self._start_guards
+            self._configuration, frozenset(self._zone_revisions), self._start_guards, self._learn
         )
 
+    def _learn(self, items: Mapping[str, Item]) -> None:
+        for item in items.values():
+            self._apply(Change(item.key, item.value, item.revision))
+
     def _start_guards(self, zones: frozenset[str]) -> Mapping[str, int]:
         return self.guards() | {self._keys.zones_out_prefix + zone: 0 for zone in zones}
 
@@ -115,7 +128,7 @@
                 return True
             sent_s = self._now_s()
             try:
-                item = await self._store.get(self._keys.configuration_key)
+                await self._check()
             except StoreCallError as failure:
                 log_event(
                     OPERATOR_VIEW_STALE,
@@ -123,26 +136,36 @@
                     evidence_age_s=round(min(self.evidence_age_s, 9999), 2),
                 )
                 return False
-            if item is not None:
-                self._apply(Change(item.key, item.value, item.revision))
             self._evidence_s = max(self._evidence_s, sent_s)
             return True
 
+    async def _check(self) -> None:
+        """Compare revisions in the store: the value comes only when it has changed."""
+        if not self._revision:
+            item = await self._store.get(self._keys.configuration_key)
+        else:
+            answer = await self._store.transact(self.guards())
+            if isinstance(answer, Committed):
+                return
+            item = answer.items.get(self._keys.configuration_key)
+        if item is not None:
+            self._apply(Change(item.key, item.value, item.revision))
+
     async def run(self) -> None:
         """Follow the operators' keys and keep the evidence fresh."""
         async with anyio.create_task_group() as group:
             group.start_soon(
                 follow_prefix,
                 self._store,
-                self._keys.prefix,
+                self._keys.zones_out_prefix,
                 None,
-                WATCH_WAIT_MS,
+                ZONES_WAIT_MS,
                 0.0,
                 self._on_changes,
             )
             while True:
                 await self.confirm(self._now_s() - CONFIRM_PAUSE_S)
-                await anyio.sleep(CONFIRM_PAUSE_S if self.is_proven else CONFIRM_PAUSE_S / 5)
+                await anyio.sleep(CONFIRM_PAUSE_S if self.is_proven else RETRY_PAUSE_S)
 
     async def _on_changes(self, snapshot: Snapshot) -> None:
         if snapshot.is_complete:
--- a/src/foxtailwell/platform/assembly.py
+++ b/src/foxtailwell/platform/assembly.py
@@ -27,7 +27,6 @@
         store=open_store(settings.store_address),
         fleet=FleetAccess(messages.WORKERS_PREFIX, decode_worker_entry, connect_worker),
         operator_keys=OperatorKeys(
-            messages.OPERATOR_PREFIX,
             messages.CONFIGURATION_KEY,
             messages.EVACUATION_PREFIX,
             messages.decode_configuration,
--- a/src/foxtailwell/platform/messages.py
+++ b/src/foxtailwell/platform/messages.py
@@ -17,8 +17,6 @@
 __all__ = [
     "CONFIGURATION_KEY",
     "EVACUATION_PREFIX",
-    "OPERATOR_PREFIX",
-    "READINESS_PATH",
     "WORKERS_PREFIX",
     "MessageError",
     "decode_configuration",
@@ -26,11 +24,9 @@
     "key_of_authorization",
 ]
 
-OPERATOR_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 WORKERS_PREFIX = "servers/"
-READINESS_PATH = "/-/readiness"
 
 _SCHEME = "Token "
 
@@ -62,20 +58,10 @@
     recommendation: dict[str, int] | None = None
 
 
-class _Service(msgspec.Struct):
-    name: str
-
-
-class _Limits(msgspec.Struct):
-    max_body_bytes: int = 262_144
-
-
 class _Configuration(msgspec.Struct):
     version: int
     routes: list[_Route]
-    services: list[_Service] = []
     tenants: list[_Tenant] = []
-    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 class _Phase(msgspec.Struct):
@@ -122,22 +108,19 @@
         wire = msgspec.json.decode(value, type=_Configuration)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise MessageError(f"configuration: {error}") from error
-    routes = tuple(
-        Route(route.host.lower(), route.prefix, _queue(route), route.no_auth)
-        for route in wire.routes
-    )
-    accounts = tuple(
+    by_host: dict[str, list[Route]] = {}
+    for route in wire.routes:
+        decoded = Route(route.host.lower(), route.prefix, _queue(route), route.no_auth)
+        by_host.setdefault(decoded.host, []).append(decoded)
+    accounts = [
         ClientAccount(tenant.name, frozenset(tenant.api_keys), tenant.guaranteed.gpu)
         for tenant in wire.tenants
-    )
+    ]
     return ClusterConfiguration(
         version=wire.version,
-        routes=routes,
-        accounts=accounts,
-        pools=frozenset(service.name for service in wire.services),
-        max_body_bytes=wire.limits.max_body_bytes,
+        routes_by_host={host: tuple(routes) for host, routes in by_host.items()},
         accounts_by_key={key: account for account in accounts for key in account.keys},
-        queues={route.queue.name: route.queue for route in routes},
+        queues={r.queue.name: r.queue for routes in by_host.values() for r in routes},
     )
 
 
--- a/src/foxtailwell/workflows/_cluster.py
+++ b/src/foxtailwell/workflows/_cluster.py
@@ -42,16 +42,13 @@
     """One version of the operators' configuration."""
 
     version: int
-    routes: tuple[Route, ...] = ()
-    accounts: tuple[ClientAccount, ...] = ()
-    pools: frozenset[str] = frozenset()
-    max_body_bytes: int = 262_144
+    routes_by_host: Mapping[str, tuple[Route, ...]] = field(default_factory=dict)
     accounts_by_key: Mapping[str, ClientAccount] = field(default_factory=dict)
     queues: Mapping[str, Queue] = field(default_factory=dict)
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of the path on this host."""
-        matching = [r for r in self.routes if r.host == host and path.startswith(r.prefix)]
+        matching = [r for r in self.routes_by_host.get(host, ()) if path.startswith(r.prefix)]
         return max(matching, key=lambda r: len(r.prefix), default=None)
 
 
--- a/tests/controller_harness.py
+++ b/tests/controller_harness.py
@@ -20,10 +20,10 @@
 )
 from foxtailwell.workflows import (
     ClusterConfiguration,
+    Item,
     JobState,
     Queue,
     Resources,
-    Route,
     Step,
     Submission,
     WorkerEntry,
@@ -84,13 +84,16 @@
         self.store.write(WORKERS + worker.id, value)
 
     def _view(self) -> OperatorView:
-        routes = tuple(Route("h", f"/{q.name}/", q) for q in self.queues)
-        configuration = ClusterConfiguration(1, routes, queues={q.name: q for q in self.queues})
+        configuration = ClusterConfiguration(1, queues={q.name: q for q in self.queues})
 
         def guards(zones: frozenset[str]) -> Mapping[str, int]:
             return {CONFIGURATION: self.revision} | {f"op/evacuate/{z}": 0 for z in zones}
 
-        return OperatorView(configuration, frozenset(self.zones_out), guards)
+        return OperatorView(configuration, frozenset(self.zones_out), guards, self._learn)
+
+    def _learn(self, items: Mapping[str, Item]) -> None:
+        zones = "op/evacuate/"
+        self.zones_out |= {key[len(zones) :] for key in items if key.startswith(zones)}
 
     def start(self, name: str, *, hold_ms: int = HOLD_MS) -> Instance:
         """Start an instance."""
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -181,6 +181,7 @@
     await anyio.sleep(0.3)
     assert not deployment.runs(f"{job}.0.0.0")
     deployment.store.delete("op/evacuate/a")
+    deployment.zones_out.clear()
     assert await until(lambda: bool(deployment.runs(f"{job}.0.0.0")))
 
 
