Move runs that do not advance, and leave draining workers with the work saved

Change: listed progress that does not change for 4 s moves the run; a draining worker that deletes its entry within two heartbeats has left; checkpointing tasks are stopped shortly before their worker may leave; the loss of a victim counts its whole gang.

Ruled out: concluding from any deleted entry that a worker is gone: entries of workers that are cut off lapse too (test).

--- a/src/foxtailwell/adapters/events.py
+++ b/src/foxtailwell/adapters/events.py
@@ -93,6 +93,7 @@
 ENTRY_REFUSED = _event("FW1615", "WARNING", "a worker entry cannot be read and is not used")
 RECORD_UNREADABLE = _event("FW1616", "ERROR", "a stored record cannot be read")
 WATCH_FAILED = _event("FW1617", "WARNING", "a watch ended and is opened again")
+RUN_STALLED = _event("FW1618", "WARNING", "a run does not advance and is moved")
 
 # 1700-1799: instances
 SUBMISSION_STORED = _event("FW1701", "INFO", "a job is stored")
--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -18,6 +18,7 @@
     RECORD_UNREADABLE,
     RUN_ENDED,
     RUN_LOST,
+    RUN_STALLED,
     STARTS_REJECTED,
     TASK_RECLAIMED,
     WORKER_QUARANTINED,
@@ -53,6 +54,7 @@
     JobBook,
     JobProgress,
     KeyValueStore,
+    ListedRun,
     OrderOutcome,
     Placement,
     Queue,
@@ -90,6 +92,25 @@
 it gives up a worker that it cannot reach.
 """
 
+PROMPT_S = 1.0
+"""Longest pause between two deliveries of worker entries after which their order in time is known.
+
+Heartbeats of all workers arrive several times a second; a longer pause means that the watch or the
+store was away.
+"""
+
+DEPARTURE_S = 3.0
+"""Age of the last report up to which a deleted entry means that the worker left by itself.
+
+Two heartbeats of 1.5 s; the entry of a silent worker lapses only after three.
+"""
+
+STALL_S = 4.0
+"""Time without progress after which a run is moved; the slowest run gains 1 percent in 3 s."""
+
+DRAIN_STOP_S = 0.9
+"""Time before a draining worker may leave at which checkpointing tasks are stopped there."""
+
 REFUSAL_PAUSE_S = 1.0
 """Time for which a worker that refused a start gets no further one."""
 
@@ -202,6 +223,8 @@
         self._health = WorkerHealth()
         self._quarantined_until_ms: dict[str, int] = {}
         self._avoided_until_s: dict[str, float] = {}
+        self._entry_seen_s: dict[str, float] = {}
+        self._entries_heard_s = 0.0
         self._pending = _Pending()
         self._is_stopping = False
         self._fenced_by = ""
@@ -377,21 +400,38 @@
     def _apply_entries(self, event: _WorkerChanges) -> None:
         prefix = self._fleet.workers_prefix
         seen: set[str] = set()
+        now_s = self._now_s()
+        is_prompt = now_s - self._entries_heard_s < PROMPT_S
+        self._entries_heard_s = now_s
         for change in event.changes:
             worker = change.key[len(prefix) :]
             seen.add(worker)
             if change.value is None:
-                self._entries.pop(worker, None)
+                gone = self._entries.pop(worker, None)
+                if gone is not None and is_prompt and not event.snapshot:
+                    self._apply_departure(gone, now_s)
                 continue
             entry = self._fleet.decode_entry(worker, change.value)
             if entry is None:
                 log_event(ENTRY_REFUSED, key=change.key, size_bytes=len(change.value))
                 continue
             self._entries[worker] = entry
+            self._entry_seen_s[worker] = now_s
             self._update_link(entry)
         if event.snapshot:
             self._entries = {w: e for w, e in self._entries.items() if w in seen}
 
+    def _apply_departure(self, entry: WorkerEntry, now_s: float) -> None:
+        """Release the runs of a draining worker that has left; they ended with it.
+
+        An entry that lapsed after a silence is no proof: its worker may be cut off and run on.
+        """
+        heard_s = now_s - self._entry_seen_s.get(entry.id, 0.0)
+        if entry.is_ready or heard_s > DEPARTURE_S:
+            return
+        for task in self._book.placed_on(entry.id):
+            self._lose(task, "the worker has left")
+
     def _update_link(self, entry: WorkerEntry) -> None:
         link = self._links.get(entry.id)
         if link is None or link.entry.address == entry.address:
@@ -445,9 +485,7 @@
         running: set[tuple[str, int]] = set()
         for run in listing.running:
             running.add((run.task, run.run))
-            self._apply_running(
-                event.worker, listing.boot_unix_ms, run.task, run.run, run.checkpoint
-            )
+            self._apply_running(event.worker, listing.boot_unix_ms, run)
         for task in self._book.placed_on(event.worker):
             if (str(task.id), task.run) not in running:
                 self._apply_absence(task, event.sent_s, listing.boot_unix_ms)
@@ -485,19 +523,18 @@
             self._quarantined_until_ms[worker] = until
             log_event(WORKER_QUARANTINED, worker=worker, jobs=list(failures.job_ids))
 
-    def _apply_running(
-        self, worker: str, boot_unix_ms: int, text: str, run: int, checkpoint: str
-    ) -> None:
-        task_id = _parse_task(text)
+    def _apply_running(self, worker: str, boot_unix_ms: int, run: ListedRun) -> None:
+        task_id = _parse_task(run.task)
         task = self._book.find(task_id) if task_id else None
-        if task is not None and task.is_placed and task.run == run and task.worker == worker:
+        if task is not None and task.is_placed and task.run == run.run and task.worker == worker:
             task.boot_unix_ms = boot_unix_ms
-            task.checkpoint = checkpoint or task.checkpoint
+            task.checkpoint = run.checkpoint or task.checkpoint
+            self._book.note_progress(task, run.percent, self._now_s())
             if not task.is_confirmed:
                 self._book.confirm(task)
         elif task_id is not None:
             # A run that no record asks for: of an ended job, or given up by a lapse.
-            self._strays.add((worker, task_id, run))
+            self._strays.add((worker, task_id, run.run))
 
     def _apply_absence(self, task: Task, sent_s: float, boot_unix_ms: int) -> None:
         if task.stopped_s > 0 and task.stopped_s < sent_s and task.state is TaskState.STOPPING:
@@ -551,6 +588,8 @@
             return
         self._refresh_queues(view.configuration)
         now_s = self._now_s()
+        self._leave_draining_workers(now_s)
+        self._stop_stalled_runs(now_s)
         units = self._book.ready_units(now_s, self._now_unix_ms())
         if not units and not self._reservations:
             return
@@ -562,6 +601,28 @@
         for placement in decided.placements:
             self._assign(placement, now_s)
 
+    def _leave_draining_workers(self, now_s: float) -> None:
+        """Stop tasks that save their work, shortly before their worker may leave."""
+        for worker, entry in self._entries.items():
+            if entry.remaining_ms is None or entry.is_ready:
+                continue
+            left_s = self._entry_seen_s[worker] + entry.remaining_ms / 1000 - now_s
+            if left_s > DRAIN_STOP_S:
+                continue
+            for task in self._book.placed_on(worker):
+                if self._book.jobs[task.id.job_id].step(task.id).is_checkpointing:
+                    self._book.begin_stop(task)
+
+    def _stop_stalled_runs(self, now_s: float) -> None:
+        for task in self._book.stalled_runs(now_s, STALL_S):
+            link = self._links.get(task.worker)
+            if link is None or link.is_silent:
+                continue
+            log_event(RUN_STALLED, job=task.id.job_id, task=str(task.id), worker=task.worker)
+            self._health.record_failure(task.worker, task.id.job_id, self._now_unix_ms())
+            self._quarantine(task.worker, self._now_unix_ms())
+            self._book.begin_stop(task)
+
     def _refresh_queues(self, configuration: ClusterConfiguration) -> None:
         for job in self._book.jobs.values():
             queue = configuration.queues.get(job.submission.queue)
@@ -622,8 +683,8 @@
             job.queue.priority,
             now_s - task.started_s,
             step.is_checkpointing,
-            step.is_gang,
             task.state is TaskState.STOPPING,
+            step.count if step.is_gang else 1,
         )
 
     # Effects
--- a/src/foxtailwell/workflows/_book.py
+++ b/src/foxtailwell/workflows/_book.py
@@ -50,6 +50,8 @@
         is_confirmed: The worker confirmed the start or listed the run.
         settled_s: Local time at which the start was answered or given up; 0 after a take-over.
         stopped_s: Local time at which the worker confirmed a stop; 0 before.
+        percent: Progress of the run as last listed.
+        progress_s: Local time at which the progress last changed.
     """
 
     id: TaskId
@@ -63,6 +65,8 @@
     started_s: float = 0.0
     settled_s: float = 0.0
     stopped_s: float = 0.0
+    percent: int = 0
+    progress_s: float = 0.0
 
     @property
     def is_placed(self) -> bool:
@@ -214,7 +218,7 @@
         task.boot_unix_ms = stored.boot_unix_ms
         task.failed_runs = stored.failed_runs
         task.checkpoint = stored.checkpoint
-        task.started_s = now_s
+        task.started_s = task.progress_s = now_s
         if task.is_placed:
             self._placed.setdefault(task.worker, {})[task_id] = task
 
@@ -243,7 +247,8 @@
         task.worker = worker
         task.boot_unix_ms = boot_unix_ms
         task.is_confirmed = False
-        task.started_s = now_s
+        task.started_s = task.progress_s = now_s
+        task.percent = 0
         self._placed.setdefault(worker, {})[task.id] = task
         self.changed.add(task.id.job_id)
 
@@ -262,6 +267,28 @@
                 job.state = JobState.RUNNING
             self.changed.add(task.id.job_id)
 
+    def note_progress(self, task: Task, percent: int, now_s: float) -> None:
+        """Take over the listed progress of a run."""
+        if percent != task.percent:
+            task.percent = percent
+            task.progress_s = now_s
+
+    def stalled_runs(self, now_s: float, limit_s: float) -> list[Task]:
+        """Return runs that have worked and not advanced for the given time.
+
+        A member of a gang that is at 100 percent waits for the others.
+        """
+        return [
+            task
+            for placed in self._placed.values()
+            for task in placed.values()
+            if task.state is TaskState.ASSIGNED
+            and task.is_confirmed
+            and task.percent < 100
+            and now_s - task.progress_s > limit_s
+            and not self.jobs[task.id.job_id].step(task.id).is_lasting
+        ]
+
     def begin_stop(self, task: Task) -> None:
         """Mark a run that is to be stopped."""
         if task.state is TaskState.ASSIGNED:
--- a/src/foxtailwell/workflows/_placement.py
+++ b/src/foxtailwell/workflows/_placement.py
@@ -23,8 +23,8 @@
 RESERVATION_S = 3.0
 """Longest time for which room is kept for a unit whose victims are being stopped."""
 
-CHECKPOINT_LOSS_S = 0.2
-"""Work lost by stopping a task that writes a checkpoint when it is stopped."""
+STOP_LOSS_S = 0.5
+"""Time lost by any stop: the stop itself, the next placement, and the work after a checkpoint."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,15 +36,15 @@
     priority: int
     elapsed_s: float
     is_checkpointing: bool
-    is_gang: bool
     is_stopping: bool
+    member_count: int = 1
 
     @property
     def loss(self) -> float:
-        """Return the core-seconds that a stop throws away."""
+        """Return the core-seconds that a stop throws away, with those of the rest of its gang."""
         cores = self.request.cpu_millicores / 1000 + ACCELERATOR_CORES * self.request.accelerators
-        lost_s = CHECKPOINT_LOSS_S if self.is_checkpointing else self.elapsed_s
-        return cores * lost_s
+        lost_s = STOP_LOSS_S + (0.0 if self.is_checkpointing else self.elapsed_s)
+        return cores * lost_s * self.member_count
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/foxtailwell_standins/platform_worker.py
+++ b/src/foxtailwell_standins/platform_worker.py
@@ -37,6 +37,7 @@
         late_starts: So many starts get no answer and are carried out by `apply_late`.
         refuses_starts: Starts are refused as by an unhealthy worker.
         fails_everything: Each run ends as failed at once.
+        stands_still: No run advances or ends.
     """
 
     is_cut: bool = False
@@ -44,6 +45,7 @@
     late_starts: int = 0
     refuses_starts: bool = False
     fails_everything: bool = False
+    stands_still: bool = False
 
 
 @dataclass(slots=True)
@@ -130,7 +132,7 @@
             for task in list(self.running):
                 self.end(task, EndKind.LAPSED)
         for task, run in list(self.running.items()):
-            if self.now_s() - run.began_s >= self.task_s:
+            if self.now_s() - run.began_s >= self.task_s and not self.faults.stands_still:
                 self.end(task, EndKind.DONE)
 
     async def _arrive(self) -> None:
@@ -206,9 +208,15 @@
         if self.faults.is_cut:
             raise WorkerCallError("no response")
         running = tuple(
-            ListedRun(task, run.run, run.checkpoint, 100) for task, run in self.running.items()
+            ListedRun(task, run.run, run.checkpoint, self._percent(run))
+            for task, run in self.running.items()
         )
         return WorkerListing(self.clock_ms(), self.boot_unix_ms, running, tuple(self.ended))
 
+    def _percent(self, run: _Run) -> int:
+        if self.faults.stands_still:
+            return 0
+        return int((self.now_s() - run.began_s) * 10) % 100
+
     def close(self) -> None:
         """Close the connections."""
--- a/tests/controller_harness.py
+++ b/tests/controller_harness.py
@@ -4,7 +4,7 @@
 
 import time
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 import msgspec
@@ -78,10 +78,12 @@
         """Return access to jobs without faults."""
         return Intake(self.store.client())
 
-    def publish(self, worker: MemoryWorker, *, is_ready: bool = True) -> None:
+    def publish(
+        self, worker: MemoryWorker, *, is_ready: bool = True, remaining_ms: int | None = None
+    ) -> None:
         """Write a worker's entry."""
-        value = msgspec.json.encode(worker.entry(is_ready=is_ready))
-        self.store.write(WORKERS + worker.id, value)
+        entry = replace(worker.entry(is_ready=is_ready), remaining_ms=remaining_ms)
+        self.store.write(WORKERS + worker.id, msgspec.json.encode(entry))
 
     def _view(self) -> OperatorView:
         configuration = ClusterConfiguration(1, queues={q.name: q for q in self.queues})
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -297,3 +297,59 @@
     for job in jobs:
         assert await deployment.reaches(job, JobState.COMPLETED, 5.0)
     assert len(deployment.workers["w0"].log) < 10
+
+
+async def test_worker_that_left_after_draining_gives_its_tasks_back_at_once(group):
+    """Guards against a wait for the lease of a worker that said it would leave and did."""
+    deployment = make_deployment(group, 2)
+    deployment.start("one", hold_ms=10_000)
+    job = await deployment.submit(1, LATER, [step()])
+    task = f"{job}.0.0.0"
+    assert await until(lambda: bool(deployment.runs(task)))
+    holder = deployment.holder_of(task)
+    deployment.publish(holder, is_ready=False)
+    await anyio.sleep(0.4)
+    holder.faults.is_cut = True
+    deployment.store.delete(f"servers/{holder.id}")
+    assert await until(lambda: len(deployment.runs(task)) == 2, 1.5)
+
+
+async def test_entry_that_lapsed_after_silence_gives_no_task_back(group):
+    """Guards against a second run while a draining worker is cut off and runs on."""
+    deployment = make_deployment(group, 2)
+    deployment.start("one", hold_ms=10_000)
+    job = await deployment.submit(1, LATER, [step()])
+    task = f"{job}.0.0.0"
+    assert await until(lambda: bool(deployment.runs(task)))
+    holder = deployment.holder_of(task)
+    other = next(w for w in deployment.workers.values() if w is not holder)
+    deployment.publish(holder, is_ready=False)
+    holder.faults.is_cut = True
+    for _ in range(9):
+        await anyio.sleep(0.4)
+        deployment.publish(other)
+    deployment.store.delete(f"servers/{holder.id}")
+    await anyio.sleep(0.5)
+    assert len(deployment.runs(task)) == 1
+
+
+async def test_checkpointing_task_leaves_a_draining_worker_with_its_work(group):
+    """Guards against saved work that is lost with a worker that announced its leave."""
+    deployment = make_deployment(group, 2)
+    deployment.start("one", hold_ms=10_000)
+    job = await deployment.submit(1, LATER, [step(is_checkpointing=True)])
+    task = f"{job}.0.0.0"
+    assert await until(lambda: bool(deployment.runs(task)))
+    holder = deployment.holder_of(task)
+    other = next(w for w in deployment.workers.values() if w is not holder)
+    deployment.publish(holder, is_ready=False, remaining_ms=1000)
+    assert await until(lambda: (task, 2, "saved-1") in other.log, 1.5)
+
+
+async def test_run_that_does_not_advance_is_moved(group):
+    """Guards against a job that hangs for ever on a worker that answers."""
+    deployment = make_deployment(group, 2, task_s=0.3)
+    deployment.workers["w0"].faults.stands_still = True
+    deployment.start("one")
+    job = await deployment.submit(1, LATER, [step(request=WHOLE, count=2)])
+    assert await deployment.reaches(job, JobState.COMPLETED, 8.0)
