Keep room for waiting gangs, wait for local room by expected times, take over faster

Cause: late jobs after the final fault and behind small tasks; urgent units went to other racks, where they take three times as long, although their own rack was about to be free; a new controller waited for the lease of a process that had died on the same instance.

Change: up to two waiting gangs keep the rack they will fit into first from longer tasks behind them; a unit waits for its rack while the expected wait is shorter than the extra time elsewhere; a restarted instance ends the lease of its previous process; the lease is 1.5 s.

--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -108,6 +108,12 @@
 STALL_S = 4.0
 """Time without progress after which a run is moved; the slowest run gains 1 percent in 3 s."""
 
+MEANINGFUL_PERCENT = 10
+"""Progress from which the rest of a run is better told by its pace than by its estimate."""
+
+LEAST_REMAINING_SHARE = 0.1
+"""Share of the estimate that is taken to be left of a run which has outlived its estimate."""
+
 DRAIN_STOP_S = 0.9
 """Time before a draining worker may leave at which checkpointing tasks are stopped there."""
 
@@ -685,6 +691,7 @@
             step.is_checkpointing,
             task.state is TaskState.STOPPING,
             step.count if step.is_gang else 1,
+            _remaining_s(task, step.estimate_ms / 1000, now_s - task.started_s),
         )
 
     # Effects
@@ -797,6 +804,13 @@
             self._commits.revisions.pop(job_id, None)
 
 
+def _remaining_s(task: Task, estimate_s: float, elapsed_s: float) -> float:
+    """Return the expected time until a run ends, from its progress where that says enough."""
+    if task.percent >= MEANINGFUL_PERCENT:
+        return elapsed_s * (100 - task.percent) / task.percent
+    return max(estimate_s - elapsed_s, estimate_s * LEAST_REMAINING_SHARE)
+
+
 def _common_checkpoint(tasks: Mapping[TaskId, Task], members: tuple[TaskId, ...]) -> str:
     """Return one checkpoint for all members; each member's is valid for the gang."""
     return max(tasks[member].checkpoint for member in members)
--- a/src/foxtailwell/controller/_election.py
+++ b/src/foxtailwell/controller/_election.py
@@ -12,10 +12,10 @@
 
 __all__ = ["Election", "Term"]
 
-LEASE_MS = 2000
+LEASE_MS = 1500
 """Lease of the controller key: the longest time without a controller after a crash."""
 
-RENEWAL_PAUSE_S = 0.5
+RENEWAL_PAUSE_S = 0.4
 """Pause between renewals; three may fail before the lease ends."""
 
 WATCH_WAIT_MS = 2000
@@ -54,6 +54,7 @@
         self._store = store
         self._name = name
         self._now_s = now_s
+        self._own_leases: set[int] = set()
 
     async def acquire(self) -> Term:
         """Wait until the key is free and take it."""
@@ -61,7 +62,8 @@
             try:
                 item = await self._store.get(CONTROLLER_KEY)
                 if item is not None:
-                    await self._wait_for_change(item.revision)
+                    if not await self._end_own_lease(item.value):
+                        await self._wait_for_change(item.revision)
                     continue
                 term = await self._try()
                 if term is not None:
@@ -69,6 +71,14 @@
             except StoreCallError:
                 await anyio.sleep(RETRY_PAUSE_S)
 
+    async def _end_own_lease(self, value: bytes) -> bool:
+        """End the lease of this instance's previous process, which cannot run beside this one."""
+        name, _, lease = value.decode(errors="replace").rpartition(" ")
+        if name != self._name or not lease.isdecimal() or int(lease) in self._own_leases:
+            return False
+        await self._store.end_lease(int(lease))
+        return True
+
     async def _wait_for_change(self, revision: int) -> None:
         try:
             while True:
@@ -81,6 +91,7 @@
     async def _try(self) -> Term | None:
         sent_s = self._now_s()
         lease_id = await self._store.open_lease(LEASE_MS)
+        self._own_leases.add(lease_id)
         value = f"{self._name} {lease_id}".encode()
         try:
             answer = await self._store.transact(
--- a/src/foxtailwell/workflows/_book.py
+++ b/src/foxtailwell/workflows/_book.py
@@ -117,6 +117,7 @@
     tasks: tuple[TaskId, ...]
     waiting_since_s: float
     due_s: float
+    accepted_s: float = 0.0
 
     @property
     def key(self) -> tuple[str, int, int]:
@@ -451,6 +452,7 @@
                 waiting,
                 since_s,
                 due_s,
+                job.accepted_s,
             )
 
 
--- a/src/foxtailwell/workflows/_placement.py
+++ b/src/foxtailwell/workflows/_placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
@@ -14,8 +15,17 @@
 LOCAL_PATIENCE_S = 2.0
 """Wait for a place near the data or in one rack; work may not idle for 3 s beside free room."""
 
-LOCAL_PATIENCE_SHARE = 1.0
-"""The same wait as a share of the estimate: elsewhere a task takes three times as long."""
+BUSY_SHARE = 0.55
+"""Share of a pool's accelerators in use above which idle room elsewhere is no reason to start."""
+
+REMOTE_PENALTY = 3.0
+"""How many times as long a task takes away from its data, or a gang over several racks."""
+
+RESERVED_UNITS = 2
+"""Waiting units for which room is kept; more would leave too much of the fleet idle."""
+
+HOPELESS_FACTOR = 3.0
+"""Multiple of the target after which an ended job is worth nothing any more."""
 
 ACCELERATOR_CORES = 8
 """Cores that one accelerator counts as in the cost of lost work."""
@@ -38,6 +48,7 @@
     is_checkpointing: bool
     is_stopping: bool
     member_count: int = 1
+    remaining_s: float = 0.0
 
     @property
     def loss(self) -> float:
@@ -117,6 +128,8 @@
     workers: Mapping[str, WorkerView]
     free: dict[str, Resources]
     step_counts: dict[tuple[str, tuple[str, int, int]], int] = field(default_factory=dict)
+    reserved_for_s: dict[str, float] = field(default_factory=dict)
+    is_busy: bool = False
 
     def take(self, worker: str, unit: Unit) -> None:
         self.free[worker] = self.free[worker].minus(unit.step.request)
@@ -124,6 +137,8 @@
         self.step_counts[key] = self.step_counts.get(key, 0) + 1
 
     def copies(self, worker: str, unit: Unit, free: Resources | None = None) -> int:
+        if self.reserved_for_s.get(worker, math.inf) < unit.step.estimate_ms / 1e3:
+            return 0
         room = self.free[worker] if free is None else free
         count = unit.step.request.copies(room)
         if unit.step.max_per_worker:
@@ -158,25 +173,32 @@
             reservations.append(outcome)
     stops: list[TaskId] = []
     stopping: set[TaskId] = set()
-    for unit in sorted(units.values(), key=_order):
+    reserved_count = 0
+    for unit in sorted(units.values(), key=lambda unit: _order(unit, view.now_s)):
         placed = _place(rooms, unit, view.now_s)
         if placed:
             placements.append(Placement(unit, placed))
-        elif unit.queue.priority == 0:
-            made = _reclaim(rooms, unit, stopping, view.now_s)
-            if made is not None:
-                victims, reservation = made
-                stops += victims
-                reservations.append(reservation)
+            continue
+        made = _reclaim(rooms, unit, stopping, view.now_s) if unit.queue.priority == 0 else None
+        if made is not None:
+            victims, reservation = made
+            stops += victims
+            reservations.append(reservation)
+        elif unit.step.is_gang and reserved_count < RESERVED_UNITS:
+            reserved_count += _keep_room(rooms, unit)
     return Plan(tuple(placements), tuple(stops), tuple(reservations))
 
 
-def _order(unit: Unit) -> tuple[int, float, str]:
-    return (unit.queue.priority, unit.due_s, unit.job_id)
+def _order(unit: Unit, now_s: float) -> tuple[int, bool, float, str]:
+    hopeless_s = unit.accepted_s + HOPELESS_FACTOR * (unit.due_s - unit.accepted_s)
+    return (unit.queue.priority, now_s > hopeless_s, unit.due_s, unit.job_id)
 
 
 def _open_rooms(view: FleetView) -> _Rooms:
     rooms = _Rooms(view.workers, {w.id: w.free for w in view.workers.values()})
+    total = sum(w.capacity.accelerators for w in view.workers.values() if w.is_usable)
+    unused = sum(rooms.free[w.id].accelerators for w in view.workers.values() if w.is_usable)
+    rooms.is_busy = total > 0 and unused < (1 - BUSY_SHARE) * total
     for worker in view.workers.values():
         for task in worker.running:
             key = (worker.id, (task.id.job_id, task.id.occurrence, task.id.step))
@@ -212,9 +234,57 @@
     ]
 
 
-def _is_local_only(unit: Unit, now_s: float) -> bool:
-    patience_s = min(LOCAL_PATIENCE_S, LOCAL_PATIENCE_SHARE * unit.step.estimate_ms / 1e3)
-    return now_s - unit.waiting_since_s < patience_s
+def _is_worth_waiting(
+    rooms: _Rooms, unit: Unit, workers: Sequence[WorkerView], now_s: float
+) -> bool:
+    """Whether a unit had better wait for these workers than run elsewhere and take longer."""
+    waited_s = now_s - unit.waiting_since_s
+    if not rooms.is_busy:
+        return waited_s < LOCAL_PATIENCE_S
+    longer_s = (REMOTE_PENALTY - 1) * unit.step.estimate_ms / 1e3
+    return waited_s < longer_s and _free_after_s(rooms, unit, workers) < longer_s - waited_s
+
+
+def _free_after_s(rooms: _Rooms, unit: Unit, workers: Iterable[WorkerView]) -> float:
+    """Return the expected time until the whole unit fits on the workers."""
+    gains: list[tuple[float, int]] = []
+    for worker in workers:
+        room = rooms.free[worker.id]
+        count = unit.step.request.copies(room)
+        gains.append((0.0, count))
+        for task in sorted(worker.running, key=lambda t: t.remaining_s):
+            room = room.plus(task.request)
+            more = unit.step.request.copies(room)
+            if more > count:
+                gains.append((task.remaining_s, more - count))
+                count = more
+    missing = len(unit.tasks)
+    for after_s, count in sorted(gains):
+        missing -= count
+        if missing <= 0:
+            return after_s
+    return math.inf
+
+
+def _keep_room(rooms: _Rooms, unit: Unit) -> bool:
+    """Keep the rack that a waiting gang will fit into first from longer tasks behind it."""
+    by_rack = _by_rack(_candidates(rooms, unit))
+    groups = list(by_rack.values())
+    if unit.step.data_rack in by_rack:
+        groups = [by_rack[unit.step.data_rack]]
+    elif not unit.step.is_same_rack:
+        groups.append([worker for workers in groups for worker in workers])
+    after_s, workers = min(
+        ((_free_after_s(rooms, unit, group), group) for group in groups),
+        key=lambda option: option[0],
+        default=(math.inf, []),
+    )
+    if math.isinf(after_s):
+        return False
+    for worker in workers:
+        kept_s = rooms.reserved_for_s.get(worker.id, math.inf)
+        rooms.reserved_for_s[worker.id] = min(kept_s, after_s)
+    return True
 
 
 def _place(rooms: _Rooms, unit: Unit, now_s: float) -> dict[TaskId, str]:
@@ -253,20 +323,23 @@
     racks = [rack for rack, count in sorted(fitting, key=lambda f: f[1]) if count >= step.count]
     if step.data_rack in racks:
         return _fill(rooms, unit, by_rack[step.data_rack])
-    wants_data = bool(step.data_rack) and step.data_rack in by_rack
-    if wants_data and _is_local_only(unit, now_s):
+    local = by_rack.get(step.data_rack, []) if step.data_rack else []
+    if local and _is_worth_waiting(rooms, unit, local, now_s):
         return {}
     if racks:
         return _fill(rooms, unit, by_rack[racks[0]])
-    can_ever_fit = any(
-        sum(rooms.copies(w.id, unit, w.capacity) for w in workers) >= step.count
+    if step.is_same_rack and any(
+        _can_ever_fit(unit, workers) and _is_worth_waiting(rooms, unit, workers, now_s)
         for workers in by_rack.values()
-    )
-    if step.is_same_rack and can_ever_fit and _is_local_only(unit, now_s):
+    ):
         return {}
     return _fill(rooms, unit, candidates)
 
 
+def _can_ever_fit(unit: Unit, workers: Iterable[WorkerView]) -> bool:
+    return sum(unit.step.request.copies(w.capacity) for w in workers) >= unit.step.count
+
+
 def _place_singly(
     rooms: _Rooms,
     unit: Unit,
@@ -277,7 +350,7 @@
     local = by_rack.get(unit.step.data_rack, [])
     if unit.step.data_rack and local:
         chosen = _fill(rooms, unit, local, is_partial_allowed=True)
-        if len(chosen) == len(unit.tasks) or _is_local_only(unit, now_s):
+        if len(chosen) == len(unit.tasks) or _is_worth_waiting(rooms, unit, local, now_s):
             return chosen
         rest = [t for t in unit.tasks if t not in chosen]
         others = [w for w in candidates if w.rack != unit.step.data_rack]
@@ -313,20 +386,17 @@
     """Choose the cheapest runs of lower priority whose room lets the unit start."""
     candidates = _candidates(rooms, unit)
     by_rack = _by_rack(candidates)
-    groups: list[list[WorkerView]] = []
-    if unit.step.data_rack in by_rack:
-        groups.append(by_rack[unit.step.data_rack])
-    groups += [workers for rack, workers in by_rack.items() if rack != unit.step.data_rack]
-    best: tuple[float, list[TaskId], dict[TaskId, str]] | None = None
-    for number, workers in enumerate([*groups, candidates]):
-        option = _reclaim_in(rooms, unit, workers, stopping)
-        if option is None:
-            continue
-        if best is None or option[0] < best[0]:
-            best = option
-        is_preferred = number == 0 and unit.step.data_rack in by_rack
-        if is_preferred or (number == len(groups) - 1 and unit.step.is_same_rack):
-            break
+    local = by_rack.pop(unit.step.data_rack, []) if unit.step.data_rack else []
+    best = _cheapest(rooms, unit, [local], stopping)
+    is_late = now_s - unit.waiting_since_s > LOCAL_PATIENCE_S
+    if best is None and (is_late or not local):
+        best = _cheapest(rooms, unit, list(by_rack.values()), stopping)
+        if best is None and (
+            is_late
+            or not unit.step.is_same_rack
+            or not any(_can_ever_fit(unit, workers) for workers in by_rack.values())
+        ):
+            best = _cheapest(rooms, unit, [candidates], stopping)
     if best is None:
         return None
     _, victims, chosen = best
@@ -337,6 +407,13 @@
     return victims, Reservation(placement, now_s + RESERVATION_S)
 
 
+def _cheapest(
+    rooms: _Rooms, unit: Unit, groups: Iterable[list[WorkerView]], stopping: set[TaskId]
+) -> tuple[float, list[TaskId], dict[TaskId, str]] | None:
+    options = [_reclaim_in(rooms, unit, workers, stopping) for workers in groups]
+    return min((o for o in options if o is not None), key=lambda o: o[0], default=None)
+
+
 def _reclaim_in(
     rooms: _Rooms, unit: Unit, workers: Sequence[WorkerView], stopping: set[TaskId]
 ) -> tuple[float, list[TaskId], dict[TaskId, str]] | None:
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -353,3 +353,13 @@
     deployment.start("one")
     job = await deployment.submit(1, LATER, [step(request=WHOLE, count=2)])
     assert await deployment.reaches(job, JobState.COMPLETED, 8.0)
+
+
+async def test_restarted_instance_takes_its_own_key_over_at_once(group):
+    """Guards against a wait for the lease of a process that cannot run any more."""
+    deployment = make_deployment(group, 1, task_s=0.1)
+    first = deployment.start("one")
+    assert await until(lambda: first.leadership.is_controller)
+    first.kill()
+    second = deployment.start("one")
+    assert await until(lambda: second.leadership.is_controller, 0.5)
--- /dev/null
+++ b/tests/test_workflow_placement.py
@@ -0,0 +1,123 @@
+"""Placement of ready units, reservations for gangs, and reclaim, without I/O."""
+
+from __future__ import annotations
+
+import pytest
+
+from foxtailwell.workflows import (
+    FleetView,
+    Queue,
+    Resources,
+    RunningTask,
+    Step,
+    TaskId,
+    Unit,
+    WorkerView,
+    plan,
+)
+
+CAPACITY = Resources(128_000, 262_144, 8)
+WHOLE = Resources(10_000, 10_000, 8)
+URGENT = Queue("urgent", "pool", priority=0)
+MODEL = Queue("model", "pool", priority=1)
+BATCH = Queue("batch", "pool", priority=2)
+
+
+def _unit(job, queue, step, *, waited_s=0.0, due_s=100.0):
+    tasks = tuple(TaskId(job, 0, 0, index) for index in range(step.count))
+    return Unit(job, 0, 0, step, queue, "acme", tasks, 10.0 - waited_s, due_s, 0.0)
+
+
+def _worker(name, rack="r1", running=(), **fields):
+    labels = frozenset({"a", rack})
+    return WorkerView(name, "pool", "z", rack, labels, CAPACITY, tuple(running), **fields)
+
+
+def _running(job, request, *, priority=2, elapsed_s=5.0, remaining_s=5.0, **fields):
+    task = TaskId(job, 0, 0, 0)
+    flags = {"is_checkpointing": False, "is_stopping": False} | fields
+    return RunningTask(task, request, priority, elapsed_s, remaining_s=remaining_s, **flags)
+
+
+def _plan(units, workers):
+    return plan(FleetView(10.0, {w.id: w for w in workers}, units))
+
+
+def test_gang_goes_to_the_rack_of_its_data():
+    """Guards against a gang that takes three times as long although its own rack is free."""
+    workers = [_worker(f"w{n}", f"r{n % 2}") for n in range(4)]
+    step = Step(2, WHOLE, 1000, is_gang=True, is_same_rack=True, data_rack="r1")
+    placed = _plan([_unit("j", MODEL, step)], workers).placements[0]
+    assert set(placed.workers.values()) == {"w1", "w3"}
+
+
+def test_gang_wider_than_any_rack_is_spread_at_once():
+    """Guards against a gang that waits for a rack it can never fit into."""
+    workers = [_worker("w0", "r0"), _worker("w1", "r1")]
+    step = Step(2, WHOLE, 1000, is_gang=True, is_same_rack=True)
+    assert _plan([_unit("j", MODEL, step)], workers).placements
+
+
+def test_small_tasks_fill_the_fullest_worker_first():
+    """Guards against small tasks that break up the last whole workers."""
+    workers = [_worker("w0"), _worker("w1", running=[_running("x", Resources(1, 1, 4))])]
+    placed = _plan([_unit("j", BATCH, Step(2, Resources(1, 1, 1)))], workers).placements[0]
+    assert set(placed.workers.values()) == {"w1"}
+
+
+def test_waiting_gang_keeps_its_rack_from_longer_tasks():
+    """Guards against a large gang that starves behind a stream of small tasks."""
+    workers = [_worker("w0"), _worker("w1", running=[_running("x", WHOLE, priority=1)])]
+    gang = _unit("g", MODEL, Step(2, WHOLE, 9000, is_gang=True, is_same_rack=True))
+    long_task = _unit("l", BATCH, Step(1, Resources(1, 1, 1), 20_000))
+    short_task = _unit("s", BATCH, Step(1, Resources(1, 1, 1), 1000))
+    started = {p.unit.job_id for p in _plan([gang, long_task, short_task], workers).placements}
+    assert started == {"s"}
+
+
+def test_reclaim_takes_the_run_that_loses_least():
+    """Guards against a stop that throws away more work than another one would."""
+    costly = _worker("w0", running=[_running("long", WHOLE, elapsed_s=9.0)])
+    cheap = _worker("w1", running=[_running("saved", WHOLE, is_checkpointing=True)])
+    decided = _plan([_unit("u", URGENT, Step(1, WHOLE, 1000))], [costly, cheap])
+    assert [task.job_id for task in decided.stops] == ["saved"]
+    assert not decided.placements
+
+
+def test_loss_of_a_gang_counts_all_its_members():
+    """Guards against a reclaim that breaks a wide gang for the price of one member."""
+    member = _worker("w0", running=[_running("gang", WHOLE, elapsed_s=3.0, member_count=9)])
+    single = _worker("w1", running=[_running("single", WHOLE, elapsed_s=6.0)])
+    decided = _plan([_unit("u", URGENT, Step(1, WHOLE, 1000))], [member, single])
+    assert [task.job_id for task in decided.stops] == ["single"]
+
+
+@pytest.mark.parametrize("priority", [0])
+def test_urgent_runs_are_never_reclaimed(priority):
+    """Guards against urgent jobs that stop each other in turn."""
+    worker = _worker("w0", running=[_running("x", WHOLE, priority=priority)])
+    assert not _plan([_unit("u", URGENT, Step(1, WHOLE, 1000))], [worker]).stops
+
+
+def test_reserved_room_is_given_to_its_unit_when_the_victims_are_gone():
+    """Guards against freed room that others take before the urgent job starts."""
+    running = _running("x", WHOLE, is_checkpointing=True)
+    unit = _unit("u", URGENT, Step(1, WHOLE, 1000))
+    decided = _plan([unit], [_worker("w0", running=[running])])
+    other = _unit("o", URGENT, Step(1, WHOLE, 1000), due_s=1.0)
+    free = FleetView(10.2, {"w0": _worker("w0")}, [other, unit], decided.reservations)
+    assert [p.unit.job_id for p in plan(free).placements] == ["u"]
+
+
+def test_unusable_and_unlabelled_workers_get_nothing():
+    """Guards against starts on draining workers or without the required label."""
+    workers = [_worker("w0", is_usable=False), _worker("w1")]
+    step = Step(1, Resources(1, 1, 1), required_label="b")
+    assert not _plan([_unit("j", BATCH, step)], workers).placements
+
+
+def test_no_more_tasks_of_a_step_on_a_worker_than_allowed():
+    """Guards against a step whose tasks fail together with one worker."""
+    step = Step(3, Resources(1, 1, 1), max_per_worker=2)
+    placed = _plan([_unit("j", BATCH, step)], [_worker("w0")]).placements[0]
+    assert len(placed.workers) == 2
