Order by what a job can still be worth, and reclaim guarantees from borrowers

Cause: earliest due first makes every job late under overload; urgent runs of accounts beyond their guarantee could keep a guaranteed account waiting.

Change: within a priority, guaranteed units go first, then jobs that can meet their target, then those that are only late, then the rest. A guaranteed unit may stop urgent runs of accounts beyond their guarantee, at ten times the loss.

--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -596,10 +596,11 @@
         now_s = self._now_s()
         self._leave_draining_workers(now_s)
         self._stop_stalled_runs(now_s)
-        units = self._book.ready_units(now_s, self._now_unix_ms())
+        within = self._book.accounts_within(view.configuration.guaranteed_accelerators)
+        units = self._book.ready_units(now_s, self._now_unix_ms(), within)
         if not units and not self._reservations:
             return
-        fleet = FleetView(now_s, self._worker_views(view, now_s), units, self._reservations)
+        fleet = FleetView(now_s, self._worker_views(view, now_s, within), units, self._reservations)
         decided = plan(fleet)
         self._reservations = decided.reservations
         for victim in decided.stops:
@@ -653,7 +654,9 @@
                 self._book.assign(task, worker, boot, run, now_s)
         self._pending.placements.append(placement)
 
-    def _worker_views(self, view: OperatorView, now_s: float) -> dict[str, WorkerView]:
+    def _worker_views(
+        self, view: OperatorView, now_s: float, within: frozenset[str]
+    ) -> dict[str, WorkerView]:
         now_unix_ms = self._now_unix_ms()
         views: dict[str, WorkerView] = {}
         failures = self._health.failures()
@@ -674,13 +677,13 @@
                 entry.rack,
                 entry.labels,
                 entry.capacity,
-                tuple(self._running(task, now_s) for task in self._book.placed_on(worker)),
+                tuple(self._running(task, now_s, within) for task in self._book.placed_on(worker)),
                 is_usable,
                 float(len(failed.job_ids)) if failed else 0.0,
             )
         return views
 
-    def _running(self, task: Task, now_s: float) -> RunningTask:
+    def _running(self, task: Task, now_s: float, within: frozenset[str]) -> RunningTask:
         job = self._book.jobs[task.id.job_id]
         step = job.step(task.id)
         return RunningTask(
@@ -692,6 +695,7 @@
             task.state is TaskState.STOPPING,
             step.count if step.is_gang else 1,
             _remaining_s(task, step.estimate_ms / 1000, now_s - task.started_s),
+            job.submission.account not in within,
         )
 
     # Effects
--- a/src/foxtailwell/platform/messages.py
+++ b/src/foxtailwell/platform/messages.py
@@ -120,6 +120,7 @@
         version=wire.version,
         routes_by_host={host: tuple(routes) for host, routes in by_host.items()},
         accounts_by_key={key: account for account in accounts for key in account.keys},
+        guaranteed_accelerators={a.name: a.guaranteed_accelerators for a in accounts},
         queues={r.queue.name: r.queue for routes in by_host.values() for r in routes},
     )
 
--- a/src/foxtailwell/workflows/_book.py
+++ b/src/foxtailwell/workflows/_book.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import IntEnum, StrEnum
 
@@ -106,6 +106,8 @@
     Attributes:
         waiting_since_s: Local time from which the unit could have been placed.
         due_s: Local time at which its job misses the target of its class.
+        accepted_s: Local time at which its job was seen.
+        is_guaranteed: All urgent jobs of its account together need no more than its guarantee.
     """
 
     job_id: str
@@ -118,6 +120,7 @@
     waiting_since_s: float
     due_s: float
     accepted_s: float = 0.0
+    is_guaranteed: bool = False
 
     @property
     def key(self) -> tuple[str, int, int]:
@@ -172,6 +175,10 @@
         )
         return JobProgress(self.state, self.is_begun, self.ended_unix_ms, tasks)
 
+    def peak_accelerators(self) -> int:
+        """Return the most accelerators that one step of the job needs."""
+        return max(step.count * step.request.accelerators for step in self.submission.steps)
+
     def chain_ms(self) -> float:
         """Return the estimated length of the longest chain of steps."""
         longest: list[float] = []
@@ -405,15 +412,36 @@
                         stale += _partial_gang(tuple(job.step_tasks(occurrence, number)))
         return stale
 
-    def ready_units(self, now_s: float, now_unix_ms: int) -> list[Unit]:
-        """Return the steps with tasks that may be placed now."""
+    def accounts_within(self, guaranteed: Mapping[str, int]) -> frozenset[str]:
+        """Return the accounts whose urgent jobs need no more than their guarantee.
+
+        Args:
+            guaranteed: Accelerators of each account.
+        """
+        needed: dict[str, int] = {}
+        for job in self.jobs.values():
+            if job.queue.priority == 0 and not job.state.is_final:
+                account = job.submission.account
+                needed[account] = needed.get(account, 0) + job.peak_accelerators()
+        return frozenset(a for a, count in needed.items() if count <= guaranteed.get(a, 0))
+
+    def ready_units(
+        self, now_s: float, now_unix_ms: int, within: frozenset[str] = frozenset()
+    ) -> list[Unit]:
+        """Return the steps with tasks that may be placed now.
+
+        Args:
+            now_s: Local time.
+            now_unix_ms: Time of day.
+            within: Accounts whose urgent jobs need no more than their guarantee.
+        """
         units: list[Unit] = []
         for job in self.jobs.values():
             if job.state.is_final:
                 continue
             for occurrence in range(job.submission.occurrences):
                 if job.submission.due_unix_ms(occurrence) <= now_unix_ms:
-                    units += self._ready_steps(job, occurrence, now_s)
+                    units += self._ready_steps(job, occurrence, now_s, within)
         return units
 
     def next_due_unix_ms(self, now_unix_ms: int) -> int | None:
@@ -426,7 +454,9 @@
         ]
         return min((time for time in due if time > now_unix_ms), default=None)
 
-    def _ready_steps(self, job: Job, occurrence: int, now_s: float) -> Iterator[Unit]:
+    def _ready_steps(
+        self, job: Job, occurrence: int, now_s: float, within: frozenset[str]
+    ) -> Iterator[Unit]:
         for number, step in enumerate(job.submission.steps):
             tasks = tuple(job.step_tasks(occurrence, number))
             waiting = tuple(task.id for task in tasks if task.state is TaskState.WAITING)
@@ -453,6 +483,7 @@
                 since_s,
                 due_s,
                 job.accepted_s,
+                job.queue.priority == 0 and job.submission.account in within,
             )
 
 
--- a/src/foxtailwell/workflows/_cluster.py
+++ b/src/foxtailwell/workflows/_cluster.py
@@ -44,6 +44,7 @@
     version: int
     routes_by_host: Mapping[str, tuple[Route, ...]] = field(default_factory=dict)
     accounts_by_key: Mapping[str, ClientAccount] = field(default_factory=dict)
+    guaranteed_accelerators: Mapping[str, int] = field(default_factory=dict)
     queues: Mapping[str, Queue] = field(default_factory=dict)
 
     def find_route(self, host: str, path: str) -> Route | None:
--- a/src/foxtailwell/workflows/_placement.py
+++ b/src/foxtailwell/workflows/_placement.py
@@ -33,13 +33,20 @@
 RESERVATION_S = 3.0
 """Longest time for which room is kept for a unit whose victims are being stopped."""
 
+URGENT_LOSS_FACTOR = 10.0
+"""How much more the loss of urgent work counts: a guarantee takes it only as the last resort."""
+
 STOP_LOSS_S = 0.5
 """Time lost by any stop: the stop itself, the next placement, and the work after a checkpoint."""
 
 
 @dataclass(frozen=True, slots=True)
 class RunningTask:
-    """A run that occupies a worker."""
+    """A run that occupies a worker.
+
+    Attributes:
+        is_borrowing: Its account uses more than its guarantee.
+    """
 
     id: TaskId
     request: Resources
@@ -49,13 +56,15 @@
     is_stopping: bool
     member_count: int = 1
     remaining_s: float = 0.0
+    is_borrowing: bool = False
 
     @property
     def loss(self) -> float:
         """Return the core-seconds that a stop throws away, with those of the rest of its gang."""
         cores = self.request.cpu_millicores / 1000 + ACCELERATOR_CORES * self.request.accelerators
         lost_s = STOP_LOSS_S + (0.0 if self.is_checkpointing else self.elapsed_s)
-        return cores * lost_s * self.member_count
+        weight = URGENT_LOSS_FACTOR if self.priority == 0 else 1.0
+        return cores * lost_s * self.member_count * weight
 
 
 @dataclass(frozen=True, slots=True)
@@ -189,9 +198,12 @@
     return Plan(tuple(placements), tuple(stops), tuple(reservations))
 
 
-def _order(unit: Unit, now_s: float) -> tuple[int, bool, float, str]:
+def _order(unit: Unit, now_s: float) -> tuple[int, bool, int, float, str]:
+    """Order by priority, guarantee, what the job can still be worth, and the time left."""
     hopeless_s = unit.accepted_s + HOPELESS_FACTOR * (unit.due_s - unit.accepted_s)
-    return (unit.queue.priority, now_s > hopeless_s, unit.due_s, unit.job_id)
+    end_s = now_s + unit.step.estimate_ms / 1e3
+    lateness = int(end_s > unit.due_s) + int(end_s > hopeless_s)
+    return (unit.queue.priority, not unit.is_guaranteed, lateness, unit.due_s, unit.job_id)
 
 
 def _open_rooms(view: FleetView) -> _Rooms:
@@ -447,6 +459,12 @@
     victims: tuple[RunningTask, ...] = ()
 
 
+def _is_reclaimable(task: RunningTask, unit: Unit) -> bool:
+    if task.priority > unit.queue.priority:
+        return True
+    return unit.is_guaranteed and task.is_borrowing and task.priority == unit.queue.priority
+
+
 def _unit_loss(place: _Place) -> float:
     return place.loss / place.count
 
@@ -456,9 +474,7 @@
     count = rooms.copies(worker.id, unit, room)
     places = [_Place(count, 0.0)] if count else []
     borrowers = [
-        task
-        for task in worker.running
-        if task.priority > unit.queue.priority and task.id not in stopping
+        task for task in worker.running if _is_reclaimable(task, unit) and task.id not in stopping
     ]
     victims: list[RunningTask] = []
     for task in sorted(borrowers, key=lambda t: (not t.is_stopping, t.loss)):
