--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -24,6 +24,7 @@
     WORKER_QUARANTINED,
 )
 from foxtailwell.adapters.logs import log_event
+from foxtailwell.adapters.work_metrics import WorkMetrics
 from foxtailwell.controller._commits import Commits, ControllerLostError, JobChange, Rejected
 from foxtailwell.controller._links import (
     LinkEvent,
@@ -195,6 +196,7 @@
         now_unix_ms: Time of day.
         renewed_s: Returns when the last renewed lease renewal was sent.
         status_s: Time for which ended jobs stay known.
+        metrics: Counts decisions, orders and ends.
     """
 
     def __init__(
@@ -209,7 +211,9 @@
         now_unix_ms: Callable[[], int],
         renewed_s: Callable[[], float],
         status_s: float,
+        metrics: WorkMetrics,
     ) -> None:
+        self._metrics = metrics
         self._store = store
         self._fleet = fleet
         self._operators = operators
@@ -507,6 +511,7 @@
             return
         if not self._book.end_run(task, run, kind, checkpoint, now_unix_ms):
             return
+        self._metrics.count("run_ends", how=kind.value)
         log_event(RUN_ENDED, job=task_id.job_id, task=text, run=run, worker=worker, how=kind.value)
         if kind is EndKind.DONE:
             self._health.record_success(worker)
@@ -551,6 +556,7 @@
             self._book.begin_stop(task)
 
     def _lose(self, task: Task, reason: str) -> None:
+        self._metrics.count("runs_lost", reason=reason)
         log_event(
             RUN_LOST,
             job=task.id.job_id,
@@ -566,6 +572,9 @@
         if task is None or task.run != event.run or task.state is not TaskState.ASSIGNED:
             return
         task.settled_s = self._now_s()
+        outcome = event.outcome.value if event.outcome else "no answer"
+        self._metrics.count("starts", outcome=outcome)
+        self._metrics.observe_s("placement_to_start", task.settled_s - task.started_s)
         if event.outcome is OrderOutcome.DONE:
             self._book.confirm(task)
             return
@@ -727,7 +736,9 @@
         self._book.changed.clear()
         rejected: list[Rejected] = []
         if changes and view is not None:
+            began_s = self._now_s()
             rejected = await self._commits.store(changes, view.guards)
+            self._metrics.observe_s("commit", self._now_s() - began_s)
         blocked = {job_id for answer in rejected for job_id in answer.jobs}
         for answer in rejected:
             self._undo(answer, pending)
@@ -790,6 +801,8 @@
             job_id = job.submission.job_id
             if job.state.is_final and not job.has_placed_tasks and job_id in self._book.jobs:
                 log_event(JOB_ENDED, job=job_id, queue=job.submission.queue, state=job.state.value)
+                self._metrics.count("jobs", state=job.state.value)
+                self._metrics.observe_s("job", self._now_s() - job.accepted_s)
                 self._ended_unix_ms[job_id] = job.ended_unix_ms
                 self._book.remove(job_id)
 
--- a/src/foxtailwell/controller/_leadership.py
+++ b/src/foxtailwell/controller/_leadership.py
@@ -9,6 +9,7 @@
 
 from foxtailwell.adapters.events import CONTROLLER_ELECTED, CONTROLLER_ENDED
 from foxtailwell.adapters.logs import log_event
+from foxtailwell.adapters.work_metrics import WorkMetrics
 from foxtailwell.controller._controller import (
     Controller,
     ControllerLostError,
@@ -46,6 +47,7 @@
         settings: What a term depends on.
         now_s: Local clock that counts suspended time.
         now_unix_ms: Time of day.
+        metrics: Counts what the controller does.
     """
 
     def __init__(
@@ -56,7 +58,9 @@
         settings: LeadershipSettings,
         now_s: Callable[[], float],
         now_unix_ms: Callable[[], int],
+        metrics: WorkMetrics,
     ) -> None:
+        self._metrics = metrics
         self._store = store
         self._fleet = fleet
         self._operators = operators
@@ -113,7 +117,9 @@
             now_unix_ms=self._now_unix_ms,
             renewed_s=lambda: term.renewed_s,
             status_s=self._settings.status_s,
+            metrics=self._metrics,
         )
+        self._metrics.count("terms")
         self._controller = controller
         reason = "stopped"
 
--- a/src/foxtailwell/instance/__init__.py
+++ b/src/foxtailwell/instance/__init__.py
@@ -1,7 +1,15 @@
 """One instance on the platform: client interface, configuration, daemon."""
 
 from foxtailwell.instance._daemon import Platform, run_instance
+from foxtailwell.instance._jobs_api import JobsApi
 from foxtailwell.instance._operators import OperatorKeys, OperatorWatch
 from foxtailwell.instance._settings import InstanceSettings
 
-__all__ = ["InstanceSettings", "OperatorKeys", "OperatorWatch", "Platform", "run_instance"]
+__all__ = [
+    "InstanceSettings",
+    "JobsApi",
+    "OperatorKeys",
+    "OperatorWatch",
+    "Platform",
+    "run_instance",
+]
--- a/src/foxtailwell/instance/_daemon.py
+++ b/src/foxtailwell/instance/_daemon.py
@@ -19,6 +19,7 @@
 )
 from foxtailwell.adapters.http_server import serve_http
 from foxtailwell.adapters.logs import log_event
+from foxtailwell.adapters.work_metrics import WorkMetrics, render_rows
 from foxtailwell.controller import FleetAccess, Intake, Leadership, LeadershipSettings
 from foxtailwell.instance._clock import WallClock, boot_time_s
 from foxtailwell.instance._jobs_api import RETRY_AFTER_S, JobsApi, SubmissionDecoder, read_body
@@ -64,6 +65,7 @@
         self._settings = settings
         self._platform = platform
         self._wall = WallClock()
+        self._metrics = WorkMetrics()
         self._operators = OperatorWatch(
             platform.store,
             platform.operator_keys,
@@ -77,6 +79,7 @@
             platform.decode_error,
             boot_time_s,
             self._wall.now_unix_ms,
+            self._metrics,
         )
         self._leadership = Leadership(
             platform.store,
@@ -85,6 +88,7 @@
             LeadershipSettings(settings.name, settings.max_hold_ms, settings.status_s),
             boot_time_s,
             self._wall.now_unix_ms,
+            self._metrics,
         )
         self._operators.on_change = self._leadership.wake
         self._is_stopping = False
@@ -96,24 +100,15 @@
             group.start_soon(self._supervise, "clock", self._wall.run)
             group.start_soon(self._supervise, "operators", self._operators.run)
             group.start_soon(self._supervise, "controller", self._leadership.run)
-            await group.start(
-                partial(
-                    serve_http,
-                    self._readiness,
-                    *_address(self._settings.readiness_address),
-                    self._stop_serving,
-                    grace_s=FINISH_S,
+            for app, address in (
+                (self._readiness, self._settings.readiness_address),
+                (self._clients, self._settings.client_address),
+                (self._show_metrics, self._settings.metrics_address),
+            ):
+                host, port = _address(address)
+                await group.start(
+                    partial(serve_http, app, host, port, self._stop_serving, grace_s=FINISH_S)
                 )
-            )
-            await group.start(
-                partial(
-                    serve_http,
-                    self._clients,
-                    *_address(self._settings.client_address),
-                    self._stop_serving,
-                    grace_s=FINISH_S,
-                )
-            )
             await self._wait_for_stop()
             group.cancel_scope.cancel()
         log_event(DAEMON_STOPPED)
@@ -151,6 +146,12 @@
         )
         await _respond(send, 200 if is_ready else 503, b"{}", ())
 
+    async def _show_metrics(self, scope: Any, receive: Any, send: Any) -> None:
+        content, headers = render_rows(self._metrics)
+        pairs = [(k.lower().encode(), v.encode()) for k, v in headers.items()]
+        await send({"type": "http.response.start", "status": 200, "headers": pairs})
+        await send({"type": "http.response.body", "body": content})
+
     async def _clients(self, scope: Any, receive: Any, send: Any) -> None:
         headers = dict(scope["headers"])
         host = headers.get(b"host", b"").decode("latin-1")
--- a/src/foxtailwell/instance/_jobs_api.py
+++ b/src/foxtailwell/instance/_jobs_api.py
@@ -17,6 +17,7 @@
     SUBMISSION_STORED,
 )
 from foxtailwell.adapters.logs import log_event
+from foxtailwell.adapters.work_metrics import WorkMetrics
 from foxtailwell.controller import CancelOutcome, Intake, IntakeError, SubmitOutcome
 from foxtailwell.instance._operators import OperatorWatch
 from foxtailwell.workflows import ClusterConfiguration, Route, Submission
@@ -68,6 +69,7 @@
         decode_error: What `decode` raises for a bad one.
         now_s: Local clock that counts suspended time.
         now_unix_ms: Time of day.
+        metrics: Counts responses and their latency.
     """
 
     def __init__(
@@ -78,7 +80,9 @@
         decode_error: type[Exception],
         now_s: Callable[[], float],
         now_unix_ms: Callable[[], int],
+        metrics: WorkMetrics,
     ) -> None:
+        self._metrics = metrics
         self._intake = intake
         self._operators = operators
         self._decode = decode
@@ -98,8 +102,13 @@
             key: Key of the client account; empty for none.
             body: Reads the request body.
         """
-        call = _Call(method, path, host.lower(), key)
-        content = await body()
+        began_s = self._now_s()
+        reply = await self._answer(_Call(method, path, host.lower(), key), await body())
+        self._metrics.count("requests", method=method, status=str(reply.status))
+        self._metrics.observe_s("request", self._now_s() - began_s)
+        return reply
+
+    async def _answer(self, call: _Call, content: bytes) -> Reply:
         for _ in range(CONFIGURATION_TRIES):
             if not self._operators.is_proven and not await self._operators.confirm(self._now_s()):
                 return _refusal(call, 503, "the configuration cannot be confirmed")
--- a/src/foxtailwell/instance/_settings.py
+++ b/src/foxtailwell/instance/_settings.py
@@ -13,6 +13,7 @@
 
     Attributes:
         client_address: Where clients connect.
+        metrics_address: Where counters and histograms are read.
         readiness_address: Where the platform asks whether to send new connections.
         max_hold_ms: Longest lease of running tasks.
         revocation_ms: Time after which a removed key must not be accepted.
@@ -23,6 +24,7 @@
     zone: str
     client_address: str
     readiness_address: str
+    metrics_address: str
     store_address: str
     grace_s: float
     max_hold_ms: int
--- a/src/foxtailwell/platform/settings.py
+++ b/src/foxtailwell/platform/settings.py
@@ -42,6 +42,7 @@
     ip: str
     zone: str
     listen_addrs: _Addresses
+    port_range: tuple[int, int]
     platform: _Store
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
@@ -68,6 +69,7 @@
         zone=file.zone,
         client_address=file.listen_addrs.front,
         readiness_address=file.listen_addrs.ready,
+        metrics_address=f"{file.ip}:{file.port_range[0]}",
         store_address=file.platform.address,
         grace_s=file.bounds.grace_s,
         max_hold_ms=file.bounds.max_hold_ms,
--- a/tests/controller_harness.py
+++ b/tests/controller_harness.py
@@ -10,6 +10,7 @@
 import msgspec
 from anyio.abc import TaskGroup
 
+from foxtailwell.adapters.work_metrics import WorkMetrics
 from foxtailwell.controller import (
     FleetAccess,
     Intake,
@@ -108,6 +109,7 @@
             LeadershipSettings(name, hold_ms, 120),
             time.monotonic,
             lambda: int(time.time() * 1000),
+            WorkMetrics(),
         )
         instance = Instance(leadership, faults)
 
--- a/tests/test_import_directions.py
+++ b/tests/test_import_directions.py
@@ -24,7 +24,35 @@
         "foxtailwell.fleet",
         "foxtailwell.scheduler",
     },
+    "foxtailwell/workflows": {"foxtailwell.workflows"},
+    "foxtailwell/controller": {
+        "foxtailwell.core",
+        "foxtailwell.adapters",
+        "foxtailwell.workflows",
+        "foxtailwell.controller",
+    },
+    "foxtailwell/instance": {
+        "foxtailwell.adapters",
+        "foxtailwell.workflows",
+        "foxtailwell.controller",
+        "foxtailwell.instance",
+    },
 }
+PLATFORM_NAMES = (
+    "kv-txn",
+    "kv-range",
+    "kv-watch",
+    "kv-lease",
+    "run-start",
+    "run-stop",
+    "/-/hold",
+    "X-Expect-Instance",
+    "FOXTAILWELL_BOOT",
+    "op/config",
+    "servers/",
+    'data_rack"',
+    "fencing_token",
+)
 CORE_LIBRARIES = {"result"}
 IO_MODULES = {"socket", "os", "time", "random", "asyncio", "threading", "pathlib", "datetime"}
 
@@ -58,8 +86,19 @@
         assert not {t for t in tops if t.startswith("foxtailwell_")}, path.name
 
 
-def test_core_uses_no_input_or_output():
+@pytest.mark.parametrize("package", ["core", "workflows"])
+def test_core_uses_no_input_or_output(package):
     """Guards against a clock, a socket or a random source inside the core."""
-    for path in (SOURCE / "foxtailwell/core").rglob("*.py"):
+    for path in (SOURCE / "foxtailwell" / package).rglob("*.py"):
         tops = {name.split(".")[0] for name in _imports(path)}
         assert not tops & IO_MODULES, path.name
+
+
+def test_names_of_the_platform_stay_in_its_folder():
+    """Guards against wire names that spread through the product."""
+    for path in (SOURCE / "foxtailwell").rglob("*.py"):
+        if path.parent.name == "platform":
+            continue
+        assert not any(n.startswith("foxtailwell.platform") for n in _imports(path)), path
+        text = path.read_text()
+        assert not [name for name in PLATFORM_NAMES if name in text], path
--- /dev/null
+++ b/tests/test_instance_api.py
@@ -0,0 +1,193 @@
+"""Client requests at an instance, with failures of the store and changes of the configuration."""
+
+from __future__ import annotations
+
+import time
+
+import msgspec
+import pytest
+
+from foxtailwell.adapters.work_metrics import WorkMetrics
+from foxtailwell.controller import Intake
+from foxtailwell.instance import JobsApi, OperatorKeys, OperatorWatch
+from foxtailwell.platform import messages
+from foxtailwell_standins.platform_store import MemoryStore, StoreFaults
+
+pytestmark = pytest.mark.anyio
+
+JOB = "/q/5c0e7a21d94b36f8"
+BODY = msgspec.json.encode({"spec": "text", "phases": [{"count": 2, "cpu": 500}]})
+
+
+class Instance:
+    """The client interface of one instance with its own faults at the store."""
+
+    def __init__(self, store, limit_s=5.0):
+        self.faults = StoreFaults()
+        client = store.client(self.faults)
+        self.skew_s = 0.0
+        keys = OperatorKeys(
+            messages.CONFIGURATION_KEY,
+            messages.EVACUATION_PREFIX,
+            messages.decode_configuration,
+            messages.MessageError,
+        )
+        self.operators = OperatorWatch(client, keys, self._now_s, limit_s)
+        self.api = JobsApi(
+            Intake(client),
+            self.operators,
+            messages.decode_submission,
+            messages.MessageError,
+            self._now_s,
+            lambda: 1000,
+            WorkMetrics(),
+        )
+
+    def _now_s(self):
+        return time.monotonic() + self.skew_s
+
+    async def call(self, method, path, key="k1", body=BODY):
+        """Send one request and return status and decoded body."""
+
+        async def read():
+            return body
+
+        reply = await self.api.handle(method, "h.example", path, key, read)
+        return reply.status, msgspec.json.decode(reply.body)
+
+
+def configure(store, version, keys=("k1",), prefixes=("/q/",)):
+    """Write a configuration as an operator does."""
+    routes = [
+        {"name": f"r{n}", "host": "h.example", "prefix": prefix, "service": "s"}
+        for n, prefix in enumerate(prefixes)
+    ]
+    tenants = [{"name": "acme", "api_keys": list(keys), "guaranteed": {"gpu": 4}}]
+    value = {"version": version, "routes": routes, "services": [], "tenants": tenants}
+    store.write(messages.CONFIGURATION_KEY, msgspec.json.encode(value))
+
+
+@pytest.fixture
+def store():
+    """Return a store with a configuration."""
+    store = MemoryStore()
+    configure(store, 1)
+    return store
+
+
+@pytest.fixture
+def instance(store):
+    """Return an instance of that store."""
+    return Instance(store)
+
+
+async def test_job_is_stored_once_however_often_it_is_sent(store, instance):
+    """Guards against a second job for a repeated identifier, also at another instance."""
+    assert (await instance.call("POST", JOB))[0] == 200
+    before = dict(store.items)
+    assert (await Instance(store).call("POST", JOB))[0] == 200
+    assert store.items == before
+    assert await instance.call("GET", JOB) == (200, {"state": "queued"})
+    assert await instance.call("GET", "/q/") == (200, {"pending": 1})
+
+
+async def test_refused_job_never_runs_although_its_create_is_carried_out_late(store, instance):
+    """Guards against a 503 for a job that is stored seconds later."""
+    await instance.operators.confirm(instance._now_s())
+    instance.faults.late_writes = 1
+    assert (await instance.call("POST", JOB))[0] == 503
+    store.apply_late()
+    assert (await instance.call("GET", JOB))[0] == 410
+    assert (await instance.call("POST", JOB))[0] == 200
+    assert (await instance.call("GET", JOB))[0] == 200
+
+
+async def test_lost_answer_of_a_create_is_read_back(store, instance):
+    """Guards against a refusal of a job that is stored."""
+    await instance.operators.confirm(instance._now_s())
+    instance.faults.lost_writes = 1
+    assert (await instance.call("POST", JOB))[0] == 200
+
+
+async def test_unknown_outcome_is_no_refusal(store, instance):
+    """Guards against a 503 where the job may still be stored."""
+    await instance.operators.confirm(instance._now_s())
+    instance.faults.late_writes = 9
+    assert (await instance.call("POST", JOB))[0] == 504
+
+
+async def test_store_that_refuses_gives_a_true_refusal(store, instance):
+    """Guards against requests that hang while the store is away."""
+    await instance.operators.confirm(instance._now_s())
+    instance.faults.is_down = True
+    assert (await instance.call("POST", JOB))[0] == 503
+
+
+async def test_removed_key_is_refused_by_an_instance_that_is_cut_off(store, instance):
+    """Guards against an old key that an instance without contact goes on accepting."""
+    assert (await instance.call("GET", "/q/"))[0] == 200
+    configure(store, 2, keys=("k2",))
+    instance.faults.is_down = True
+    instance.skew_s = 4.9
+    assert (await instance.call("GET", "/q/"))[0] == 503
+    instance.faults.is_down = False
+    assert (await instance.call("GET", "/q/"))[0] == 401
+    assert (await instance.call("GET", "/q/", key="k2"))[0] == 200
+
+
+async def test_new_key_and_route_are_looked_up_before_they_are_refused(store, instance):
+    """Guards against 401 and 404 for what this instance has not heard of yet."""
+    assert (await instance.call("GET", "/q/"))[0] == 200
+    configure(store, 2, keys=("k1", "k2"), prefixes=("/q/", "/new/"))
+    instance.skew_s = 0.2
+    assert (await instance.call("GET", "/q/", key="k2"))[0] == 200
+    configure(store, 3, keys=("k1", "k2"), prefixes=("/q/", "/new/", "/newer/"))
+    instance.skew_s = 0.4
+    assert (await instance.call("GET", "/newer/"))[0] == 200
+
+
+async def test_submission_on_an_outdated_configuration_is_checked_again(store, instance):
+    """Guards against a job that is stored under a key removed a moment before."""
+    await instance.operators.confirm(instance._now_s())
+    configure(store, 2, keys=())
+    assert (await instance.call("POST", JOB))[0] == 401
+    assert not any(key.endswith("5c0e7a21d94b36f8") for key in store.items)
+
+
+async def test_older_configuration_is_never_applied_again(store, instance):
+    """Guards against a regress within one life of the process."""
+    configure(store, 7)
+    await instance.operators.confirm(instance._now_s())
+    configure(store, 6, keys=())
+    instance.skew_s = 1.0
+    assert (await instance.call("GET", "/q/"))[0] == 200
+
+
+async def test_no_configuration_is_no_refusal_for_good():
+    """Guards against 404 before the first configuration."""
+    assert (await Instance(MemoryStore()).call("POST", JOB))[0] == 503
+
+
+async def test_cancelled_and_unknown_jobs(store, instance):
+    """Guards against a cancellation that is acknowledged and not stored."""
+    assert (await instance.call("DELETE", JOB))[0] == 410
+    await instance.call("POST", JOB)
+    assert (await instance.call("DELETE", JOB))[0] == 200
+    assert "foxtailwell/in/cancel/5c0e7a21d94b36f8" in store.items
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"\xff",
+        b"{}",
+        b'{"spec":1,"phases":[]}',
+        b'{"spec":"","phases":[]}',
+        b'{"spec":"","phases":[{"count":0}]}',
+        b'{"spec":"","phases":[{"count":1,"after":[0]}]}',
+    ],
+)
+async def test_bad_submission_is_refused_with_its_reason(instance, body):
+    """Guards against bad input that ends the process or is stored."""
+    status, answer = await instance.call("POST", JOB, body=body)
+    assert (status, bool(answer["error"])) == (400, True)
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,152 @@
+"""What the adapter makes of the platform's messages, bad ones included."""
+
+from __future__ import annotations
+
+import anyio
+import msgspec
+import pytest
+
+from foxtailwell.adapters.http_connection import CallError, HttpEndpoint
+from foxtailwell.core.errors import ValidationError
+from foxtailwell.platform import messages
+from foxtailwell.platform.settings import load_instance_settings
+from foxtailwell.platform.workers import decode_worker_entry
+from foxtailwell.workflows import Resources
+
+ENTRY = {
+    "service": "pool",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "state": "ready",
+    "born": 1700000000000,
+    "clock_ms": 5,
+    "capacity": {"cpu": 1000, "mem_mb": 2, "gpu": 8},
+    "labels": ["kind", "r1-3"],
+}
+SETTINGS = {
+    "node_name": "n1",
+    "ip": "10.0.0.1",
+    "zone": "a",
+    "listen_addrs": {"front": "10.0.0.1:1", "ready": "10.0.0.1:2"},
+    "port_range": [7000, 7015],
+    "platform": {"address": "10.0.0.9:1"},
+}
+
+
+def test_worker_entry_gives_the_rack_and_the_room():
+    """Guards against tasks placed without regard to racks."""
+    entry = decode_worker_entry("i-1", msgspec.json.encode(ENTRY))
+    assert (entry.rack, entry.capacity, entry.is_ready) == ("r1-3", Resources(1000, 2, 8), True)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"state": "odd"}, {"address": 7}, {"address": "nowhere"}, {"born": "x"}, {"capacity": []}],
+)
+def test_foreign_worker_entry_names_no_worker(change):
+    """Guards against a foreign entry that is used or ends the process."""
+    assert decode_worker_entry("i-1", msgspec.json.encode(ENTRY | change)) is None
+    assert decode_worker_entry("i-1", b"\xff\x00") is None
+
+
+def test_tasks_that_fill_claim_no_processors():
+    """Guards against filling work that keeps others from starting."""
+    body = {"spec": "s", "phases": [{"count": 1, "cpu": 900, "gpu": 1, "fills": True}]}
+    job = messages.decode_submission("a" * 16, "q", "acme", 0, msgspec.json.encode(body))
+    assert job.steps[0].request == Resources(0, 0, 1)
+
+
+def test_unreadable_configuration_is_refused():
+    """Guards against a configuration that is half read."""
+    with pytest.raises(messages.MessageError):
+        messages.decode_configuration(b'{"version":"x"}')
+
+
+def test_longest_prefix_selects_the_queue():
+    """Guards against jobs that land in a queue with a shorter prefix."""
+    routes = [
+        {"name": n, "host": "H.example", "prefix": p, "service": "s"}
+        for n, p in (("short", "/a/"), ("long", "/a/b/"))
+    ]
+    configuration = messages.decode_configuration(
+        msgspec.json.encode({"version": 1, "routes": routes})
+    )
+    assert configuration.find_route("h.example", "/a/b/c").queue.name == "long"
+    assert configuration.find_route("other", "/a/b/c") is None
+
+
+def test_settings_are_read_and_faults_named(tmp_path):
+    """Guards against an instance that starts with half of its settings."""
+    path = tmp_path / "local.json"
+    path.write_bytes(msgspec.json.encode(SETTINGS | {"new_field": 1}))
+    assert load_instance_settings(str(path)).metrics_address == "10.0.0.1:7000"
+    path.write_bytes(msgspec.json.encode({k: v for k, v in SETTINGS.items() if k != "zone"}))
+    with pytest.raises(ValidationError, match="zone"):
+        load_instance_settings(str(path))
+    with pytest.raises(ValidationError):
+        load_instance_settings(str(tmp_path / "absent.json"))
+
+
+@pytest.fixture
+def anyio_server():
+    """Return a function that serves raw responses and counts connections."""
+
+    async def start(group, handle):
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        group.start_soon(listener.serve, handle)
+        return f"127.0.0.1:{listener.extra(anyio.abc.SocketAttribute.local_port)}"
+
+    return start
+
+
+@pytest.mark.anyio
+async def test_connection_is_used_again_and_replaced_when_closed(anyio_server):
+    """Guards against a new connection for each call, and against calls on a closed one."""
+    connections = []
+
+    async def handle(stream):
+        connections.append(stream)
+        async with stream:
+            for _ in range(2):
+                await stream.receive()
+                await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+
+    async with anyio.create_task_group() as group:
+        endpoint = HttpEndpoint(await anyio_server(group, handle))
+        for _ in range(4):
+            reply = await endpoint.call("GET", "/", timeout_s=1.0)
+            assert (reply.status, reply.body) == (200, b"{}")
+            await anyio.sleep(0.01)
+        assert len(connections) == 2
+        group.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+async def test_silent_connection_is_given_up_and_slow_progress_is_not(anyio_server):
+    """Guards against a call that waits for ever, and against large answers that are cut off."""
+
+    async def handle(stream):
+        async with stream:
+            request = await stream.receive()
+            if b"/silent" in request:
+                await anyio.sleep_forever()
+            await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")
+            for _ in range(5):
+                await anyio.sleep(0.1)
+                await stream.send(b"x")
+
+    async with anyio.create_task_group() as group:
+        endpoint = HttpEndpoint(await anyio_server(group, handle))
+        with pytest.raises(CallError) as error:
+            await endpoint.call("GET", "/silent", timeout_s=0.2)
+        assert error.value.is_sent
+        assert (await endpoint.call("GET", "/slow", timeout_s=0.3)).body == b"xxxxx"
+        group.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+async def test_refused_connection_says_that_nothing_was_sent():
+    """Guards against an unknown outcome where no byte left."""
+    with pytest.raises(CallError) as error:
+        await HttpEndpoint("127.0.0.1:1").call("GET", "/", timeout_s=0.2)
+    assert not error.value.is_sent
