--- a/src/foxtailwell/controller/_intake.py
+++ b/src/foxtailwell/controller/_intake.py
@@ -29,9 +29,6 @@
 
 __all__ = ["CancelOutcome", "Intake", "IntakeError", "SubmitOutcome"]
 
-READ_BACK_TRIES = 2
-"""Reads after a create without an answer, before the outcome is reported as unknown."""
-
 
 class SubmitOutcome(Enum):
     """What became of a submission."""
@@ -111,15 +108,14 @@
         """Find out what became of a create without an answer, or keep it from taking effect."""
         key = job_key(submission.job_id)
         conditions = {key: 0, progress_key(submission.job_id): 0}
-        for _ in range(READ_BACK_TRIES):
-            try:
-                answer = await self._store.transact(conditions, [Put(key, REFUSED_MARK)])
-            except StoreCallError:
-                continue
-            if isinstance(answer, Committed):
-                return SubmitOutcome.REFUSED
-            return self._settled_by(answer, key, submission.job_id)
-        return SubmitOutcome.UNKNOWN
+        try:
+            # One try: clients wait for 3 s, and both calls take 1.2 s when they go unanswered.
+            answer = await self._store.transact(conditions, [Put(key, REFUSED_MARK)])
+        except StoreCallError:
+            return SubmitOutcome.UNKNOWN
+        if isinstance(answer, Committed):
+            return SubmitOutcome.REFUSED
+        return self._settled_by(answer, key, submission.job_id)
 
     @staticmethod
     def _settled_by(answer: Conflict, key: str, job_id: str) -> SubmitOutcome:
--- a/src/foxtailwell/instance/_daemon.py
+++ b/src/foxtailwell/instance/_daemon.py
@@ -143,6 +143,7 @@
             not self._is_stopping
             and self._operators.configuration is not None
             and self._operators.is_proven
+            and not self._operators.is_store_away
         )
         await _respond(send, 200 if is_ready else 503, b"{}", ())
 
--- a/src/foxtailwell/instance/_operators.py
+++ b/src/foxtailwell/instance/_operators.py
@@ -76,6 +76,8 @@
         self._zone_revisions: dict[str, int] = {}
         self._evidence_s = float("-inf")
         self._confirming = anyio.Lock()
+        self._is_store_away = False
+        self._recheck = anyio.Event()
         self.on_change: Callable[[], None] = lambda: None
 
     @property
@@ -93,6 +95,16 @@
         """Time since the read that last confirmed the configuration was sent."""
         return self._now_s() - self._evidence_s
 
+    @property
+    def is_store_away(self) -> bool:
+        """Whether the last call went unanswered; a request had better not be sent now."""
+        return self._is_store_away
+
+    def suspect_store(self) -> None:
+        """Check the store at once, after a request of this instance went unanswered."""
+        self._is_store_away = True
+        self._recheck.set()
+
     def guards(self) -> dict[str, int]:
         """Return the store condition that proves the configuration."""
         return {self._keys.configuration_key: self._revision}
@@ -135,7 +147,9 @@
                     reason=failure.reason,
                     evidence_age_s=round(min(self.evidence_age_s, 9999), 2),
                 )
+                self._is_store_away = True
                 return False
+            self._is_store_away = False
             self._evidence_s = max(self._evidence_s, sent_s)
             return True
 
@@ -164,8 +178,11 @@
                 self._on_changes,
             )
             while True:
-                await self.confirm(self._now_s() - CONFIRM_PAUSE_S)
-                await anyio.sleep(CONFIRM_PAUSE_S if self.is_proven else RETRY_PAUSE_S)
+                newest_s = self._now_s() - (0.0 if self._is_store_away else CONFIRM_PAUSE_S)
+                await self.confirm(newest_s)
+                self._recheck = anyio.Event()
+                with anyio.move_on_after(RETRY_PAUSE_S if self._is_store_away else CONFIRM_PAUSE_S):
+                    await self._recheck.wait()
 
     async def _on_changes(self, snapshot: Snapshot) -> None:
         if snapshot.is_complete:
