--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -74,7 +74,7 @@
 
 __all__ = ["Controller", "ControllerLostError", "FleetAccess", "OperatorView"]
 
-TICK_S = 0.5
+TICK_S = 0.25
 """Longest pause between two looks at timers; every other event wakes the controller at once."""
 
 SUBMISSION_WAIT_MS = 1000
@@ -118,6 +118,12 @@
 DRAIN_STOP_S = 0.9
 """Time before a draining worker may leave at which checkpointing tasks are stopped there."""
 
+PLAN_PAUSE_S = 0.2
+"""Pause between two plans while no run or job has changed; workers and zones may have."""
+
+VIEW_AGE_S = 0.5
+"""Age up to which a worker's runs are not looked at again for their elapsed time."""
+
 REFUSAL_PAUSE_S = 1.0
 """Time for which a worker that refused a start gets no further one."""
 
@@ -175,6 +181,13 @@
 _Event = LinkEvent | _IntakeChanges | _WorkerChanges | _Wake
 
 
+@dataclass(frozen=True, slots=True)
+class _CachedView:
+    key: tuple[int, bool, int]
+    until_s: float
+    view: WorkerView
+
+
 @dataclass(slots=True)
 class _Pending:
     """What waits for the next transaction."""
@@ -235,6 +248,10 @@
         self._avoided_until_s: dict[str, float] = {}
         self._entry_seen_s: dict[str, float] = {}
         self._entries_heard_s = 0.0
+        self._departing: set[str] = set()
+        self._planned_version = -1
+        self._planned_s = 0.0
+        self._views: dict[str, _CachedView] = {}
         self._pending = _Pending()
         self._is_stopping = False
         self._fenced_by = ""
@@ -348,6 +365,7 @@
             except anyio.WouldBlock:
                 break
         self._release_lapsed()
+        self._release_departed()
         await self._delete_old_records()
 
     def _pause_s(self) -> float:
@@ -370,7 +388,7 @@
                 if task is not None and task.run == event.run:
                     task.stopped_s = self._now_s()
             case _Wake():
-                pass
+                self._planned_s = 0.0
 
     # Submissions
 
@@ -426,21 +444,34 @@
                 log_event(ENTRY_REFUSED, key=change.key, size_bytes=len(change.value))
                 continue
             self._entries[worker] = entry
+            self._departing.discard(worker)
             self._entry_seen_s[worker] = now_s
             self._update_link(entry)
         if event.snapshot:
             self._entries = {w: e for w, e in self._entries.items() if w in seen}
 
     def _apply_departure(self, entry: WorkerEntry, now_s: float) -> None:
-        """Release the runs of a draining worker that has left; they ended with it.
+        """Note that a draining worker has left by itself; its runs end with it.
 
         An entry that lapsed after a silence is no proof: its worker may be cut off and run on.
         """
         heard_s = now_s - self._entry_seen_s.get(entry.id, 0.0)
         if entry.is_ready or heard_s > DEPARTURE_S:
             return
-        for task in self._book.placed_on(entry.id):
-            self._lose(task, "the worker has left")
+        self._departing.add(entry.id)
+
+    def _release_departed(self) -> None:
+        """Release the runs of workers that have left, once they do not answer any more.
+
+        The entry goes a little earlier than the worker, which may still list an end.
+        """
+        for worker in list(self._departing):
+            link = self._links.get(worker)
+            if link is not None and not link.is_silent:
+                continue
+            self._departing.discard(worker)
+            for task in self._book.placed_on(worker):
+                self._lose(task, "the worker has left")
 
     def _update_link(self, entry: WorkerEntry) -> None:
         link = self._links.get(entry.id)
@@ -601,8 +632,11 @@
         view = self._operators()
         if view is None or self._is_stopping:
             return
-        self._refresh_queues(view.configuration)
         now_s = self._now_s()
+        is_same = self._planned_version == self._book.version
+        if is_same and now_s - self._planned_s < PLAN_PAUSE_S:
+            return
+        self._refresh_queues(view.configuration)
         self._leave_draining_workers(now_s)
         self._stop_stalled_runs(now_s)
         within = self._book.accounts_within(view.configuration.guaranteed_accelerators)
@@ -612,6 +646,7 @@
         fleet = FleetView(now_s, self._worker_views(view, now_s, within), units, self._reservations)
         decided = plan(fleet)
         self._reservations = decided.reservations
+        self._planned_version, self._planned_s = self._book.version, now_s
         for victim in decided.stops:
             self._reclaim(victim)
         for placement in decided.placements:
@@ -678,6 +713,11 @@
                 and self._quarantined_until_ms.get(worker, 0) <= now_unix_ms
                 and self._avoided_until_s.get(worker, 0.0) <= now_s
             )
+            key = (self._book.version_of(worker), is_usable, entry.boot_unix_ms)
+            cached = self._views.get(worker)
+            if cached is not None and cached.key == key and now_s < cached.until_s:
+                views[worker] = cached.view
+                continue
             failed = failures.get(worker)
             views[worker] = WorkerView(
                 worker,
@@ -690,6 +730,7 @@
                 is_usable,
                 float(len(failed.job_ids)) if failed else 0.0,
             )
+            self._views[worker] = _CachedView(key, now_s + VIEW_AGE_S, views[worker])
         return views
 
     def _running(self, task: Task, now_s: float, within: frozenset[str]) -> RunningTask:
--- a/src/foxtailwell/workflows/_book.py
+++ b/src/foxtailwell/workflows/_book.py
@@ -140,15 +140,22 @@
     ended_unix_ms: int = 0
     tasks: dict[TaskId, Task] = field(default_factory=dict)
     ready_since_s: dict[tuple[int, int], float] = field(default_factory=dict)
+    _step_tasks: dict[tuple[int, int], tuple[Task, ...]] = field(default_factory=dict)
 
     def step(self, task: TaskId) -> Step:
         """Return the step of a task."""
         return self.submission.steps[task.step]
 
-    def step_tasks(self, occurrence: int, step: int) -> Iterator[Task]:
-        """Yield the tasks of one step."""
-        for index in range(self.submission.steps[step].count):
-            yield self.tasks[TaskId(self.submission.job_id, occurrence, step, index)]
+    def step_tasks(self, occurrence: int, step: int) -> tuple[Task, ...]:
+        """Return the tasks of one step."""
+        key = (occurrence, step)
+        if key not in self._step_tasks:
+            job_id = self.submission.job_id
+            self._step_tasks[key] = tuple(
+                self.tasks[TaskId(job_id, occurrence, step, index)]
+                for index in range(self.submission.steps[step].count)
+            )
+        return self._step_tasks[key]
 
     @property
     def has_placed_tasks(self) -> bool:
@@ -189,12 +196,19 @@
 
 
 class JobBook:
-    """All unfinished jobs; every change marks the job for storing."""
+    """All unfinished jobs; every change marks the job for storing.
+
+    Attributes:
+        changed: Jobs to be stored.
+        version: Rises with every change that a placement depends on.
+    """
 
     def __init__(self) -> None:
         self.jobs: dict[str, Job] = {}
         self.changed: set[str] = set()
         self._placed: dict[str, dict[TaskId, Task]] = {}
+        self._versions: dict[str, int] = {}
+        self.version = 0
 
     def add(
         self,
@@ -213,6 +227,7 @@
             for stored in progress.tasks:
                 self._restore(job, stored, now_s)
         self.jobs[submission.job_id] = job
+        self.version += 1
         return job
 
     def _restore(self, job: Job, stored: TaskProgress, now_s: float) -> None:
@@ -229,12 +244,21 @@
         task.started_s = task.progress_s = now_s
         if task.is_placed:
             self._placed.setdefault(task.worker, {})[task_id] = task
+            self._touch(task.worker)
 
     def remove(self, job_id: str) -> None:
         """Forget a job that has ended and whose tasks are all gone."""
         self.jobs.pop(job_id, None)
         self.changed.discard(job_id)
 
+    def version_of(self, worker: str) -> int:
+        """Return a number that changes with the runs that may be at the worker."""
+        return self._versions.get(worker, 0)
+
+    def _touch(self, worker: str) -> None:
+        self._versions[worker] = self._versions.get(worker, 0) + 1
+        self.version += 1
+
     def placed_on(self, worker: str) -> Sequence[Task]:
         """Return the tasks whose run may be at the worker."""
         return tuple(self._placed.get(worker, {}).values())
@@ -258,6 +282,7 @@
         task.started_s = task.progress_s = now_s
         task.percent = 0
         self._placed.setdefault(worker, {})[task.id] = task
+        self._touch(worker)
         self.changed.add(task.id.job_id)
 
     def next_run(self, unit: Unit) -> int:
@@ -301,6 +326,7 @@
         """Mark a run that is to be stopped."""
         if task.state is TaskState.ASSIGNED:
             task.state = TaskState.STOPPING
+            self._touch(task.worker)
 
     def cancel(self, job_id: str, now_unix_ms: int) -> bool:
         """End a job as cancelled; its placed tasks are to be stopped.
@@ -359,6 +385,7 @@
         placed = self._placed.get(task.worker)
         if placed is not None:
             placed.pop(task.id, None)
+            self._touch(task.worker)
             if not placed:
                 del self._placed[task.worker]
 
@@ -409,7 +436,7 @@
             for occurrence in range(job.submission.occurrences):
                 for number, step in enumerate(job.submission.steps):
                     if step.is_gang:
-                        stale += _partial_gang(tuple(job.step_tasks(occurrence, number)))
+                        stale += _partial_gang(job.step_tasks(occurrence, number))
         return stale
 
     def accounts_within(self, guaranteed: Mapping[str, int]) -> frozenset[str]:
@@ -458,7 +485,7 @@
         self, job: Job, occurrence: int, now_s: float, within: frozenset[str]
     ) -> Iterator[Unit]:
         for number, step in enumerate(job.submission.steps):
-            tasks = tuple(job.step_tasks(occurrence, number))
+            tasks = job.step_tasks(occurrence, number)
             waiting = tuple(task.id for task in tasks if task.state is TaskState.WAITING)
             if not waiting or (step.is_gang and len(waiting) < len(tasks)):
                 continue
--- a/src/foxtailwell/workflows/_jobs.py
+++ b/src/foxtailwell/workflows/_jobs.py
@@ -9,6 +9,10 @@
 __all__ = ["JobState", "Queue", "Resources", "Step", "Submission", "TaskId"]
 
 
+UNLIMITED_COPIES = 1_000_000
+"""Copies of a task that requests nothing."""
+
+
 class JobState(StrEnum):
     """State of a job as its client sees it."""
 
@@ -58,16 +62,15 @@
 
     def copies(self, room: Resources) -> int:
         """Return how many such requests fit into the room."""
-        limits = [
-            have // want
-            for have, want in (
-                (room.cpu_millicores, self.cpu_millicores),
-                (room.memory_mb, self.memory_mb),
-                (room.accelerators, self.accelerators),
-            )
-            if want > 0
-        ]
-        return max(0, min(limits, default=1_000_000))
+        # Written out: placement asks this for every worker and unit.
+        count = UNLIMITED_COPIES
+        if self.accelerators > 0:
+            count = room.accelerators // self.accelerators
+        if self.cpu_millicores > 0:
+            count = min(count, room.cpu_millicores // self.cpu_millicores)
+        if self.memory_mb > 0:
+            count = min(count, room.memory_mb // self.memory_mb)
+        return count if count > 0 else 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/foxtailwell/workflows/_placement.py
+++ b/src/foxtailwell/workflows/_placement.py
@@ -86,7 +86,6 @@
     is_usable: bool = True
     suspicion: float = 0.0
 
-    @property
     def free(self) -> Resources:
         """Return the room that no run occupies."""
         room = self.capacity
@@ -130,6 +129,12 @@
     reservations: tuple[Reservation, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class _Group:
+    workers: list[WorkerView]
+    by_rack: dict[str, list[WorkerView]]
+
+
 @dataclass(slots=True)
 class _Rooms:
     """Free room while a plan is made."""
@@ -139,6 +144,22 @@
     step_counts: dict[tuple[str, tuple[str, int, int]], int] = field(default_factory=dict)
     reserved_for_s: dict[str, float] = field(default_factory=dict)
     is_busy: bool = False
+    _groups: dict[tuple[str, str], _Group] = field(default_factory=dict)
+
+    def group(self, unit: Unit) -> _Group:
+        """Return the usable workers of the unit's pool and label."""
+        key = (unit.queue.pool, unit.step.required_label)
+        if key not in self._groups:
+            pool, label = key
+            found = [
+                worker
+                for worker in self.workers.values()
+                if worker.is_usable
+                and worker.pool == pool
+                and (not label or label in worker.labels)
+            ]
+            self._groups[key] = _Group(found, _by_rack(found))
+        return self._groups[key]
 
     def take(self, worker: str, unit: Unit) -> None:
         self.free[worker] = self.free[worker].minus(unit.step.request)
@@ -207,7 +228,7 @@
 
 
 def _open_rooms(view: FleetView) -> _Rooms:
-    rooms = _Rooms(view.workers, {w.id: w.free for w in view.workers.values()})
+    rooms = _Rooms(view.workers, {w.id: w.free() for w in view.workers.values()})
     total = sum(w.capacity.accelerators for w in view.workers.values() if w.is_usable)
     unused = sum(rooms.free[w.id].accelerators for w in view.workers.values() if w.is_usable)
     rooms.is_busy = total > 0 and unused < (1 - BUSY_SHARE) * total
@@ -235,17 +256,6 @@
     return reservation
 
 
-def _candidates(rooms: _Rooms, unit: Unit) -> list[WorkerView]:
-    label = unit.step.required_label
-    return [
-        worker
-        for worker in rooms.workers.values()
-        if worker.is_usable
-        and worker.pool == unit.queue.pool
-        and (not label or label in worker.labels)
-    ]
-
-
 def _is_worth_waiting(
     rooms: _Rooms, unit: Unit, workers: Sequence[WorkerView], now_s: float
 ) -> bool:
@@ -280,7 +290,7 @@
 
 def _keep_room(rooms: _Rooms, unit: Unit) -> bool:
     """Keep the rack that a waiting gang will fit into first from longer tasks behind it."""
-    by_rack = _by_rack(_candidates(rooms, unit))
+    by_rack = rooms.group(unit).by_rack
     groups = list(by_rack.values())
     if unit.step.data_rack in by_rack:
         groups = [by_rack[unit.step.data_rack]]
@@ -300,10 +310,9 @@
 
 
 def _place(rooms: _Rooms, unit: Unit, now_s: float) -> dict[TaskId, str]:
-    candidates = _candidates(rooms, unit)
+    candidates, by_rack = rooms.group(unit).workers, rooms.group(unit).by_rack
     if not candidates:
         return {}
-    by_rack = _by_rack(candidates)
     step = unit.step
     if step.is_gang:
         chosen = _place_gang(rooms, unit, by_rack, candidates, now_s)
@@ -396,8 +405,8 @@
     rooms: _Rooms, unit: Unit, stopping: set[TaskId], now_s: float
 ) -> tuple[list[TaskId], Reservation] | None:
     """Choose the cheapest runs of lower priority whose room lets the unit start."""
-    candidates = _candidates(rooms, unit)
-    by_rack = _by_rack(candidates)
+    candidates = rooms.group(unit).workers
+    by_rack = dict(rooms.group(unit).by_rack)
     local = by_rack.pop(unit.step.data_rack, []) if unit.step.data_rack else []
     best = _cheapest(rooms, unit, [local], stopping)
     is_late = now_s - unit.waiting_since_s > LOCAL_PATIENCE_S
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -363,3 +363,20 @@
     first.kill()
     second = deployment.start("one")
     assert await until(lambda: second.leadership.is_controller, 0.5)
+
+
+async def test_departed_worker_that_still_answers_keeps_its_tasks(group):
+    """Guards against a task that starts again although its worker just reported its end."""
+    deployment = make_deployment(group, 2)
+    deployment.start("one", hold_ms=10_000)
+    job = await deployment.submit(1, LATER, [step()])
+    task = f"{job}.0.0.0"
+    assert await until(lambda: bool(deployment.runs(task)))
+    holder = deployment.holder_of(task)
+    deployment.publish(holder, is_ready=False)
+    await anyio.sleep(0.4)
+    deployment.store.delete(f"servers/{holder.id}")
+    await anyio.sleep(0.4)
+    holder.end(task, EndKind.DONE)
+    assert await deployment.reaches(job, JobState.COMPLETED)
+    assert len(deployment.runs(task)) == 1
