Wait for the configuration before acting as the controller, and split the controller

Cause, found by reading: a controller elected before it knew the configuration dropped the records of ended runs and acknowledged the ends, and took a queue that it did not know for one with three attempts.

Change: a term begins once the configuration is known; jobs of removed queues are not given up.

Ruled out: a guard only at the acknowledgement, since attempts and priorities would still be wrong.

--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -10,23 +10,19 @@
 from anyio.abc import TaskGroup
 
 from foxtailwell.adapters.events import (
-    CONTROLLER_LOADED,
-    ENTRY_REFUSED,
-    JOB_ENDED,
     JOB_PLACED,
-    JOB_SEEN,
-    RECORD_UNREADABLE,
     RUN_ENDED,
     RUN_LOST,
     RUN_STALLED,
     STARTS_REJECTED,
     TASK_RECLAIMED,
-    WORKER_QUARANTINED,
 )
 from foxtailwell.adapters.logs import log_event
 from foxtailwell.adapters.work_metrics import WorkMetrics
 from foxtailwell.controller._commits import Commits, ControllerLostError, JobChange, Rejected
 from foxtailwell.controller._links import (
+    CLOCK_DRIFT,
+    LAPSE_MARGIN_S,
     LinkEvent,
     StartAnswered,
     StopAnswered,
@@ -34,18 +30,11 @@
     WorkerListed,
 )
 from foxtailwell.controller._records import (
-    CANCEL_PREFIX,
     INTAKE_PREFIX,
-    JOB_PREFIX,
-    PROGRESS_PREFIX,
-    REFUSED_MARK,
-    RecordError,
-    decode_progress,
-    decode_submission_record,
-    progress_key,
 )
+from foxtailwell.controller._stored_jobs import StoredJobs
 from foxtailwell.controller._watch import Snapshot, follow_prefix
-from foxtailwell.core import WorkerHealth, quarantine_until_ms
+from foxtailwell.controller._workers import FleetAccess, Workers
 from foxtailwell.workflows import (
     Change,
     ClusterConfiguration,
@@ -53,27 +42,33 @@
     FleetView,
     Item,
     JobBook,
-    JobProgress,
     KeyValueStore,
     ListedRun,
     OrderOutcome,
     Placement,
     Queue,
     Reservation,
-    RunningTask,
     StartOrder,
-    StoreCallError,
     Task,
     TaskId,
     TaskState,
     WorkerCalls,
     WorkerEntry,
-    WorkerView,
     plan,
 )
 
 __all__ = ["Controller", "ControllerLostError", "FleetAccess", "OperatorView"]
 
+PREDECESSOR_HOLD_S = 12.0
+"""Time for which a controller without a renewed lease goes on extending the leases of runs.
+
+It outlasts the store outages of the planned size; a successor adds it to the longest lease before
+it gives up a worker that it cannot reach.
+"""
+
+CONFIGURATION_PAUSE_S = 0.02
+"""Pause between two looks for the first configuration; a restart waits for it."""
+
 TICK_S = 0.25
 """Longest pause between two looks at timers; every other event wakes the controller at once."""
 
@@ -86,56 +81,15 @@
 WORKERS_PAUSE_S = 0.15
 """Pause between two watches on workers, so that their heartbeats arrive in batches."""
 
-PREDECESSOR_HOLD_S = 12.0
-"""Time for which a controller without a renewed lease goes on extending the leases of runs.
-
-It outlasts the store outages of the planned size; a successor adds it to the longest lease before
-it gives up a worker that it cannot reach.
-"""
-
-PROMPT_S = 1.0
-"""Longest pause between two deliveries of worker entries after which their order in time is known.
-
-Heartbeats of all workers arrive several times a second; a longer pause means that the watch or the
-store was away.
-"""
-
-DEPARTURE_S = 3.0
-"""Age of the last report up to which a deleted entry means that the worker left by itself.
-
-Two heartbeats of 1.5 s; the entry of a silent worker lapses only after three.
-"""
-
 STALL_S = 4.0
 """Time without progress after which a run is moved; the slowest run gains 1 percent in 3 s."""
 
-MEANINGFUL_PERCENT = 10
-"""Progress from which the rest of a run is better told by its pace than by its estimate."""
-
-LEAST_REMAINING_SHARE = 0.1
-"""Share of the estimate that is taken to be left of a run which has outlived its estimate."""
-
 DRAIN_STOP_S = 0.9
 """Time before a draining worker may leave at which checkpointing tasks are stopped there."""
 
 PLAN_PAUSE_S = 0.2
 """Pause between two plans while no run or job has changed; workers and zones may have."""
 
-VIEW_AGE_S = 0.5
-"""Age up to which a worker's runs are not looked at again for their elapsed time."""
-
-REFUSAL_PAUSE_S = 1.0
-"""Time for which a worker that refused a start gets no further one."""
-
-FAILED_JOBS_BEFORE_QUARANTINE = 2
-"""Different jobs that fail in a row at a worker; spells of failures last a few seconds only."""
-
-QUARANTINE_MS = 4000
-"""Time until a worker that failed everything is tried again."""
-
-RECORDS_DELETED_AT_ONCE = 30
-"""Old records in one transaction, next to the condition on the controller key."""
-
 
 @dataclass(frozen=True, slots=True)
 class OperatorView:
@@ -153,39 +107,17 @@
     learn: Callable[[Mapping[str, Item]], None]
 
 
-@dataclass(frozen=True, slots=True)
-class FleetAccess:
-    """How the controller reaches workers and reads their entries."""
-
-    workers_prefix: str
-    decode_entry: Callable[[str, bytes], WorkerEntry | None]
-    connect: Callable[[str, str], WorkerCalls]
-
-
 @dataclass(frozen=True, slots=True)
 class _IntakeChanges:
     changes: tuple[Change, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class _WorkerChanges:
-    changes: tuple[Change, ...]
-    snapshot: bool
-
-
 @dataclass(frozen=True, slots=True)
 class _Wake:
     pass
 
 
-_Event = LinkEvent | _IntakeChanges | _WorkerChanges | _Wake
-
-
-@dataclass(frozen=True, slots=True)
-class _CachedView:
-    key: tuple[int, bool, int]
-    until_s: float
-    view: WorkerView
+_Event = LinkEvent | _IntakeChanges | Snapshot | _Wake
 
 
 @dataclass(slots=True)
@@ -228,30 +160,30 @@
     ) -> None:
         self._metrics = metrics
         self._store = store
-        self._fleet = fleet
+        self._workers_prefix = fleet.workers_prefix
         self._operators = operators
         self._token = token
         self._hold_ms = hold_ms
         self._now_s = now_s
         self._now_unix_ms = now_unix_ms
         self._renewed_s = renewed_s
-        self._status_ms = status_s * 1000
         self._book = JobBook()
         self._commits = Commits(store, token, self._check_term)
-        self._links: dict[str, WorkerLink] = {}
-        self._entries: dict[str, WorkerEntry] = {}
+        self._workers = Workers(fleet, self._book, self._make_link, now_s, now_unix_ms)
+        self._jobs = StoredJobs(
+            store,
+            self._book,
+            self._commits,
+            self._find_queue,
+            status_s=status_s,
+            now_s=now_s,
+            now_unix_ms=now_unix_ms,
+            metrics=metrics,
+        )
         self._reservations: tuple[Reservation, ...] = ()
         self._strays: set[tuple[str, TaskId, int]] = set()
-        self._ended_unix_ms: dict[str, int] = {}
-        self._health = WorkerHealth()
-        self._quarantined_until_ms: dict[str, int] = {}
-        self._avoided_until_s: dict[str, float] = {}
-        self._entry_seen_s: dict[str, float] = {}
-        self._entries_heard_s = 0.0
-        self._departing: set[str] = set()
         self._planned_version = -1
         self._planned_s = 0.0
-        self._views: dict[str, _CachedView] = {}
         self._pending = _Pending()
         self._is_stopping = False
         self._fenced_by = ""
@@ -288,11 +220,12 @@
             ControllerLostError: Another instance took over.
             StoreCallError: The records could not be read.
         """
-        intake = await self._load()
-        workers_prefix = self._fleet.workers_prefix
+        await self._await_configuration()
+        intake = await self._jobs.load(self._token)
+        workers_prefix = self._workers_prefix
         workers, revision = await self._store.list_items(workers_prefix)
         entries = tuple(Change(item.key, item.value, item.revision) for item in workers)
-        self._apply_entries(_WorkerChanges(entries, snapshot=True))
+        self._workers.apply_entries(Snapshot(entries, is_complete=True))
         async with anyio.create_task_group() as group:
             group.start_soon(
                 follow_prefix,
@@ -316,38 +249,46 @@
                 await self._loop(group)
             finally:
                 group.cancel_scope.cancel()
-                for link in self._links.values():
-                    link.calls.close()
+                self._workers.close()
 
     async def _on_intake(self, changes: Snapshot) -> None:
         await self._send.send(_IntakeChanges(changes.changes))
 
     async def _on_workers(self, changes: Snapshot) -> None:
-        await self._send.send(_WorkerChanges(changes.changes, changes.is_complete))
-
-    async def _load(self) -> int:
-        items, _ = await self._store.list_items(PROGRESS_PREFIX)
-        progress: dict[str, JobProgress] = {}
-        for item in items:
-            job_id = item.key[len(PROGRESS_PREFIX) :]
-            self._commits.revisions[job_id] = item.revision
-            try:
-                progress[job_id] = decode_progress(item.value)
-            except RecordError as error:
-                log_event(RECORD_UNREADABLE, key=item.key, reason=str(error))
-        intake, revision = await self._store.list_items(INTAKE_PREFIX)
-        jobs = {i.key[len(JOB_PREFIX) :] for i in intake if i.key.startswith(JOB_PREFIX)}
-        for item in intake:
-            self._apply_intake(Change(item.key, item.value, item.revision), progress)
-        for job_id, record in progress.items():
-            if job_id not in jobs:
-                self._ended_unix_ms[job_id] = record.ended_unix_ms
-        log_event(CONTROLLER_LOADED, token=self._token, jobs=len(jobs), ended=len(progress))
-        return revision
+        await self._send.send(changes)
+
+    async def _await_configuration(self) -> None:
+        """Wait until the attempts and priorities of queues are known."""
+        while self._operators() is None:
+            self._check_term()
+            if self._is_stopping:
+                return
+            await anyio.sleep(CONFIGURATION_PAUSE_S)
+
+    def _find_queue(self, name: str) -> Queue | None:
+        view = self._operators()
+        return view.configuration.queues.get(name) if view else None
+
+    def _make_link(self, entry: WorkerEntry, calls: WorkerCalls) -> WorkerLink:
+        return WorkerLink(
+            entry=entry,
+            calls=calls,
+            token=self._token,
+            hold_ms=self._hold_ms,
+            now_s=self._now_s,
+            may_hold=self._may_act,
+            on_fenced=self._on_fenced,
+            events=self._send,
+            granted_until_s=self._first_lapse_s(),
+        )
+
+    def _first_lapse_s(self) -> float:
+        hold_s = self._hold_ms / 1000 * CLOCK_DRIFT + LAPSE_MARGIN_S
+        return self._started_s + PREDECESSOR_HOLD_S + hold_s
 
     async def _loop(self, group: TaskGroup) -> None:
         while True:
-            self._update_links(group)
+            self._workers.update_links(group)
             self._plan_starts()
             self._send_stops(group)
             await self._flush(group)
@@ -365,8 +306,10 @@
             except anyio.WouldBlock:
                 break
         self._release_lapsed()
-        self._release_departed()
-        await self._delete_old_records()
+        for worker in self._workers.take_departed():
+            for task in self._book.placed_on(worker):
+                self._lose(task, "the worker has left")
+        await self._jobs.delete_old_records()
 
     def _pause_s(self) -> float:
         due = self._book.next_due_unix_ms(self._now_unix_ms())
@@ -376,9 +319,9 @@
         match event:
             case _IntakeChanges():
                 for change in event.changes:
-                    self._apply_intake(change, {})
-            case _WorkerChanges():
-                self._apply_entries(event)
+                    self._jobs.apply(change, {})
+            case Snapshot():
+                self._workers.apply_entries(event)
             case WorkerListed():
                 self._apply_listing(event)
             case StartAnswered():
@@ -390,135 +333,10 @@
             case _Wake():
                 self._planned_s = 0.0
 
-    # Submissions
-
-    def _apply_intake(self, change: Change, progress: Mapping[str, JobProgress]) -> None:
-        if change.key.startswith(CANCEL_PREFIX):
-            if change.value is not None:
-                job_id = change.key[len(CANCEL_PREFIX) :]
-                self._commits.cancel_marks.add(job_id)
-                self._book.cancel(job_id, self._now_unix_ms())
-        elif change.key.startswith(JOB_PREFIX) and change.value not in (None, REFUSED_MARK):
-            self._apply_submission(change, progress)
-
-    def _apply_submission(self, change: Change, progress: Mapping[str, JobProgress]) -> None:
-        job_id = change.key[len(JOB_PREFIX) :]
-        if job_id in self._book.jobs or job_id in self._ended_unix_ms:
-            return
-        try:
-            submission = decode_submission_record(change.value or b"")
-        except RecordError as error:
-            log_event(RECORD_UNREADABLE, key=change.key, reason=str(error))
-            return
-        view = self._operators()
-        queue = view.configuration.queues.get(submission.queue) if view else None
-        if queue is None:
-            # The queue was removed; its accepted jobs keep the pool only if one still exists.
-            queue = Queue(submission.queue, pool="")
-        record = progress.get(job_id)
-        if not (record and (record.is_begun or record.state.is_final)):
-            self._commits.waiting_marks.add(job_id)
-        self._book.add(submission, queue, self._now_s(), record)
-        if job_id in self._commits.cancel_marks:
-            self._book.cancel(job_id, self._now_unix_ms())
-        log_event(JOB_SEEN, job=job_id, queue=submission.queue, steps=len(submission.steps))
-
     # Workers
 
-    def _apply_entries(self, event: _WorkerChanges) -> None:
-        prefix = self._fleet.workers_prefix
-        seen: set[str] = set()
-        now_s = self._now_s()
-        is_prompt = now_s - self._entries_heard_s < PROMPT_S
-        self._entries_heard_s = now_s
-        for change in event.changes:
-            worker = change.key[len(prefix) :]
-            seen.add(worker)
-            if change.value is None:
-                gone = self._entries.pop(worker, None)
-                if gone is not None and is_prompt and not event.snapshot:
-                    self._apply_departure(gone, now_s)
-                continue
-            entry = self._fleet.decode_entry(worker, change.value)
-            if entry is None:
-                log_event(ENTRY_REFUSED, key=change.key, size_bytes=len(change.value))
-                continue
-            self._entries[worker] = entry
-            self._departing.discard(worker)
-            self._entry_seen_s[worker] = now_s
-            self._update_link(entry)
-        if event.snapshot:
-            self._entries = {w: e for w, e in self._entries.items() if w in seen}
-
-    def _apply_departure(self, entry: WorkerEntry, now_s: float) -> None:
-        """Note that a draining worker has left by itself; its runs end with it.
-
-        An entry that lapsed after a silence is no proof: its worker may be cut off and run on.
-        """
-        heard_s = now_s - self._entry_seen_s.get(entry.id, 0.0)
-        if entry.is_ready or heard_s > DEPARTURE_S:
-            return
-        self._departing.add(entry.id)
-
-    def _release_departed(self) -> None:
-        """Release the runs of workers that have left, once they do not answer any more.
-
-        The entry goes a little earlier than the worker, which may still list an end.
-        """
-        for worker in list(self._departing):
-            link = self._links.get(worker)
-            if link is not None and not link.is_silent:
-                continue
-            self._departing.discard(worker)
-            for task in self._book.placed_on(worker):
-                self._lose(task, "the worker has left")
-
-    def _update_link(self, entry: WorkerEntry) -> None:
-        link = self._links.get(entry.id)
-        if link is None or link.entry.address == entry.address:
-            if link is not None:
-                if entry.boot_unix_ms > link.boot_unix_ms:
-                    link.read_clock(entry.clock_ms, entry.boot_unix_ms)
-                link.entry = entry
-            return
-        link.calls.close()
-        link.calls = self._fleet.connect(entry.id, entry.address)
-        link.entry = entry
-        if entry.boot_unix_ms != link.boot_unix_ms:
-            link.read_clock(entry.clock_ms, entry.boot_unix_ms)
-
-    def _link(self, group: TaskGroup, worker: str) -> WorkerLink | None:
-        link = self._links.get(worker)
-        entry = self._entries.get(worker)
-        if link is None and entry is not None:
-            link = WorkerLink(
-                entry=entry,
-                calls=self._fleet.connect(entry.id, entry.address),
-                token=self._token,
-                hold_ms=self._hold_ms,
-                now_s=self._now_s,
-                may_hold=self._may_act,
-                on_fenced=self._on_fenced,
-                events=self._send,
-                granted_until_s=self._first_lapse_s(),
-            )
-            link.read_clock(entry.clock_ms, entry.boot_unix_ms)
-            self._links[worker] = link
-            group.start_soon(link.run)
-        return link
-
-    def _first_lapse_s(self) -> float:
-        return self._started_s + PREDECESSOR_HOLD_S + self._hold_ms / 1000 * 1.03 + 0.5
-
-    def _update_links(self, group: TaskGroup) -> None:
-        wanted = set(self._book.workers_with_tasks())
-        for worker in wanted:
-            self._link(group, worker)
-        for worker, link in self._links.items():
-            link.set_wanted(worker in wanted)
-
     def _apply_listing(self, event: WorkerListed) -> None:
-        link = self._links[event.worker]
+        link = self._workers.links[event.worker]
         listing = event.listing
         now_unix_ms = self._now_unix_ms()
         for end in listing.ended:
@@ -545,25 +363,9 @@
         self._metrics.count("run_ends", how=kind.value)
         log_event(RUN_ENDED, job=task_id.job_id, task=text, run=run, worker=worker, how=kind.value)
         if kind is EndKind.DONE:
-            self._health.record_success(worker)
+            self._workers.record_success(worker)
         elif kind is EndKind.FAILED:
-            self._health.record_failure(worker, task_id.job_id, now_unix_ms)
-            self._quarantine(worker, now_unix_ms)
-
-    def _quarantine(self, worker: str, now_unix_ms: int) -> None:
-        failures = self._health.failures().get(worker)
-        if failures is None:
-            return
-        until = quarantine_until_ms(
-            failures,
-            self._quarantined_until_ms.get(worker),
-            now_unix_ms,
-            failed_jobs=FAILED_JOBS_BEFORE_QUARANTINE,
-            probe_after_ms=QUARANTINE_MS,
-        )
-        if until is not None:
-            self._quarantined_until_ms[worker] = until
-            log_event(WORKER_QUARANTINED, worker=worker, jobs=list(failures.job_ids))
+            self._workers.record_failure(worker, task_id.job_id)
 
     def _apply_running(self, worker: str, boot_unix_ms: int, run: ListedRun) -> None:
         task_id = _parse_task(run.task)
@@ -609,7 +411,7 @@
         if event.outcome is OrderOutcome.DONE:
             self._book.confirm(task)
             return
-        self._avoided_until_s[event.worker] = self._now_s() + REFUSAL_PAUSE_S
+        self._workers.avoid(event.worker)
         if event.outcome is not None and event.is_certain:
             self._book.release(task)
         else:
@@ -618,7 +420,7 @@
     def _release_lapsed(self) -> None:
         now_s = self._now_s()
         for worker in self._book.workers_with_tasks():
-            link = self._links.get(worker)
+            link = self._workers.links.get(worker)
             until_s = link.granted_until_s if link else self._first_lapse_s()
             if now_s > until_s:
                 for task in self._book.placed_on(worker):
@@ -637,13 +439,15 @@
         if is_same and now_s - self._planned_s < PLAN_PAUSE_S:
             return
         self._refresh_queues(view.configuration)
-        self._leave_draining_workers(now_s)
+        self._leave_draining_workers()
         self._stop_stalled_runs(now_s)
         within = self._book.accounts_within(view.configuration.guaranteed_accelerators)
         units = self._book.ready_units(now_s, self._now_unix_ms(), within)
         if not units and not self._reservations:
             return
-        fleet = FleetView(now_s, self._worker_views(view, now_s, within), units, self._reservations)
+        fleet = FleetView(
+            now_s, self._workers.views(view.zones_out, now_s, within), units, self._reservations
+        )
         decided = plan(fleet)
         self._reservations = decided.reservations
         self._planned_version, self._planned_s = self._book.version, now_s
@@ -652,26 +456,20 @@
         for placement in decided.placements:
             self._assign(placement, now_s)
 
-    def _leave_draining_workers(self, now_s: float) -> None:
+    def _leave_draining_workers(self) -> None:
         """Stop tasks that save their work, shortly before their worker may leave."""
-        for worker, entry in self._entries.items():
-            if entry.remaining_ms is None or entry.is_ready:
-                continue
-            left_s = self._entry_seen_s[worker] + entry.remaining_ms / 1000 - now_s
-            if left_s > DRAIN_STOP_S:
-                continue
+        for worker in self._workers.leaving_within(DRAIN_STOP_S):
             for task in self._book.placed_on(worker):
                 if self._book.jobs[task.id.job_id].step(task.id).is_checkpointing:
                     self._book.begin_stop(task)
 
     def _stop_stalled_runs(self, now_s: float) -> None:
         for task in self._book.stalled_runs(now_s, STALL_S):
-            link = self._links.get(task.worker)
+            link = self._workers.links.get(task.worker)
             if link is None or link.is_silent:
                 continue
             log_event(RUN_STALLED, job=task.id.job_id, task=str(task.id), worker=task.worker)
-            self._health.record_failure(task.worker, task.id.job_id, self._now_unix_ms())
-            self._quarantine(task.worker, self._now_unix_ms())
+            self._workers.record_failure(task.worker, task.id.job_id)
             self._book.begin_stop(task)
 
     def _refresh_queues(self, configuration: ClusterConfiguration) -> None:
@@ -694,70 +492,20 @@
             if task is not None:
                 task.settled_s = math.inf
                 task.stopped_s = 0.0
-                boot = self._entries[worker].boot_unix_ms
+                boot = self._workers.entries[worker].boot_unix_ms
                 self._book.assign(task, worker, boot, run, now_s)
         self._pending.placements.append(placement)
 
-    def _worker_views(
-        self, view: OperatorView, now_s: float, within: frozenset[str]
-    ) -> dict[str, WorkerView]:
-        now_unix_ms = self._now_unix_ms()
-        views: dict[str, WorkerView] = {}
-        failures = self._health.failures()
-        for worker, entry in self._entries.items():
-            link = self._links.get(worker)
-            is_usable = (
-                entry.is_ready
-                and entry.zone not in view.zones_out
-                and not (link and link.is_silent)
-                and self._quarantined_until_ms.get(worker, 0) <= now_unix_ms
-                and self._avoided_until_s.get(worker, 0.0) <= now_s
-            )
-            key = (self._book.version_of(worker), is_usable, entry.boot_unix_ms)
-            cached = self._views.get(worker)
-            if cached is not None and cached.key == key and now_s < cached.until_s:
-                views[worker] = cached.view
-                continue
-            failed = failures.get(worker)
-            views[worker] = WorkerView(
-                worker,
-                entry.pool,
-                entry.zone,
-                entry.rack,
-                entry.labels,
-                entry.capacity,
-                tuple(self._running(task, now_s, within) for task in self._book.placed_on(worker)),
-                is_usable,
-                float(len(failed.job_ids)) if failed else 0.0,
-            )
-            self._views[worker] = _CachedView(key, now_s + VIEW_AGE_S, views[worker])
-        return views
-
-    def _running(self, task: Task, now_s: float, within: frozenset[str]) -> RunningTask:
-        job = self._book.jobs[task.id.job_id]
-        step = job.step(task.id)
-        return RunningTask(
-            task.id,
-            step.request,
-            job.queue.priority,
-            now_s - task.started_s,
-            step.is_checkpointing,
-            task.state is TaskState.STOPPING,
-            step.count if step.is_gang else 1,
-            _remaining_s(task, step.estimate_ms / 1000, now_s - task.started_s),
-            job.submission.account not in within,
-        )
-
     # Effects
 
     def _send_stops(self, group: TaskGroup) -> None:
         for worker in self._book.workers_with_tasks():
-            link = self._link(group, worker)
+            link = self._workers.link(group, worker)
             for task in self._book.placed_on(worker) if link else ():
                 if link and task.state is TaskState.STOPPING and task.stopped_s <= 0:
                     link.stop(group, task.id, task.run)
         for worker, task_id, run in self._strays:
-            link = self._links.get(worker)
+            link = self._workers.links.get(worker)
             if link is not None:
                 link.stop(group, task_id, run)
         self._strays.clear()
@@ -767,8 +515,7 @@
         zones: dict[str, set[str]] = {}
         for placement in pending.placements:
             used = zones.setdefault(placement.unit.job_id, set())
-            used |= {self._entries[w].zone for w in placement.workers.values()}
-        view = self._operators()
+            used |= {self._workers.entries[w].zone for w in placement.workers.values()}
         changes = [
             JobChange(self._book.jobs[job_id], job_id in zones, frozenset(zones.get(job_id, ())))
             for job_id in self._book.changed
@@ -776,9 +523,9 @@
         ]
         self._book.changed.clear()
         rejected: list[Rejected] = []
-        if changes and view is not None:
+        if changes:
             began_s = self._now_s()
-            rejected = await self._commits.store(changes, view.guards)
+            rejected = await self._commits.store(changes, self._guards)
             self._metrics.observe_s("commit", self._now_s() - began_s)
         blocked = {job_id for answer in rejected for job_id in answer.jobs}
         for answer in rejected:
@@ -788,12 +535,16 @@
                 link.acknowledged = max(link.acknowledged, highest)
             processed.set()
         self._send_starts(group, [p for p in pending.placements if p.unit.job_id not in blocked])
-        self._forget_ended(
-            [change for change in changes if change.job.submission.job_id not in blocked]
+        self._jobs.forget_ended(
+            change.job for change in changes if change.job.submission.job_id not in blocked
         )
         if rejected:
             self.wake()
 
+    def _guards(self, zones: frozenset[str]) -> Mapping[str, int]:
+        view = self._operators()
+        return view.guards(zones) if view else {}
+
     def _undo(self, answer: Rejected, pending: _Pending) -> None:
         log_event(
             STARTS_REJECTED,
@@ -829,45 +580,13 @@
             )
             for task_id, worker in placement.workers.items():
                 task = job.tasks[task_id]
-                link = self._link(group, worker)
+                link = self._workers.link(group, worker)
                 if task.state is not TaskState.ASSIGNED or link is None:
                     continue
                 saved = checkpoint if unit.step.is_gang else task.checkpoint
                 link.set_wanted(True)
                 link.start(group, StartOrder(task_id, task.run, job.submission.payload, saved))
 
-    def _forget_ended(self, changes: list[JobChange]) -> None:
-        for change in changes:
-            job = change.job
-            job_id = job.submission.job_id
-            if job.state.is_final and not job.has_placed_tasks and job_id in self._book.jobs:
-                log_event(JOB_ENDED, job=job_id, queue=job.submission.queue, state=job.state.value)
-                self._metrics.count("jobs", state=job.state.value)
-                self._metrics.observe_s("job", self._now_s() - job.accepted_s)
-                self._ended_unix_ms[job_id] = job.ended_unix_ms
-                self._book.remove(job_id)
-
-    async def _delete_old_records(self) -> None:
-        limit = self._now_unix_ms() - self._status_ms * 2
-        old = [j for j, ended in self._ended_unix_ms.items() if ended and ended < limit]
-        old = old[:RECORDS_DELETED_AT_ONCE]
-        if not old:
-            return
-        try:
-            await self._store.transact({}, (), [progress_key(job_id) for job_id in old])
-        except StoreCallError:
-            return
-        for job_id in old:
-            self._ended_unix_ms.pop(job_id, None)
-            self._commits.revisions.pop(job_id, None)
-
-
-def _remaining_s(task: Task, estimate_s: float, elapsed_s: float) -> float:
-    """Return the expected time until a run ends, from its progress where that says enough."""
-    if task.percent >= MEANINGFUL_PERCENT:
-        return elapsed_s * (100 - task.percent) / task.percent
-    return max(estimate_s - elapsed_s, estimate_s * LEAST_REMAINING_SHARE)
-
 
 def _common_checkpoint(tasks: Mapping[TaskId, Task], members: tuple[TaskId, ...]) -> str:
     """Return one checkpoint for all members; each member's is valid for the gang."""
--- /dev/null
+++ b/src/foxtailwell/controller/_stored_jobs.py
@@ -0,0 +1,158 @@
+"""Jobs in the store as one controller reads them: submissions, cancellations, ended jobs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+
+from foxtailwell.adapters.events import (
+    CONTROLLER_LOADED,
+    JOB_ENDED,
+    JOB_SEEN,
+    RECORD_UNREADABLE,
+)
+from foxtailwell.adapters.logs import log_event
+from foxtailwell.adapters.work_metrics import WorkMetrics
+from foxtailwell.controller._commits import Commits
+from foxtailwell.controller._records import (
+    CANCEL_PREFIX,
+    INTAKE_PREFIX,
+    JOB_PREFIX,
+    PROGRESS_PREFIX,
+    REFUSED_MARK,
+    RecordError,
+    decode_progress,
+    decode_submission_record,
+    progress_key,
+)
+from foxtailwell.workflows import (
+    Change,
+    Job,
+    JobBook,
+    JobProgress,
+    KeyValueStore,
+    Queue,
+    StoreCallError,
+)
+
+__all__ = ["StoredJobs"]
+
+RECORDS_DELETED_AT_ONCE = 30
+"""Old records in one transaction, next to the condition on the controller key."""
+
+UNKNOWN_QUEUE_ATTEMPTS = 1_000_000
+"""Attempts of a job whose queue was removed: nobody says how many it has."""
+
+
+class StoredJobs:
+    """Moves jobs between the store and the book.
+
+    Args:
+        store: The platform's store.
+        book: Unfinished jobs.
+        commits: Revisions and marks of the records.
+        find_queue: Returns a queue of the present configuration by its name.
+        status_s: Time for which ended jobs stay known.
+        now_s: Local clock that counts suspended time.
+        now_unix_ms: Time of day.
+        metrics: Counts ended jobs.
+    """
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        book: JobBook,
+        commits: Commits,
+        find_queue: Callable[[str], Queue | None],
+        *,
+        status_s: float,
+        now_s: Callable[[], float],
+        now_unix_ms: Callable[[], int],
+        metrics: WorkMetrics,
+    ) -> None:
+        self._store = store
+        self._book = book
+        self._commits = commits
+        self._find_queue = find_queue
+        self._status_ms = status_s * 1000
+        self._now_s = now_s
+        self._now_unix_ms = now_unix_ms
+        self._metrics = metrics
+        self._ended_unix_ms: dict[str, int] = {}
+
+    async def load(self, token: int) -> int:
+        """Read all records; returns the revision from which to watch submissions."""
+        items, _ = await self._store.list_items(PROGRESS_PREFIX)
+        progress: dict[str, JobProgress] = {}
+        for item in items:
+            job_id = item.key[len(PROGRESS_PREFIX) :]
+            self._commits.revisions[job_id] = item.revision
+            try:
+                progress[job_id] = decode_progress(item.value)
+            except RecordError as error:
+                log_event(RECORD_UNREADABLE, key=item.key, reason=str(error))
+        intake, revision = await self._store.list_items(INTAKE_PREFIX)
+        jobs = {i.key[len(JOB_PREFIX) :] for i in intake if i.key.startswith(JOB_PREFIX)}
+        for item in intake:
+            self.apply(Change(item.key, item.value, item.revision), progress)
+        for job_id, record in progress.items():
+            if job_id not in jobs:
+                self._ended_unix_ms[job_id] = record.ended_unix_ms
+        log_event(CONTROLLER_LOADED, token=token, jobs=len(jobs), ended=len(progress))
+        return revision
+
+    def apply(self, change: Change, progress: Mapping[str, JobProgress]) -> None:
+        """Take over a submission, with its stored progress, or a cancellation."""
+        if change.key.startswith(CANCEL_PREFIX):
+            if change.value is not None:
+                job_id = change.key[len(CANCEL_PREFIX) :]
+                self._commits.cancel_marks.add(job_id)
+                self._book.cancel(job_id, self._now_unix_ms())
+        elif change.key.startswith(JOB_PREFIX) and change.value not in (None, REFUSED_MARK):
+            self._apply_submission(change, progress)
+
+    def _apply_submission(self, change: Change, progress: Mapping[str, JobProgress]) -> None:
+        job_id = change.key[len(JOB_PREFIX) :]
+        if job_id in self._book.jobs or job_id in self._ended_unix_ms:
+            return
+        try:
+            submission = decode_submission_record(change.value or b"")
+        except RecordError as error:
+            log_event(RECORD_UNREADABLE, key=change.key, reason=str(error))
+            return
+        queue = self._find_queue(submission.queue)
+        if queue is None:
+            # The queue was removed: its runs go on, and nothing of it starts.
+            queue = Queue(submission.queue, pool="", max_attempts=UNKNOWN_QUEUE_ATTEMPTS)
+        record = progress.get(job_id)
+        if not (record and (record.is_begun or record.state.is_final)):
+            self._commits.waiting_marks.add(job_id)
+        self._book.add(submission, queue, self._now_s(), record)
+        if job_id in self._commits.cancel_marks:
+            self._book.cancel(job_id, self._now_unix_ms())
+        log_event(JOB_SEEN, job=job_id, queue=submission.queue, steps=len(submission.steps))
+
+    def forget_ended(self, jobs: Iterable[Job]) -> None:
+        """Forget jobs that have ended, whose last record is stored and whose tasks are gone."""
+        for job in jobs:
+            job_id = job.submission.job_id
+            if job.state.is_final and not job.has_placed_tasks and job_id in self._book.jobs:
+                log_event(JOB_ENDED, job=job_id, queue=job.submission.queue, state=job.state.value)
+                self._metrics.count("jobs", state=job.state.value)
+                self._metrics.observe_s("job", self._now_s() - job.accepted_s)
+                self._ended_unix_ms[job_id] = job.ended_unix_ms
+                self._book.remove(job_id)
+
+    async def delete_old_records(self) -> None:
+        """Delete the records of jobs that ended long enough ago."""
+        limit = self._now_unix_ms() - self._status_ms * 2
+        old = [j for j, ended in self._ended_unix_ms.items() if ended and ended < limit]
+        old = old[:RECORDS_DELETED_AT_ONCE]
+        if not old:
+            return
+        try:
+            await self._store.transact({}, (), [progress_key(job_id) for job_id in old])
+        except StoreCallError:
+            return
+        for job_id in old:
+            self._ended_unix_ms.pop(job_id, None)
+            self._commits.revisions.pop(job_id, None)
--- a/tests/controller_harness.py
+++ b/tests/controller_harness.py
@@ -73,6 +73,7 @@
     queues: tuple[Queue, ...] = (URGENT, LATER)
     zones_out: set[str] = field(default_factory=set)
     revision: int = 0
+    is_configured: bool = True
 
     @property
     def intake(self) -> Intake:
@@ -86,7 +87,9 @@
         entry = replace(worker.entry(is_ready=is_ready), remaining_ms=remaining_ms)
         self.store.write(WORKERS + worker.id, msgspec.json.encode(entry))
 
-    def _view(self) -> OperatorView:
+    def _view(self) -> OperatorView | None:
+        if not self.is_configured:
+            return None
         configuration = ClusterConfiguration(1, queues={q.name: q for q in self.queues})
 
         def guards(zones: frozenset[str]) -> Mapping[str, int]:
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -380,3 +380,40 @@
     holder.end(task, EndKind.DONE)
     assert await deployment.reaches(job, JobState.COMPLETED)
     assert len(deployment.runs(task)) == 1
+
+
+async def test_end_is_not_forgotten_before_the_configuration_is_known(group):
+    """Guards against an end that a new controller acknowledges without storing it."""
+    deployment = make_deployment(group, 1)
+    first = deployment.start("one")
+    job = await deployment.submit(1, LATER, [step()])
+    task = f"{job}.0.0.0"
+    assert await until(lambda: bool(deployment.runs(task)))
+    first.kill()
+    deployment.is_configured = False
+    second = deployment.start("one")
+    assert await until(lambda: second.leadership.is_controller)
+    deployment.workers["w0"].end(task, EndKind.DONE)
+    await anyio.sleep(0.5)
+    deployment.is_configured = True
+    assert await deployment.reaches(job, JobState.COMPLETED)
+    assert len(deployment.runs(task)) == 1
+
+
+async def test_job_of_a_removed_queue_is_not_given_up_early(group):
+    """Guards against a job that is shown as failed with fewer attempts than its queue allows."""
+    deployment = make_deployment(group, 1)
+    first = deployment.start("one")
+    job = await deployment.submit(1, URGENT, [step()])
+    worker = deployment.workers["w0"]
+    for _ in range(2):
+        assert await until(lambda: bool(worker.running), 6.0)
+        worker.end(f"{job}.0.0.0", EndKind.FAILED)
+    assert await until(lambda: bool(worker.running), 6.0)
+    first.kill()
+    deployment.queues = (LATER,)
+    second = deployment.start("one")
+    assert await until(lambda: second.leadership.is_controller)
+    worker.end(f"{job}.0.0.0", EndKind.FAILED)
+    await anyio.sleep(0.5)
+    assert await deployment.state(job) is JobState.RUNNING
