Pause before a prefix is listed again after its history was dropped

While the store drops its history, each watch failed at once and listed again without a pause.

Change: a pause of 0.3 s, logged.

--- a/src/foxtailwell/controller/_watch.py
+++ b/src/foxtailwell/controller/_watch.py
@@ -16,6 +16,9 @@
 RETRY_PAUSE_S = 0.2
 """Pause after a failed watch."""
 
+HISTORY_PAUSE_S = 0.3
+"""Pause before a prefix is listed again; a store may drop its history again and again."""
+
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
@@ -56,7 +59,9 @@
                 await deliver(Snapshot(listed, is_complete=True))
             changes, revision = await store.watch(prefix, revision, wait_ms)
         except HistoryLostError:
+            log_event(WATCH_FAILED, prefix=prefix, reason="the history was dropped")
             revision = None
+            await anyio.sleep(HISTORY_PAUSE_S)
             continue
         except StoreCallError as failure:
             log_event(WATCH_FAILED, prefix=prefix, reason=failure.reason)
