Give a worker that a new controller never reaches up in 14.7 s

Ruled out: a lost record (the tasks were read as assigned), a link that hangs (there was none, the entries had lapsed).

Change: without a renewed lease a controller extends leases for 4 s; the leases themselves last 10 s more, so that runs still survive a store outage of 13 s. The test failed first, at its bound of 9 s with holds of 1 s.

--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -59,11 +59,11 @@
 
 __all__ = ["Controller", "ControllerLostError", "FleetAccess", "OperatorView"]
 
-PREDECESSOR_HOLD_S = 12.0
+PREDECESSOR_HOLD_S = 4.0
 """Time for which a controller without a renewed lease goes on extending the leases of runs.
 
-It outlasts the store outages of the planned size; a successor adds it to the longest lease before
-it gives up a worker that it cannot reach.
+The leases outlast it by a whole hold, so that runs survive a store outage of 13 s. A successor adds
+it to the longest lease before it gives up a worker that it cannot reach.
 """
 
 CONFIGURATION_PAUSE_S = 0.02
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -430,3 +430,18 @@
     worker.end(f"{job}.0.0.0", EndKind.FAILED)
     await anyio.sleep(0.5)
     assert await deployment.state(job) is JobState.RUNNING
+
+
+async def test_new_controller_gives_a_vanished_worker_up_in_time(group):
+    """Guards against a wait for the predecessor that outlasts its longest lease by far."""
+    deployment = make_deployment(group, 2)
+    first = deployment.start("one", hold_ms=1000)
+    job = await deployment.submit(1, LATER, [step()])
+    task = f"{job}.0.0.0"
+    assert await until(lambda: bool(deployment.runs(task)))
+    holder = deployment.holder_of(task)
+    first.kill()
+    holder.faults.is_cut = True
+    deployment.store.delete(f"servers/{holder.id}")
+    deployment.start("two", hold_ms=1000)
+    assert await until(lambda: len(deployment.runs(task)) == 2, 9.0)
