Log every unanswered call, and drop fields that nothing uses

Cause: a read as a newcomer: the election and the deletion of old records dropped errors without a line; steps carried fields of what is not built.

Change: three numbered events; an unreadable value of the store is an error; speculative copies, images, targets, advice and unavailable counts leave the model until they are built.

--- a/src/foxtailwell/adapters/events.py
+++ b/src/foxtailwell/adapters/events.py
@@ -94,6 +94,9 @@
 RECORD_UNREADABLE = _event("FW1616", "ERROR", "a stored record cannot be read")
 WATCH_FAILED = _event("FW1617", "WARNING", "a watch ended and is opened again")
 RUN_STALLED = _event("FW1618", "WARNING", "a run does not advance and is moved")
+ELECTION_CALL_FAILED = _event("FW1619", "WARNING", "a call of the election was not answered")
+RECORDS_KEPT = _event("FW1620", "INFO", "old records are not deleted yet")
+TASK_UNREADABLE = _event("FW1621", "WARNING", "a worker names a task that cannot be read")
 
 # 1700-1799: instances
 SUBMISSION_STORED = _event("FW1701", "INFO", "a job is stored")
--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -16,6 +16,7 @@
     RUN_STALLED,
     STARTS_REJECTED,
     TASK_RECLAIMED,
+    TASK_UNREADABLE,
 )
 from foxtailwell.adapters.logs import log_event
 from foxtailwell.adapters.work_metrics import WorkMetrics
@@ -29,9 +30,7 @@
     WorkerLink,
     WorkerListed,
 )
-from foxtailwell.controller._records import (
-    INTAKE_PREFIX,
-)
+from foxtailwell.controller._records import INTAKE_PREFIX
 from foxtailwell.controller._stored_jobs import StoredJobs
 from foxtailwell.controller._watch import Snapshot, follow_prefix
 from foxtailwell.controller._workers import FleetAccess, Workers
@@ -596,5 +595,6 @@
 def _parse_task(text: str) -> TaskId | None:
     parts = text.split(".")
     if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
+        log_event(TASK_UNREADABLE, task=text)
         return None
     return TaskId(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
--- a/src/foxtailwell/controller/_election.py
+++ b/src/foxtailwell/controller/_election.py
@@ -7,6 +7,8 @@
 
 import anyio
 
+from foxtailwell.adapters.events import ELECTION_CALL_FAILED
+from foxtailwell.adapters.logs import log_event
 from foxtailwell.controller._records import CONTROLLER_KEY
 from foxtailwell.workflows import Committed, HistoryLostError, KeyValueStore, Put, StoreCallError
 
@@ -68,7 +70,8 @@
                 term = await self._try()
                 if term is not None:
                     return term
-            except StoreCallError:
+            except StoreCallError as failure:
+                log_event(ELECTION_CALL_FAILED, call="acquire", reason=failure.reason)
                 await anyio.sleep(RETRY_PAUSE_S)
 
     async def _end_own_lease(self, value: bytes) -> bool:
@@ -117,7 +120,8 @@
                     term.is_lost = True
                     return
                 term.renewed_s = sent_s
-            except StoreCallError:
+            except StoreCallError as failure:
+                log_event(ELECTION_CALL_FAILED, call="renew", reason=failure.reason)
                 await anyio.sleep(RETRY_PAUSE_S)
                 continue
             await anyio.sleep(RENEWAL_PAUSE_S)
@@ -126,5 +130,5 @@
         """Give the key up at once; without an answer the lease ends by itself."""
         try:
             await self._store.end_lease(term.lease_id)
-        except StoreCallError:
-            return
+        except StoreCallError as failure:
+            log_event(ELECTION_CALL_FAILED, call="release", reason=failure.reason)
--- a/src/foxtailwell/controller/_stored_jobs.py
+++ b/src/foxtailwell/controller/_stored_jobs.py
@@ -9,6 +9,7 @@
     JOB_ENDED,
     JOB_SEEN,
     RECORD_UNREADABLE,
+    RECORDS_KEPT,
 )
 from foxtailwell.adapters.logs import log_event
 from foxtailwell.adapters.work_metrics import WorkMetrics
@@ -151,7 +152,8 @@
             return
         try:
             await self._store.transact({}, (), [progress_key(job_id) for job_id in old])
-        except StoreCallError:
+        except StoreCallError as failure:
+            log_event(RECORDS_KEPT, count=len(old), reason=failure.reason)
             return
         for job_id in old:
             self._ended_unix_ms.pop(job_id, None)
--- a/src/foxtailwell/platform/messages.py
+++ b/src/foxtailwell/platform/messages.py
@@ -55,7 +55,6 @@
     stretch: float = 3.0
     target_latency_ms: int = 1000
     no_auth: bool = False
-    recommendation: dict[str, int] | None = None
 
 
 class _Configuration(msgspec.Struct):
@@ -77,12 +76,8 @@
     required_label: str = ""
     data_rack: str = ""
     max_per_server: int = 0
-    speculative: bool = False
     perpetual: bool = False
-    image: str = ""
-    target_ms: int = 0
     fills: bool = False
-    max_unavailable: int = 0
 
 
 class _Job(msgspec.Struct):
@@ -133,7 +128,6 @@
         max_attempts=route.max_attempts,
         stretch=route.stretch,
         target_ms=route.target_latency_ms,
-        advice=route.recommendation or {},
     )
 
 
@@ -187,13 +181,8 @@
         is_gang=phase.gang,
         is_same_rack=phase.same_rack,
         is_checkpointing=phase.checkpointing,
-        is_speculative=phase.speculative,
         is_lasting=phase.perpetual,
-        is_filling=phase.fills,
         required_label=phase.required_label,
         data_rack=phase.data_rack,
         max_per_worker=phase.max_per_server,
-        max_unavailable=phase.max_unavailable,
-        image=phase.image,
-        target_ms=phase.target_ms,
     )
--- a/src/foxtailwell/platform/store.py
+++ b/src/foxtailwell/platform/store.py
@@ -167,8 +167,8 @@
 def _value(text: str) -> bytes:
     try:
         return b64decode(text)
-    except ValueError:
-        return b""
+    except ValueError as error:
+        raise StoreCallError(f"unreadable value: {error}", is_outcome_unknown=True) from error
 
 
 def _item(item: _WireItem) -> Item:
--- a/src/foxtailwell/workflows/_jobs.py
+++ b/src/foxtailwell/workflows/_jobs.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Iterator
+from dataclasses import dataclass
 from enum import StrEnum
 
 __all__ = ["JobState", "Queue", "Resources", "Step", "Submission", "TaskId"]
@@ -84,15 +84,10 @@
     is_gang: bool = False
     is_same_rack: bool = False
     is_checkpointing: bool = False
-    is_speculative: bool = False
     is_lasting: bool = False
-    is_filling: bool = False
     required_label: str = ""
     data_rack: str = ""
     max_per_worker: int = 0
-    max_unavailable: int = 0
-    image: str = ""
-    target_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -163,4 +158,3 @@
     max_attempts: int = 3
     stretch: float = 3.0
     target_ms: int = 1000
-    advice: Mapping[str, int] = field(default_factory=dict)
