Remove a branch that never runs and settings that nothing reads

The outcome of a stored cancellation tested an answer that is always true; three settings, a call counter and a documented attribute had no reader.

Ruled out: a change of behaviour; a conflict still means that the mark is there already.

--- a/src/foxtailwell/adapters/http_connection.py
+++ b/src/foxtailwell/adapters/http_connection.py
@@ -144,7 +144,6 @@
         self._port = int(port)
         self._host_header = address
         self._idle: list[_Connection] = []
-        self.call_count = 0
 
     async def call(
         self,
@@ -177,7 +176,6 @@
             lines += ["Content-Type: application/json", f"Content-Length: {len(body)}"]
         request = "\r\n".join((*lines, "", "")).encode("latin-1") + body
         connection = await self._connection()
-        self.call_count += 1
         waiter = connection.call(request)
         try:
             reply = await _await_progress(connection, waiter, timeout_s)
--- a/src/foxtailwell/controller/_intake.py
+++ b/src/foxtailwell/controller/_intake.py
@@ -162,12 +162,11 @@
         if state[0].is_final:
             return CancelOutcome.ENDED
         try:
-            answer = await self._store.transact(
-                {cancel_key(job_id): 0}, [Put(cancel_key(job_id), b"")]
-            )
+            # A conflict means that the mark is there already.
+            await self._store.transact({cancel_key(job_id): 0}, [Put(cancel_key(job_id), b"")])
         except StoreCallError as failure:
             raise IntakeError(failure.reason) from failure
-        return CancelOutcome.STORED if answer else CancelOutcome.ENDED
+        return CancelOutcome.STORED
 
     async def pending_count(self, queue: str) -> int:
         """Return how many accepted jobs of a queue have no started task.
--- a/src/foxtailwell/instance/_settings.py
+++ b/src/foxtailwell/instance/_settings.py
@@ -28,8 +28,5 @@
     store_address: str
     grace_s: float
     max_hold_ms: int
-    stop_timeout_ms: int
     revocation_ms: int
-    configuration_ms: int
     status_s: float
-    early_ms: int
--- a/src/foxtailwell/platform/settings.py
+++ b/src/foxtailwell/platform/settings.py
@@ -30,11 +30,8 @@
 class _Bounds(msgspec.Struct):
     grace_s: float = 6
     max_hold_ms: int = 10_000
-    stop_timeout_ms: int = 400
     revoke_ms: int = 5000
-    config_apply_ms: int = 2000
     status_s: float = 120
-    early_ms: int = 0
 
 
 class _File(msgspec.Struct):
@@ -73,9 +70,6 @@
         store_address=file.platform.address,
         grace_s=file.bounds.grace_s,
         max_hold_ms=file.bounds.max_hold_ms,
-        stop_timeout_ms=file.bounds.stop_timeout_ms,
         revocation_ms=file.bounds.revoke_ms,
-        configuration_ms=file.bounds.config_apply_ms,
         status_s=file.bounds.status_s,
-        early_ms=file.bounds.early_ms,
     )
--- a/src/foxtailwell_standins/platform_worker.py
+++ b/src/foxtailwell_standins/platform_worker.py
@@ -63,7 +63,6 @@
     Attributes:
         task_s: Duration of each run; infinite unless the test ends runs itself.
         log: Every run that began, as (task, run, checkpoint).
-        violations: Runs that a correct controller never asks for.
     """
 
     id: str
