--- a/src/foxtailwell/adapters/work_metrics.py
+++ b/src/foxtailwell/adapters/work_metrics.py
@@ -1,10 +1,11 @@
-"""Counters and latency histograms of an instance, rendered only when they are asked for."""
+"""Counters, gauges and latency histograms of an instance, rendered only when they are asked for."""
 
 from __future__ import annotations
 
 from bisect import bisect_left
-from collections.abc import Iterator
-from dataclasses import dataclass
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import Literal
 
 __all__ = ["MetricRow", "WorkMetrics", "render_rows"]
 
@@ -12,45 +13,66 @@
 """Upper bounds of the latency histograms, from one store call to the longest jobs."""
 
 
+Labels = tuple[tuple[str, str], ...]
+
+
 @dataclass(frozen=True, slots=True)
 class MetricRow:
     """One value with its labels."""
 
+    kind: Literal["counter", "gauge"]
     name: str
-    labels: tuple[tuple[str, str], ...]
+    labels: Labels
     value: float
 
 
+@dataclass(slots=True)
+class _Histogram:
+    sum_s: float = 0.0
+    buckets: list[int] = field(default_factory=lambda: [0] * (len(BUCKETS_S) + 1))
+
+
 class WorkMetrics:
-    """Counts and latencies since the start of the process."""
+    """Counts and latencies since the start of the process, and gauges read when asked for."""
 
     def __init__(self) -> None:
-        self._counts: dict[tuple[str, tuple[tuple[str, str], ...]], int] = {}
-        self._buckets: dict[str, list[int]] = {}
-        self._sums_s: dict[str, float] = {}
+        self._counts: dict[tuple[str, Labels], int] = {}
+        self._histograms: dict[tuple[str, Labels], _Histogram] = {}
+        self._gauges: dict[str, Callable[[], float]] = {}
 
     def count(self, name: str, **labels: str) -> None:
         """Count one occurrence."""
-        key = (name, tuple(sorted(labels.items())))
+        key = (name, _labels(labels))
         self._counts[key] = self._counts.get(key, 0) + 1
 
-    def observe_s(self, name: str, seconds: float) -> None:
+    def observe_s(self, name: str, seconds: float, **labels: str) -> None:
         """Add one latency to a histogram."""
-        buckets = self._buckets.setdefault(name, [0] * (len(BUCKETS_S) + 1))
-        buckets[bisect_left(BUCKETS_S, seconds)] += 1
-        self._sums_s[name] = self._sums_s.get(name, 0.0) + seconds
+        histogram = self._histograms.setdefault((name, _labels(labels)), _Histogram())
+        histogram.buckets[bisect_left(BUCKETS_S, seconds)] += 1
+        histogram.sum_s += seconds
+
+    def gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Register a value that is read each time the metrics are asked for."""
+        self._gauges[name] = read
 
     def rows(self) -> Iterator[MetricRow]:
-        """Yield every counter, and each histogram as cumulative buckets, sum and count."""
+        """Yield counters and gauges, and each histogram as cumulative buckets, sum and count."""
         for (name, labels), count in sorted(self._counts.items()):
-            yield MetricRow(f"foxtailwell_{name}_total", labels, count)
-        for name, buckets in sorted(self._buckets.items()):
+            yield MetricRow("counter", f"foxtailwell_{name}_total", labels, count)
+        for name, read in sorted(self._gauges.items()):
+            yield MetricRow("gauge", f"foxtailwell_{name}", (), read())
+        for (name, labels), histogram in sorted(self._histograms.items(), key=lambda h: h[0]):
+            prefix = f"foxtailwell_{name}_seconds"
             total = 0
-            for bound, count in zip((*map(str, BUCKETS_S), "+Inf"), buckets, strict=True):
+            for bound, count in zip((*map(str, BUCKETS_S), "+Inf"), histogram.buckets, strict=True):
                 total += count
-                yield MetricRow(f"foxtailwell_{name}_seconds_bucket", (("le", bound),), total)
-            yield MetricRow(f"foxtailwell_{name}_seconds_sum", (), self._sums_s[name])
-            yield MetricRow(f"foxtailwell_{name}_seconds_count", (), total)
+                yield MetricRow("counter", f"{prefix}_bucket", (*labels, ("le", bound)), total)
+            yield MetricRow("counter", f"{prefix}_sum", labels, histogram.sum_s)
+            yield MetricRow("counter", f"{prefix}_count", labels, total)
+
+
+def _labels(labels: dict[str, str]) -> Labels:
+    return tuple(sorted(labels.items()))
 
 
 def render_rows(metrics: WorkMetrics) -> tuple[bytes, dict[str, str]]:
@@ -59,6 +81,6 @@
     from foxtailwell.adapters.metrics import Sample, process_samples, render_samples
 
     samples = [
-        Sample("counter", row.name, row.name, row.value, dict(row.labels)) for row in metrics.rows()
+        Sample(row.kind, row.name, row.name, row.value, dict(row.labels)) for row in metrics.rows()
     ]
     return render_samples([*samples, *process_samples()])
--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -190,6 +190,17 @@
         send, receive = anyio.create_memory_object_stream[_Event](math.inf)
         self._send, self._receive = send, receive
 
+    @property
+    def token(self) -> int:
+        """Fencing token of this term."""
+        return self._token
+
+    @property
+    def waiting_jobs(self) -> int:
+        """Jobs that have not ended and none of whose tasks has started."""
+        jobs = self._book.jobs.values()
+        return sum(not job.is_begun and not job.state.is_final for job in jobs)
+
     def _may_act(self) -> bool:
         return not self._fenced_by and self._now_s() - self._renewed_s() < PREDECESSOR_HOLD_S
 
--- a/src/foxtailwell/controller/_leadership.py
+++ b/src/foxtailwell/controller/_leadership.py
@@ -77,6 +77,16 @@
         """Whether this instance acts as the controller."""
         return self._controller is not None
 
+    @property
+    def token(self) -> int:
+        """Fencing token of this instance's term; 0 while another one is the controller."""
+        return self._controller.token if self._controller else 0
+
+    @property
+    def waiting_jobs(self) -> int:
+        """Jobs without a started task; 0 while another instance is the controller."""
+        return self._controller.waiting_jobs if self._controller else 0
+
     def wake(self) -> None:
         """Look at the operators' view again."""
         if self._controller is not None:
--- a/src/foxtailwell/controller/_stored_jobs.py
+++ b/src/foxtailwell/controller/_stored_jobs.py
@@ -30,6 +30,7 @@
     Job,
     JobBook,
     JobProgress,
+    JobState,
     KeyValueStore,
     Queue,
     StoreCallError,
@@ -137,12 +138,28 @@
         for job in jobs:
             job_id = job.submission.job_id
             if job.state.is_final and not job.has_placed_tasks and job_id in self._book.jobs:
-                log_event(JOB_ENDED, job=job_id, queue=job.submission.queue, state=job.state.value)
-                self._metrics.count("jobs", state=job.state.value)
-                self._metrics.observe_s("job", self._now_s() - job.accepted_s)
+                self._report_end(job)
                 self._ended_unix_ms[job_id] = job.ended_unix_ms
                 self._book.remove(job_id)
 
+    def _report_end(self, job: Job) -> None:
+        queue, account = job.submission.queue, job.submission.account
+        elapsed_s = self._now_s() - job.accepted_s
+        log_event(
+            JOB_ENDED,
+            job=job.submission.job_id,
+            queue=queue,
+            account=account,
+            state=job.state.value,
+            elapsed_s=round(elapsed_s, 2),
+            target_s=round(job.target_s(), 2),
+        )
+        self._metrics.count("jobs", queue=queue, account=account, state=job.state.value)
+        self._metrics.observe_s("job", elapsed_s, queue=queue)
+        if job.state is JobState.COMPLETED and not job.submission.start_at_unix_ms:
+            result = "met" if elapsed_s <= job.target_s() else "missed"
+            self._metrics.count("targets", queue=queue, result=result)
+
     async def delete_old_records(self) -> None:
         """Delete the records of jobs that ended long enough ago."""
         limit = self._now_unix_ms() - self._status_ms * 2
--- a/src/foxtailwell/instance/_daemon.py
+++ b/src/foxtailwell/instance/_daemon.py
@@ -44,9 +44,11 @@
     """Everything that an adapter provides.
 
     Attributes:
+        metrics: Counts of the adapter, to which the instance adds its own.
         key_of_authorization: Returns the key in an `Authorization` header.
     """
 
+    metrics: WorkMetrics
     store: KeyValueStore
     fleet: FleetAccess
     operator_keys: OperatorKeys
@@ -65,7 +67,7 @@
         self._settings = settings
         self._platform = platform
         self._wall = WallClock()
-        self._metrics = WorkMetrics()
+        self._metrics = platform.metrics
         self._operators = OperatorWatch(
             platform.store,
             platform.operator_keys,
@@ -91,6 +93,9 @@
             self._metrics,
         )
         self._operators.on_change = self._leadership.wake
+        self._metrics.gauge("evidence_age_seconds", lambda: self._operators.evidence_age_s)
+        self._metrics.gauge("controller_token", lambda: self._leadership.token)
+        self._metrics.gauge("waiting_jobs", lambda: self._leadership.waiting_jobs)
         self._is_stopping = False
         self._stop_serving = anyio.Event()
 
--- a/src/foxtailwell/instance/_jobs_api.py
+++ b/src/foxtailwell/instance/_jobs_api.py
@@ -184,6 +184,12 @@
         except self._decode_error as error:
             return _refusal(call, 400, str(error))
         outcome = await self._intake.submit(submission, self._operators.guards())
+        self._metrics.count(
+            "submissions",
+            queue=route.queue.name,
+            account=submission.account,
+            outcome=outcome.value,
+        )
         fields = {
             "job": job_id,
             "queue": route.queue.name,
--- a/src/foxtailwell/platform/assembly.py
+++ b/src/foxtailwell/platform/assembly.py
@@ -8,6 +8,7 @@
 import anyio
 
 from foxtailwell.adapters.logs import configure_logs
+from foxtailwell.adapters.work_metrics import WorkMetrics
 from foxtailwell.controller import FleetAccess
 from foxtailwell.core.errors import ValidationError
 from foxtailwell.instance import InstanceSettings, OperatorKeys, Platform, run_instance
@@ -23,8 +24,10 @@
 
 
 def _platform(settings: InstanceSettings) -> Platform:
+    metrics = WorkMetrics()
     return Platform(
-        store=open_store(settings.store_address),
+        metrics=metrics,
+        store=open_store(settings.store_address, metrics),
         fleet=FleetAccess(messages.WORKERS_PREFIX, decode_worker_entry, connect_worker),
         operator_keys=OperatorKeys(
             messages.CONFIGURATION_KEY,
--- a/src/foxtailwell/platform/store.py
+++ b/src/foxtailwell/platform/store.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+import time
 from base64 import b64decode, b64encode
 from collections.abc import Mapping, Sequence
 from typing import TypeVar
@@ -10,6 +12,7 @@
 import msgspec
 
 from foxtailwell.adapters.http_connection import CallError, CallReply, HttpEndpoint
+from foxtailwell.adapters.work_metrics import WorkMetrics
 from foxtailwell.workflows import (
     Change,
     Committed,
@@ -28,6 +31,8 @@
 CALL_TIMEOUT_S = 1.2
 """Longest wait for an answer; a slow store takes about 0.3 s, a lost answer never comes."""
 
+_CALL_NAME = re.compile(r"/-/kv-([a-z-]+)")
+
 WATCH_MARGIN_S = 0.5
 """Added to the wait of a watch before its connection counts as silent."""
 
@@ -68,14 +73,15 @@
     lease_id: int
 
 
-def open_store(address: str) -> KeyValueStore:
-    """Return a client of the store at `IP:PORT`."""
-    return _Store(HttpEndpoint(address))
+def open_store(address: str, metrics: WorkMetrics) -> KeyValueStore:
+    """Return a client of the store at `IP:PORT` that counts its calls."""
+    return _Store(HttpEndpoint(address), metrics)
 
 
 class _Store:
-    def __init__(self, endpoint: HttpEndpoint) -> None:
+    def __init__(self, endpoint: HttpEndpoint, metrics: WorkMetrics) -> None:
         self._endpoint = endpoint
+        self._metrics = metrics
 
     async def get(self, key: str) -> Item | None:
         reply = await self._read(f"/-/kv-key?key={quote(key, safe='')}", (200, 404))
@@ -147,10 +153,16 @@
         *,
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> CallReply:
+        name = _CALL_NAME.match(path)
+        call = name[1] if name else path
+        began_s = time.monotonic()
         try:
             reply = await self._endpoint.call(method, path, body, timeout_s=timeout_s)
         except CallError as error:
+            self._metrics.count("store_calls", call=call, outcome="no response")
             raise StoreCallError(error.reason, is_outcome_unknown=error.is_sent) from error
+        self._metrics.count("store_calls", call=call, outcome=str(reply.status))
+        self._metrics.observe_s("store_call", time.monotonic() - began_s, call=call)
         if reply.status not in expected:
             # 429 and 503 mean that nothing was done; so does every other refusal.
             raise StoreCallError(f"status {reply.status}", is_outcome_unknown=False)
--- a/src/foxtailwell/workflows/_book.py
+++ b/src/foxtailwell/workflows/_book.py
@@ -186,6 +186,10 @@
         """Return the most accelerators that one step of the job needs."""
         return max(step.count * step.request.accelerators for step in self.submission.steps)
 
+    def target_s(self) -> float:
+        """Return the time from acceptance in which the class wants the job to complete."""
+        return (self.queue.stretch * self.chain_ms() + self.queue.target_ms) / 1e3
+
     def chain_ms(self) -> float:
         """Return the estimated length of the longest chain of steps."""
         longest: list[float] = []
@@ -496,9 +500,7 @@
             ):
                 continue
             since_s = job.ready_since_s.setdefault((occurrence, number), now_s)
-            due_s = (
-                job.accepted_s + (job.queue.stretch * job.chain_ms() + job.queue.target_ms) / 1e3
-            )
+            due_s = job.accepted_s + job.target_s()
             yield Unit(
                 job.submission.job_id,
                 occurrence,
