--- a/src/foxtailwell/adapters/http_connection.py
+++ b/src/foxtailwell/adapters/http_connection.py
@@ -136,13 +136,14 @@
 
     Args:
         address: `IP:PORT`.
+        host: `Host` header, if it is not the address.
     """
 
-    def __init__(self, address: str) -> None:
-        host, _, port = address.rpartition(":")
-        self._host = host
+    def __init__(self, address: str, *, host: str = "") -> None:
+        ip, _, port = address.rpartition(":")
+        self._host = ip
         self._port = int(port)
-        self._host_header = address
+        self._host_header = host or address
         self._idle: list[_Connection] = []
 
     async def call(
@@ -180,9 +181,11 @@
         try:
             reply = await _await_progress(connection, waiter, timeout_s)
         except TimeoutError as error:
+            waiter.cancel()
             connection.close()
             raise CallError(f"no response within {timeout_s:.1f} s", is_sent=True) from error
         except BaseException:
+            waiter.cancel()
             connection.close()
             raise
         if connection.is_open:
--- a/src/foxtailwell/controller/_leadership.py
+++ b/src/foxtailwell/controller/_leadership.py
@@ -87,6 +87,10 @@
         """Jobs without a started task; 0 while another instance is the controller."""
         return self._controller.waiting_jobs if self._controller else 0
 
+    def change_settings(self, settings: LeadershipSettings) -> None:
+        """Use other settings from the next term on; the name stays."""
+        self._settings = settings
+
     def wake(self) -> None:
         """Look at the operators' view again."""
         if self._controller is not None:
--- a/src/foxtailwell/instance/_daemon.py
+++ b/src/foxtailwell/instance/_daemon.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import signal
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, fields
 from functools import partial
 from typing import Any
 
@@ -14,6 +14,7 @@
     DAEMON_STARTED,
     DAEMON_STOPPED,
     DAEMON_STOPPING,
+    SETTINGS_REFUSED,
     SETTINGS_RELOADED,
     TASK_FAILED,
 )
@@ -21,6 +22,7 @@
 from foxtailwell.adapters.logs import log_event
 from foxtailwell.adapters.work_metrics import WorkMetrics, render_rows
 from foxtailwell.controller import FleetAccess, Intake, Leadership, LeadershipSettings
+from foxtailwell.core.errors import ValidationError
 from foxtailwell.instance._clock import WallClock, boot_time_s
 from foxtailwell.instance._jobs_api import RETRY_AFTER_S, JobsApi, SubmissionDecoder, read_body
 from foxtailwell.instance._operators import OperatorKeys, OperatorWatch
@@ -38,6 +40,9 @@
 RESTART_PAUSE_S = 0.5
 """Pause before a failed task of the daemon is started again."""
 
+APPLIED_AT_ONCE = frozenset({"max_hold_ms", "revocation_ms", "status_s"})
+"""Settings that a running instance takes over; a controller does so with its next term."""
+
 
 @dataclass(frozen=True, slots=True)
 class Platform:
@@ -46,6 +51,7 @@
     Attributes:
         metrics: Counts of the adapter, to which the instance adds its own.
         key_of_authorization: Returns the key in an `Authorization` header.
+        load_settings: Reads the settings again; raises `ValidationError`.
     """
 
     metrics: WorkMetrics
@@ -55,6 +61,7 @@
     decode_submission: SubmissionDecoder
     decode_error: type[Exception]
     key_of_authorization: Callable[[str], str]
+    load_settings: Callable[[], InstanceSettings]
 
 
 async def run_instance(settings: InstanceSettings, platform: Platform) -> None:
@@ -87,7 +94,7 @@
             platform.store,
             platform.fleet,
             self._operators.view,
-            LeadershipSettings(settings.name, settings.max_hold_ms, settings.status_s),
+            _leadership_settings(settings),
             boot_time_s,
             self._wall.now_unix_ms,
             self._metrics,
@@ -100,7 +107,12 @@
         self._stop_serving = anyio.Event()
 
     async def run(self) -> None:
-        log_event(DAEMON_STARTED, zone=self._settings.zone)
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            log_event(DAEMON_STARTED, zone=self._settings.zone)
+            await self._serve(signals)
+            log_event(DAEMON_STOPPED)
+
+    async def _serve(self, signals: AsyncIterator[signal.Signals]) -> None:
         async with anyio.create_task_group() as group:
             group.start_soon(self._supervise, "clock", self._wall.run)
             group.start_soon(self._supervise, "operators", self._operators.run)
@@ -114,9 +126,8 @@
                 await group.start(
                     partial(serve_http, app, host, port, self._stop_serving, grace_s=FINISH_S)
                 )
-            await self._wait_for_stop()
+            await self._wait_for_stop(signals)
             group.cancel_scope.cancel()
-        log_event(DAEMON_STOPPED)
 
     async def _supervise(self, name: str, task: Callable[[], Awaitable[None]]) -> None:
         while True:
@@ -127,21 +138,40 @@
                 log_event(TASK_FAILED, task=name, reason=repr(error))
                 await anyio.sleep(RESTART_PAUSE_S)
 
-    async def _wait_for_stop(self) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            async for number in signals:
-                if number == signal.SIGHUP:
-                    log_event(SETTINGS_RELOADED)
-                    continue
+    async def _wait_for_stop(self, signals: AsyncIterator[signal.Signals]) -> None:
+        async for number in signals:
+            if number != signal.SIGHUP:
                 break
-            log_event(DAEMON_STOPPING)
-            self._is_stopping = True
-            with anyio.CancelScope() as notice:
-                notice.deadline = anyio.current_time() + READINESS_NOTICE_S
-                await self._leadership.stop(READINESS_NOTICE_S)
-                await anyio.sleep(READINESS_NOTICE_S)
-            self._stop_serving.set()
-            await anyio.sleep(FINISH_S)
+            self._reload()
+        log_event(DAEMON_STOPPING)
+        self._is_stopping = True
+        with anyio.CancelScope() as notice:
+            notice.deadline = anyio.current_time() + READINESS_NOTICE_S
+            await self._leadership.stop(READINESS_NOTICE_S)
+            await anyio.sleep(READINESS_NOTICE_S)
+        self._stop_serving.set()
+        await anyio.sleep(FINISH_S)
+
+    def _reload(self) -> None:
+        """Read the settings again and apply what a running instance can take over."""
+        try:
+            settings = self._platform.load_settings()
+        except ValidationError as error:
+            log_event(SETTINGS_REFUSED, reason=str(error))
+            return
+        changed = {
+            field.name
+            for field in fields(settings)
+            if getattr(settings, field.name) != getattr(self._settings, field.name)
+        }
+        self._operators.set_evidence_limit(settings.revocation_ms / 1000)
+        self._leadership.change_settings(_leadership_settings(settings))
+        self._settings = settings
+        log_event(
+            SETTINGS_RELOADED,
+            applied=sorted(changed & APPLIED_AT_ONCE),
+            after_restart=sorted(changed - APPLIED_AT_ONCE),
+        )
 
     async def _readiness(self, scope: Any, receive: Any, send: Any) -> None:
         is_ready = (
@@ -173,6 +203,10 @@
         await _respond(send, reply.status, reply.body, extra)
 
 
+def _leadership_settings(settings: InstanceSettings) -> LeadershipSettings:
+    return LeadershipSettings(settings.name, settings.max_hold_ms, settings.status_s)
+
+
 async def _respond(
     send: Any, status: int, body: bytes, extra: tuple[tuple[bytes, bytes], ...]
 ) -> None:
--- a/src/foxtailwell/instance/_operators.py
+++ b/src/foxtailwell/instance/_operators.py
@@ -70,7 +70,7 @@
         self._store = store
         self._keys = keys
         self._now_s = now_s
-        self._limit_s = evidence_limit_s - EVIDENCE_MARGIN_S
+        self.set_evidence_limit(evidence_limit_s)
         self._configuration: ClusterConfiguration | None = None
         self._revision = 0
         self._zone_revisions: dict[str, int] = {}
@@ -80,6 +80,10 @@
         self._recheck = anyio.Event()
         self.on_change: Callable[[], None] = lambda: None
 
+    def set_evidence_limit(self, limit_s: float) -> None:
+        """Set the age at which the configuration counts as unproven."""
+        self._limit_s = limit_s - EVIDENCE_MARGIN_S
+
     @property
     def configuration(self) -> ClusterConfiguration | None:
         """The newest configuration; None before the first one."""
--- a/src/foxtailwell/platform/assembly.py
+++ b/src/foxtailwell/platform/assembly.py
@@ -4,6 +4,7 @@
 
 import os
 import sys
+from functools import partial
 
 import anyio
 
@@ -23,7 +24,7 @@
 """Exit code for wrong settings, as of the other commands."""
 
 
-def _platform(settings: InstanceSettings) -> Platform:
+def _platform(settings: InstanceSettings, path: str) -> Platform:
     metrics = WorkMetrics()
     return Platform(
         metrics=metrics,
@@ -38,19 +39,21 @@
         decode_submission=messages.decode_submission,
         decode_error=messages.MessageError,
         key_of_authorization=messages.key_of_authorization,
+        load_settings=partial(load_instance_settings, path),
     )
 
 
-async def _run(settings: InstanceSettings) -> None:
-    await run_instance(settings, _platform(settings))
+async def _run(settings: InstanceSettings, path: str) -> None:
+    await run_instance(settings, _platform(settings, path))
 
 
 def main() -> None:
     """Run an instance with the settings file that the environment names."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
-        settings = load_instance_settings(os.environ.get(SETTINGS_VARIABLE, ""))
+        settings = load_instance_settings(path)
     except ValidationError as error:
         print(error, file=sys.stderr)
         raise SystemExit(SETTINGS_EXIT) from error
     configure_logs("json", "INFO", stream=sys.stdout, instance=settings.name)
-    anyio.run(_run, settings, backend="asyncio", backend_options={"use_uvloop": True})
+    anyio.run(_run, settings, path, backend="asyncio", backend_options={"use_uvloop": True})
--- a/src/foxtailwell_standins/platform_worker.py
+++ b/src/foxtailwell_standins/platform_worker.py
@@ -21,11 +21,14 @@
     WorkerListing,
 )
 
-__all__ = ["MemoryWorker", "WorkerFaults"]
+__all__ = ["Gangs", "MemoryWorker", "RunSpan", "WorkerFaults"]
 
 STOP_S = 0.02
 """Time that a stop takes."""
 
+GANG_TIMEOUT_S = 3.0
+"""Time after which a member that waits for the others ends as alone."""
+
 
 @dataclass(slots=True)
 class WorkerFaults:
@@ -48,12 +51,81 @@
     stands_still: bool = False
 
 
+@dataclass(slots=True)
+class RunSpan:
+    """One run as it took place at a worker.
+
+    Attributes:
+        is_late: The order was carried out by `apply_late`.
+        ended_s: When it ended; infinite while it runs.
+        kind: How it ended; None while it runs and after a crash.
+        number: Number of its end; 0 while it runs and after a crash.
+    """
+
+    task: str
+    run: int
+    worker: str
+    payload: str
+    began_s: float
+    is_late: bool = False
+    ended_s: float = float("inf")
+    kind: EndKind | None = None
+    number: int = 0
+
+
 @dataclass(slots=True)
 class _Run:
     run: int
     payload: str
     checkpoint: str
     began_s: float
+    span: RunSpan
+
+
+@dataclass(slots=True)
+class _Gang:
+    members: dict[str, MemoryWorker] = field(default_factory=dict)
+    complete_s: float = float("inf")
+    is_over: bool = False
+
+
+@dataclass(slots=True)
+class Gangs:
+    """Gangs across workers: members work from the time when all are present, and end together.
+
+    Attributes:
+        sizes: Number of members by step, as in the first three parts of a task's name.
+    """
+
+    sizes: dict[str, int] = field(default_factory=dict)
+    _gangs: dict[tuple[str, int], _Gang] = field(default_factory=dict)
+
+    def find(self, task: str, run: int) -> _Gang | None:
+        """Return the gang of a run; None when its step is none."""
+        step = task.rpartition(".")[0]
+        return self._gangs.setdefault((step, run), _Gang()) if step in self.sizes else None
+
+    def join(self, task: str, run: int, worker: MemoryWorker) -> None:
+        """Note that a member has begun."""
+        gang = self.find(task, run)
+        if gang is not None:
+            gang.members[task] = worker
+            if len(gang.members) == self.sizes[task.rpartition(".")[0]]:
+                gang.complete_s = time.monotonic()
+
+    def leave(self, task: str, run: int, kind: EndKind | None) -> None:
+        """End the other members after one has ended; None stands for a crash."""
+        gang = self.find(task, run)
+        if gang is None:
+            return
+        gang.members.pop(task, None)
+        gang.complete_s = float("inf")
+        if not gang.is_over:
+            gang.is_over = True
+            others = EndKind.DONE if kind is EndKind.DONE else EndKind.BROKEN
+            for member, worker in list(gang.members.items()):
+                worker.end(member, others)
+            gang.is_over = False
 
 
 @dataclass(slots=True)
@@ -62,7 +134,10 @@
 
     Attributes:
         task_s: Duration of each run; infinite unless the test ends runs itself.
+        payload_s: Returns the duration of a run by its payload, instead of `task_s`.
         log: Every run that began, as (task, run, checkpoint).
+        spans: Every run with its times.
+        gangs: Shared by the workers whose gangs work together; None for members on their own.
     """
 
     id: str
@@ -71,9 +146,12 @@
     pool: str = "pool"
     capacity: Resources = field(default_factory=lambda: Resources(128_000, 262_144, 8))
     task_s: float = float("inf")
+    payload_s: Callable[[str], float] | None = None
+    gangs: Gangs | None = None
     faults: WorkerFaults = field(default_factory=WorkerFaults)
     boot_unix_ms: int = 1
     log: list[tuple[str, int, str]] = field(default_factory=list)
+    spans: list[RunSpan] = field(default_factory=list)
     acknowledged: int = 0
     token: int = 0
     now_s: Callable[[], float] = time.monotonic
@@ -107,7 +185,11 @@
     def restart(self) -> None:
         """Begin a new life under the same identifier."""
         self.boot_unix_ms += 1
-        self.running.clear()
+        for task, run in list(self.running.items()):
+            run.span.ended_s = time.monotonic()
+            del self.running[task]
+            if self.gangs is not None:
+                self.gangs.leave(task, run.run, None)
         self.ended.clear()
         self._highest.clear()
         self._end_count = self.token = self._until_ms = 0
@@ -118,30 +200,51 @@
         run = self.running.pop(task)
         self._end_count += 1
         self._highest[task] = max(self._highest.get(task, 0), run.run)
+        run.span.ended_s, run.span.kind = time.monotonic(), kind
+        run.span.number = self._end_count
         self.ended.append(EndedRun(self._end_count, task, run.run, kind, checkpoint))
+        if self.gangs is not None:
+            self.gangs.leave(task, run.run, kind)
 
     def apply_late(self) -> None:
         """Carry out the starts that were held back."""
         late, self._late = self._late, []
         for order, until_clock_ms, token in late:
-            self._begin(order, until_clock_ms, token)
+            self._begin(order, until_clock_ms, token, is_late=True)
 
-    def _pass_time(self) -> None:
+    def pass_time(self) -> None:
+        """End the runs whose lease or work is over."""
         if self.running and self.clock_ms() > self._until_ms:
             for task in list(self.running):
                 self.end(task, EndKind.LAPSED)
         for task, run in list(self.running.items()):
-            if self.now_s() - run.began_s >= self.task_s and not self.faults.stands_still:
-                self.end(task, EndKind.DONE)
+            kind = self._due_end(task, run)
+            if kind is not None and task in self.running:
+                self.end(task, kind)
+
+    def _due_end(self, task: str, run: _Run) -> EndKind | None:
+        if self.faults.stands_still:
+            return None
+        work_s = self.payload_s(run.payload) if self.payload_s else self.task_s
+        gang = self.gangs.find(task, run.run) if self.gangs else None
+        if gang is None:
+            return EndKind.DONE if self.now_s() - run.began_s >= work_s else None
+        if time.monotonic() - gang.complete_s >= work_s:
+            return EndKind.DONE
+        is_alone = gang.complete_s == float("inf")
+        has_waited = self.now_s() - run.began_s >= GANG_TIMEOUT_S
+        return EndKind.ALONE if is_alone and has_waited else None
 
     async def _arrive(self) -> None:
         await anyio.sleep(0.001)
         if self.faults.is_cut:
             await anyio.sleep(0.02)
             raise WorkerCallError("no response")
-        self._pass_time()
+        self.pass_time()
 
-    def _begin(self, order: StartOrder, until_clock_ms: int, token: int) -> OrderOutcome:
+    def _begin(
+        self, order: StartOrder, until_clock_ms: int, token: int, *, is_late: bool = False
+    ) -> OrderOutcome:
         task = str(order.task)
         if token < self.token:
             return OrderOutcome.FENCED
@@ -153,8 +256,12 @@
         if order.run <= self._highest.get(task, 0):
             return OrderOutcome.OLD_RUN
         self._until_ms = max(self._until_ms, until_clock_ms)
-        self.running[task] = _Run(order.run, order.payload, order.checkpoint, self.now_s())
+        span = RunSpan(task, order.run, self.id, order.payload, time.monotonic(), is_late)
+        self.spans.append(span)
+        self.running[task] = _Run(order.run, order.payload, order.checkpoint, self.now_s(), span)
         self.log.append((task, order.run, order.checkpoint))
+        if self.gangs is not None:
+            self.gangs.join(task, order.run, self)
         if self.faults.fails_everything:
             self.end(task, EndKind.FAILED)
         return OrderOutcome.DONE
@@ -203,7 +310,7 @@
         wait_until_s = self.now_s() + wait_ms / 1000
         while not self.ended and self.now_s() < wait_until_s and not self.faults.is_cut:
             await anyio.sleep(0.01)
-            self._pass_time()
+            self.pass_time()
         if self.faults.is_cut:
             raise WorkerCallError("no response")
         running = tuple(
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -58,7 +58,7 @@
     moved = await until(lambda: len(deployment.runs(task)) == 2, 6.0)
     assert moved
     holder.faults.is_cut = False
-    holder._pass_time()
+    holder.pass_time()
     assert task not in holder.running
 
 
@@ -283,7 +283,7 @@
     instance.faults.is_down = True
     await anyio.sleep(3.0)
     instance.faults.is_down = False
-    deployment.workers["w0"]._pass_time()
+    deployment.workers["w0"].pass_time()
     assert task in deployment.workers["w0"].running
     deployment.workers["w0"].end(task, EndKind.DONE)
     assert await deployment.reaches(job, JobState.COMPLETED, 5.0)
--- a/tests/test_import_directions.py
+++ b/tests/test_import_directions.py
@@ -32,6 +32,7 @@
         "foxtailwell.controller",
     },
     "foxtailwell/instance": {
+        "foxtailwell.core",
         "foxtailwell.adapters",
         "foxtailwell.workflows",
         "foxtailwell.controller",
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+import gc
+
 import anyio
 import msgspec
 import pytest
@@ -144,6 +147,28 @@
         group.cancel_scope.cancel()
 
 
+@pytest.mark.anyio
+async def test_call_that_was_given_up_leaves_no_error_behind(anyio_server):
+    """Guards against lines outside the log that no caller waits for."""
+    stray = []
+    asyncio.get_running_loop().set_exception_handler(lambda _, context: stray.append(context))
+
+    async def handle(stream):
+        async with stream:
+            await anyio.sleep_forever()
+
+    async with anyio.create_task_group() as group:
+        endpoint = HttpEndpoint(await anyio_server(group, handle))
+        with pytest.raises(CallError):
+            await endpoint.call("GET", "/", timeout_s=0.1)
+        with anyio.move_on_after(0.1):
+            await endpoint.call("GET", "/", timeout_s=5.0)
+        await anyio.sleep(0.05)
+        gc.collect()
+        group.cancel_scope.cancel()
+    assert not stray
+
+
 @pytest.mark.anyio
 async def test_refused_connection_says_that_nothing_was_sent():
     """Guards against an unknown outcome where no byte left."""
