Watch the controller key from the store's present revision

Ruled out: workers' and submissions' watches, which list again after 410.

Change: the key is listed, and the watch begins at the listing's revision.

--- a/src/foxtailwell/controller/_election.py
+++ b/src/foxtailwell/controller/_election.py
@@ -62,10 +62,13 @@
         """Wait until the key is free and take it."""
         while True:
             try:
-                item = await self._store.get(CONTROLLER_KEY)
+                # Listed for the store's present revision: a watch from the revision of the key
+                # itself fails at once when the history since then was dropped.
+                items, revision = await self._store.list_items(CONTROLLER_KEY)
+                item = next((found for found in items if found.key == CONTROLLER_KEY), None)
                 if item is not None:
                     if not await self._end_own_lease(item.value):
-                        await self._wait_for_change(item.revision)
+                        await self._wait_for_change(revision)
                     continue
                 term = await self._try()
                 if term is not None:
--- a/src/foxtailwell_standins/platform_store.py
+++ b/src/foxtailwell_standins/platform_store.py
@@ -43,9 +43,14 @@
 
 @dataclass(slots=True)
 class MemoryStore:
-    """One store; `client` gives each caller faults of its own."""
+    """One store; `client` gives each caller faults of its own.
+
+    Attributes:
+        calls: Calls of all clients.
+    """
 
     revision: int = 1
+    calls: int = 0
     items: dict[str, Item] = field(default_factory=dict)
     leases: dict[int, tuple[float, float]] = field(default_factory=dict)
     lease_keys: dict[str, int] = field(default_factory=dict)
@@ -155,6 +160,7 @@
         self.faults = faults
 
     async def _begin(self) -> None:
+        self._store.calls += 1
         await anyio.sleep(0.001)
         if self.faults.is_down:
             raise StoreCallError("status 503", is_outcome_unknown=False)
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -445,3 +445,18 @@
     deployment.store.delete(f"servers/{holder.id}")
     deployment.start("two", hold_ms=1000)
     assert await until(lambda: len(deployment.runs(task)) == 2, 9.0)
+
+
+async def test_waiting_instances_ask_little_after_the_history_was_dropped(group):
+    """Guards against a watch from a revision that is forgotten, again and again."""
+    deployment = make_deployment(group, 1)
+    first = deployment.start("one")
+    assert await until(lambda: first.leadership.is_controller)
+    deployment.start("two")
+    await anyio.sleep(0.1)
+    deployment.store.revision += 10
+    deployment.store.drop_history()
+    await anyio.sleep(0.1)
+    before = deployment.store.calls
+    await anyio.sleep(0.5)
+    assert deployment.store.calls - before < 20
