Tell the ends of two lives of a worker apart in the soak

Cause of soak (a task began again 0.36 s after its end was taken note of): a fault of the judge. The worker had crashed with an end that no controller had seen; its new life began to count ends at 1 again, and the judge took the acknowledgement of that for one of the old end.

Ruled out: the product (the log shows the take-over 0.2 s after the crash, and no acknowledged end of that run).

--- a/src/foxtailwell_soak/_judge.py
+++ b/src/foxtailwell_soak/_judge.py
@@ -93,8 +93,9 @@
 
     def _note_ends(self, port: WorkerPort) -> None:
         for span in port.worker.spans:
+            is_told = span.boot_unix_ms == port.worker.boot_unix_ms
             is_done = span.kind is EndKind.DONE and span.number <= port.worker.acknowledged
-            if is_done and span.task not in self._taken_note_s:
+            if is_told and is_done and span.task not in self._taken_note_s:
                 self._taken_note_s[span.task] = time.monotonic()
 
     def check_answers(self) -> None:
