--- a/src/foxtailwell/controller/__init__.py
+++ b/src/foxtailwell/controller/__init__.py
@@ -3,6 +3,7 @@
 from foxtailwell.controller._controller import FleetAccess, OperatorView
 from foxtailwell.controller._intake import CancelOutcome, Intake, IntakeError, SubmitOutcome
 from foxtailwell.controller._leadership import Leadership, LeadershipSettings
+from foxtailwell.controller._upkeep import UpkeepAccess
 from foxtailwell.controller._watch import Snapshot, follow_prefix
 
 __all__ = [
@@ -15,5 +16,6 @@
     "OperatorView",
     "Snapshot",
     "SubmitOutcome",
+    "UpkeepAccess",
     "follow_prefix",
 ]
--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -11,12 +11,10 @@
 
 from foxtailwell.adapters.events import (
     JOB_PLACED,
-    RUN_ENDED,
-    RUN_LOST,
     RUN_STALLED,
     STARTS_REJECTED,
     TASK_RECLAIMED,
-    TASK_UNREADABLE,
+    WATCH_FAILED,
 )
 from foxtailwell.adapters.logs import log_event
 from foxtailwell.adapters.work_metrics import WorkMetrics
@@ -30,24 +28,25 @@
     WorkerLink,
     WorkerListed,
 )
-from foxtailwell.controller._records import INTAKE_PREFIX
+from foxtailwell.controller._records import INTAKE_PREFIX, WAITING_PREFIX
+from foxtailwell.controller._runs import RunReports
 from foxtailwell.controller._stored_jobs import StoredJobs
+from foxtailwell.controller._tickets import AdviceAnswered, Tickets
+from foxtailwell.controller._upkeep import MachinesListed, Upkeep, UpkeepAnswered, UpkeepEvent
 from foxtailwell.controller._watch import Snapshot, follow_prefix
 from foxtailwell.controller._workers import FleetAccess, Workers
 from foxtailwell.workflows import (
     Change,
     ClusterConfiguration,
-    EndKind,
     FleetView,
     Item,
     JobBook,
     KeyValueStore,
-    ListedRun,
-    OrderOutcome,
     Placement,
     Queue,
     Reservation,
     StartOrder,
+    StoreCallError,
     Task,
     TaskId,
     TaskState,
@@ -74,6 +73,12 @@
 SUBMISSION_WAIT_MS = 1000
 """Wait of the watch on submissions, which bounds how long a silent connection goes unnoticed."""
 
+UNSEEN_PAUSE_S = 0.3
+"""Pause between two looks for submissions that the watch missed; urgent work has 1 s to spare."""
+
+WAVES_WAIT_MS = 4000
+"""Wait of the watch on waves of upkeep, which last for tens of seconds."""
+
 WORKERS_WAIT_MS = 600
 """Wait of the watch on workers: a draining worker must be known well within 2 s."""
 
@@ -116,7 +121,7 @@
     pass
 
 
-_Event = LinkEvent | _IntakeChanges | Snapshot | _Wake
+_Event = LinkEvent | AdviceAnswered | UpkeepEvent | _IntakeChanges | Snapshot | _Wake
 
 
 @dataclass(slots=True)
@@ -180,7 +185,6 @@
             metrics=metrics,
         )
         self._reservations: tuple[Reservation, ...] = ()
-        self._strays: set[tuple[str, TaskId, int]] = set()
         self._planned_version = -1
         self._planned_s = 0.0
         self._pending = _Pending()
@@ -189,6 +193,21 @@
         self._started_s = now_s()
         send, receive = anyio.create_memory_object_stream[_Event](math.inf)
         self._send, self._receive = send, receive
+        self._tickets = Tickets(fleet.advisor, now_s, send)
+        self._upkeep = (
+            Upkeep(fleet.upkeep, store, token, self._book, renewed_s, now_s, send)
+            if fleet.upkeep
+            else None
+        )
+        self._runs = RunReports(
+            self._book,
+            self._workers,
+            self._tickets,
+            metrics,
+            now_s=now_s,
+            now_unix_ms=now_unix_ms,
+            first_lapse_s=self._first_lapse_s(),
+        )
 
     @property
     def token(self) -> int:
@@ -255,6 +274,19 @@
                 WORKERS_PAUSE_S,
                 self._on_workers,
             )
+            group.start_soon(self._tickets.run)
+            group.start_soon(self._look_for_unseen)
+            if self._upkeep is not None:
+                group.start_soon(self._upkeep.run)
+                group.start_soon(
+                    follow_prefix,
+                    self._store,
+                    self._upkeep.waves_prefix,
+                    None,
+                    WAVES_WAIT_MS,
+                    0.0,
+                    self._upkeep.on_waves,
+                )
             try:
                 await self._loop(group)
             finally:
@@ -264,6 +296,18 @@
     async def _on_intake(self, changes: Snapshot) -> None:
         await self._send.send(_IntakeChanges(changes.changes))
 
+    async def _look_for_unseen(self) -> None:
+        """Find submissions while the watch reports nothing, as when the store drops its history."""
+        while True:
+            await anyio.sleep(UNSEEN_PAUSE_S)
+            try:
+                changes = await self._jobs.find_unseen()
+            except StoreCallError as failure:
+                log_event(WATCH_FAILED, prefix=WAITING_PREFIX, reason=failure.reason)
+                continue
+            if changes:
+                await self._send.send(_IntakeChanges(changes))
+
     async def _on_workers(self, changes: Snapshot) -> None:
         await self._send.send(changes)
 
@@ -315,10 +359,8 @@
                 self._apply(self._receive.receive_nowait())
             except anyio.WouldBlock:
                 break
-        self._release_lapsed()
-        for worker in self._workers.take_departed():
-            for task in self._book.placed_on(worker):
-                self._lose(task, "the worker has left")
+        self._runs.release_lapsed()
+        self._runs.release_departed()
         await self._jobs.delete_old_records()
 
     def _pause_s(self) -> float:
@@ -333,109 +375,22 @@
             case Snapshot():
                 self._workers.apply_entries(event)
             case WorkerListed():
-                self._apply_listing(event)
+                highest = self._runs.apply_listing(event)
+                link = self._workers.links[event.worker]
+                self._pending.processed.append((link, highest, event.processed))
             case StartAnswered():
-                self._apply_start(event)
+                self._runs.apply_start(event)
             case StopAnswered():
-                task = self._book.find(event.task)
-                if task is not None and task.run == event.run:
-                    task.stopped_s = self._now_s()
+                self._runs.apply_stop(event)
+            case AdviceAnswered():
+                self._tickets.apply(event)
+                self._planned_s = 0.0
+            case MachinesListed() | UpkeepAnswered():
+                if self._upkeep is not None:
+                    self._upkeep.apply(event)
             case _Wake():
                 self._planned_s = 0.0
 
-    # Workers
-
-    def _apply_listing(self, event: WorkerListed) -> None:
-        link = self._workers.links[event.worker]
-        listing = event.listing
-        now_unix_ms = self._now_unix_ms()
-        for end in listing.ended:
-            self._apply_end(event.worker, end.task, end.run, end.kind, end.checkpoint, now_unix_ms)
-        running: set[tuple[str, int]] = set()
-        for run in listing.running:
-            running.add((run.task, run.run))
-            self._apply_running(event.worker, listing.boot_unix_ms, run)
-        for task in self._book.placed_on(event.worker):
-            if (str(task.id), task.run) not in running:
-                self._apply_absence(task, event.sent_s, listing.boot_unix_ms)
-        highest = max((end.number for end in listing.ended), default=link.acknowledged)
-        self._pending.processed.append((link, highest, event.processed))
-
-    def _apply_end(
-        self, worker: str, text: str, run: int, kind: EndKind, checkpoint: str, now_unix_ms: int
-    ) -> None:
-        task_id = _parse_task(text)
-        task = self._book.find(task_id) if task_id else None
-        if task is None or task_id is None:
-            return
-        if not self._book.end_run(task, run, kind, checkpoint, now_unix_ms):
-            return
-        self._metrics.count("run_ends", how=kind.value)
-        log_event(RUN_ENDED, job=task_id.job_id, task=text, run=run, worker=worker, how=kind.value)
-        if kind is EndKind.DONE:
-            self._workers.record_success(worker)
-        elif kind is EndKind.FAILED:
-            self._workers.record_failure(worker, task_id.job_id)
-
-    def _apply_running(self, worker: str, boot_unix_ms: int, run: ListedRun) -> None:
-        task_id = _parse_task(run.task)
-        task = self._book.find(task_id) if task_id else None
-        if task is not None and task.is_placed and task.run == run.run and task.worker == worker:
-            task.boot_unix_ms = boot_unix_ms
-            task.checkpoint = run.checkpoint or task.checkpoint
-            self._book.note_progress(task, run.percent, self._now_s())
-            if not task.is_confirmed:
-                self._book.confirm(task)
-        elif task_id is not None:
-            # A run that no record asks for: of an ended job, or given up by a lapse.
-            self._strays.add((worker, task_id, run.run))
-
-    def _apply_absence(self, task: Task, sent_s: float, boot_unix_ms: int) -> None:
-        if task.stopped_s > 0 and task.stopped_s < sent_s and task.state is TaskState.STOPPING:
-            self._lose(task, "stopped before it began")
-        elif task.is_confirmed and task.boot_unix_ms != boot_unix_ms:
-            self._lose(task, "the worker restarted")
-        elif task.state is TaskState.ASSIGNED and task.settled_s < sent_s:
-            self._book.begin_stop(task)
-
-    def _lose(self, task: Task, reason: str) -> None:
-        self._metrics.count("runs_lost", reason=reason)
-        log_event(
-            RUN_LOST,
-            job=task.id.job_id,
-            task=str(task.id),
-            run=task.run,
-            worker=task.worker,
-            reason=reason,
-        )
-        self._book.release(task)
-
-    def _apply_start(self, event: StartAnswered) -> None:
-        task = self._book.find(event.task)
-        if task is None or task.run != event.run or task.state is not TaskState.ASSIGNED:
-            return
-        task.settled_s = self._now_s()
-        outcome = event.outcome.value if event.outcome else "no answer"
-        self._metrics.count("starts", outcome=outcome)
-        self._metrics.observe_s("placement_to_start", task.settled_s - task.started_s)
-        if event.outcome is OrderOutcome.DONE:
-            self._book.confirm(task)
-            return
-        self._workers.avoid(event.worker)
-        if event.outcome is not None and event.is_certain:
-            self._book.release(task)
-        else:
-            self._book.begin_stop(task)
-
-    def _release_lapsed(self) -> None:
-        now_s = self._now_s()
-        for worker in self._book.workers_with_tasks():
-            link = self._workers.links.get(worker)
-            until_s = link.granted_until_s if link else self._first_lapse_s()
-            if now_s > until_s:
-                for task in self._book.placed_on(worker):
-                    self._lose(task, "the lease lapsed without contact")
-
     # Decisions
 
     def _plan_starts(self) -> None:
@@ -451,13 +406,16 @@
         self._refresh_queues(view.configuration)
         self._leave_draining_workers()
         self._stop_stalled_runs(now_s)
+        for task in self._upkeep.decide() if self._upkeep else ():
+            self._book.begin_stop(task)
         within = self._book.accounts_within(view.configuration.guaranteed_accelerators)
         units = self._book.ready_units(now_s, self._now_unix_ms(), within)
         if not units and not self._reservations:
             return
-        fleet = FleetView(
-            now_s, self._workers.views(view.zones_out, now_s, within), units, self._reservations
-        )
+        units = self._tickets.admit(units, self._workers.entries)
+        cordoned = self._upkeep.cordoned() if self._upkeep else frozenset()
+        workers = self._workers.views(view.zones_out, cordoned, now_s, within)
+        fleet = FleetView(now_s, workers, units, self._reservations)
         decided = plan(fleet)
         self._reservations = decided.reservations
         self._planned_version, self._planned_s = self._book.version, now_s
@@ -465,6 +423,8 @@
             self._reclaim(victim)
         for placement in decided.placements:
             self._assign(placement, now_s)
+        placed = {placement.unit.key for placement in decided.placements}
+        self._tickets.ask((u for u in units if u.key not in placed), self._workers.entries)
 
     def _leave_draining_workers(self) -> None:
         """Stop tasks that save their work, shortly before their worker may leave."""
@@ -514,11 +474,10 @@
             for task in self._book.placed_on(worker) if link else ():
                 if link and task.state is TaskState.STOPPING and task.stopped_s <= 0:
                     link.stop(group, task.id, task.run)
-        for worker, task_id, run in self._strays:
+        for worker, task_id, run in self._runs.take_strays():
             link = self._workers.links.get(worker)
             if link is not None:
                 link.stop(group, task_id, run)
-        self._strays.clear()
 
     async def _flush(self, group: TaskGroup) -> None:
         pending, self._pending = self._pending, _Pending()
@@ -545,9 +504,9 @@
                 link.acknowledged = max(link.acknowledged, highest)
             processed.set()
         self._send_starts(group, [p for p in pending.placements if p.unit.job_id not in blocked])
-        self._jobs.forget_ended(
-            change.job for change in changes if change.job.submission.job_id not in blocked
-        )
+        stored = [c.job for c in changes if c.job.submission.job_id not in blocked]
+        forgotten = self._jobs.forget_ended(stored)
+        self._tickets.forget_jobs(job.submission.job_id for job in forgotten)
         if rejected:
             self.wake()
 
@@ -595,17 +554,11 @@
                     continue
                 saved = checkpoint if unit.step.is_gang else task.checkpoint
                 link.set_wanted(True)
-                link.start(group, StartOrder(task_id, task.run, job.submission.payload, saved))
+                ticket = self._tickets.ticket(unit.key, worker)
+                payload = job.submission.payload
+                link.start(group, StartOrder(task_id, task.run, payload, saved, ticket))
 
 
 def _common_checkpoint(tasks: Mapping[TaskId, Task], members: tuple[TaskId, ...]) -> str:
     """Return one checkpoint for all members; each member's is valid for the gang."""
     return max(tasks[member].checkpoint for member in members)
-
-
-def _parse_task(text: str) -> TaskId | None:
-    parts = text.split(".")
-    if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
-        log_event(TASK_UNREADABLE, task=text)
-        return None
-    return TaskId(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
--- a/src/foxtailwell/controller/_records.py
+++ b/src/foxtailwell/controller/_records.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import msgspec
 
 from foxtailwell.workflows import JobProgress, JobState, Submission, TaskProgress
@@ -14,15 +16,19 @@
     "PROGRESS_PREFIX",
     "REFUSED_MARK",
     "RecordError",
+    "WAITING_PREFIX",
     "cancel_key",
     "decode_progress",
     "decode_submission_record",
+    "decode_wave_progress",
     "encode_progress",
     "encode_submission_record",
+    "encode_wave_progress",
     "job_key",
     "progress_key",
     "waiting_key",
     "waiting_prefix",
+    "wave_key",
 ]
 
 CONTROLLER_KEY = "foxtailwell/controller"
@@ -30,7 +36,8 @@
 JOB_PREFIX = INTAKE_PREFIX + "job/"
 CANCEL_PREFIX = INTAKE_PREFIX + "cancel/"
 PROGRESS_PREFIX = "foxtailwell/run/"
-_WAITING_PREFIX = "foxtailwell/wait/"
+WAITING_PREFIX = "foxtailwell/wait/"
+_WAVE_PREFIX = "foxtailwell/wave/"
 
 REFUSED_MARK = b"refused"
 """Value of a job key that keeps an unanswered create from taking effect later."""
@@ -64,7 +71,7 @@
 
 def waiting_prefix(queue: str) -> str:
     """Return the prefix of the jobs of a queue without a started task."""
-    return f"{_WAITING_PREFIX}{queue}/"
+    return f"{WAITING_PREFIX}{queue}/"
 
 
 def waiting_key(queue: str, job_id: str) -> str:
@@ -114,3 +121,21 @@
         raise RecordError(f"progress: {error}") from error
     tasks = tuple(TaskProgress(*task) for task in record.tasks)
     return JobProgress(record.state, record.begun, record.ended_unix_ms, tasks)
+
+
+def wave_key(number: int) -> str:
+    """Return the key of the progress of a wave of upkeep."""
+    return f"{_WAVE_PREFIX}{number}"
+
+
+def encode_wave_progress(machines: Iterable[str]) -> bytes:
+    """Encode the machines of a wave whose upkeep has begun."""
+    return msgspec.json.encode(sorted(machines))
+
+
+def decode_wave_progress(value: bytes) -> tuple[str, ...]:
+    """Decode the progress of a wave; raises `RecordError`."""
+    try:
+        return msgspec.json.decode(value, type=tuple[str, ...])
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise RecordError(f"wave: {error}") from error
--- /dev/null
+++ b/src/foxtailwell/controller/_runs.py
@@ -0,0 +1,181 @@
+"""Runs as workers report them: starts that were answered, progress, ends, and losses."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from foxtailwell.adapters.events import RUN_ENDED, RUN_LOST, TASK_UNREADABLE
+from foxtailwell.adapters.logs import log_event
+from foxtailwell.adapters.work_metrics import WorkMetrics
+from foxtailwell.controller._links import StartAnswered, StopAnswered, WorkerListed
+from foxtailwell.controller._tickets import Tickets
+from foxtailwell.controller._workers import Workers
+from foxtailwell.workflows import (
+    EndKind,
+    JobBook,
+    ListedRun,
+    OrderOutcome,
+    Task,
+    TaskId,
+    TaskState,
+)
+
+__all__ = ["RunReports"]
+
+
+class RunReports:
+    """Applies what workers report to the book; owned by the controller's main task.
+
+    Args:
+        book: Unfinished jobs.
+        workers: Workers and their links.
+        tickets: Tickets of the advisor.
+        metrics: Counts starts, ends and losses.
+        now_s: Local clock that counts suspended time.
+        now_unix_ms: Time of day.
+        first_lapse_s: Local time at which every lease of an earlier controller has run out.
+    """
+
+    def __init__(
+        self,
+        book: JobBook,
+        workers: Workers,
+        tickets: Tickets,
+        metrics: WorkMetrics,
+        *,
+        now_s: Callable[[], float],
+        now_unix_ms: Callable[[], int],
+        first_lapse_s: float,
+    ) -> None:
+        self._book = book
+        self._workers = workers
+        self._tickets = tickets
+        self._metrics = metrics
+        self._now_s = now_s
+        self._now_unix_ms = now_unix_ms
+        self._first_lapse_s = first_lapse_s
+        self._strays: set[tuple[str, TaskId, int]] = set()
+
+    def apply_listing(self, event: WorkerListed) -> int:
+        """Take over what a worker lists; returns the highest end that it names."""
+        link = self._workers.links[event.worker]
+        listing = event.listing
+        now_unix_ms = self._now_unix_ms()
+        for end in listing.ended:
+            self._apply_end(event.worker, end.task, end.run, end.kind, end.checkpoint, now_unix_ms)
+        running: set[tuple[str, int]] = set()
+        for run in listing.running:
+            running.add((run.task, run.run))
+            self._apply_running(event.worker, listing.boot_unix_ms, run)
+        for task in self._book.placed_on(event.worker):
+            if (str(task.id), task.run) not in running:
+                self._apply_absence(task, event.sent_s, listing.boot_unix_ms)
+        return max((end.number for end in listing.ended), default=link.acknowledged)
+
+    def _apply_end(
+        self, worker: str, text: str, run: int, kind: EndKind, checkpoint: str, now_unix_ms: int
+    ) -> None:
+        task_id = _parse_task(text)
+        task = self._book.find(task_id) if task_id else None
+        if task is None or task_id is None:
+            return
+        if not self._book.end_run(task, run, kind, checkpoint, now_unix_ms):
+            return
+        self._metrics.count("run_ends", how=kind.value)
+        log_event(RUN_ENDED, job=task_id.job_id, task=text, run=run, worker=worker, how=kind.value)
+        if kind is EndKind.DONE:
+            self._workers.record_success(worker)
+        elif (
+            kind is EndKind.FAILED and not self._book.jobs[task_id.job_id].step(task_id).is_lasting
+        ):
+            # A lasting task may fail at any time, which says nothing about its worker.
+            self._workers.record_failure(worker, task_id.job_id)
+
+    def _apply_running(self, worker: str, boot_unix_ms: int, run: ListedRun) -> None:
+        task_id = _parse_task(run.task)
+        task = self._book.find(task_id) if task_id else None
+        if task is not None and task.is_placed and task.run == run.run and task.worker == worker:
+            task.boot_unix_ms = boot_unix_ms
+            task.checkpoint = run.checkpoint or task.checkpoint
+            self._book.note_progress(task, run.percent, self._now_s())
+            if not task.is_confirmed:
+                self._book.confirm(task)
+        elif task_id is not None:
+            # A run that no record asks for: of an ended job, or given up by a lapse.
+            self._strays.add((worker, task_id, run.run))
+
+    def _apply_absence(self, task: Task, sent_s: float, boot_unix_ms: int) -> None:
+        if task.stopped_s > 0 and task.stopped_s < sent_s and task.state is TaskState.STOPPING:
+            self._lose(task, "stopped before it began")
+        elif task.is_confirmed and task.boot_unix_ms != boot_unix_ms:
+            self._lose(task, "the worker restarted")
+        elif task.state is TaskState.ASSIGNED and task.settled_s < sent_s:
+            self._book.begin_stop(task)
+
+    def _lose(self, task: Task, reason: str) -> None:
+        self._metrics.count("runs_lost", reason=reason)
+        log_event(
+            RUN_LOST,
+            job=task.id.job_id,
+            task=str(task.id),
+            run=task.run,
+            worker=task.worker,
+            reason=reason,
+        )
+        self._book.release(task)
+
+    def apply_start(self, event: StartAnswered) -> None:
+        """Take over the answer to a start order, or that there was none."""
+        task = self._book.find(event.task)
+        if task is None or task.run != event.run or task.state is not TaskState.ASSIGNED:
+            return
+        task.settled_s = self._now_s()
+        outcome = event.outcome.value if event.outcome else "no answer"
+        self._metrics.count("starts", outcome=outcome)
+        self._metrics.observe_s("placement_to_start", task.settled_s - task.started_s)
+        if event.outcome is OrderOutcome.DONE:
+            self._book.confirm(task)
+            return
+        if event.outcome is OrderOutcome.NO_TICKET:
+            self._tickets.drop((task.id.job_id, task.id.occurrence, task.id.step), event.worker)
+        else:
+            self._workers.avoid(event.worker)
+        if event.outcome is not None and event.is_certain:
+            self._book.release(task)
+        else:
+            self._book.begin_stop(task)
+
+    def apply_stop(self, event: StopAnswered) -> None:
+        """Note that a worker confirmed a stop."""
+        task = self._book.find(event.task)
+        if task is not None and task.run == event.run:
+            task.stopped_s = self._now_s()
+
+    def take_strays(self) -> set[tuple[str, TaskId, int]]:
+        """Return runs that no record asks for, each once."""
+        strays, self._strays = self._strays, set()
+        return strays
+
+    def release_departed(self) -> None:
+        """Queue the tasks of workers that have left again."""
+        for worker in self._workers.take_departed():
+            for task in self._book.placed_on(worker):
+                self._lose(task, "the worker has left")
+
+    def release_lapsed(self) -> None:
+        """Queue the tasks again whose lease has run out without contact."""
+        now_s = self._now_s()
+        for worker in self._book.workers_with_tasks():
+            link = self._workers.links.get(worker)
+            until_s = link.granted_until_s if link else self._first_lapse_s
+            if now_s > until_s:
+                for task in self._book.placed_on(worker):
+                    self._lose(task, "the lease lapsed without contact")
+
+
+def _parse_task(text: str) -> TaskId | None:
+    parts = text.split(".")
+    if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
+        log_event(TASK_UNREADABLE, task=text)
+        return None
+    return TaskId(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
--- a/src/foxtailwell/controller/_stored_jobs.py
+++ b/src/foxtailwell/controller/_stored_jobs.py
@@ -20,9 +20,11 @@
     JOB_PREFIX,
     PROGRESS_PREFIX,
     REFUSED_MARK,
+    WAITING_PREFIX,
     RecordError,
     decode_progress,
     decode_submission_record,
+    job_key,
     progress_key,
 )
 from foxtailwell.workflows import (
@@ -102,6 +104,18 @@
         log_event(CONTROLLER_LOADED, token=token, jobs=len(jobs), ended=len(progress))
         return revision
 
+    async def find_unseen(self) -> tuple[Change, ...]:
+        """Return submissions that no watch has reported, by the keys of jobs without a task.
+
+        Raises:
+            StoreCallError: The store gave no answer.
+        """
+        marks, _ = await self._store.list_items(WAITING_PREFIX)
+        waiting = [mark.key.rpartition("/")[2] for mark in marks]
+        unseen = [j for j in waiting if j not in self._book.jobs and j not in self._ended_unix_ms]
+        found = [await self._store.get(job_key(job_id)) for job_id in unseen]
+        return tuple(Change(i.key, i.value, i.revision) for i in found if i is not None)
+
     def apply(self, change: Change, progress: Mapping[str, JobProgress]) -> None:
         """Take over a submission, with its stored progress, or a cancellation."""
         if change.key.startswith(CANCEL_PREFIX):
@@ -133,14 +147,21 @@
             self._book.cancel(job_id, self._now_unix_ms())
         log_event(JOB_SEEN, job=job_id, queue=submission.queue, steps=len(submission.steps))
 
-    def forget_ended(self, jobs: Iterable[Job]) -> None:
-        """Forget jobs that have ended, whose last record is stored and whose tasks are gone."""
+    def forget_ended(self, jobs: Iterable[Job]) -> list[Job]:
+        """Forget jobs that have ended, whose last record is stored and whose tasks are gone.
+
+        Returns:
+            The forgotten jobs.
+        """
+        forgotten: list[Job] = []
         for job in jobs:
             job_id = job.submission.job_id
             if job.state.is_final and not job.has_placed_tasks and job_id in self._book.jobs:
                 self._report_end(job)
                 self._ended_unix_ms[job_id] = job.ended_unix_ms
                 self._book.remove(job_id)
+                forgotten.append(job)
+        return forgotten
 
     def _report_end(self, job: Job) -> None:
         queue, account = job.submission.queue, job.submission.account
--- /dev/null
+++ b/src/foxtailwell/controller/_tickets.py
@@ -0,0 +1,174 @@
+"""Tickets of the advisor: which steps may run at which workers, and for how long."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field, replace
+
+import anyio
+from anyio.streams.memory import MemoryObjectSendStream
+
+from foxtailwell.adapters.events import ADVICE_UNANSWERED
+from foxtailwell.adapters.logs import log_event
+from foxtailwell.workflows import AdviceCallError, Advisor, Unit, WorkerEntry
+
+__all__ = ["AdviceAnswered", "Tickets"]
+
+WORKERS_A_CALL = 30
+"""Workers named in one call: the service takes its time for each, and job targets allow for 30."""
+
+TICKET_MARGIN_S = 0.6
+"""Least time that a ticket must stay valid to be used: one transaction and one repeated order."""
+
+RETRY_PAUSE_S = 0.3
+"""Pause after a call without advice; the service refuses calls while many wait."""
+
+StepKey = tuple[str, int, int]
+
+
+@dataclass(frozen=True, slots=True)
+class AdviceAnswered:
+    """The advisor named the allowed workers among those that were asked for."""
+
+    key: StepKey
+    lives: Mapping[str, int]
+    tickets: Mapping[str, str]
+    valid_until_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Ticket:
+    text: str
+    boot_unix_ms: int
+    valid_until_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Question:
+    key: StepKey
+    lives: Mapping[str, int]
+    valid_s: float
+
+
+@dataclass(slots=True)
+class _Step:
+    tickets: dict[str, _Ticket] = field(default_factory=dict)
+    refused: set[tuple[str, int]] = field(default_factory=set)
+
+
+class Tickets:
+    """Asks the advisor, one call at a time, and keeps what it said.
+
+    Args:
+        advisor: The service; None leaves units of such queues without a worker.
+        now_s: Local clock that counts suspended time.
+        events: Takes each answer to the controller's main task.
+    """
+
+    def __init__(
+        self,
+        advisor: Advisor | None,
+        now_s: Callable[[], float],
+        events: MemoryObjectSendStream[AdviceAnswered],
+    ) -> None:
+        self._advisor = advisor
+        self._now_s = now_s
+        self._events = events
+        self._steps: dict[StepKey, _Step] = {}
+        self._questions: list[_Question] = []
+        self._wake = anyio.Event()
+
+    def admit(self, units: Iterable[Unit], entries: Mapping[str, WorkerEntry]) -> list[Unit]:
+        """Return the units with the workers that they have tickets for."""
+        return [
+            replace(unit, allowed=self._allowed(unit, entries)) if unit.queue.advice else unit
+            for unit in units
+        ]
+
+    def ask(self, units: Iterable[Unit], entries: Mapping[str, WorkerEntry]) -> None:
+        """Ask for further workers of the units that wait, the most urgent first."""
+        waiting = [unit for unit in units if unit.queue.advice]
+        waiting.sort(key=lambda unit: (unit.queue.priority, unit.due_s))
+        questions = [self._question(unit, entries) for unit in waiting]
+        self._questions = [question for question in questions if question is not None]
+        if self._questions:
+            self._wake.set()
+
+    def _allowed(self, unit: Unit, entries: Mapping[str, WorkerEntry]) -> frozenset[str]:
+        step = self._steps.get(unit.key, _Step())
+        least_s = self._now_s() + TICKET_MARGIN_S
+        return frozenset(
+            worker
+            for worker, ticket in step.tickets.items()
+            if ticket.valid_until_s > least_s
+            and worker in entries
+            and entries[worker].boot_unix_ms == ticket.boot_unix_ms
+        )
+
+    def _question(self, unit: Unit, entries: Mapping[str, WorkerEntry]) -> _Question | None:
+        step = self._steps.setdefault(unit.key, _Step())
+        open_workers = [
+            entry
+            for entry in entries.values()
+            if entry.is_ready
+            and entry.pool == unit.queue.pool
+            and entry.id not in (unit.allowed or ())
+            and (entry.id, entry.boot_unix_ms) not in step.refused
+            and (not unit.step.required_label or unit.step.required_label in entry.labels)
+        ]
+        open_workers.sort(key=lambda entry: (entry.rack != unit.step.data_rack, entry.id))
+        named = {entry.id: entry.boot_unix_ms for entry in open_workers[:WORKERS_A_CALL]}
+        advice = unit.queue.advice
+        return _Question(unit.key, named, advice.valid_s) if named and advice else None
+
+    def apply(self, answer: AdviceAnswered) -> None:
+        """Take over what the advisor said."""
+        step = self._steps.setdefault(answer.key, _Step())
+        for worker, boot_unix_ms in answer.lives.items():
+            if worker in answer.tickets:
+                step.tickets[worker] = _Ticket(
+                    answer.tickets[worker], boot_unix_ms, answer.valid_until_s
+                )
+            else:
+                step.refused.add((worker, boot_unix_ms))
+
+    def ticket(self, key: StepKey, worker: str) -> str:
+        """Return the ticket for a start; empty when none is needed."""
+        step = self._steps.get(key)
+        found = step.tickets.get(worker) if step else None
+        return found.text if found else ""
+
+    def drop(self, key: StepKey, worker: str) -> None:
+        """Forget a ticket that its worker did not accept."""
+        step = self._steps.get(key)
+        if step is not None:
+            step.tickets.pop(worker, None)
+
+    def forget_jobs(self, job_ids: Iterable[str]) -> None:
+        """Forget the tickets of jobs that have ended."""
+        gone = set(job_ids)
+        if gone:
+            self._steps = {k: step for k, step in self._steps.items() if k[0] not in gone}
+
+    async def run(self) -> None:
+        """Ask for what was last wanted, one call at a time."""
+        if self._advisor is None:
+            return
+        while True:
+            await self._wake.wait()
+            if not self._questions:
+                self._wake = anyio.Event()
+                continue
+            question = self._questions.pop(0)
+            job_id, occurrence, number = question.key
+            sent_s = self._now_s()
+            try:
+                tickets = await self._advisor.advise(
+                    f"{job_id}.{occurrence}.{number}", tuple(question.lives)
+                )
+            except AdviceCallError as failure:
+                log_event(ADVICE_UNANSWERED, job=job_id, step=number, reason=failure.reason)
+                await anyio.sleep(RETRY_PAUSE_S)
+                continue
+            until_s = sent_s + question.valid_s
+            await self._events.send(AdviceAnswered(question.key, question.lives, tickets, until_s))
--- /dev/null
+++ b/src/foxtailwell/controller/_upkeep.py
@@ -0,0 +1,335 @@
+"""Waves of upkeep: machines go down in turn, at most so many at once, and in time."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+import anyio
+from anyio.streams.memory import MemoryObjectSendStream
+
+from foxtailwell.adapters.events import (
+    MACHINE_CALL_FAILED,
+    RECORD_UNREADABLE,
+    UPKEEP_BEGUN,
+    UPKEEP_REFUSED,
+    WAVE_COMPLETED,
+    WAVE_SEEN,
+)
+from foxtailwell.adapters.logs import log_event
+from foxtailwell.controller._records import (
+    CONTROLLER_KEY,
+    RecordError,
+    decode_wave_progress,
+    encode_wave_progress,
+    wave_key,
+)
+from foxtailwell.controller._watch import Snapshot
+from foxtailwell.workflows import (
+    Committed,
+    JobBook,
+    KeyValueStore,
+    Machine,
+    MachineCallError,
+    MachineCalls,
+    MachineState,
+    Put,
+    StoreCallError,
+    Task,
+    TaskState,
+    UpkeepOutcome,
+    Wave,
+)
+
+__all__ = ["MachinesListed", "Upkeep", "UpkeepAccess", "UpkeepAnswered", "UpkeepEvent"]
+
+LISTING_PAUSE_S = 0.5
+"""Pause between two listings of the machines; the platform allows 60 readings a second in all."""
+
+FIRST_ORDER_S = 3.5
+"""Time after an election without orders: holders must not take turns within 3 s."""
+
+ORDER_TERM_S = 1.2
+"""Age of the renewed lease up to which an order is sent; the lease lasts 1.5 s."""
+
+SLACK_S = 2.0
+"""Time kept for listings and stops within the time that each machine has."""
+
+
+@dataclass(frozen=True, slots=True)
+class UpkeepAccess:
+    """How waves are read, their state is told, and machines are called.
+
+    Attributes:
+        down_s: Time for which an upkeep takes a machine away.
+    """
+
+    calls: MachineCalls
+    down_s: float
+    waves_prefix: str
+    status_prefix: str
+    decode_wave: Callable[[bytes], Wave | None]
+    encode_status: Callable[[int, bool], bytes]
+
+
+@dataclass(frozen=True, slots=True)
+class MachinesListed:
+    """The platform listed its machines."""
+
+    machines: Mapping[str, Machine]
+
+
+@dataclass(frozen=True, slots=True)
+class UpkeepAnswered:
+    """An order was answered; `outcome` is None when it was not."""
+
+    wave: int
+    machine: str
+    outcome: UpkeepOutcome | None
+
+
+UpkeepEvent = MachinesListed | UpkeepAnswered
+
+
+@dataclass(slots=True)
+class _OpenWave:
+    """One wave.
+
+    Attributes:
+        prepared_s: Machines that get no further start, and since when.
+        settled_s: Machines whose upkeep has begun or that have left, and since when.
+    """
+
+    wave: Wave
+    prepared_s: dict[str, float] = field(default_factory=dict)
+    settled_s: dict[str, float] = field(default_factory=dict)
+
+    @property
+    def is_complete(self) -> bool:
+        return self.settled_s.keys() >= set(self.wave.machines)
+
+    def patience_s(self, down_s: float) -> float:
+        """Return how long runs on a machine may end by themselves before they are stopped."""
+        rounds = -(-len(self.wave.machines) // self.wave.max_count)
+        return max(0.0, self.wave.within_s / rounds - down_s - SLACK_S)
+
+
+class Upkeep:
+    """Prepares machines, orders their upkeep, and tells which waves are complete.
+
+    Args:
+        access: Waves and machines of the platform.
+        store: Keeps which machines have had their upkeep.
+        token: Fencing token of this term.
+        book: Jobs, for the runs on each worker.
+        renewed_s: Returns when the last renewed lease renewal was sent.
+        now_s: Local clock that counts suspended time.
+        events: Takes answers to the controller's main task.
+    """
+
+    def __init__(
+        self,
+        access: UpkeepAccess,
+        store: KeyValueStore,
+        token: int,
+        book: JobBook,
+        renewed_s: Callable[[], float],
+        now_s: Callable[[], float],
+        events: MemoryObjectSendStream[UpkeepEvent],
+    ) -> None:
+        self._access = access
+        self._store = store
+        self._token = token
+        self._book = book
+        self._renewed_s = renewed_s
+        self._now_s = now_s
+        self._events = events
+        self._began_s = now_s()
+        self._waves: dict[int, _OpenWave] = {}
+        self._machines: Mapping[str, Machine] = {}
+        self._orders: list[tuple[int, str]] = []
+        self._told: dict[int, tuple[int, bool]] = {}
+        self._wake = anyio.Event()
+
+    @property
+    def waves_prefix(self) -> str:
+        """Prefix of the keys under which operators ask for waves."""
+        return self._access.waves_prefix
+
+    async def on_waves(self, snapshot: Snapshot) -> None:
+        """Take over what operators ask for."""
+        for change in snapshot.changes:
+            number = change.key[len(self._access.waves_prefix) :]
+            if change.value is None:
+                self._waves = {n: w for n, w in self._waves.items() if str(n) != number}
+                continue
+            wave = self._access.decode_wave(change.value)
+            if wave is None:
+                log_event(RECORD_UNREADABLE, key=change.key, reason="not a wave of upkeep")
+            elif wave.number not in self._waves:
+                await self._open(wave)
+
+    async def _open(self, wave: Wave) -> None:
+        try:
+            item = await self._store.get(wave_key(wave.number))
+        except StoreCallError as failure:
+            # Without its progress the wave is begun anew: repeated orders change nothing.
+            log_event(MACHINE_CALL_FAILED, call="progress", reason=failure.reason)
+            item = None
+        settled: tuple[str, ...] = ()
+        try:
+            settled = decode_wave_progress(item.value) if item else ()
+        except RecordError as error:
+            log_event(RECORD_UNREADABLE, key=wave_key(wave.number), reason=str(error))
+        now_s = self._now_s()
+        self._waves[wave.number] = _OpenWave(wave, settled_s=dict.fromkeys(settled, now_s))
+        log_event(WAVE_SEEN, wave=wave.number, machines=len(wave.machines), settled=len(settled))
+        self._wake.set()
+
+    def cordoned(self) -> frozenset[str]:
+        """Return the workers that get no further start."""
+        prepared = {m for wave in self._waves.values() for m in wave.prepared_s}
+        return frozenset(self._machines[m].worker for m in prepared if m in self._machines)
+
+    def apply(self, event: UpkeepEvent) -> None:
+        """Take over a listing or an answer."""
+        if isinstance(event, MachinesListed):
+            self._machines = event.machines
+            for wave in self._waves.values():
+                for machine in set(wave.wave.machines) - event.machines.keys():
+                    wave.settled_s.setdefault(machine, self._now_s())
+            return
+        found = self._waves.get(event.wave)
+        if found is None:
+            return
+        if event.outcome in (UpkeepOutcome.BEGUN, UpkeepOutcome.ABSENT):
+            log_event(UPKEEP_BEGUN, wave=event.wave, machine=event.machine)
+            found.settled_s[event.machine] = self._now_s()
+            found.prepared_s.pop(event.machine, None)
+        elif event.outcome is not None:
+            log_event(
+                UPKEEP_REFUSED,
+                wave=event.wave,
+                machine=event.machine,
+                reason=event.outcome.value,
+            )
+
+    def decide(self) -> list[Task]:
+        """Choose machines and give orders.
+
+        Returns:
+            Runs that are to be stopped because their machine goes down.
+        """
+        stops: list[Task] = []
+        for number, wave in self._waves.items():
+            self._prepare(wave)
+            for machine, since_s in wave.prepared_s.items():
+                tasks = self._tasks(machine)
+                if not tasks:
+                    self._order(number, machine)
+                elif self._now_s() - since_s >= wave.patience_s(self._access.down_s):
+                    stops += self._stoppable(tasks)
+        return stops
+
+    def _prepare(self, wave: _OpenWave) -> None:
+        known = [m for m in wave.wave.machines if m in self._machines]
+        down = [m for m in known if m not in wave.prepared_s and self._is_down(wave, m)]
+        free = wave.wave.max_count - len(down) - len(wave.prepared_s)
+        waiting = [m for m in known if m not in wave.settled_s and m not in wave.prepared_s]
+        waiting.sort(key=lambda m: len(self._tasks(m)))
+        for machine in waiting[: max(0, free)]:
+            wave.prepared_s[machine] = self._now_s()
+
+    def _is_down(self, wave: _OpenWave, machine: str) -> bool:
+        # A listing that was under way may still show the machine as it was before its upkeep.
+        since_s = self._now_s() - wave.settled_s.get(machine, -math.inf)
+        return since_s < self._access.down_s or self._machines[machine].state is not MachineState.UP
+
+    def _tasks(self, machine: str) -> list[Task]:
+        found = self._machines.get(machine)
+        return list(self._book.placed_on(found.worker)) if found else []
+
+    def _stoppable(self, tasks: list[Task]) -> list[Task]:
+        """Leave out lasting tasks of which too many are away already."""
+        stops: list[Task] = []
+        leaving: dict[tuple[str, int, int], int] = {}
+        for task in tasks:
+            if task.state is not TaskState.ASSIGNED:
+                continue
+            job = self._book.jobs[task.id.job_id]
+            step = job.step(task.id)
+            key = (task.id.job_id, task.id.occurrence, task.id.step)
+            if step.is_lasting and step.max_unavailable is not None:
+                members = job.step_tasks(task.id.occurrence, task.id.step)
+                away = sum(
+                    not (m.state is TaskState.ASSIGNED and m.percent >= 100) for m in members
+                )
+                if away + leaving.get(key, 0) >= step.max_unavailable:
+                    continue
+                leaving[key] = leaving.get(key, 0) + 1
+            stops.append(task)
+        return stops
+
+    def _order(self, number: int, machine: str) -> None:
+        now_s = self._now_s()
+        is_allowed = (
+            now_s - self._began_s >= FIRST_ORDER_S and now_s - self._renewed_s() < ORDER_TERM_S
+        )
+        if is_allowed and (number, machine) not in self._orders:
+            self._orders.append((number, machine))
+            self._wake.set()
+
+    async def run(self) -> None:
+        """List machines, send orders and tell the state of waves while one is open."""
+        while True:
+            if not self._waves:
+                self._wake = anyio.Event()
+                await self._wake.wait()
+            while self._orders:
+                await self._send_order(*self._orders[0])
+                self._orders.pop(0)
+            try:
+                machines = await self._access.calls.list_machines()
+                await self._events.send(MachinesListed({m.name: m for m in machines}))
+            except MachineCallError as failure:
+                log_event(MACHINE_CALL_FAILED, call="list", reason=failure.reason)
+            await self._tell_states()
+            self._wake = anyio.Event()
+            with anyio.move_on_after(LISTING_PAUSE_S):
+                await self._wake.wait()
+
+    async def _send_order(self, number: int, machine: str) -> None:
+        if self._now_s() - self._renewed_s() >= ORDER_TERM_S:
+            return
+        outcome: UpkeepOutcome | None = None
+        try:
+            outcome = await self._access.calls.begin_upkeep(machine, number, self._token)
+        except MachineCallError as failure:
+            # The next decision sends it again; a repeated order is answered with success.
+            log_event(MACHINE_CALL_FAILED, call="upkeep", machine=machine, reason=failure.reason)
+        await self._events.send(UpkeepAnswered(number, machine, outcome))
+
+    async def _tell_states(self) -> None:
+        for number, wave in list(self._waves.items()):
+            told = (len(wave.settled_s), wave.is_complete)
+            if self._told.get(number) == told:
+                continue
+            progress = encode_wave_progress(wave.settled_s)
+            status = self._access.encode_status(number, wave.is_complete)
+            puts = [
+                Put(wave_key(number), progress),
+                Put(f"{self._access.status_prefix}{number}", status),
+            ]
+            try:
+                answer = await self._store.transact({CONTROLLER_KEY: self._token}, puts)
+            except StoreCallError as failure:
+                log_event(MACHINE_CALL_FAILED, call="status", reason=failure.reason)
+                continue
+            if not isinstance(answer, Committed):
+                # Another instance holds the key and tells the states from now on.
+                return
+            self._told[number] = told
+            if wave.is_complete:
+                log_event(WAVE_COMPLETED, wave=number)
+                self._waves.pop(number, None)
--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -7,12 +7,19 @@
 
 from anyio.abc import TaskGroup
 
-from foxtailwell.adapters.events import ENTRY_REFUSED, WORKER_QUARANTINED
+from foxtailwell.adapters.events import (
+    ENTRY_REFUSED,
+    WORKER_DELISTED,
+    WORKER_DRAINING,
+    WORKER_QUARANTINED,
+)
 from foxtailwell.adapters.logs import log_event
 from foxtailwell.controller._links import WorkerLink
+from foxtailwell.controller._upkeep import UpkeepAccess
 from foxtailwell.controller._watch import Snapshot
 from foxtailwell.core import WorkerHealth, quarantine_until_ms
 from foxtailwell.workflows import (
+    Advisor,
     JobBook,
     RunningTask,
     Task,
@@ -58,11 +65,18 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetAccess:
-    """How the controller reaches workers and reads their entries."""
+    """How the controller reaches workers and reads their entries.
+
+    Attributes:
+        advisor: Says where steps of some queues may run; None where there is no such service.
+        upkeep: Waves and machines; None where there is no such interface.
+    """
 
     workers_prefix: str
     decode_entry: Callable[[str, bytes], WorkerEntry | None]
     connect: Callable[[str, str], WorkerCalls]
+    advisor: Advisor | None = None
+    upkeep: UpkeepAccess | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,7 +135,7 @@
             worker = change.key[len(prefix) :]
             seen.add(worker)
             if change.value is None:
-                gone = self.entries.pop(worker, None)
+                gone = self._delist(worker)
                 if gone is not None and is_prompt and not event.is_complete:
                     self._apply_departure(gone, now_s)
                 continue
@@ -129,15 +143,26 @@
             if entry is None:
                 log_event(ENTRY_REFUSED, key=change.key, size_bytes=len(change.value))
                 continue
+            self._note_change(self.entries.get(worker), entry)
             self.entries[worker] = entry
             self._departing.discard(worker)
             self._seen_s[worker] = now_s
             self._update_link(entry)
         if event.is_complete:
             for worker in self.entries.keys() - seen:
-                del self.entries[worker]
+                self._delist(worker)
             self._health.forget_absent(self.entries)
 
+    def _delist(self, worker: str) -> WorkerEntry | None:
+        gone = self.entries.pop(worker, None)
+        if gone is not None:
+            log_event(WORKER_DELISTED, worker=worker, was_ready=gone.is_ready)
+        return gone
+
+    def _note_change(self, known: WorkerEntry | None, entry: WorkerEntry) -> None:
+        if not entry.is_ready and (known is None or known.is_ready):
+            log_event(WORKER_DRAINING, worker=entry.id, remaining_ms=entry.remaining_ms)
+
     def _apply_departure(self, entry: WorkerEntry, now_s: float) -> None:
         """Note that a draining worker has left by itself; its runs end with it.
 
@@ -236,12 +261,17 @@
             log_event(WORKER_QUARANTINED, worker=worker, jobs=list(failures.job_ids))
 
     def views(
-        self, zones_out: frozenset[str], now_s: float, within: frozenset[str]
+        self,
+        zones_out: frozenset[str],
+        cordoned: frozenset[str],
+        now_s: float,
+        within: frozenset[str],
     ) -> dict[str, WorkerView]:
         """Return all workers as the placement sees them.
 
         Args:
             zones_out: Zones in which no task may start.
+            cordoned: Workers whose machine goes down soon.
             now_s: Local time.
             within: Accounts whose urgent jobs need no more than their guarantee.
         """
@@ -253,6 +283,7 @@
             is_usable = (
                 entry.is_ready
                 and entry.zone not in zones_out
+                and worker not in cordoned
                 and not (link and link.is_silent)
                 and self._quarantined_until_ms.get(worker, 0) <= now_unix_ms
                 and self._avoided_until_s.get(worker, 0.0) <= now_s
@@ -290,6 +321,9 @@
             step.count if step.is_gang else 1,
             _remaining_s(task, step.estimate_ms / 1000, now_s - task.started_s),
             job.submission.account not in within,
+            step.is_lasting and step.max_unavailable is not None,
+            step.is_serving,
+            step.is_filling,
         )
 
 
--- a/src/foxtailwell/platform/assembly.py
+++ b/src/foxtailwell/platform/assembly.py
@@ -10,10 +10,12 @@
 
 from foxtailwell.adapters.logs import configure_logs
 from foxtailwell.adapters.work_metrics import WorkMetrics
-from foxtailwell.controller import FleetAccess
+from foxtailwell.controller import FleetAccess, UpkeepAccess
 from foxtailwell.core.errors import ValidationError
 from foxtailwell.instance import InstanceSettings, OperatorKeys, Platform, run_instance
 from foxtailwell.platform import messages
+from foxtailwell.platform.advisor import open_advisor
+from foxtailwell.platform.machines import open_machines
 from foxtailwell.platform.settings import SETTINGS_VARIABLE, load_instance_settings
 from foxtailwell.platform.store import open_store
 from foxtailwell.platform.workers import connect_worker, decode_worker_entry
@@ -29,7 +31,13 @@
     return Platform(
         metrics=metrics,
         store=open_store(settings.store_address, metrics),
-        fleet=FleetAccess(messages.WORKERS_PREFIX, decode_worker_entry, connect_worker),
+        fleet=FleetAccess(
+            messages.WORKERS_PREFIX,
+            decode_worker_entry,
+            connect_worker,
+            open_advisor(settings.advisor_address) if settings.advisor_address else None,
+            _upkeep(settings) if settings.machines_address else None,
+        ),
         operator_keys=OperatorKeys(
             messages.CONFIGURATION_KEY,
             messages.EVACUATION_PREFIX,
@@ -43,6 +51,17 @@
     )
 
 
+def _upkeep(settings: InstanceSettings) -> UpkeepAccess:
+    return UpkeepAccess(
+        open_machines(settings.machines_address, settings.name),
+        settings.maintenance_s,
+        messages.WAVES_PREFIX,
+        messages.WAVE_STATUS_PREFIX,
+        messages.decode_wave,
+        messages.encode_wave_status,
+    )
+
+
 async def _run(settings: InstanceSettings, path: str) -> None:
     await run_instance(settings, _platform(settings, path))
 
--- /dev/null
+++ b/src/foxtailwell/platform/machines.py
@@ -0,0 +1,105 @@
+"""Client of the platform's interface to its machines."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from urllib.parse import quote
+
+import msgspec
+
+from foxtailwell.adapters.http_connection import CallError, CallReply, HttpEndpoint
+from foxtailwell.workflows import (
+    Machine,
+    MachineCallError,
+    MachineCalls,
+    MachineState,
+    UpkeepOutcome,
+)
+
+__all__ = ["open_machines"]
+
+CALL_TIMEOUT_S = 1.5
+"""Longest wait for an answer; the interface may be slow."""
+
+_REASONS = {
+    "fence": UpkeepOutcome.FENCED,
+    "busy": UpkeepOutcome.BUSY,
+    "wave": UpkeepOutcome.OTHER_WAVE,
+}
+
+
+class _Machine(msgspec.Struct):
+    machine: str
+    state: MachineState
+    # Identifier of the machine's worker.
+    id: str = ""
+
+
+class _Page(msgspec.Struct):
+    machines: list[_Machine]
+    next_token: str | None = None
+
+
+class _Refusal(msgspec.Struct):
+    reason: str = ""
+
+
+def open_machines(address: str, holder: str) -> MachineCalls:
+    """Return a client of the interface at `IP:PORT`.
+
+    Args:
+        address: Where the interface is served.
+        holder: Name of this instance, which stands on each order.
+    """
+    return _Machines(HttpEndpoint(address), holder)
+
+
+class _Machines:
+    def __init__(self, endpoint: HttpEndpoint, holder: str) -> None:
+        self._endpoint = endpoint
+        self._holder = holder
+
+    async def list_machines(self) -> Sequence[Machine]:
+        machines: list[Machine] = []
+        path = "/-/machines"
+        while True:
+            reply = await self._call("GET", path)
+            if reply.status != 200:
+                raise MachineCallError(f"status {reply.status}")
+            try:
+                page = msgspec.json.decode(reply.body, type=_Page)
+            except msgspec.DecodeError as error:
+                raise MachineCallError(f"unreadable answer: {error}") from error
+            machines += [Machine(m.machine, m.state, m.id) for m in page.machines]
+            if not page.next_token:
+                return machines
+            path = f"/-/machines?page_token={quote(page.next_token, safe='')}"
+
+    async def begin_upkeep(self, machine: str, wave: int, token: int) -> UpkeepOutcome:
+        body = msgspec.json.encode({"machine": machine, "wave": wave})
+        headers = {"X-Duty-Holder": self._holder, "X-Fencing-Token": str(token)}
+        reply = await self._call("POST", "/-/machine-upkeep", body, headers)
+        if reply.status == 200:
+            return UpkeepOutcome.BEGUN
+        if reply.status == 400:
+            return UpkeepOutcome.ABSENT
+        if reply.status in (429, 503):
+            return UpkeepOutcome.LIMITED
+        if reply.status == 409:
+            try:
+                reason = msgspec.json.decode(reply.body, type=_Refusal).reason
+            except msgspec.DecodeError as error:
+                raise MachineCallError(f"unreadable answer: {error}") from error
+            if reason in _REASONS:
+                return _REASONS[reason]
+        raise MachineCallError(f"status {reply.status}")
+
+    async def _call(
+        self, method: str, path: str, body: bytes = b"", headers: dict[str, str] | None = None
+    ) -> CallReply:
+        try:
+            return await self._endpoint.call(
+                method, path, body, headers=headers, timeout_s=CALL_TIMEOUT_S
+            )
+        except CallError as error:
+            raise MachineCallError(error.reason) from error
--- a/src/foxtailwell/platform/messages.py
+++ b/src/foxtailwell/platform/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from foxtailwell.workflows import (
+    AdviceRules,
     ClientAccount,
     ClusterConfiguration,
     Queue,
@@ -12,21 +13,28 @@
     Route,
     Step,
     Submission,
+    Wave,
 )
 
 __all__ = [
     "CONFIGURATION_KEY",
     "EVACUATION_PREFIX",
+    "WAVES_PREFIX",
+    "WAVE_STATUS_PREFIX",
     "WORKERS_PREFIX",
     "MessageError",
     "decode_configuration",
     "decode_submission",
+    "decode_wave",
+    "encode_wave_status",
     "key_of_authorization",
 ]
 
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 WORKERS_PREFIX = "servers/"
+WAVES_PREFIX = "op/wave/"
+WAVE_STATUS_PREFIX = "status/wave/"
 
 _SCHEME = "Token "
 
@@ -45,6 +53,10 @@
     guaranteed: _Guaranteed = msgspec.field(default_factory=_Guaranteed)
 
 
+class _Recommendation(msgspec.Struct):
+    valid_for_ms: int = 0
+
+
 class _Route(msgspec.Struct):
     name: str
     host: str
@@ -55,6 +67,7 @@
     stretch: float = 3.0
     target_latency_ms: int = 1000
     no_auth: bool = False
+    recommendation: _Recommendation | None = None
 
 
 class _Configuration(msgspec.Struct):
@@ -63,6 +76,13 @@
     tenants: list[_Tenant] = []
 
 
+class _Wave(msgspec.Struct):
+    wave: int
+    machines: list[str]
+    within_s: float
+    max_count: int
+
+
 class _Phase(msgspec.Struct):
     count: int
     cpu: int = 0
@@ -77,6 +97,8 @@
     data_rack: str = ""
     max_per_server: int = 0
     perpetual: bool = False
+    max_unavailable: int | None = None
+    target_ms: int = 0
     fills: bool = False
 
 
@@ -121,6 +143,7 @@
 
 
 def _queue(route: _Route) -> Queue:
+    advice = route.recommendation
     return Queue(
         name=route.name,
         pool=route.service,
@@ -128,9 +151,24 @@
         max_attempts=route.max_attempts,
         stretch=route.stretch,
         target_ms=route.target_latency_ms,
+        advice=AdviceRules(advice.valid_for_ms / 1000) if advice else None,
     )
 
 
+def decode_wave(value: bytes) -> Wave | None:
+    """Decode a wave of upkeep; None when it cannot be read."""
+    try:
+        wave = msgspec.json.decode(value, type=_Wave)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    return Wave(wave.wave, tuple(wave.machines), wave.within_s, max(1, wave.max_count))
+
+
+def encode_wave_status(number: int, is_complete: bool) -> bytes:
+    """Encode the state of a wave as operators read it."""
+    return msgspec.json.encode({"wave": number, "state": "completed" if is_complete else "running"})
+
+
 def decode_submission(
     job_id: str, queue: str, account: str, now_unix_ms: int, body: bytes
 ) -> Submission:
@@ -182,6 +220,9 @@
         is_same_rack=phase.same_rack,
         is_checkpointing=phase.checkpointing,
         is_lasting=phase.perpetual,
+        max_unavailable=phase.max_unavailable,
+        is_serving=phase.target_ms > 0,
+        is_filling=phase.fills,
         required_label=phase.required_label,
         data_rack=phase.data_rack,
         max_per_worker=phase.max_per_server,
--- a/src/foxtailwell/platform/settings.py
+++ b/src/foxtailwell/platform/settings.py
@@ -27,11 +27,16 @@
     reads_per_s: float = 2000
 
 
+class _CloudApi(msgspec.Struct):
+    address: str
+
+
 class _Bounds(msgspec.Struct):
     grace_s: float = 6
     max_hold_ms: int = 10_000
     revoke_ms: int = 5000
     status_s: float = 120
+    maintenance_s: float = 2
 
 
 class _File(msgspec.Struct):
@@ -41,6 +46,8 @@
     listen_addrs: _Addresses
     port_range: tuple[int, int]
     platform: _Store
+    recommendation: str | None = None
+    cloud_api: _CloudApi | None = None
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
@@ -68,8 +75,11 @@
         readiness_address=file.listen_addrs.ready,
         metrics_address=f"{file.ip}:{file.port_range[0]}",
         store_address=file.platform.address,
+        advisor_address=file.recommendation or "",
+        machines_address=file.cloud_api.address if file.cloud_api else "",
         grace_s=file.bounds.grace_s,
         max_hold_ms=file.bounds.max_hold_ms,
         revocation_ms=file.bounds.revoke_ms,
         status_s=file.bounds.status_s,
+        maintenance_s=file.bounds.maintenance_s,
     )
--- a/src/foxtailwell/workflows/__init__.py
+++ b/src/foxtailwell/workflows/__init__.py
@@ -1,32 +1,33 @@
 """Jobs of steps and tasks: their states, and where tasks run. No input or output."""
 
-from foxtailwell.workflows._book import (
-    EndKind,
-    Job,
-    JobBook,
-    JobProgress,
-    Task,
-    TaskProgress,
-    TaskState,
-    Unit,
-)
+from foxtailwell.workflows._book import JobBook
 from foxtailwell.workflows._cluster import (
     ClientAccount,
     ClusterConfiguration,
     Route,
     WorkerEntry,
 )
-from foxtailwell.workflows._jobs import JobState, Queue, Resources, Step, Submission, TaskId
-from foxtailwell.workflows._placement import (
-    FleetView,
-    Placement,
-    Plan,
-    Reservation,
-    RunningTask,
-    WorkerView,
-    plan,
+from foxtailwell.workflows._jobs import (
+    AdviceRules,
+    JobState,
+    Queue,
+    Resources,
+    Step,
+    Submission,
+    TaskId,
+)
+from foxtailwell.workflows._machines import (
+    Machine,
+    MachineCallError,
+    MachineCalls,
+    MachineState,
+    UpkeepOutcome,
+    Wave,
 )
+from foxtailwell.workflows._placement import plan
 from foxtailwell.workflows._ports import (
+    AdviceCallError,
+    Advisor,
     Change,
     Committed,
     Conflict,
@@ -43,8 +44,28 @@
     WorkerCalls,
     WorkerListing,
 )
+from foxtailwell.workflows._rooms import (
+    FleetView,
+    Placement,
+    Plan,
+    Reservation,
+    RunningTask,
+    WorkerView,
+)
+from foxtailwell.workflows._tasks import (
+    EndKind,
+    Job,
+    JobProgress,
+    Task,
+    TaskProgress,
+    TaskState,
+    Unit,
+)
 
 __all__ = [
+    "AdviceCallError",
+    "AdviceRules",
+    "Advisor",
     "Change",
     "ClientAccount",
     "ClusterConfiguration",
@@ -61,6 +82,10 @@
     "JobState",
     "KeyValueStore",
     "ListedRun",
+    "Machine",
+    "MachineCallError",
+    "MachineCalls",
+    "MachineState",
     "OrderOutcome",
     "Placement",
     "Plan",
@@ -79,6 +104,8 @@
     "TaskProgress",
     "TaskState",
     "Unit",
+    "UpkeepOutcome",
+    "Wave",
     "WorkerCalls",
     "WorkerEntry",
     "WorkerCallError",
--- a/src/foxtailwell/workflows/_jobs.py
+++ b/src/foxtailwell/workflows/_jobs.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-__all__ = ["JobState", "Queue", "Resources", "Step", "Submission", "TaskId"]
+__all__ = ["AdviceRules", "JobState", "Queue", "Resources", "Step", "Submission", "TaskId"]
 
 
 UNLIMITED_COPIES = 1_000_000
@@ -75,7 +75,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Step:
-    """Tasks of one kind within a job."""
+    """Tasks of one kind within a job.
+
+    Attributes:
+        is_lasting: The tasks run until the job is cancelled.
+        max_unavailable: So many lasting tasks may be away by the product's own doing, so that none
+            is stopped to make room for others; None for no limit.
+        is_serving: The tasks answer requests and have a latency objective.
+        is_filling: The tasks use processors that others leave idle, and disturb those who serve.
+    """
 
     count: int
     request: Resources
@@ -85,6 +93,9 @@
     is_same_rack: bool = False
     is_checkpointing: bool = False
     is_lasting: bool = False
+    max_unavailable: int | None = None
+    is_serving: bool = False
+    is_filling: bool = False
     required_label: str = ""
     data_rack: str = ""
     max_per_worker: int = 0
@@ -142,6 +153,17 @@
                     yield TaskId(self.job_id, occurrence, number, index)
 
 
+@dataclass(frozen=True, slots=True)
+class AdviceRules:
+    """A queue whose steps run only where the platform's advisor allows it.
+
+    Attributes:
+        valid_s: Time for which a ticket is accepted by its worker.
+    """
+
+    valid_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Queue:
     """What the configuration says of a class of jobs.
@@ -150,6 +172,7 @@
         priority: 0 is served first and may preempt others.
         stretch: Target as a multiple of the longest chain of work.
         target_ms: Added to the stretched chain.
+        advice: None when its steps may run everywhere.
     """
 
     name: str
@@ -158,3 +181,4 @@
     max_attempts: int = 3
     stretch: float = 3.0
     target_ms: int = 1000
+    advice: AdviceRules | None = None
--- a/src/foxtailwell/workflows/_placement.py
+++ b/src/foxtailwell/workflows/_placement.py
@@ -2,21 +2,24 @@
 
 from __future__ import annotations
 
-import heapq
 import math
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
 
-from foxtailwell.workflows._book import Unit
 from foxtailwell.workflows._jobs import Resources, TaskId
-
-__all__ = ["FleetView", "Placement", "Plan", "Reservation", "RunningTask", "WorkerView", "plan"]
-
-LOCAL_PATIENCE_S = 2.0
-"""Wait for a place near the data or in one rack; work may not idle for 3 s beside free room."""
-
-BUSY_SHARE = 0.55
-"""Share of a pool's accelerators in use above which idle room elsewhere is no reason to start."""
+from foxtailwell.workflows._reclaim import LOCAL_PATIENCE_S, reclaim
+from foxtailwell.workflows._rooms import (
+    FleetView,
+    Placement,
+    Plan,
+    Reservation,
+    Rooms,
+    WorkerView,
+    can_ever_fit,
+    open_rooms,
+)
+from foxtailwell.workflows._tasks import Unit
+
+__all__ = ["plan"]
 
 REMOTE_PENALTY = 3.0
 """How many times as long a task takes away from its data, or a gang over several racks."""
@@ -27,155 +30,6 @@
 HOPELESS_FACTOR = 3.0
 """Multiple of the target after which an ended job is worth nothing any more."""
 
-ACCELERATOR_CORES = 8
-"""Cores that one accelerator counts as in the cost of lost work."""
-
-RESERVATION_S = 3.0
-"""Longest time for which room is kept for a unit whose victims are being stopped."""
-
-URGENT_LOSS_FACTOR = 10.0
-"""How much more the loss of urgent work counts: a guarantee takes it only as the last resort."""
-
-STOP_LOSS_S = 0.5
-"""Time lost by any stop: the stop itself, the next placement, and the work after a checkpoint."""
-
-
-@dataclass(frozen=True, slots=True)
-class RunningTask:
-    """A run that occupies a worker.
-
-    Attributes:
-        is_borrowing: Its account uses more than its guarantee.
-    """
-
-    id: TaskId
-    request: Resources
-    priority: int
-    elapsed_s: float
-    is_checkpointing: bool
-    is_stopping: bool
-    member_count: int = 1
-    remaining_s: float = 0.0
-    is_borrowing: bool = False
-
-    @property
-    def loss(self) -> float:
-        """Return the core-seconds that a stop throws away, with those of the rest of its gang."""
-        cores = self.request.cpu_millicores / 1000 + ACCELERATOR_CORES * self.request.accelerators
-        lost_s = STOP_LOSS_S + (0.0 if self.is_checkpointing else self.elapsed_s)
-        weight = URGENT_LOSS_FACTOR if self.priority == 0 else 1.0
-        return cores * lost_s * self.member_count * weight
-
-
-@dataclass(frozen=True, slots=True)
-class WorkerView:
-    """A worker as the placement sees it.
-
-    Attributes:
-        is_usable: New tasks may start here.
-        suspicion: How likely the worker is faulty or slow; lower values are taken first.
-    """
-
-    id: str
-    pool: str
-    zone: str
-    rack: str
-    labels: frozenset[str]
-    capacity: Resources
-    running: tuple[RunningTask, ...] = ()
-    is_usable: bool = True
-    suspicion: float = 0.0
-
-    def free(self) -> Resources:
-        """Return the room that no run occupies."""
-        room = self.capacity
-        for task in self.running:
-            room = room.minus(task.request)
-        return room
-
-
-@dataclass(frozen=True, slots=True)
-class Placement:
-    """The workers for the tasks of one unit."""
-
-    unit: Unit
-    workers: Mapping[TaskId, str]
-
-
-@dataclass(frozen=True, slots=True)
-class Reservation:
-    """Room that is being freed for a unit."""
-
-    placement: Placement
-    until_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class FleetView:
-    """Everything that a plan depends on."""
-
-    now_s: float
-    workers: Mapping[str, WorkerView]
-    units: Sequence[Unit]
-    reservations: Sequence[Reservation] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class Plan:
-    """What is to be done."""
-
-    placements: tuple[Placement, ...] = ()
-    stops: tuple[TaskId, ...] = ()
-    reservations: tuple[Reservation, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class _Group:
-    workers: list[WorkerView]
-    by_rack: dict[str, list[WorkerView]]
-
-
-@dataclass(slots=True)
-class _Rooms:
-    """Free room while a plan is made."""
-
-    workers: Mapping[str, WorkerView]
-    free: dict[str, Resources]
-    step_counts: dict[tuple[str, tuple[str, int, int]], int] = field(default_factory=dict)
-    reserved_for_s: dict[str, float] = field(default_factory=dict)
-    is_busy: bool = False
-    _groups: dict[tuple[str, str], _Group] = field(default_factory=dict)
-
-    def group(self, unit: Unit) -> _Group:
-        """Return the usable workers of the unit's pool and label."""
-        key = (unit.queue.pool, unit.step.required_label)
-        if key not in self._groups:
-            pool, label = key
-            found = [
-                worker
-                for worker in self.workers.values()
-                if worker.is_usable
-                and worker.pool == pool
-                and (not label or label in worker.labels)
-            ]
-            self._groups[key] = _Group(found, _by_rack(found))
-        return self._groups[key]
-
-    def take(self, worker: str, unit: Unit) -> None:
-        self.free[worker] = self.free[worker].minus(unit.step.request)
-        key = (worker, unit.key)
-        self.step_counts[key] = self.step_counts.get(key, 0) + 1
-
-    def copies(self, worker: str, unit: Unit, free: Resources | None = None) -> int:
-        if self.reserved_for_s.get(worker, math.inf) < unit.step.estimate_ms / 1e3:
-            return 0
-        room = self.free[worker] if free is None else free
-        count = unit.step.request.copies(room)
-        if unit.step.max_per_worker:
-            taken = self.step_counts.get((worker, unit.key), 0)
-            count = min(count, unit.step.max_per_worker - taken)
-        return max(0, count)
-
 
 def plan(view: FleetView) -> Plan:
     """Place the units in the order of priority and time left.
@@ -186,7 +40,7 @@
     Returns:
         Placements to start, runs to stop, and reservations that stay in force.
     """
-    rooms = _open_rooms(view)
+    rooms = open_rooms(view)
     units = {unit.key: unit for unit in view.units}
     placements: list[Placement] = []
     reservations: list[Reservation] = []
@@ -209,7 +63,7 @@
         if placed:
             placements.append(Placement(unit, placed))
             continue
-        made = _reclaim(rooms, unit, stopping, view.now_s) if unit.queue.priority == 0 else None
+        made = reclaim(rooms, unit, stopping, view.now_s) if unit.queue.priority == 0 else None
         if made is not None:
             victims, reservation = made
             stops += victims
@@ -227,20 +81,8 @@
     return (unit.queue.priority, not unit.is_guaranteed, lateness, unit.due_s, unit.job_id)
 
 
-def _open_rooms(view: FleetView) -> _Rooms:
-    rooms = _Rooms(view.workers, {w.id: w.free() for w in view.workers.values()})
-    total = sum(w.capacity.accelerators for w in view.workers.values() if w.is_usable)
-    unused = sum(rooms.free[w.id].accelerators for w in view.workers.values() if w.is_usable)
-    rooms.is_busy = total > 0 and unused < (1 - BUSY_SHARE) * total
-    for worker in view.workers.values():
-        for task in worker.running:
-            key = (worker.id, (task.id.job_id, task.id.occurrence, task.id.step))
-            rooms.step_counts[key] = rooms.step_counts.get(key, 0) + 1
-    return rooms
-
-
 def _use_reservation(
-    rooms: _Rooms, reservation: Reservation, now_s: float
+    rooms: Rooms, reservation: Reservation, now_s: float
 ) -> Placement | Reservation | None:
     unit = reservation.placement.unit
     workers = reservation.placement.workers
@@ -257,7 +99,7 @@
 
 
 def _is_worth_waiting(
-    rooms: _Rooms, unit: Unit, workers: Sequence[WorkerView], now_s: float
+    rooms: Rooms, unit: Unit, workers: Sequence[WorkerView], now_s: float
 ) -> bool:
     """Whether a unit had better wait for these workers than run elsewhere and take longer."""
     waited_s = now_s - unit.waiting_since_s
@@ -267,7 +109,7 @@
     return waited_s < longer_s and _free_after_s(rooms, unit, workers) < longer_s - waited_s
 
 
-def _free_after_s(rooms: _Rooms, unit: Unit, workers: Iterable[WorkerView]) -> float:
+def _free_after_s(rooms: Rooms, unit: Unit, workers: Iterable[WorkerView]) -> float:
     """Return the expected time until the whole unit fits on the workers."""
     gains: list[tuple[float, int]] = []
     for worker in workers:
@@ -288,7 +130,7 @@
     return math.inf
 
 
-def _keep_room(rooms: _Rooms, unit: Unit) -> bool:
+def _keep_room(rooms: Rooms, unit: Unit) -> bool:
     """Keep the rack that a waiting gang will fit into first from longer tasks behind it."""
     by_rack = rooms.group(unit).by_rack
     groups = list(by_rack.values())
@@ -309,7 +151,7 @@
     return True
 
 
-def _place(rooms: _Rooms, unit: Unit, now_s: float) -> dict[TaskId, str]:
+def _place(rooms: Rooms, unit: Unit, now_s: float) -> dict[TaskId, str]:
     candidates, by_rack = rooms.group(unit).workers, rooms.group(unit).by_rack
     if not candidates:
         return {}
@@ -323,15 +165,8 @@
     return chosen
 
 
-def _by_rack(workers: Iterable[WorkerView]) -> dict[str, list[WorkerView]]:
-    racks: dict[str, list[WorkerView]] = {}
-    for worker in workers:
-        racks.setdefault(worker.rack, []).append(worker)
-    return racks
-
-
 def _place_gang(
-    rooms: _Rooms,
+    rooms: Rooms,
     unit: Unit,
     by_rack: Mapping[str, list[WorkerView]],
     candidates: list[WorkerView],
@@ -350,19 +185,15 @@
     if racks:
         return _fill(rooms, unit, by_rack[racks[0]])
     if step.is_same_rack and any(
-        _can_ever_fit(unit, workers) and _is_worth_waiting(rooms, unit, workers, now_s)
+        can_ever_fit(unit, workers) and _is_worth_waiting(rooms, unit, workers, now_s)
         for workers in by_rack.values()
     ):
         return {}
     return _fill(rooms, unit, candidates)
 
 
-def _can_ever_fit(unit: Unit, workers: Iterable[WorkerView]) -> bool:
-    return sum(unit.step.request.copies(w.capacity) for w in workers) >= unit.step.count
-
-
 def _place_singly(
-    rooms: _Rooms,
+    rooms: Rooms,
     unit: Unit,
     by_rack: Mapping[str, list[WorkerView]],
     candidates: list[WorkerView],
@@ -380,7 +211,7 @@
 
 
 def _fill(
-    rooms: _Rooms,
+    rooms: Rooms,
     unit: Unit,
     workers: Iterable[WorkerView],
     *,
@@ -399,100 +230,3 @@
         if not left:
             return chosen
     return chosen if is_partial_allowed else {}
-
-
-def _reclaim(
-    rooms: _Rooms, unit: Unit, stopping: set[TaskId], now_s: float
-) -> tuple[list[TaskId], Reservation] | None:
-    """Choose the cheapest runs of lower priority whose room lets the unit start."""
-    candidates = rooms.group(unit).workers
-    by_rack = dict(rooms.group(unit).by_rack)
-    local = by_rack.pop(unit.step.data_rack, []) if unit.step.data_rack else []
-    best = _cheapest(rooms, unit, [local], stopping)
-    is_late = now_s - unit.waiting_since_s > LOCAL_PATIENCE_S
-    if best is None and (is_late or not local):
-        best = _cheapest(rooms, unit, list(by_rack.values()), stopping)
-        if best is None and (
-            is_late
-            or not unit.step.is_same_rack
-            or not any(_can_ever_fit(unit, workers) for workers in by_rack.values())
-        ):
-            best = _cheapest(rooms, unit, [candidates], stopping)
-    if best is None:
-        return None
-    _, victims, chosen = best
-    stopping.update(victims)
-    for worker in chosen.values():
-        rooms.take(worker, unit)
-    placement = Placement(unit, chosen)
-    return victims, Reservation(placement, now_s + RESERVATION_S)
-
-
-def _cheapest(
-    rooms: _Rooms, unit: Unit, groups: Iterable[list[WorkerView]], stopping: set[TaskId]
-) -> tuple[float, list[TaskId], dict[TaskId, str]] | None:
-    options = [_reclaim_in(rooms, unit, workers, stopping) for workers in groups]
-    return min((o for o in options if o is not None), key=lambda o: o[0], default=None)
-
-
-def _reclaim_in(
-    rooms: _Rooms, unit: Unit, workers: Sequence[WorkerView], stopping: set[TaskId]
-) -> tuple[float, list[TaskId], dict[TaskId, str]] | None:
-    """Take the cheapest further place again and again until the unit fits."""
-    places = {worker.id: _places(rooms, unit, worker, stopping) for worker in workers}
-    heap = [(_unit_loss(steps[0]), worker) for worker, steps in places.items() if steps]
-    heapq.heapify(heap)
-    chosen: dict[TaskId, str] = {}
-    left = list(unit.tasks)
-    stopped: list[TaskId] = []
-    total = 0.0
-    while heap and left:
-        _, worker_id = heapq.heappop(heap)
-        place = places[worker_id].pop(0)
-        count = min(place.count, len(left))
-        chosen.update(dict.fromkeys(left[:count], worker_id))
-        left = left[count:]
-        total += place.loss
-        stopped += [victim.id for victim in place.victims if not victim.is_stopping]
-        if places[worker_id]:
-            heapq.heappush(heap, (_unit_loss(places[worker_id][0]), worker_id))
-    return None if left else (total, stopped, chosen)
-
-
-@dataclass(frozen=True, slots=True)
-class _Place:
-    """Further copies that fit on a worker once the victims are stopped."""
-
-    count: int
-    loss: float
-    victims: tuple[RunningTask, ...] = ()
-
-
-def _is_reclaimable(task: RunningTask, unit: Unit) -> bool:
-    if task.priority > unit.queue.priority:
-        return True
-    return unit.is_guaranteed and task.is_borrowing and task.priority == unit.queue.priority
-
-
-def _unit_loss(place: _Place) -> float:
-    return place.loss / place.count
-
-
-def _places(rooms: _Rooms, unit: Unit, worker: WorkerView, stopping: set[TaskId]) -> list[_Place]:
-    room = rooms.free[worker.id]
-    count = rooms.copies(worker.id, unit, room)
-    places = [_Place(count, 0.0)] if count else []
-    borrowers = [
-        task for task in worker.running if _is_reclaimable(task, unit) and task.id not in stopping
-    ]
-    victims: list[RunningTask] = []
-    for task in sorted(borrowers, key=lambda t: (not t.is_stopping, t.loss)):
-        room = room.plus(task.request)
-        victims.append(task)
-        more = rooms.copies(worker.id, unit, room)
-        if more > count:
-            loss = sum(0.0 if victim.is_stopping else victim.loss for victim in victims)
-            places.append(_Place(more - count, loss, tuple(victims)))
-            count = more
-            victims = []
-    return places
--- a/src/foxtailwell/workflows/_ports.py
+++ b/src/foxtailwell/workflows/_ports.py
@@ -7,10 +7,12 @@
 from enum import Enum
 from typing import Protocol
 
-from foxtailwell.workflows._book import EndKind
 from foxtailwell.workflows._jobs import TaskId
+from foxtailwell.workflows._tasks import EndKind
 
 __all__ = [
+    "AdviceCallError",
+    "Advisor",
     "Change",
     "Committed",
     "Conflict",
@@ -130,6 +132,25 @@
         self.reason = reason
 
 
+class AdviceCallError(Exception):
+    """The advisor gave no usable answer; ask again later.
+
+    Args:
+        reason: What happened.
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+class Advisor(Protocol):
+    """Tells which workers a step may run on."""
+
+    async def advise(self, step: str, workers: Sequence[str]) -> Mapping[str, str]:
+        """Return a ticket for each allowed worker; may raise `AdviceCallError`."""
+
+
 class OrderOutcome(Enum):
     """Response to a start or stop."""
 
--- /dev/null
+++ b/src/foxtailwell_standins/platform_machines.py
@@ -0,0 +1,69 @@
+"""Stand-in of the platform's machines: listings, and upkeep that ends everything on a machine."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+import anyio
+
+from foxtailwell.workflows import Machine, MachineCallError, MachineState, UpkeepOutcome
+from foxtailwell_standins.platform_worker import MemoryWorker
+
+__all__ = ["MemoryMachines"]
+
+
+@dataclass(slots=True)
+class MemoryMachines:
+    """One machine for each worker, named `m-` and the worker.
+
+    Attributes:
+        down_s: Time for which an upkeep takes a machine away.
+        lost_answers: So many orders are carried out without an answer.
+        log: Each upkeep that began: its machine, its time, and the runs that it ended.
+        most_down: Most machines that were down at the same time.
+    """
+
+    workers: dict[str, MemoryWorker]
+    down_s: float = 0.2
+    lost_answers: int = 0
+    log: list[tuple[str, float, int]] = field(default_factory=list)
+    most_down: int = 0
+    _done: set[tuple[str, int]] = field(default_factory=set)
+    _down_until_s: dict[str, float] = field(default_factory=dict)
+
+    def _is_down(self, machine: str) -> bool:
+        return self._down_until_s.get(machine, 0.0) > time.monotonic()
+
+    async def list_machines(self) -> Sequence[Machine]:
+        """Return all machines."""
+        await anyio.sleep(0.002)
+        return [
+            Machine(
+                f"m-{worker}",
+                MachineState.UPKEEP if self._is_down(f"m-{worker}") else MachineState.UP,
+                worker,
+            )
+            for worker in self.workers
+        ]
+
+    async def begin_upkeep(self, machine: str, wave: int, token: int) -> UpkeepOutcome:
+        """Take a machine down; a repeated order changes nothing."""
+        await anyio.sleep(0.002)
+        worker = self.workers.get(machine.removeprefix("m-"))
+        if worker is None:
+            return UpkeepOutcome.ABSENT
+        if (machine, wave) in self._done:
+            return UpkeepOutcome.BEGUN
+        if self._is_down(machine):
+            return UpkeepOutcome.BUSY
+        self._done.add((machine, wave))
+        self._down_until_s[machine] = time.monotonic() + self.down_s
+        self.log.append((machine, time.monotonic(), len(worker.running)))
+        self.most_down = max(self.most_down, sum(map(self._is_down, self._down_until_s)))
+        worker.restart()
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise MachineCallError("no response")
+        return UpkeepOutcome.BEGUN
--- a/src/foxtailwell_standins/platform_worker.py
+++ b/src/foxtailwell_standins/platform_worker.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 import anyio
 
 from foxtailwell.workflows import (
+    AdviceCallError,
     EndedRun,
     EndKind,
     ListedRun,
@@ -21,7 +22,7 @@
     WorkerListing,
 )
 
-__all__ = ["Gangs", "MemoryWorker", "RunSpan", "WorkerFaults"]
+__all__ = ["Gangs", "MemoryAdvisor", "MemoryWorker", "RunSpan", "WorkerFaults"]
 
 STOP_S = 0.02
 """Time that a stop takes."""
@@ -130,6 +131,30 @@
             gang.is_over = False
 
 
+@dataclass(slots=True)
+class MemoryAdvisor:
+    """The service that says where steps may run.
+
+    Attributes:
+        tickets: Ticket of each allowed worker.
+        refusals: So many calls are refused.
+        calls: The step and the workers of each call.
+    """
+
+    tickets: dict[str, str]
+    refusals: int = 0
+    calls: list[tuple[str, tuple[str, ...]]] = field(default_factory=list)
+
+    async def advise(self, step: str, workers: Sequence[str]) -> Mapping[str, str]:
+        """Return a ticket for each allowed worker."""
+        await anyio.sleep(0.005)
+        self.calls.append((step, tuple(workers)))
+        if self.refusals:
+            self.refusals -= 1
+            raise AdviceCallError("status 429")
+        return {worker: self.tickets[worker] for worker in workers if worker in self.tickets}
+
+
 @dataclass(slots=True)
 class MemoryWorker:
     """One worker.
@@ -139,6 +164,7 @@
         payload_s: Returns the duration of a run by its payload, instead of `task_s`.
         log: Every run that began, as (task, run, checkpoint).
         spans: Every run with its times.
+        ticket: What a start must carry; empty for nothing.
         gangs: Shared by the workers whose gangs work together; None for members on their own.
     """
 
@@ -149,6 +175,7 @@
     capacity: Resources = field(default_factory=lambda: Resources(128_000, 262_144, 8))
     task_s: float = float("inf")
     payload_s: Callable[[str], float] | None = None
+    ticket: str = ""
     gangs: Gangs | None = None
     faults: WorkerFaults = field(default_factory=WorkerFaults)
     boot_unix_ms: int = 1
@@ -255,6 +282,8 @@
             return OrderOutcome.DONE
         if until_clock_ms < self.clock_ms():
             return OrderOutcome.LATE
+        if self.ticket and order.ticket != self.ticket:
+            return OrderOutcome.NO_TICKET
         if order.run <= self._highest.get(task, 0):
             return OrderOutcome.OLD_RUN
         self._until_ms = max(self._until_ms, until_clock_ms)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,7 @@
 
 import anyio
 import pytest
+from anyio.abc import TaskGroup
 from hypothesis import settings
 
 from foxtailwell.adapters.http_server import serve_http
@@ -54,3 +55,23 @@
     """Client of a running stand-in store."""
     async with serving(make_store_app(store_state)) as url, open_store(url) as client:
         yield client
+
+
+@pytest.fixture
+async def group() -> AsyncIterator[TaskGroup]:
+    """Return a task group that is cancelled at the end of the test."""
+    async with anyio.create_task_group() as group:
+        yield group
+        group.cancel_scope.cancel()
+
+
+@pytest.fixture
+def anyio_server() -> Callable:
+    """Return a function that serves raw responses and counts connections."""
+
+    async def start(group: TaskGroup, handle: Callable) -> str:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        group.start_soon(listener.serve, handle)
+        return f"127.0.0.1:{listener.extra(anyio.abc.SocketAttribute.local_port)}"
+
+    return start
--- a/tests/controller_harness.py
+++ b/tests/controller_harness.py
@@ -18,6 +18,7 @@
     LeadershipSettings,
     OperatorView,
     SubmitOutcome,
+    UpkeepAccess,
 )
 from foxtailwell.workflows import (
     ClusterConfiguration,
@@ -30,7 +31,7 @@
     WorkerEntry,
 )
 from foxtailwell_standins.platform_store import MemoryStore, StoreFaults
-from foxtailwell_standins.platform_worker import MemoryWorker
+from foxtailwell_standins.platform_worker import MemoryAdvisor, MemoryWorker
 
 WORKERS = "servers/"
 CONFIGURATION = "op/config"
@@ -74,6 +75,8 @@
     zones_out: set[str] = field(default_factory=set)
     revision: int = 0
     is_configured: bool = True
+    advisor: MemoryAdvisor | None = None
+    upkeep: UpkeepAccess | None = None
 
     @property
     def intake(self) -> Intake:
@@ -104,7 +107,13 @@
     def start(self, name: str, *, hold_ms: int = HOLD_MS) -> Instance:
         """Start an instance."""
         faults = StoreFaults()
-        access = FleetAccess(WORKERS, _decode_entry, lambda worker, _: self.workers[worker])
+        access = FleetAccess(
+            WORKERS,
+            _decode_entry,
+            lambda worker, _: self.workers[worker],
+            self.advisor,
+            self.upkeep,
+        )
         leadership = Leadership(
             self.store.client(faults),
             access,
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -13,14 +13,6 @@
 WHOLE = Resources(10_000, 10_000, 8)
 
 
-@pytest.fixture
-async def group():
-    """Return a task group that is cancelled at the end of the test."""
-    async with anyio.create_task_group() as group:
-        yield group
-        group.cancel_scope.cancel()
-
-
 async def test_job_runs_its_steps_in_order_and_is_shown_as_completed(group):
     """Guards against a step that starts before the steps it depends on have ended."""
     deployment = make_deployment(group, task_s=0.1)
@@ -460,3 +452,15 @@
     before = deployment.store.calls
     await anyio.sleep(0.5)
     assert deployment.store.calls - before < 20
+
+
+async def test_submission_is_found_although_the_watch_reports_nothing(group):
+    """Guards against urgent work that waits until a silent watch is cut."""
+    deployment = make_deployment(group, 1, task_s=0.05)
+    instance = deployment.start("one")
+    assert await until(lambda: instance.leadership.is_controller)
+    await anyio.sleep(0.2)
+    instance.faults.is_watch_deaf = True
+    await anyio.sleep(1.2)
+    job = await deployment.submit(1, URGENT, [step()])
+    assert await until(lambda: bool(deployment.runs(f"{job}.0.0.0")), 0.6)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -59,6 +59,20 @@
     assert job.steps[0].request == Resources(0, 0, 1)
 
 
+def test_lasting_and_serving_steps_are_told_apart():
+    """Guards against lasting tasks that are stopped for others although none may be away."""
+    phases = [
+        {"count": 2, "perpetual": True, "max_unavailable": 1, "target_ms": 80},
+        {"count": 2, "perpetual": True},
+    ]
+    body = msgspec.json.encode({"spec": "s", "phases": phases})
+    steps = messages.decode_submission("a" * 16, "q", "acme", 0, body).steps
+    assert [(s.is_lasting, s.max_unavailable, s.is_serving) for s in steps] == [
+        (True, 1, True),
+        (True, None, False),
+    ]
+
+
 def test_unreadable_configuration_is_refused():
     """Guards against a configuration that is half read."""
     with pytest.raises(messages.MessageError):
@@ -90,18 +104,6 @@
         load_instance_settings(str(tmp_path / "absent.json"))
 
 
-@pytest.fixture
-def anyio_server():
-    """Return a function that serves raw responses and counts connections."""
-
-    async def start(group, handle):
-        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-        group.start_soon(listener.serve, handle)
-        return f"127.0.0.1:{listener.extra(anyio.abc.SocketAttribute.local_port)}"
-
-    return start
-
-
 @pytest.mark.anyio
 async def test_connection_is_used_again_and_replaced_when_closed(anyio_server):
     """Guards against a new connection for each call, and against calls on a closed one."""
--- /dev/null
+++ b/tests/test_upkeep.py
@@ -0,0 +1,129 @@
+"""Waves of upkeep: in time, at most so many machines at once, and only as often as asked for."""
+
+from __future__ import annotations
+
+import anyio
+import msgspec
+import pytest
+
+from controller_harness import LATER, make_deployment, step, until
+from foxtailwell.controller import UpkeepAccess
+from foxtailwell.controller._upkeep import FIRST_ORDER_S
+from foxtailwell.platform import messages
+from foxtailwell.platform.machines import open_machines
+from foxtailwell.workflows import MachineCallError, MachineState, TaskId, UpkeepOutcome
+from foxtailwell_standins.platform_machines import MemoryMachines
+
+pytestmark = pytest.mark.anyio
+
+
+def serviced_deployment(group, count, **fields):
+    """Return a deployment with machines that can be sent to their upkeep."""
+    deployment = make_deployment(group, count)
+    machines = MemoryMachines(deployment.workers, **fields)
+    deployment.upkeep = UpkeepAccess(
+        machines,
+        machines.down_s,
+        messages.WAVES_PREFIX,
+        messages.WAVE_STATUS_PREFIX,
+        messages.decode_wave,
+        messages.encode_wave_status,
+    )
+    return deployment, machines
+
+
+def ask_for_wave(deployment, machines, *, within_s=2.0, max_count=1):
+    """Ask for a wave as an operator does."""
+    wave = {"wave": 3, "machines": machines, "within_s": within_s, "max_count": max_count}
+    deployment.store.write("op/wave/3", msgspec.json.encode(wave))
+
+
+def state_of(deployment):
+    """Return the state of the wave as an operator reads it."""
+    item = deployment.store.items.get("status/wave/3")
+    return msgspec.json.decode(item.value)["state"] if item else ""
+
+
+async def test_wave_takes_machines_down_one_by_one_after_their_work_has_moved(group):
+    """Guards against too many machines down at once, and against lost work."""
+    deployment, machines = serviced_deployment(group, 4)
+    deployment.start("one")
+    job = await deployment.submit(1, LATER, [step(3, is_checkpointing=True)])
+    assert await until(lambda: sum(len(w.running) for w in deployment.workers.values()) == 3)
+    ask_for_wave(deployment, ["m-w0", "m-w1", "m-gone"])
+    assert await until(lambda: state_of(deployment) == "running")
+    assert await until(lambda: state_of(deployment) == "completed", FIRST_ORDER_S + 8.0)
+    assert sorted(name for name, _, _ in machines.log) == ["m-w0", "m-w1"]
+    assert machines.most_down == 1
+    assert [ended for _, _, ended in machines.log] == [0, 0]
+    assert await until(lambda: sum(len(w.running) for w in deployment.workers.values()) == 3)
+    assert all(deployment.runs(str(TaskId(job, 0, 0, index))) for index in range(3))
+
+
+async def test_unanswered_order_is_repeated_and_changes_nothing(group):
+    """Guards against a wave that never completes, and against a second upkeep."""
+    deployment, machines = serviced_deployment(group, 2, lost_answers=1)
+    deployment.start("one")
+    ask_for_wave(deployment, ["m-w0"])
+    assert await until(lambda: state_of(deployment) == "completed", FIRST_ORDER_S + 5.0)
+    assert len(machines.log) == 1
+
+
+async def test_new_controller_waits_with_its_first_order_and_goes_on(group):
+    """Guards against two holders that give orders in turn, and against a wave that begins anew."""
+    deployment, machines = serviced_deployment(group, 3)
+    first = deployment.start("one")
+    ask_for_wave(deployment, ["m-w0", "m-w1"], within_s=30.0)
+    assert await until(lambda: len(machines.log) == 1, FIRST_ORDER_S + 3.0)
+    assert await until(lambda: "foxtailwell/wave/3" in deployment.store.items, 2.0)
+    first.kill()
+    killed_s = anyio.current_time()
+    deployment.start("two")
+    assert await until(lambda: len(machines.log) == 2, FIRST_ORDER_S + 5.0)
+    assert anyio.current_time() - killed_s >= FIRST_ORDER_S
+    assert await until(lambda: state_of(deployment) == "completed", 3.0)
+    assert len(machines.log) == 2
+
+
+async def test_machines_are_listed_by_page_and_orders_are_fenced(anyio_server):
+    """Guards against an adapter that reads one page only or sends an order without its token."""
+    pages = [
+        {"machines": [{"machine": "m-1", "state": "up", "id": "i-1"}], "next_token": "t/2"},
+        {"machines": [{"machine": "m-2", "state": "upkeep", "id": "i-2"}], "next_token": None},
+        {"reason": "busy"},
+        {},
+        {"reason": "odd"},
+    ]
+    statuses = [200, 200, 409, 400, 409]
+    requests = []
+
+    async def handle(stream):
+        async with stream:
+            while len(requests) < len(pages):
+                requests.append(await stream.receive())
+                number = len(requests) - 1
+                body = msgspec.json.encode(pages[number])
+                head = f"HTTP/1.1 {statuses[number]} X\r\nContent-Length: {len(body)}\r\n\r\n"
+                await stream.send(head.encode() + body)
+
+    async with anyio.create_task_group() as group:
+        calls = open_machines(await anyio_server(group, handle), "one")
+        listed = await calls.list_machines()
+        assert [(m.name, m.state, m.worker) for m in listed] == [
+            ("m-1", MachineState.UP, "i-1"),
+            ("m-2", MachineState.UPKEEP, "i-2"),
+        ]
+        assert await calls.begin_upkeep("m-1", 3, 7) is UpkeepOutcome.BUSY
+        assert await calls.begin_upkeep("m-9", 3, 7) is UpkeepOutcome.ABSENT
+        with pytest.raises(MachineCallError):
+            await calls.begin_upkeep("m-1", 3, 7)
+        group.cancel_scope.cancel()
+    assert b"page_token=t%2F2" in requests[1]
+    assert b"X-Fencing-Token: 7" in requests[2]
+    assert b"X-Duty-Holder: one" in requests[2]
+
+
+def test_unreadable_wave_is_left_alone():
+    """Guards against a foreign value under the operators' keys that ends the process."""
+    assert messages.decode_wave(b"{}") is None
+    assert messages.decode_wave(b"\xff") is None
--- a/tests/test_workflow_placement.py
+++ b/tests/test_workflow_placement.py
@@ -134,3 +134,33 @@
     step = Step(3, Resources(1, 1, 1), max_per_worker=2)
     placed = _plan([_unit("j", BATCH, step)], [_worker("w0")]).placements[0]
     assert len(placed.workers) == 2
+
+
+def test_lasting_tasks_that_may_not_be_away_are_never_reclaimed():
+    """Guards against an outage that the product itself brings about."""
+    workers = [_worker("w0", running=[_running("a", WHOLE, is_bounded=True)])]
+    assert not _plan([_unit("j", URGENT, Step(1, WHOLE, 1000))], workers).stops
+
+
+def test_filling_work_stays_away_from_serving_tasks():
+    """Guards against filling work that takes serving tasks over their target."""
+    small = Resources(0, 1000, 1)
+    serving = _worker("w0", running=[_running("a", small, is_serving=True)])
+    fill = Step(2, small, 1000, is_filling=True)
+    placed = _plan([_unit("j", BATCH, fill)], [serving, _worker("w1")]).placements[0]
+    assert set(placed.workers.values()) == {"w1"}
+    serve = Step(1, small, 1000, is_serving=True, is_lasting=True)
+    units = [_unit("j", URGENT, fill), _unit("k", MODEL, serve)]
+    chosen = {
+        p.unit.job_id: set(p.workers.values()) for p in _plan(units, [_worker("w0")]).placements
+    }
+    assert chosen == {"j": {"w0"}}
+
+
+def test_step_with_advice_runs_only_at_allowed_workers():
+    """Guards against a start that its worker rejects for want of a ticket."""
+    workers = [_worker("w0"), _worker("w1")]
+    unit = _unit("j", MODEL, Step(1, WHOLE, 1000))
+    assert not _plan([replace(unit, allowed=frozenset())], workers).placements
+    placed = _plan([replace(unit, allowed=frozenset({"w1"}))], workers).placements[0]
+    assert set(placed.workers.values()) == {"w1"}
