Share ports and call errors, and bound what one soak reports

Cause: a read as a newcomer: the soak and the measures each looked for free ports, three errors of calls repeated each other, and a soak of a broken copy printed thousands of lines.

Ruled out: a change of behaviour; only types and reports move.

--- a/src/foxtailwell/workflows/_machines.py
+++ b/src/foxtailwell/workflows/_machines.py
@@ -7,6 +7,8 @@
 from enum import StrEnum
 from typing import Protocol
 
+from foxtailwell.workflows._ports import CallFailedError
+
 __all__ = [
     "Machine",
     "MachineCallError",
@@ -61,16 +63,8 @@
     max_count: int
 
 
-class MachineCallError(Exception):
-    """The platform gave no usable answer; the call may be carried out later.
-
-    Args:
-        reason: What happened.
-    """
-
-    def __init__(self, reason: str) -> None:
-        super().__init__(reason)
-        self.reason = reason
+class MachineCallError(CallFailedError):
+    """The platform gave no usable answer; the call may be carried out later."""
 
 
 class MachineCalls(Protocol):
--- a/src/foxtailwell/workflows/_ports.py
+++ b/src/foxtailwell/workflows/_ports.py
@@ -13,6 +13,7 @@
 __all__ = [
     "AdviceCallError",
     "Advisor",
+    "CallFailedError",
     "Change",
     "Committed",
     "Conflict",
@@ -120,8 +121,8 @@
         """End a lease, which deletes its keys."""
 
 
-class WorkerCallError(Exception):
-    """A worker gave no usable answer; the call may be carried out later.
+class CallFailedError(Exception):
+    """A call gave no usable answer; it may still be carried out.
 
     Args:
         reason: What happened.
@@ -132,16 +133,12 @@
         self.reason = reason
 
 
-class AdviceCallError(Exception):
-    """The advisor gave no usable answer; ask again later.
+class WorkerCallError(CallFailedError):
+    """A worker gave no usable answer."""
 
-    Args:
-        reason: What happened.
-    """
 
-    def __init__(self, reason: str) -> None:
-        super().__init__(reason)
-        self.reason = reason
+class AdviceCallError(CallFailedError):
+    """The advisor gave no usable answer; ask again later."""
 
 
 class Advisor(Protocol):
--- a/src/foxtailwell_bench/deployment.py
+++ b/src/foxtailwell_bench/deployment.py
@@ -5,7 +5,6 @@
 import http.client
 import json
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -14,6 +13,8 @@
 from pathlib import Path
 from typing import Any
 
+from foxtailwell_standins.ports import free_ports
+
 GUARD_S = 30.0
 """Limit of every wait. It only ends a test that would hang; no verdict depends on it."""
 
@@ -97,7 +98,7 @@
         self, number: int, zone: str = "a", *, store: str = "", roles: str = "entry scheduler"
     ) -> Instance:
         """Start the daemons of an instance, or start them again on other ports."""
-        ports = _free_ports(5)
+        ports = free_ports(5)
         instance = Instance(number, ports[0], ports[1], ports[2])
         running = self.instances.get(number)
         if running is not None and "entry" not in roles:
@@ -341,17 +342,6 @@
         return "\n".join(parts)
 
 
-def _free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [each.getsockname()[1] for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
-
-
 def check_work(records: list[dict[str, Any]]) -> None:
     """Check that no gang ran partially, no job twice at once and no accelerator for two.
 
--- a/src/foxtailwell_soak/_fleet.py
+++ b/src/foxtailwell_soak/_fleet.py
@@ -4,7 +4,6 @@
 
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -26,6 +25,7 @@
 )
 from foxtailwell_standins.platform_store import MemoryStore, StoreFaults
 from foxtailwell_standins.platform_worker import Gangs, MemoryWorker
+from foxtailwell_standins.ports import free_ports
 from foxtailwell_standins.relay import LinkFailures, RelayState, serve_relay
 
 __all__ = ["BOUNDS", "Bounds", "Fleet", "InstanceProcess", "WorkerPort", "heal", "is_prepared_for"]
@@ -213,7 +213,7 @@
         port = WorkerPort(worker, link, address)
         fleet.workers.append(port)
         fleet.publish(port)
-    ports = iter(_free_ports(3 * instance_count))
+    ports = iter(free_ports(3 * instance_count))
     for number in range(instance_count):
         faults = StoreFaults()
         target = await serve_on_loopback(group, store_app(fleet.store.client(faults)))
@@ -255,14 +255,3 @@
     """Let links work again."""
     for link in links:
         link.set_failures(LinkFailures())
-
-
-def _free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [each.getsockname()[1] for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
--- a/src/foxtailwell_soak/_ledger.py
+++ b/src/foxtailwell_soak/_ledger.py
@@ -11,6 +11,9 @@
 MAX_ATTEMPTS = 4
 """Attempts of a task, as the operators of the soak configure them."""
 
+MOST_VIOLATIONS = 20
+"""Broken promises that one soak reports."""
+
 
 @dataclass(slots=True)
 class JobLog:
@@ -57,6 +60,6 @@
     violations: list[str] = field(default_factory=list)
 
     def blame(self, text: str) -> None:
-        """Note a broken promise once."""
-        if text not in self.violations:
+        """Note a broken promise once; after the first ones nothing new is learnt."""
+        if len(self.violations) < MOST_VIOLATIONS and text not in self.violations:
             self.violations.append(text)
--- /dev/null
+++ b/src/foxtailwell_standins/ports.py
@@ -0,0 +1,19 @@
+"""Ports for processes of a test."""
+
+from __future__ import annotations
+
+import socket
+
+__all__ = ["free_ports"]
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports of this machine that nothing listens on now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for each in sockets:
+            each.bind(("127.0.0.1", 0))
+        return [each.getsockname()[1] for each in sockets]
+    finally:
+        for each in sockets:
+            each.close()
