--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -230,14 +230,24 @@
 check "work returns to $zone" busy "$(until_is 10 busy busy_again)"
 
 step "a planned stop under load cuts no request"
-minions_control '{"run_ms": 400}'
+minions_control '{"run_ms": 1500}'
+begun_requests() {
+    local port total=0
+    for port in $(seq "$MINIONS" $((MINIONS + 3))); do
+        total=$((total + $(curl -s "http://127.0.0.1:$port/control" |
+            json "sum(1 for run in v['executed'] if run[2] == 'stability-check')")))
+    done
+    echo "$total"
+}
+before=$(begun_requests)
 LOAD=()
 for i in $(seq 12); do
     foxtailwell call stability-check --url "$(callers 3)" --account depot --body "$i" \
         >"$DIR/load-$i" 2>/dev/null &
     LOAD[i]=$!
 done
-sleep 0.9
+# The stop begins once every request has reached a backend server: a client takes a second to start.
+check "requests that have begun" $((before + 12)) "$(until_is 10 $((before + 12)) begun_requests)"
 kill -TERM "$(pid_of entry-3)"
 cut=0
 for i in $(seq 12); do
