Keep every soak seed that ever failed

Cause: five of the six seeds whose workers were over their room were not kept. They had failed by the stand-in's gangs; all six are kept now.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,7 +20,10 @@
 SEED = 20261204
 REGRESSION_SEEDS = {
     1970167993: "SIGHUP ended an instance that had just begun to start",
-    454861516: "members of a gang ended one by one in the stand-in",
+    **dict.fromkeys(
+        (454861516, 2252139179, 3588264186, 883391157, 3750200725, 1537704294),
+        "members of a gang ended one by one in the stand-in",
+    ),
     125992539: "the judge took ends of two lives of a worker for one",
 }
 """Seeds that ever failed, each with its cause."""
