Queue the tasks of a replaced worker again at once

Ruled out: the missing entry as proof (a worker that is cut off loses its entry too) and a refused connection (cuts may refuse connections). Change: a response of another incarnation queues the tasks of the former one again. Test: fails without the change.

--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -29,6 +29,7 @@
     RejectedTransaction,
 )
 from foxtailwell.controller._links import (
+    IncarnationReplaced,
     LinkEvent,
     ListingReceived,
     StartFinished,
@@ -398,6 +399,8 @@
                 self._runs.apply_start(event)
             case StopConfirmed():
                 self._runs.apply_stop(event)
+            case IncarnationReplaced():
+                self._runs.apply_replacement(event)
             case AdviceReceived():
                 self._tickets.apply(event)
                 self._planned_s = 0.0
--- a/src/foxtailwell/controller/_links.py
+++ b/src/foxtailwell/controller/_links.py
@@ -25,6 +25,7 @@
 )
 
 __all__ = [
+    "IncarnationReplaced",
     "LinkEvent",
     "ListingReceived",
     "StartFinished",
@@ -100,7 +101,19 @@
     run: int
 
 
-LinkEvent = ListingReceived | StartFinished | StopConfirmed
+@dataclass(frozen=True, slots=True)
+class IncarnationReplaced:
+    """Another incarnation answers at the worker's address, so the worker's runs have ended.
+
+    Attributes:
+        boot_unix_ms: Start time of the incarnation that is gone, as the link knew it.
+    """
+
+    worker: str
+    boot_unix_ms: int
+
+
+LinkEvent = ListingReceived | StartFinished | StopConfirmed | IncarnationReplaced
 
 
 @dataclass(slots=True)
@@ -193,6 +206,7 @@
         is_waiting = self.may_have_runs and not has_unprocessed_ends and not self.is_unresponsive
         wait_ms = min(LISTING_WAIT_MS, self.lease_ms // RENEWALS_PER_LEASE) if is_waiting else 0
         acknowledged = self.durable_end
+        address, boot_unix_ms = self.entry.address, self.boot_unix_ms
         try:
             # An unresponsive worker is only probed: a renewal that it may never receive would
             # postpone the time at which its runs count as lost.
@@ -207,6 +221,14 @@
             if response is CommandOutcome.FENCED:
                 self.on_fenced(self.entry.id)
             self._mark_unresponsive(response.value)
+            # An entry with a new address while the call was under way belongs to a newer
+            # incarnation, of which this response says nothing.
+            if (
+                response is CommandOutcome.OTHER_INCARNATION
+                and self.may_have_runs
+                and self.entry.address == address
+            ):
+                await self.events.send(IncarnationReplaced(self.entry.id, boot_unix_ms))
             await anyio.sleep(RETRY_PAUSE_S)
             return
         self._mark_responsive()
--- a/src/foxtailwell/controller/_runs.py
+++ b/src/foxtailwell/controller/_runs.py
@@ -7,7 +7,12 @@
 from foxtailwell.adapters.events import RUN_ENDED, RUN_LOST, TASK_UNREADABLE
 from foxtailwell.adapters.logs import log_event
 from foxtailwell.adapters.work_metrics import WorkMetrics
-from foxtailwell.controller._links import ListingReceived, StartFinished, StopConfirmed
+from foxtailwell.controller._links import (
+    IncarnationReplaced,
+    ListingReceived,
+    StartFinished,
+    StopConfirmed,
+)
 from foxtailwell.controller._tickets import Tickets
 from foxtailwell.controller._workers import Workers
 from foxtailwell.workflows import (
@@ -160,6 +165,15 @@
         if task is not None and task.run == event.run:
             task.stopped_s = self._now_s()
 
+    def apply_replacement(self, event: IncarnationReplaced) -> None:
+        """Queue the tasks again of a worker whose address now belongs to another incarnation.
+
+        A crashed worker is replaced at its address within seconds, long before its leases expire.
+        """
+        for task in self._registry.placed_on(event.worker):
+            if task.boot_unix_ms <= event.boot_unix_ms:
+                self._requeue_lost(task, "another incarnation has its address")
+
     def take_orphaned_runs(self) -> set[tuple[str, TaskId, int]]:
         """Return the reported runs that no record asks for, as (worker, task, run), each once."""
         orphaned, self._orphaned_runs = self._orphaned_runs, set()
--- a/src/foxtailwell_standins/platform_worker.py
+++ b/src/foxtailwell_standins/platform_worker.py
@@ -46,6 +46,7 @@
         is_unhealthy: Starts are refused with UNHEALTHY.
         is_failing_runs: Each run ends as failed as soon as it starts.
         is_stalled: Runs make no progress and do not complete.
+        is_replaced: Another worker has its address and rejects all calls that name this one.
     """
 
     is_unreachable: bool = False
@@ -54,6 +55,7 @@
     is_unhealthy: bool = False
     is_failing_runs: bool = False
     is_stalled: bool = False
+    is_replaced: bool = False
 
 
 @dataclass(slots=True)
@@ -330,6 +332,8 @@
     ) -> tuple[CommandOutcome, int | None]:
         """Start a run under a lease that ends at `until_clock_ms` on the worker's clock."""
         await self._begin_call()
+        if self.faults.is_replaced:
+            return CommandOutcome.OTHER_INCARNATION, None
         if self.faults.is_unhealthy:
             return CommandOutcome.UNHEALTHY, None
         if self.faults.delayed_starts:
@@ -345,6 +349,8 @@
     async def stop(self, task: TaskId, run: int, token: int) -> CommandOutcome:
         """Stop a run; a run that has not started yet will be rejected."""
         await self._begin_call()
+        if self.faults.is_replaced:
+            return CommandOutcome.OTHER_INCARNATION
         if token < self.token:
             return CommandOutcome.FENCED
         self.token = token
@@ -360,6 +366,8 @@
     ) -> WorkerListing | CommandOutcome:
         """Renew the lease of all runs and list runs and ends; wait up to `wait_ms` for an end."""
         await self._begin_call()
+        if self.faults.is_replaced:
+            return CommandOutcome.OTHER_INCARNATION
         if token < self.token:
             return CommandOutcome.FENCED
         self.token = token
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -7,6 +7,7 @@
 
 from controller_harness import LATER, URGENT, make_deployment, step, until
 from foxtailwell.workflows import EndKind, JobState, Resources
+from foxtailwell_standins.platform_worker import WorkerFaults
 
 pytestmark = pytest.mark.anyio
 
@@ -287,6 +288,20 @@
     assert await until(lambda: len(worker.log) == 2)
 
 
+async def test_tasks_of_a_crashed_worker_move_once_another_has_its_address(group):
+    """Guards against waiting 10 s for the lease of a crashed worker that has been replaced."""
+    deployment = make_deployment(group, 2)
+    deployment.start("one", lease_ms=10_000)
+    _job, task = await deployment.start_one_task()
+    holder = deployment.holder_of(task)
+    holder.faults.is_unreachable = True
+    await anyio.sleep(0.5)
+    holder.restart()
+    holder.faults = WorkerFaults(is_replaced=True)
+    assert await until(lambda: len(deployment.runs(task)) == 2, 2.0)
+    assert deployment.runs(task)[1][0] != holder.id
+
+
 async def test_worker_that_fails_all_runs_is_quarantined(group):
     """Guards against a faulty worker that is always idle and so uses up every job's attempts."""
     deployment = make_deployment(group, 2, task_duration_s=0.1)
