Notice the return of a silent store within 0.3 s

Ruled out: a shorter timeout, which a slow store (0.3 s an answer) over a slow link would run into. Change: while the store is silent it is checked every 0.3 s without waiting for earlier checks. A call is given up as unanswered when one that was sent 0.35 s later has been answered.

--- a/src/foxtailwell/adapters/http_connection.py
+++ b/src/foxtailwell/adapters/http_connection.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -73,14 +74,14 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.is_open = False
-        self._fail("connection lost")
+        self.fail("connection lost")
 
     def data_received(self, data: bytes) -> None:
         self.received_s = asyncio.get_running_loop().time()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self._fail(f"unreadable response: {error}")
+            self.fail(f"unreadable response: {error}")
             self.close()
 
     def on_body(self, body: bytes) -> None:
@@ -110,12 +111,18 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def _fail(self, reason: str) -> None:
+    def fail(self, reason: str) -> None:
         waiter, self._waiter = self._waiter, None
         if waiter is not None and not waiter.done():
             waiter.set_exception(CallError(reason, may_have_been_sent=True))
 
 
+@dataclass(frozen=True, slots=True)
+class _ActiveCall:
+    sent_s: float
+    overtaken_after_s: float
+
+
 async def _await_progress(
     connection: _Connection, waiter: asyncio.Future[CallReply], timeout_s: float
 ) -> CallReply:
@@ -145,6 +152,7 @@
         self._port = int(port)
         self._host_header = host or address
         self._idle: list[_Connection] = []
+        self._active: dict[_Connection, _ActiveCall] = {}
 
     async def call(
         self,
@@ -154,6 +162,7 @@
         *,
         headers: Mapping[str, str] | None = None,
         timeout_s: float,
+        overtaken_after_s: float = math.inf,
     ) -> CallReply:
         """Send one request and read the complete response.
 
@@ -165,6 +174,9 @@
             timeout_s: Maximum time without progress of the response. It does not limit the whole
                 transfer, because a large value takes a second over the slowest link between the
                 platform's instances.
+            overtaken_after_s: The call fails early when one that was sent this much later is
+                answered first, while no byte of its own response has arrived: a server that is
+                back after an outage does not answer the calls that it has lost.
 
         Returns:
             The response, whatever its status.
@@ -179,6 +191,8 @@
         request = "\r\n".join((*lines, "", "")).encode("latin-1") + body
         connection = await self._acquire_connection()
         waiter = connection.call(request)
+        sent_s = asyncio.get_running_loop().time()
+        self._active[connection] = _ActiveCall(sent_s, overtaken_after_s)
         try:
             reply = await _await_progress(connection, waiter, timeout_s)
         except TimeoutError as error:
@@ -191,11 +205,20 @@
             waiter.cancel()
             connection.close()
             raise
+        finally:
+            del self._active[connection]
+        self._fail_overtaken(sent_s)
         if connection.is_open:
             connection.idle_since_s = asyncio.get_running_loop().time()
             self._idle.append(connection)
         return reply
 
+    def _fail_overtaken(self, answered_sent_s: float) -> None:
+        for connection, call in self._active.items():
+            is_silent = connection.received_s < call.sent_s
+            if is_silent and answered_sent_s - call.sent_s > call.overtaken_after_s:
+                connection.fail("a later call was answered first")
+
     def close(self) -> None:
         """Close all idle connections; calls in progress continue."""
         for connection in self._idle:
--- a/src/foxtailwell/instance/_operators.py
+++ b/src/foxtailwell/instance/_operators.py
@@ -39,8 +39,8 @@
 CONFIRM_INTERVAL_S = 0.7
 """Interval of confirmations; a changed configuration must be in force within 2 s."""
 
-RETRY_DELAY_S = 0.25
-"""Delay before the next confirmation after one without a response."""
+RETRY_DELAY_S = 0.3
+"""Interval of confirmations while the store does not answer."""
 
 EVIDENCE_MARGIN_S = 0.5
 """Deducted from the evidence limit: a request is still processed after its evidence is checked."""
@@ -163,20 +163,25 @@
         async with self._confirm_lock:
             if self._evidence_sent_s >= newer_than_s:
                 return True
-            sent_s = self._now_s()
-            try:
-                await self._check()
-            except StoreCallError as error:
-                log_event(
-                    OPERATOR_VIEW_STALE,
-                    reason=error.reason,
-                    evidence_age_s=round(min(self.evidence_age_s, 9999), 2),
-                )
+            return await self._confirm_once()
+
+    async def _confirm_once(self) -> bool:
+        sent_s = self._now_s()
+        try:
+            await self._check()
+        except StoreCallError as error:
+            log_event(
+                OPERATOR_VIEW_STALE,
+                reason=error.reason,
+                evidence_age_s=round(min(self.evidence_age_s, 9999), 2),
+            )
+            # A call that was sent later may have been answered meanwhile.
+            if sent_s > self._evidence_sent_s:
                 self._is_store_unavailable = True
-                return False
-            self._is_store_unavailable = False
-            self._evidence_sent_s = max(self._evidence_sent_s, sent_s)
-            return True
+            return False
+        self._is_store_unavailable = False
+        self._evidence_sent_s = max(self._evidence_sent_s, sent_s)
+        return True
 
     async def _check(self) -> None:
         """Compare revisions in the store, which sends the value only if the revision differs."""
@@ -203,14 +208,16 @@
                 self._on_changes,
             )
             while True:
-                newer_than_s = self._now_s() - (
-                    0.0 if self._is_store_unavailable else CONFIRM_INTERVAL_S
-                )
-                await self.confirm(newer_than_s)
+                if self._is_store_unavailable:
+                    # Calls that the store has lost time out late, so that the next check does not
+                    # wait for them.
+                    group.start_soon(self._confirm_once)
+                    pause_s = RETRY_DELAY_S
+                else:
+                    await self.confirm(self._now_s() - CONFIRM_INTERVAL_S)
+                    pause_s = 0.0 if self._is_store_unavailable else CONFIRM_INTERVAL_S
                 self._recheck_event = anyio.Event()
-                with anyio.move_on_after(
-                    RETRY_DELAY_S if self._is_store_unavailable else CONFIRM_INTERVAL_S
-                ):
+                with anyio.move_on_after(pause_s):
                     await self._recheck_event.wait()
 
     async def _on_changes(self, batch: ChangeBatch) -> None:
--- a/src/foxtailwell/platform/store.py
+++ b/src/foxtailwell/platform/store.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 import time
 from base64 import b64decode, b64encode
@@ -36,6 +37,12 @@
 
 _CALL_NAME_PATTERN = re.compile(r"/-/kv-([a-z-]+)")
 
+OVERTAKEN_AFTER_S = 0.35
+"""Head start of a call over an answered one from which its own answer counts as lost.
+
+All calls of a slow store take about equally long, 0.3 s.
+"""
+
 WATCH_MARGIN_S = 0.5
 """Added to the wait of a watch to get the timeout of its call."""
 
@@ -106,7 +113,11 @@
 
     async def watch(self, prefix: str, after: int, wait_ms: int) -> tuple[list[Change], int]:
         path = f"/-/kv-watch?prefix={quote(prefix, safe='')}&after={after}&wait_ms={wait_ms}"
-        reply = await self._read(path, (200, 410), timeout_s=wait_ms / 1000 + WATCH_MARGIN_S)
+        timeout_s = wait_ms / 1000 + WATCH_MARGIN_S
+        # A watch waits for changes, so that later calls are answered before it.
+        reply = await self._call(
+            "GET", path, (200, 410), timeout_s=timeout_s, overtaken_after_s=math.inf
+        )
         if reply.status == 410:
             raise HistoryLostError(prefix)
         events = _decode(reply, _Events)
@@ -142,10 +153,8 @@
     async def revoke_lease(self, lease_id: int) -> None:
         await self._call("DELETE", f"/-/kv-lease-end/{lease_id}", (200, 204, 404))
 
-    async def _read(
-        self, path: str, expected: tuple[int, ...], *, timeout_s: float = CALL_TIMEOUT_S
-    ) -> CallReply:
-        return await self._call("GET", path, expected, timeout_s=timeout_s)
+    async def _read(self, path: str, expected: tuple[int, ...]) -> CallReply:
+        return await self._call("GET", path, expected)
 
     async def _call(
         self,
@@ -155,12 +164,15 @@
         body: bytes = b"",
         *,
         timeout_s: float = CALL_TIMEOUT_S,
+        overtaken_after_s: float = OVERTAKEN_AFTER_S,
     ) -> CallReply:
         name = _CALL_NAME_PATTERN.match(path)
         call = name[1] if name else path
         start_s = time.monotonic()
         try:
-            reply = await self._endpoint.call(method, path, body, timeout_s=timeout_s)
+            reply = await self._endpoint.call(
+                method, path, body, timeout_s=timeout_s, overtaken_after_s=overtaken_after_s
+            )
         except CallError as error:
             self._metrics.count("store_calls", call=call, outcome="no response")
             raise StoreCallError(
--- a/src/foxtailwell_standins/platform_store.py
+++ b/src/foxtailwell_standins/platform_store.py
@@ -37,12 +37,14 @@
         delayed_writes: Number of coming writes that get no response and take effect when
             `apply_delayed` is called.
         is_watch_stalled: Watches report no changes.
+        silence_s: Time after which every call fails without a response; 0 for none.
     """
 
     is_down: bool = False
     lost_write_responses: int = 0
     delayed_writes: int = 0
     is_watch_stalled: bool = False
+    silence_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -180,6 +182,9 @@
         await anyio.sleep(0.001)
         if self.faults.is_down:
             raise StoreCallError("status 503", is_outcome_unknown=False)
+        if self.faults.silence_s:
+            await anyio.sleep(self.faults.silence_s)
+            raise StoreCallError("no response", is_outcome_unknown=True)
         self._store.expire_leases()
 
     async def get(self, key: str) -> Item | None:
--- a/tests/test_instance_api.py
+++ b/tests/test_instance_api.py
@@ -4,6 +4,7 @@
 
 import time
 
+import anyio
 import msgspec
 import pytest
 
@@ -207,3 +208,20 @@
     assert store.revision == revision
     await instance.operators.confirm(instance._now_s())
     assert (await instance.call("POST", JOB))[0] == 200
+
+
+async def test_return_of_a_silent_store_is_noticed_before_lost_calls_time_out(store, instance):
+    """Guards against seconds of refusals after an outage, until the last lost call times out."""
+    async with anyio.create_task_group() as group:
+        group.start_soon(instance.operators.run)
+        await anyio.sleep(0.1)
+        instance.faults.silence_s = 3.0
+        instance.operators.report_store_failure()
+        await anyio.sleep(0.5)
+        assert (await instance.call("POST", JOB))[0] == 503
+        instance.faults.silence_s = 0.0
+        await anyio.sleep(0.5)
+        assert (await instance.call("POST", JOB))[0] == 200
+        await anyio.sleep(3.0)
+        assert not instance.operators.is_store_unavailable
+        group.cancel_scope.cancel()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import math
 
 import anyio
 import msgspec
@@ -149,6 +150,40 @@
         group.cancel_scope.cancel()
 
 
+@pytest.mark.anyio
+async def test_call_that_a_later_one_overtakes_fails_early_unless_it_may_wait(anyio_server):
+    """Guards against waiting out the timeouts of calls that a server lost in an outage."""
+
+    async def handle(stream):
+        async with stream:
+            request = await stream.receive()
+            if b"/lost" in request:
+                await anyio.sleep_forever()
+            await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            await anyio.sleep_forever()
+
+    failed_s = {}
+
+    async def call_lost(endpoint, overtaken_after_s):
+        started_s = anyio.current_time()
+        with pytest.raises(CallError) as error:
+            await endpoint.call("GET", "/lost", timeout_s=1.0, overtaken_after_s=overtaken_after_s)
+        assert error.value.may_have_been_sent
+        failed_s[overtaken_after_s] = anyio.current_time() - started_s
+
+    async with anyio.create_task_group() as group:
+        endpoint = HttpEndpoint(await anyio_server(group, handle))
+        async with anyio.create_task_group() as calls:
+            for overtaken_after_s in (0.1, 0.5, math.inf):
+                calls.start_soon(call_lost, endpoint, overtaken_after_s)
+            await anyio.sleep(0.2)
+            await endpoint.call("GET", "/", timeout_s=1.0)
+        group.cancel_scope.cancel()
+    assert failed_s[0.1] < 0.5
+    assert failed_s[0.5] > 0.9
+    assert failed_s[math.inf] > 0.9
+
+
 @pytest.mark.anyio
 async def test_abandoned_call_leaves_no_unhandled_error(anyio_server):
     """Guards against errors that asyncio reports because no caller retrieves them."""
