Count the age of a job from its acceptance after a change of the controller

Ruled out: another field in the record, since the submission holds the time. Change: recovered jobs count from the stored time of acceptance, but never from the future. Test: fails without the change.

--- a/src/foxtailwell/controller/_stored_jobs.py
+++ b/src/foxtailwell/controller/_stored_jobs.py
@@ -107,7 +107,8 @@
         intake, revision = await self._store.list_items(INTAKE_PREFIX)
         jobs = {i.key[len(JOB_PREFIX) :] for i in intake if i.key.startswith(JOB_PREFIX)}
         for item in intake:
-            self.apply(Change(item.key, item.value, item.revision), progress)
+            change = Change(item.key, item.value, item.revision)
+            self.apply(change, progress, is_recovered=True)
         for job_id, record in progress.items():
             if job_id not in jobs:
                 self._ended_unix_ms[job_id] = record.ended_unix_ms
@@ -130,12 +131,15 @@
         found = [await self._store.get(job_key(job_id)) for job_id in missed]
         return tuple(Change(i.key, i.value, i.revision) for i in found if i is not None)
 
-    def apply(self, change: Change, progress: Mapping[str, JobProgress]) -> None:
+    def apply(
+        self, change: Change, progress: Mapping[str, JobProgress], *, is_recovered: bool = False
+    ) -> None:
         """Apply a stored submission or cancellation.
 
         Args:
             change: Item or change under `INTAKE_PREFIX`.
             progress: Stored progress by job; empty for new submissions.
+            is_recovered: The item was stored before this term, so that a job's age counts.
         """
         if change.key.startswith(CANCEL_PREFIX):
             if change.value is not None:
@@ -143,9 +147,11 @@
                 self._commits.cancel_marks.add(job_id)
                 self._registry.cancel(job_id, self._now_unix_ms())
         elif change.key.startswith(JOB_PREFIX) and change.value not in (None, REFUSED_MARK):
-            self._apply_submission(change, progress)
+            self._apply_submission(change, progress, is_recovered)
 
-    def _apply_submission(self, change: Change, progress: Mapping[str, JobProgress]) -> None:
+    def _apply_submission(
+        self, change: Change, progress: Mapping[str, JobProgress], is_recovered: bool
+    ) -> None:
         job_id = change.key[len(JOB_PREFIX) :]
         if job_id in self._registry.jobs or job_id in self._ended_unix_ms:
             return
@@ -161,7 +167,11 @@
         record = progress.get(job_id)
         if not (record and (record.has_started or record.state.is_final)):
             self._commits.waiting_marks.add(job_id)
-        self._registry.add(submission, queue, self._now_s(), record)
+        # The clocks of two instances may differ, so a job never counts as accepted in the future.
+        # Records without a time of acceptance count as new.
+        is_aged = is_recovered and submission.accepted_unix_ms > 0
+        age_ms = self._now_unix_ms() - submission.accepted_unix_ms if is_aged else 0
+        self._registry.add(submission, queue, self._now_s(), record, age_s=max(0, age_ms) / 1000)
         if job_id in self._commits.cancel_marks:
             self._registry.cancel(job_id, self._now_unix_ms())
         log_event(JOB_WAITING, job=job_id, queue=submission.queue, steps=len(submission.steps))
--- a/src/foxtailwell/workflows/_job_registry.py
+++ b/src/foxtailwell/workflows/_job_registry.py
@@ -40,16 +40,19 @@
         queue: Queue,
         now_s: float,
         progress: JobProgress | None = None,
+        *,
+        age_s: float = 0.0,
     ) -> Job:
         """Add a job.
 
         Args:
             submission: Job as submitted.
             queue: Queue of the job.
-            now_s: Local time, used as the time of acceptance.
+            now_s: Local time.
             progress: Stored progress when a new controller recovers the job; None for a new one.
+            age_s: Time since the job was accepted.
         """
-        job = Job(submission, queue, now_s)
+        job = Job(submission, queue, now_s - age_s)
         job.tasks = {task_id: Task(task_id) for task_id in submission.task_ids()}
         if progress is not None:
             job.state = progress.state
--- a/src/foxtailwell/workflows/_tasks.py
+++ b/src/foxtailwell/workflows/_tasks.py
@@ -116,7 +116,7 @@
     Attributes:
         waiting_since_s: Local time from which the unit could have been placed.
         deadline_s: Local time by which its job has to complete to meet the target of its queue.
-        accepted_s: Local time at which this controller learned of its job.
+        accepted_s: Local time at which its job was accepted.
         is_guaranteed: It is urgent, and its account's urgent jobs together fit into the guarantee.
         allowed: Workers for which the unit has a valid ticket; None if its queue needs no tickets.
     """
@@ -145,7 +145,7 @@
     """A job that has not ended, or has ended while some of its runs are still being stopped.
 
     Attributes:
-        accepted_s: Local time at which this controller learned of the job.
+        accepted_s: Local time of its acceptance, also by an earlier controller's term.
         has_started: Some worker has confirmed a run of the job.
         ended_unix_ms: Time of day of its end; 0 before.
         ready_since_s: Local time from which a step could be placed, by occurrence and step.
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import time
+
 import anyio
 import pytest
+from loguru import logger
 
 from controller_harness import LATER, URGENT, make_deployment, step, until
 from foxtailwell.controller import _controller
@@ -15,6 +18,15 @@
 WHOLE = Resources(10_000, 10_000, 8)
 
 
+@pytest.fixture
+def caplog_events():
+    """Return the fields of all events that are logged during the test."""
+    events = []
+    sink = logger.add(lambda message: events.append(message.record["extra"]))
+    yield events
+    logger.remove(sink)
+
+
 async def test_job_runs_its_steps_in_order_and_completes(group):
     """Guards against a step that starts before the steps it depends on have completed."""
     deployment = make_deployment(group, task_duration_s=0.1)
@@ -474,6 +486,17 @@
     assert await until(lambda: len(deployment.runs(task)) == 2, 9.0)
 
 
+async def test_age_of_a_job_survives_a_change_of_the_controller(group, caplog_events):
+    """Guards against targets that count from a new controller's first look at a job."""
+    deployment = make_deployment(group, 1, task_duration_s=0.1)
+    accepted_unix_ms = int(time.time() * 1000) - 10_000
+    job = await deployment.submit(1, LATER, [step()], accepted_unix_ms=accepted_unix_ms)
+    deployment.start("one")
+    assert await deployment.reaches(job, JobState.COMPLETED)
+    ended = next(e for e in caplog_events if e.get("event") == "FW1606")
+    assert 10 <= ended["elapsed_s"] < 14
+
+
 async def test_waiting_instances_do_not_flood_the_store_after_lost_history(group):
     """Guards against repeated watches from a revision whose history the store has dropped."""
     deployment = make_deployment(group, 1)
