Reject deeply nested messages and unusable addresses of workers

Cause (one malformed message takes a process down): an entry of another writer under the workers' prefix with 100,000 nested brackets, even in a field that is not read, raised RecursionError, and one with the address 'x:y' or the port 65536 passed the decoder and failed at the connection. Either ends the controller's term, and that of each successor as long as the entry is there. Ruled out: invalid UTF-8 and numbers out of range, which msgspec reports as its own error. Change: each decoder of the platform rejects them as malformed; addresses are checked.

--- a/src/foxtailwell/platform/advisor.py
+++ b/src/foxtailwell/platform/advisor.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from foxtailwell.adapters.http_connection import CallError, HttpEndpoint
+from foxtailwell.platform._malformed import MALFORMED
 from foxtailwell.workflows import AdviceCallError, Advisor
 
 __all__ = ["open_advisor"]
@@ -39,5 +40,5 @@
             raise AdviceCallError(f"status {reply.status}")
         try:
             return dict(msgspec.json.decode(reply.body, type=_Advice).allowed)
-        except msgspec.DecodeError as error:
+        except MALFORMED as error:
             raise AdviceCallError(f"response cannot be decoded: {error}") from error
--- a/src/foxtailwell/platform/machines.py
+++ b/src/foxtailwell/platform/machines.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from foxtailwell.adapters.http_connection import CallError, CallReply, HttpEndpoint
+from foxtailwell.platform._malformed import MALFORMED
 from foxtailwell.workflows import (
     Machine,
     MachineCallError,
@@ -68,7 +69,7 @@
                 raise MachineCallError(f"status {reply.status}")
             try:
                 page = msgspec.json.decode(reply.body, type=_Page)
-            except msgspec.DecodeError as error:
+            except MALFORMED as error:
                 raise MachineCallError(f"response cannot be decoded: {error}") from error
             machines += [Machine(m.machine, m.state, m.id) for m in page.machines]
             if not page.next_token:
@@ -88,7 +89,7 @@
         if reply.status == 409:
             try:
                 reason = msgspec.json.decode(reply.body, type=_Refusal).reason
-            except msgspec.DecodeError as error:
+            except MALFORMED as error:
                 raise MachineCallError(f"response cannot be decoded: {error}") from error
             if reason in _OUTCOMES_BY_REASON:
                 return _OUTCOMES_BY_REASON[reason]
--- a/src/foxtailwell/platform/messages.py
+++ b/src/foxtailwell/platform/messages.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from foxtailwell.platform._malformed import MALFORMED
 from foxtailwell.workflows import (
     AdviceRules,
     ClientAccount,
@@ -130,7 +131,7 @@
     """
     try:
         wire = msgspec.json.decode(value, type=_Configuration)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except MALFORMED as error:
         raise MessageError(f"configuration: {error}") from error
     by_host: dict[str, list[Route]] = {}
     for route in wire.routes:
@@ -166,7 +167,7 @@
     """Decode a maintenance wave; returns None if it is invalid, so that the wave is ignored."""
     try:
         wave = msgspec.json.decode(value, type=_Wave)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except MALFORMED:
         return None
     return MaintenanceWave(wave.wave, tuple(wave.machines), wave.within_s, max(1, wave.max_count))
 
@@ -193,7 +194,7 @@
     """
     try:
         wire = msgspec.json.decode(body, type=_Job)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except MALFORMED as error:
         raise MessageError(f"job: {error}") from error
     if not wire.phases:
         raise MessageError("job: no steps; name at least one")
--- a/src/foxtailwell/platform/store.py
+++ b/src/foxtailwell/platform/store.py
@@ -17,6 +17,7 @@
 
 from foxtailwell.adapters.http_connection import CallError, CallReply, HttpEndpoint
 from foxtailwell.adapters.work_metrics import WorkMetrics
+from foxtailwell.platform._malformed import MALFORMED
 from foxtailwell.workflows import (
     Change,
     Committed,
@@ -189,7 +190,7 @@
 def _decode(reply: CallReply, kind: type[T]) -> T:
     try:
         return msgspec.json.decode(reply.body, type=kind)
-    except msgspec.DecodeError as error:
+    except MALFORMED as error:
         raise StoreCallError(f"unreadable answer: {error}", is_outcome_unknown=True) from error
 
 
--- a/src/foxtailwell/platform/workers.py
+++ b/src/foxtailwell/platform/workers.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import re
+
 import msgspec
 
 from foxtailwell.adapters.http_connection import CallError, CallReply, HttpEndpoint
+from foxtailwell.platform._malformed import MALFORMED
 from foxtailwell.workflows import (
     CommandOutcome,
     EndedRun,
@@ -27,6 +30,11 @@
 RENEWAL_MARGIN_S = 0.6
 """Added to the wait of a lease renewal to get the timeout of its call."""
 
+MAX_PORT = 65_535
+"""Highest TCP port."""
+
+_ADDRESS_PATTERN = re.compile(r"[0-9.]{7,15}:[0-9]{1,5}")
+
 _OUTCOMES_BY_REASON = {
     "fence": CommandOutcome.FENCED,
     "old": CommandOutcome.STALE_RUN,
@@ -79,9 +87,9 @@
     """
     try:
         entry = msgspec.json.decode(value, type=_Entry)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except MALFORMED:
         return None
-    if entry.state not in ("ready", "draining") or ":" not in entry.address:
+    if entry.state not in ("ready", "draining") or not _is_address(entry.address):
         return None
     return WorkerEntry(
         id=worker,
@@ -98,6 +106,11 @@
     )
 
 
+def _is_address(text: str) -> bool:
+    port = text.rpartition(":")[2]
+    return bool(_ADDRESS_PATTERN.fullmatch(text)) and 0 < int(port) <= MAX_PORT
+
+
 def connect_worker(worker: str, address: str) -> WorkerCalls:
     """Return a client of one worker.
 
@@ -171,7 +184,7 @@
         return CommandOutcome.INVALID, None
     try:
         response = msgspec.json.decode(reply.body, type=_Response) if reply.body else _Response()
-    except msgspec.DecodeError as error:
+    except MALFORMED as error:
         raise WorkerCallError(f"response cannot be decoded: {error}") from error
     if reply.status == 200:
         return CommandOutcome.DONE, response.clock_ms
@@ -190,6 +203,6 @@
             EndedRun(number, task, run, EndKind(how), saved)
             for number, task, run, how, saved in listing.ended
         )
-    except (msgspec.DecodeError, ValueError, IndexError) as error:
+    except (*MALFORMED, ValueError, IndexError) as error:
         raise WorkerCallError(f"listing cannot be decoded: {error}") from error
     return WorkerListing(listing.clock_ms, listing.born, running, ended)
--- /dev/null
+++ b/tests/test_malformed_messages.py
@@ -0,0 +1,93 @@
+"""Malformed messages of the platform: each decoder rejects them with its declared error only."""
+
+from __future__ import annotations
+
+import contextlib
+
+import msgspec
+import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
+
+from foxtailwell.adapters.http_connection import CallReply
+from foxtailwell.platform import messages, store, workers
+from foxtailwell.workflows import StoreCallError, WorkerCallError
+
+DEEP = b"[" * 100_000 + b"]" * 100_000
+ENTRY = {"service": "s", "address": "10.0.0.1:80", "zone": "z", "state": "ready", "born": 1}
+LISTING = {
+    "clock_ms": 1,
+    "born": 1,
+    "running": [["t", 1, "", 5]],
+    "ended": [[1, "t", 1, "done", ""]],
+}
+JOB = {"spec": "x", "phases": [{"count": 1, "after": [], "gang": True}]}
+CONFIGURATION = {
+    "version": 1,
+    "routes": [{"name": "r", "host": "h", "prefix": "/", "service": "s"}],
+    "tenants": [{"name": "t", "api_keys": ["k"], "guaranteed": {"gpu": 1}}],
+}
+PAGE = {"items": [{"key": "k", "value": "eA==", "revision": 1}], "at_rev": 1}
+WAVE = {"wave": 1, "machines": ["m"], "within_s": 1, "max_count": 1}
+
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner),
+    max_leaves=6,
+)
+
+
+def _page(body):
+    page = store._decode(CallReply(200, body), store._Page)
+    return [store._item(item) for item in page.items]
+
+
+DECODERS = [
+    (ENTRY, lambda body: workers.decode_worker_entry("w", body), ()),
+    (LISTING, workers._decode_listing, (WorkerCallError,)),
+    (LISTING, lambda body: workers._outcome(CallReply(409, body)), (WorkerCallError,)),
+    (
+        JOB,
+        lambda body: messages.decode_submission("a", "q", "t", 1, body),
+        (messages.MessageError,),
+    ),
+    (CONFIGURATION, messages.decode_configuration, (messages.MessageError,)),
+    (WAVE, messages.decode_wave, ()),
+    (PAGE, _page, (StoreCallError,)),
+]
+
+
+@pytest.mark.parametrize("number", range(len(DECODERS)))
+@given(data=st.data())
+def test_malformed_message_raises_only_the_declared_error(number, data):
+    """Guards against one message of another writer that ends a whole process, again and again."""
+    valid, decode, errors = DECODERS[number]
+    changed = valid | {data.draw(st.sampled_from(sorted(valid))): data.draw(VALUES)}
+    encoded = msgspec.json.encode(changed)
+    cut = data.draw(st.integers(0, len(encoded)))
+    for body in (encoded, encoded[:cut], encoded[:cut] + data.draw(st.binary(max_size=20))):
+        with contextlib.suppress(*errors):
+            decode(body)
+
+
+@pytest.mark.parametrize("number", range(len(DECODERS)))
+def test_deeply_nested_message_raises_only_the_declared_error(number):
+    """Guards against a recursion error, which a field that nobody reads may cause as well."""
+    valid, decode, errors = DECODERS[number]
+    body = b'{"unread":' + DEEP + b"," + msgspec.json.encode(valid)[1:]
+    if errors:
+        with pytest.raises(errors):
+            decode(body)
+    else:
+        assert decode(body) is None
+
+
+@given(st.text(max_size=12))
+@example("host:port")
+@example(":")
+@example("10.0.0.1:")
+@example("10.0.0.1:65536")
+def test_entry_with_an_unusable_address_names_no_worker(address):
+    """Guards against a connection to an address that cannot be parsed, which ends the term."""
+    entry = workers.decode_worker_entry("w", msgspec.json.encode(ENTRY | {"address": address}))
+    assert entry is None or 0 < int(entry.address.rpartition(":")[2]) < 65536
