Probe a silent store with a small read, and log stops before a worker leaves

A run that is stopped before its worker leaves had no line in the log. Change: probes read an absent key; the configuration is confirmed once after the first answer. FW1630 names run, worker and the time left.

--- a/src/foxtailwell/adapters/events.py
+++ b/src/foxtailwell/adapters/events.py
@@ -115,6 +115,7 @@
 MAINTENANCE_REFUSED = _event("FW1627", "WARNING", "the platform refused maintenance of a machine")
 WAVE_COMPLETED = _event("FW1628", "INFO", "a maintenance wave is complete")
 MACHINE_CALL_FAILED = _event("FW1629", "WARNING", "a maintenance call failed")
+RUN_LEAVES_WORKER = _event("FW1630", "INFO", "a run is stopped before its worker leaves")
 TASK_UNREADABLE = _event("FW1621", "WARNING", "a worker reports a task with a malformed identifier")
 
 # 1700-1799: instances
--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -15,6 +15,7 @@
 
 from foxtailwell.adapters.events import (
     JOB_PLACED,
+    RUN_LEAVES_WORKER,
     RUN_STALLED,
     STARTS_REJECTED,
     TASK_RECLAIMED,
@@ -454,7 +455,15 @@
         for worker, left_s in self._workers.draining().items():
             for task_id in runs_to_stop(self._workers.ending_runs(worker, now_s), left_s):
                 task = self._registry.find(task_id)
-                if task is not None:
+                if task is not None and task.state is TaskState.ASSIGNED:
+                    log_event(
+                        RUN_LEAVES_WORKER,
+                        job=task_id.job_id,
+                        task=str(task_id),
+                        worker=worker,
+                        percent=task.percent,
+                        left_s=round(left_s, 2),
+                    )
                     self._registry.mark_stopping(task)
 
     def _stop_stalled_runs(self, now_s: float) -> None:
--- a/src/foxtailwell/instance/_operators.py
+++ b/src/foxtailwell/instance/_operators.py
@@ -39,8 +39,8 @@
 CONFIRM_INTERVAL_S = 0.7
 """Interval of confirmations; a changed configuration must be in force within 2 s."""
 
-RETRY_DELAY_S = 0.3
-"""Interval of confirmations while the store does not answer."""
+PROBE_INTERVAL_S = 0.3
+"""Interval of probes while the store does not answer."""
 
 EVIDENCE_MARGIN_S = 0.5
 """Deducted from the evidence limit: a request is still processed after its evidence is checked."""
@@ -163,25 +163,36 @@
         async with self._confirm_lock:
             if self._evidence_sent_s >= newer_than_s:
                 return True
-            return await self._confirm_once()
+            sent_s = self._now_s()
+            try:
+                await self._check()
+            except StoreCallError as error:
+                self._log_stale(error)
+                self._is_store_unavailable = True
+                return False
+            self._is_store_unavailable = False
+            self._evidence_sent_s = max(self._evidence_sent_s, sent_s)
+            return True
+
+    def _log_stale(self, error: StoreCallError) -> None:
+        log_event(
+            OPERATOR_VIEW_STALE,
+            reason=error.reason,
+            evidence_age_s=round(min(self.evidence_age_s, 9999), 2),
+        )
+
+    async def _probe(self) -> None:
+        """Confirm the configuration as soon as the store answers again.
 
-    async def _confirm_once(self) -> bool:
-        sent_s = self._now_s()
+        The probe reads a key that is always absent: several may be under way at once, and the
+        configuration would take a second over a slow link for each of them.
+        """
         try:
-            await self._check()
+            await self._store.get(self._keys.zones_out_prefix)
         except StoreCallError as error:
-            log_event(
-                OPERATOR_VIEW_STALE,
-                reason=error.reason,
-                evidence_age_s=round(min(self.evidence_age_s, 9999), 2),
-            )
-            # A call that was sent later may have been answered meanwhile.
-            if sent_s > self._evidence_sent_s:
-                self._is_store_unavailable = True
-            return False
-        self._is_store_unavailable = False
-        self._evidence_sent_s = max(self._evidence_sent_s, sent_s)
-        return True
+            self._log_stale(error)
+            return
+        await self.confirm(self._now_s())
 
     async def _check(self) -> None:
         """Compare revisions in the store, which sends the value only if the revision differs."""
@@ -209,10 +220,10 @@
             )
             while True:
                 if self._is_store_unavailable:
-                    # Calls that the store has lost time out late, so that the next check does not
-                    # wait for them.
-                    group.start_soon(self._confirm_once)
-                    pause_s = RETRY_DELAY_S
+                    # Calls that the store has lost time out late, so the next probe does not wait
+                    # for them.
+                    group.start_soon(self._probe)
+                    pause_s = PROBE_INTERVAL_S
                 else:
                     await self.confirm(self._now_s() - CONFIRM_INTERVAL_S)
                     pause_s = 0.0 if self._is_store_unavailable else CONFIRM_INTERVAL_S
--- a/src/foxtailwell/workflows/_draining.py
+++ b/src/foxtailwell/workflows/_draining.py
@@ -28,7 +28,7 @@
     as soon as they are not expected to end in time, because everything that they do is lost.
 
     Args:
-        runs: Runs of the worker, without lasting ones.
+        runs: Runs of the worker, without lasting ones that have no checkpoints.
         left_s: Time until the worker may shut down.
     """
     return [
