--- a/src/foxtailwell/controller/_runs.py
+++ b/src/foxtailwell/controller/_runs.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from foxtailwell.adapters.events import RUN_ENDED, RUN_LOST, TASK_UNREADABLE
+from foxtailwell.adapters.events import RUN_ENDED, RUN_LOST, TASK_UNREADABLE, WORKER_CRASHED
 from foxtailwell.adapters.logs import log_event
 from foxtailwell.adapters.work_metrics import WorkMetrics
 from foxtailwell.controller._links import (
@@ -27,6 +27,9 @@
 
 __all__ = ["RunReports"]
 
+RECENT_START_S = 2.0
+"""Age of a run up to which it counts as just started; a worker lists its runs every 1.5 s."""
+
 
 class RunReports:
     """Applies worker reports to the job registry; used only by the controller's main task.
@@ -76,9 +79,19 @@
         for run in listing.running:
             running.add((run.task, run.run))
             self._apply_running(event.worker, listing.boot_unix_ms, run)
-        for task in self._registry.placed_on(event.worker):
-            if (str(task.id), task.run) not in running:
-                self._apply_unlisted(task, event.sent_s, listing.boot_unix_ms)
+        unlisted = [
+            task
+            for task in self._registry.placed_on(event.worker)
+            if (str(task.id), task.run) not in running
+        ]
+        self._apply_crash(
+            event.worker,
+            [t for t in unlisted if t.is_confirmed and t.boot_unix_ms != listing.boot_unix_ms],
+            "the worker restarted",
+        )
+        for task in unlisted:
+            if task.is_placed:
+                self._apply_unlisted(task, event.sent_s)
         return max((end.number for end in listing.ended), default=link.durable_end)
 
     def _apply_end(
@@ -114,14 +127,29 @@
             # No record asks for this run: its job has ended, or its lease was considered expired.
             self._orphaned_runs.add((worker, task_id, run.run))
 
-    def _apply_unlisted(self, task: Task, sent_s: float, boot_unix_ms: int) -> None:
+    def _apply_unlisted(self, task: Task, sent_s: float) -> None:
         if task.stopped_s > 0 and task.stopped_s < sent_s and task.state is TaskState.STOPPING:
             self._requeue_lost(task, "stopped before it began")
-        elif task.is_confirmed and task.boot_unix_ms != boot_unix_ms:
-            self._requeue_lost(task, "the worker restarted")
         elif task.state is TaskState.ASSIGNED and task.start_settled_s < sent_s:
             self._registry.mark_stopping(task)
 
+    def _apply_crash(self, worker: str, lost: list[Task], reason: str) -> None:
+        """Queue the tasks again whose runs ended with an incarnation of their worker."""
+        if not lost:
+            return
+        started = [task for task in lost if task.lasted_s < RECENT_START_S]
+        link = self._workers.links.get(worker)
+        self._metrics.count("worker_crashes")
+        log_event(
+            WORKER_CRASHED,
+            worker=worker,
+            silent_s=round(self._now_s() - link.unresponsive_since_s, 2) if link else None,
+            started=[str(task.id) for task in started],
+            others=len(lost) - len(started),
+        )
+        for task in lost:
+            self._requeue_lost(task, reason)
+
     def _requeue_lost(self, task: Task, reason: str) -> None:
         self._metrics.count("runs_lost", reason=reason)
         log_event(
@@ -131,6 +159,8 @@
             run=task.run,
             worker=task.worker,
             reason=reason,
+            lasted_s=round(task.lasted_s, 2),
+            is_confirmed=task.is_confirmed,
         )
         self._registry.requeue(task)
 
@@ -170,9 +200,9 @@
 
         A crashed worker is replaced at its address within seconds, long before its leases expire.
         """
-        for task in self._registry.placed_on(event.worker):
-            if task.boot_unix_ms <= event.boot_unix_ms:
-                self._requeue_lost(task, "another incarnation has its address")
+        placed = self._registry.placed_on(event.worker)
+        lost = [task for task in placed if task.boot_unix_ms <= event.boot_unix_ms]
+        self._apply_crash(event.worker, lost, "another incarnation has its address")
 
     def take_orphaned_runs(self) -> set[tuple[str, TaskId, int]]:
         """Return the reported runs that no record asks for, as (worker, task, run), each once."""
--- a/src/foxtailwell/workflows/_job_registry.py
+++ b/src/foxtailwell/workflows/_job_registry.py
@@ -123,6 +123,7 @@
         task.is_confirmed = False
         task.started_s = task.progress_s = now_s
         task.percent = 0
+        task.listed_s = 0.0
         self._placed.setdefault(worker, {})[task.id] = task
         self._bump_version(worker)
         self.changed.add(task.id.job_id)
@@ -144,6 +145,7 @@
 
     def record_progress(self, task: Task, percent: int, now_s: float) -> None:
         """Record the progress that the worker lists for the current run."""
+        task.listed_s = now_s
         if percent != task.percent:
             task.percent = percent
             task.progress_s = now_s
--- a/src/foxtailwell/workflows/_tasks.py
+++ b/src/foxtailwell/workflows/_tasks.py
@@ -62,6 +62,7 @@
         stopped_s: Local time at which the worker acknowledged a stop; 0 before.
         percent: Progress of the run as last listed by the worker, 0 to 100.
         progress_s: Local time at which the progress last changed.
+        listed_s: Local time at which the worker last listed the run as running; 0 before.
     """
 
     id: TaskId
@@ -77,6 +78,12 @@
     stopped_s: float = 0.0
     percent: int = 0
     progress_s: float = 0.0
+    listed_s: float = 0.0
+
+    @property
+    def lasted_s(self) -> float:
+        """Time from the assignment of the run to the last listing of its worker; 0 for none."""
+        return max(0.0, self.listed_s - self.started_s)
 
     @property
     def is_placed(self) -> bool:
