--- a/src/foxtailwell_standins/platform_worker.py
+++ b/src/foxtailwell_standins/platform_worker.py
@@ -47,6 +47,8 @@
         is_failing_runs: Each run ends as failed as soon as it starts.
         is_stalled: Runs make no progress and do not complete.
         is_replaced: Another worker has its address and rejects all calls that name this one.
+        fatal_tasks: Tasks that crash the worker as soon as one of their runs starts.
+        crash_s: Time for which the worker is silent after such a crash.
     """
 
     is_unreachable: bool = False
@@ -56,6 +58,8 @@
     is_failing_runs: bool = False
     is_stalled: bool = False
     is_replaced: bool = False
+    fatal_tasks: frozenset[str] = frozenset()
+    crash_s: float = 0.2
 
 
 @dataclass(slots=True)
@@ -212,6 +216,7 @@
     _lease_end_ms: int = 0
     _boot_s: float = field(default_factory=time.monotonic)
     _delayed: list[tuple[StartCommand, int, int]] = field(default_factory=list)
+    _silent_until_s: float = 0.0
 
     def entry(self, *, is_ready: bool = True) -> WorkerEntry:
         """Return the entry that the worker publishes in the store."""
@@ -245,6 +250,16 @@
         self._end_count = self.token = self._lease_end_ms = self.acknowledged = 0
         self._boot_s = self.now_s()
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether calls get no response: the worker is unreachable or has just crashed."""
+        return self.faults.is_unreachable or time.monotonic() < self._silent_until_s
+
+    def crash(self) -> None:
+        """Restart after a silence of `WorkerFaults.crash_s`; all runs end at once."""
+        self._silent_until_s = time.monotonic() + self.faults.crash_s
+        self.restart()
+
     def end(self, task: str, kind: EndKind, checkpoint: str = "") -> None:
         """End a run of this worker, and the other members of its gang."""
         run = self.running.pop(task)
@@ -291,7 +306,7 @@
 
     async def _begin_call(self) -> None:
         await anyio.sleep(0.001)
-        if self.faults.is_unreachable:
+        if self.is_silent:
             await anyio.sleep(0.02)
             raise WorkerCallError("no response")
         self.end_due_runs()
@@ -325,6 +340,8 @@
             self.gangs.join(task, command.run, self)
         if self.faults.is_failing_runs:
             self.end(task, EndKind.FAILED)
+        if task in self.faults.fatal_tasks:
+            self.crash()
         return CommandOutcome.DONE
 
     async def start(
@@ -375,10 +392,10 @@
         self.acknowledged = max(self.acknowledged, acknowledged)
         self.ended = [end for end in self.ended if end.number > acknowledged]
         wait_until_s = self.now_s() + wait_ms / 1000
-        while not self.ended and self.now_s() < wait_until_s and not self.faults.is_unreachable:
+        while not self.ended and self.now_s() < wait_until_s and not self.is_silent:
             await anyio.sleep(0.01)
             self.end_due_runs()
-        if self.faults.is_unreachable:
+        if self.is_silent:
             raise WorkerCallError("no response")
         running = tuple(
             ListedRun(task, run.run, run.checkpoint, self._percent(run))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,7 @@
 import os
 from collections.abc import AsyncIterator, Callable
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from pathlib import Path
 
 import anyio
 import pytest
@@ -20,6 +21,30 @@
 settings.register_profile("soak", deadline=None, max_examples=2000, print_blob=True)
 settings.load_profile(os.environ.get("FOXTAILWELL_PROFILE", "ci"))
 
+KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"
+KNOWN_RED_PREFIX = "test: "
+
+
+def known_red_tests() -> frozenset[str]:
+    """Return the identifiers of the tests that are listed as known to fail."""
+    lines = KNOWN_RED.read_text().splitlines() if KNOWN_RED.exists() else []
+    entries = (line for line in lines if line.startswith(KNOWN_RED_PREFIX))
+    return frozenset(line.removeprefix(KNOWN_RED_PREFIX).strip() for line in entries)
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Expect the listed tests to fail; one that passes fails the run until its entry is removed."""
+    listed = known_red_tests()
+    for item in items:
+        if item.nodeid in listed:
+            item.add_marker(pytest.mark.xfail(reason="KNOWN-RED.txt", strict=True))
+
+
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+    """Print the tests that are listed as known to fail."""
+    for test in sorted(known_red_tests()):
+        terminalreporter.write_line(f"known red: {test}")
+
 
 @pytest.fixture
 def anyio_backend() -> str:
--- a/tests/controller_harness.py
+++ b/tests/controller_harness.py
@@ -90,6 +90,14 @@
         entry = replace(worker.entry(is_ready=is_ready), remaining_ms=remaining_ms)
         self.store.write(WORKERS + worker.id, msgspec.json.encode(entry))
 
+    async def send_heartbeats(self) -> None:
+        """Publish the entries of the workers that respond, again and again."""
+        while True:
+            for worker in self.workers.values():
+                if not worker.is_silent:
+                    self.publish(worker)
+            await anyio.sleep(0.1)
+
     def _view(self) -> OperatorView | None:
         if not self.is_configured:
             return None
