--- /dev/null
+++ b/src/foxtailwell/controller/_crashes.py
@@ -0,0 +1,126 @@
+"""Records crashes of workers as evidence against the tasks that may have caused them."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Sequence
+
+from foxtailwell.adapters.events import TASK_GIVEN_UP, WORKER_CRASHED
+from foxtailwell.adapters.logs import log_event
+from foxtailwell.adapters.work_metrics import WorkMetrics
+from foxtailwell.controller._links import WorkerLink
+from foxtailwell.controller._workers import Workers
+from foxtailwell.workflows import (
+    RECENT_START_S,
+    JobRegistry,
+    LostRun,
+    Task,
+    is_given_up,
+    weigh_crash,
+)
+
+__all__ = ["CrashReports"]
+
+SIMULTANEOUS_S = 2.0
+"""Longest time between two silences with one cause; a lost worker is noticed within 1.6 s."""
+
+MIN_SILENCE_S = 1.0
+"""Shortest silence that may be due to the cause of a crash; a failed call alone ends sooner."""
+
+
+class CrashReports:
+    """Weighs the crashes of workers; used only by the controller's main task.
+
+    Args:
+        registry: State of all unfinished jobs.
+        workers: Workers and their links.
+        metrics: Counts crashes and given up tasks.
+        now_s: Local clock that also advances while the machine is suspended.
+        now_unix_ms: Time of day.
+    """
+
+    def __init__(
+        self,
+        registry: JobRegistry,
+        workers: Workers,
+        metrics: WorkMetrics,
+        *,
+        now_s: Callable[[], float],
+        now_unix_ms: Callable[[], int],
+    ) -> None:
+        self._registry = registry
+        self._workers = workers
+        self._metrics = metrics
+        self._now_s = now_s
+        self._now_unix_ms = now_unix_ms
+        self._explained_silences: dict[str, float] = {}
+
+    def apply(self, worker: str, lost: Sequence[Task]) -> None:
+        """Record that an incarnation of a worker has ended together with its runs.
+
+        Args:
+            worker: Identifier of the worker.
+            lost: Tasks whose runs were on it.
+        """
+        link = self._workers.links[worker]
+        if not link.entry.is_ready:
+            # The worker had announced its end.
+            return
+        runs = [_to_lost_run(task, link) for task in lost]
+        started = [task for task in lost if task.lasted_s < RECENT_START_S]
+        is_isolated = self._is_isolated(link)
+        if started:
+            self._explained_silences[worker] = link.unresponsive_since_s
+        weights = weigh_crash(runs, is_isolated=is_isolated)
+        self._metrics.count("worker_crashes")
+        log_event(
+            WORKER_CRASHED,
+            worker=worker,
+            silent_s=round(self._now_s() - link.unresponsive_since_s, 2),
+            is_isolated=is_isolated,
+            evidence={str(task): weight for task, weight in weights.items()},
+            others=len(lost) - len(weights),
+        )
+        for task in lost:
+            if task.id in weights:
+                self._record(task, weights[task.id])
+
+    def _record(self, task: Task, weight: int) -> None:
+        self._registry.record_crash(task, weight, self._now_unix_ms())
+        if is_given_up(task.crashes):
+            self._metrics.count("tasks_given_up")
+            log_event(
+                TASK_GIVEN_UP,
+                job=task.id.job_id,
+                task=str(task.id),
+                runs=[crash.run for crash in task.crashes],
+            )
+
+    def _is_isolated(self, crashed: WorkerLink) -> bool:
+        return not any(
+            link is not crashed
+            and self._is_silence_near(link, crashed.unresponsive_since_s)
+            and not self._has_explanation(link)
+            for link in self._workers.links.values()
+        )
+
+    def _is_silence_near(self, link: WorkerLink, at_s: float) -> bool:
+        is_near = abs(link.unresponsive_since_s - at_s) <= SIMULTANEOUS_S
+        return is_near and link.silence_s() >= MIN_SILENCE_S
+
+    def _has_explanation(self, link: WorkerLink) -> bool:
+        """Return whether a run had just started on a worker when it fell silent."""
+        worker = link.entry.id
+        return self._explained_silences.get(worker) == link.unresponsive_since_s or any(
+            task.lasted_s < RECENT_START_S for task in self._registry.placed_on(worker)
+        )
+
+
+def _to_lost_run(task: Task, link: WorkerLink) -> LostRun:
+    # The time of a start that an earlier controller sent is not known.
+    silent_after_s = None
+    if task.is_confirmed and task.start_settled_s > 0:
+        silent_after_s = link.unresponsive_since_s - task.start_settled_s
+        if silent_after_s < 0:
+            silent_after_s = math.inf
+    return LostRun(task.id, task.lasted_s, silent_after_s, bool(task.crashes))
--- a/src/foxtailwell/controller/_links.py
+++ b/src/foxtailwell/controller/_links.py
@@ -134,6 +134,8 @@
         listed_end: Highest number of an end in the last listing.
         may_have_runs: The worker may have runs, so that their lease must be renewed.
         is_unresponsive: A call failed, or a renewal was rejected, since the last response.
+        unresponsive_since_s: Local time at which it last became unresponsive.
+        responsive_since_s: Local time at which it last ceased to be unresponsive.
         stopping: Runs with a stop command in progress.
     """
 
@@ -156,6 +158,7 @@
     may_have_runs: bool = False
     is_unresponsive: bool = False
     unresponsive_since_s: float = 0.0
+    responsive_since_s: float = 0.0
     stopping: set[tuple[TaskId, int]] = field(default_factory=set)
     wake: anyio.Event = field(default_factory=anyio.Event)
     _first_response_s: float = 0.0
@@ -255,8 +258,13 @@
         self.leases_expire_s = self.own_leases_expire_s
         if self.is_unresponsive:
             self.is_unresponsive = False
-            unresponsive_s = round(self.now_s() - self.unresponsive_since_s, 2)
-            log_event(WORKER_REACHED, worker=self.entry.id, silent_s=unresponsive_s)
+            self.responsive_since_s = self.now_s()
+            log_event(WORKER_REACHED, worker=self.entry.id, silent_s=round(self.silence_s(), 2))
+
+    def silence_s(self) -> float:
+        """Return the duration of the current silence in seconds, or of the last one."""
+        until_s = self.now_s() if self.is_unresponsive else self.responsive_since_s
+        return until_s - self.unresponsive_since_s
 
     def start(self, group: TaskGroup, command: StartCommand) -> None:
         """Send a start command in a task of the group; `StartFinished` reports its outcome."""
--- a/src/foxtailwell/controller/_records.py
+++ b/src/foxtailwell/controller/_records.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from foxtailwell.workflows import JobProgress, JobState, Submission, TaskProgress
+from foxtailwell.workflows import CrashRecord, JobProgress, JobState, Submission, TaskProgress
 
 __all__ = [
     "CANCEL_PREFIX",
@@ -55,6 +55,8 @@
     begun: bool
     ended_unix_ms: int = 0
     tasks: list[tuple[int, int, int, int, int, str, int, tuple[int, ...], str]] = []
+    # Occurrence, step and index of a task; then number, weight and duration of each run.
+    crashes: list[tuple[int, int, int, list[tuple[int, int, int]]]] = []
 
 
 def job_key(job_id: str) -> str:
@@ -115,8 +117,15 @@
         )
         for task in progress.tasks
     ]
+    crashes = [
+        (t.occurrence, t.step, t.index, [(c.run, c.weight, c.lasted_ms) for c in t.crashes])
+        for t in progress.tasks
+        if t.crashes
+    ]
     return msgspec.json.encode(
-        _ProgressRecord(progress.state, progress.has_started, progress.ended_unix_ms, tasks)
+        _ProgressRecord(
+            progress.state, progress.has_started, progress.ended_unix_ms, tasks, crashes
+        )
     )
 
 
@@ -130,7 +139,11 @@
         record = msgspec.json.decode(value, type=_ProgressRecord)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise RecordError(f"progress: {error}") from error
-    tasks = tuple(TaskProgress(*task) for task in record.tasks)
+    crashes = {
+        (occurrence, step, index): tuple(CrashRecord(*crash) for crash in recorded)
+        for occurrence, step, index, recorded in record.crashes
+    }
+    tasks = tuple(TaskProgress(*task, crashes.get(task[:3], ())) for task in record.tasks)
     return JobProgress(record.state, record.begun, record.ended_unix_ms, tasks)
 
 
--- a/src/foxtailwell/controller/_runs.py
+++ b/src/foxtailwell/controller/_runs.py
@@ -4,9 +4,10 @@
 
 from collections.abc import Callable
 
-from foxtailwell.adapters.events import RUN_ENDED, RUN_LOST, TASK_UNREADABLE, WORKER_CRASHED
+from foxtailwell.adapters.events import RUN_ENDED, RUN_LOST, TASK_UNREADABLE
 from foxtailwell.adapters.logs import log_event
 from foxtailwell.adapters.work_metrics import WorkMetrics
+from foxtailwell.controller._crashes import CrashReports
 from foxtailwell.controller._links import (
     IncarnationReplaced,
     ListingReceived,
@@ -27,9 +28,6 @@
 
 __all__ = ["RunReports"]
 
-RECENT_START_S = 2.0
-"""Age of a run up to which it counts as just started; a worker lists its runs every 1.5 s."""
-
 
 class RunReports:
     """Applies worker reports to the job registry; used only by the controller's main task.
@@ -62,6 +60,9 @@
         self._now_s = now_s
         self._now_unix_ms = now_unix_ms
         self._predecessor_expiry_s = predecessor_expiry_s
+        self._crashes = CrashReports(
+            registry, workers, metrics, now_s=now_s, now_unix_ms=now_unix_ms
+        )
         self._orphaned_runs: set[tuple[str, TaskId, int]] = set()
 
     def apply_listing(self, event: ListingReceived) -> int:
@@ -84,11 +85,13 @@
             for task in self._registry.placed_on(event.worker)
             if (str(task.id), task.run) not in running
         ]
-        self._apply_crash(
-            event.worker,
-            [t for t in unlisted if t.is_confirmed and t.boot_unix_ms != listing.boot_unix_ms],
-            "the worker restarted",
-        )
+        lost = [
+            task
+            for task in unlisted
+            if task.boot_unix_ms != listing.boot_unix_ms
+            and (task.is_confirmed or _is_stopped(task, event.sent_s))
+        ]
+        self._apply_crash(event.worker, lost, "the worker restarted")
         for task in unlisted:
             if task.is_placed:
                 self._apply_unlisted(task, event.sent_s)
@@ -128,25 +131,15 @@
             self._orphaned_runs.add((worker, task_id, run.run))
 
     def _apply_unlisted(self, task: Task, sent_s: float) -> None:
-        if task.stopped_s > 0 and task.stopped_s < sent_s and task.state is TaskState.STOPPING:
+        if _is_stopped(task, sent_s):
             self._requeue_lost(task, "stopped before it began")
         elif task.state is TaskState.ASSIGNED and task.start_settled_s < sent_s:
             self._registry.mark_stopping(task)
 
     def _apply_crash(self, worker: str, lost: list[Task], reason: str) -> None:
         """Queue the tasks again whose runs ended with an incarnation of their worker."""
-        if not lost:
-            return
-        started = [task for task in lost if task.lasted_s < RECENT_START_S]
-        link = self._workers.links.get(worker)
-        self._metrics.count("worker_crashes")
-        log_event(
-            WORKER_CRASHED,
-            worker=worker,
-            silent_s=round(self._now_s() - link.unresponsive_since_s, 2) if link else None,
-            started=[str(task.id) for task in started],
-            others=len(lost) - len(started),
-        )
+        if lost:
+            self._crashes.apply(worker, lost)
         for task in lost:
             self._requeue_lost(task, reason)
 
@@ -226,6 +219,11 @@
                     self._requeue_lost(task, "the lease lapsed without contact")
 
 
+def _is_stopped(task: Task, sent_s: float) -> bool:
+    """Return whether a stop was confirmed before a listing was sent, so that no run can follow."""
+    return task.state is TaskState.STOPPING and 0 < task.stopped_s < sent_s
+
+
 def _parse_task(text: str) -> TaskId | None:
     parts = text.split(".")
     if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -300,12 +300,14 @@
         now_unix_ms = self._now_unix_ms()
         views: dict[str, WorkerView] = {}
         failures = self._health.failures()
+        on_probation = self._registry.workers_on_probation()
         for worker, entry in self.entries.items():
             link = self.links.get(worker)
             is_usable = (
                 entry.is_ready
                 and entry.zone not in zones_out
                 and worker not in cordoned
+                and worker not in on_probation
                 and not (link and link.is_unresponsive)
                 and self._quarantined_until_ms.get(worker, 0) <= now_unix_ms
                 and self._backoff_until_s.get(worker, 0.0) <= now_s
--- a/src/foxtailwell/workflows/__init__.py
+++ b/src/foxtailwell/workflows/__init__.py
@@ -10,6 +10,14 @@
     Route,
     WorkerEntry,
 )
+from foxtailwell.workflows._crashes import (
+    RECENT_START_S,
+    CrashRecord,
+    LostRun,
+    is_given_up,
+    probation_s,
+    weigh_crash,
+)
 from foxtailwell.workflows._draining import runs_to_stop
 from foxtailwell.workflows._fleet_view import (
     FleetView,
@@ -77,6 +85,7 @@
     "CommandOutcome",
     "Committed",
     "Conflict",
+    "CrashRecord",
     "EndKind",
     "EndedRun",
     "FleetView",
@@ -88,6 +97,7 @@
     "JobState",
     "KeyValueStore",
     "ListedRun",
+    "LostRun",
     "Machine",
     "MachineCallError",
     "MachineCalls",
@@ -98,6 +108,7 @@
     "Plan",
     "Put",
     "Queue",
+    "RECENT_START_S",
     "Reservation",
     "Resources",
     "Route",
@@ -116,6 +127,9 @@
     "WorkerEntry",
     "WorkerListing",
     "WorkerView",
+    "is_given_up",
     "plan",
+    "probation_s",
     "runs_to_stop",
+    "weigh_crash",
 ]
--- a/src/foxtailwell/workflows/_fleet_view.py
+++ b/src/foxtailwell/workflows/_fleet_view.py
@@ -172,6 +172,8 @@
         is_highly_utilized: The share of used accelerators exceeds `HIGH_UTILIZATION`.
         serving_workers: Workers with latency-sensitive tasks; filling tasks are kept off them.
         filling_workers: Workers with filling tasks; serving tasks are kept off them.
+        suspect_workers: Workers that this plan gives to a suspect, with the key of its unit; all
+            other units are kept off them.
     """
 
     workers: Mapping[str, WorkerView]
@@ -181,6 +183,7 @@
     is_highly_utilized: bool = False
     serving_workers: set[str] = field(default_factory=set)
     filling_workers: set[str] = field(default_factory=set)
+    suspect_workers: dict[str, tuple[str, int, int]] = field(default_factory=dict)
     _eligible: dict[tuple[str, str], EligibleWorkers] = field(default_factory=dict)
 
     def eligible_workers(self, unit: SchedulingUnit) -> EligibleWorkers:
@@ -210,6 +213,8 @@
             self.serving_workers.add(worker)
         if unit.step.is_filling:
             self.filling_workers.add(worker)
+        if unit.is_suspect:
+            self.suspect_workers[worker] = unit.key
 
     def max_copies(self, worker: str, unit: SchedulingUnit, free: Resources | None = None) -> int:
         """Return how many more tasks of the unit may be placed on a worker.
@@ -221,6 +226,8 @@
         """
         if self.reserved_after_s.get(worker, math.inf) < unit.step.estimate_ms / 1e3:
             return 0
+        if self.suspect_workers.get(worker, unit.key) != unit.key:
+            return 0
         if (unit.step.is_filling and worker in self.serving_workers) or (
             unit.step.is_serving and worker in self.filling_workers
         ):
--- a/src/foxtailwell/workflows/_job_registry.py
+++ b/src/foxtailwell/workflows/_job_registry.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator, Mapping, Sequence
 
+from foxtailwell.workflows._crashes import CrashRecord, is_given_up
 from foxtailwell.workflows._jobs import JobState, Queue, Submission, TaskId
 from foxtailwell.workflows._tasks import (
     EndKind,
@@ -75,6 +76,7 @@
         task.boot_unix_ms = stored.boot_unix_ms
         task.failed_runs = stored.failed_runs
         task.checkpoint = stored.checkpoint
+        task.crashes = stored.crashes
         task.started_s = task.progress_s = now_s
         if task.is_placed:
             self._placed.setdefault(task.worker, {})[task_id] = task
@@ -144,8 +146,11 @@
             self.changed.add(task.id.job_id)
 
     def record_progress(self, task: Task, percent: int, now_s: float) -> None:
-        """Record the progress that the worker lists for the current run."""
+        """Record that the worker lists the current run as running, and with which progress."""
         task.listed_s = now_s
+        if task.crashes and not task.is_on_probation:
+            task.crashes = ()
+            self.changed.add(task.id.job_id)
         if percent != task.percent:
             task.percent = percent
             task.progress_s = now_s
@@ -236,6 +241,29 @@
             if not placed:
                 del self._placed[task.worker]
 
+    def record_crash(self, task: Task, weight: int, now_unix_ms: int) -> None:
+        """Record that the current run ended with a crash of its worker.
+
+        The job fails once the evidence suffices to give the task up.
+
+        Args:
+            task: Task that may have caused the crash.
+            weight: Weight of the evidence.
+            now_unix_ms: Time of day.
+        """
+        crash = CrashRecord(task.run, weight, int(task.lasted_s * 1000))
+        task.crashes = (*task.crashes, crash)
+        self.changed.add(task.id.job_id)
+        self._update_job_state(self.jobs[task.id.job_id], now_unix_ms)
+
+    def workers_on_probation(self) -> frozenset[str]:
+        """Return the workers that run a suspect on probation, where nothing else may start."""
+        return frozenset(
+            worker
+            for worker, placed in self._placed.items()
+            if any(task.is_on_probation for task in placed.values())
+        )
+
     def requeue(self, task: Task) -> None:
         """Return a task to the waiting state after its run was lost or will never start."""
         self._unplace(task)
@@ -247,7 +275,9 @@
             return
         if all(task.state is TaskState.DONE for task in job.tasks.values()):
             self._finish(job, JobState.COMPLETED, now_unix_ms)
-        elif self._has_exhausted_attempts(job):
+        elif self._has_exhausted_attempts(job) or any(
+            is_given_up(task.crashes) for task in job.tasks.values()
+        ):
             self._finish(job, JobState.FAILED, now_unix_ms)
 
     def _has_exhausted_attempts(self, job: Job) -> bool:
@@ -333,9 +363,13 @@
     ) -> Iterator[SchedulingUnit]:
         for number, step in enumerate(job.submission.steps):
             tasks = job.step_tasks(occurrence, number)
-            waiting = tuple(task.id for task in tasks if task.state is TaskState.WAITING)
+            waiting = [task for task in tasks if task.state is TaskState.WAITING]
             if not waiting or (step.is_gang and len(waiting) < len(tasks)):
                 continue
+            # Suspects are placed apart from the other tasks of their step, and after them.
+            unsuspected = [task for task in waiting if not task.crashes]
+            if unsuspected and not step.is_gang:
+                waiting = unsuspected
             if not all(
                 task.state is TaskState.DONE
                 for earlier in step.after
@@ -351,11 +385,12 @@
                 step,
                 job.queue,
                 job.submission.account,
-                waiting,
+                tuple(task.id for task in waiting),
                 ready_since_s,
                 deadline_s,
                 job.accepted_s,
                 job.queue.priority == 0 and job.submission.account in within_guarantee,
+                any(task.crashes for task in waiting),
             )
 
 
--- a/src/foxtailwell/workflows/_placement.py
+++ b/src/foxtailwell/workflows/_placement.py
@@ -244,12 +244,19 @@
 ) -> dict[TaskId, str]:
     """Assign tasks by best fit: the fullest workers first, so that whole workers stay free.
 
-    Workers with a lower fault score precede all others. Without `is_partial_allowed` the result
+    Suspects go where their worker's crash would lose the least work. Workers with a lower fault
+    score precede all others. Without `is_partial_allowed` the result
     is empty unless every task fits.
     """
     remaining = list(unit.tasks if tasks is None else tasks)
     chosen: dict[TaskId, str] = {}
-    ordered = sorted(workers, key=lambda w: (w.fault_score, capacity.free[w.id].accelerators, w.id))
+
+    def preference(worker: WorkerView) -> tuple[float, float, str]:
+        if unit.is_suspect:
+            return (worker.fault_score, sum(task.loss for task in worker.running), worker.id)
+        return (worker.fault_score, capacity.free[worker.id].accelerators, worker.id)
+
+    ordered = sorted(workers, key=preference)
     for worker in ordered:
         count = min(capacity.max_copies(worker.id, unit), len(remaining))
         for task in remaining[:count]:
--- a/src/foxtailwell/workflows/_tasks.py
+++ b/src/foxtailwell/workflows/_tasks.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from enum import IntEnum, StrEnum
 
+from foxtailwell.workflows._crashes import CrashRecord, probation_s
 from foxtailwell.workflows._jobs import JobState, Queue, Step, Submission, TaskId
 
 __all__ = [
@@ -56,6 +57,7 @@
     Attributes:
         boot_unix_ms: Start time of the worker incarnation that the run is on.
         failed_runs: Numbers of the runs that failed, without duplicates.
+        crashes: Runs that ended with a crash of their worker which the task may have caused.
         is_confirmed: The worker acknowledged the start or listed the run.
         start_settled_s: Local time at which the start call returned or failed; infinite while it is
             pending, 0 after recovery from the store.
@@ -72,6 +74,7 @@
     boot_unix_ms: int = 0
     failed_runs: tuple[int, ...] = ()
     checkpoint: str = ""
+    crashes: tuple[CrashRecord, ...] = ()
     is_confirmed: bool = False
     started_s: float = 0.0
     start_settled_s: float = 0.0
@@ -85,6 +88,11 @@
         """Time from the assignment of the run to the last listing of its worker; 0 for none."""
         return max(0.0, self.listed_s - self.started_s)
 
+    @property
+    def is_on_probation(self) -> bool:
+        """Whether earlier crashes speak against the task and its run has not outlasted them."""
+        return bool(self.crashes) and self.is_placed and self.lasted_s < probation_s(self.crashes)
+
     @property
     def is_placed(self) -> bool:
         """Whether the task occupies a worker: it is assigned or being stopped."""
@@ -93,7 +101,11 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskProgress:
-    """Stored progress of a task; the order of the fields is part of the format."""
+    """Stored progress of a task; the order of the fields is part of the format.
+
+    Attributes:
+        crashes: Stored apart from the other fields.
+    """
 
     occurrence: int
     step: int
@@ -104,6 +116,7 @@
     boot_unix_ms: int
     failed_runs: tuple[int, ...]
     checkpoint: str
+    crashes: tuple[CrashRecord, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,6 +138,7 @@
         deadline_s: Local time by which its job has to complete to meet the target of its queue.
         accepted_s: Local time at which its job was accepted.
         is_guaranteed: It is urgent, and its account's urgent jobs together fit into the guarantee.
+        is_suspect: Earlier crashes speak against its tasks.
         allowed: Workers for which the unit has a valid ticket; None if its queue needs no tickets.
     """
 
@@ -139,6 +153,7 @@
     deadline_s: float
     accepted_s: float = 0.0
     is_guaranteed: bool = False
+    is_suspect: bool = False
     allowed: frozenset[str] | None = None
 
     @property
@@ -205,6 +220,7 @@
                 task.boot_unix_ms,
                 task.failed_runs,
                 task.checkpoint,
+                task.crashes,
             )
             for task in self.tasks.values()
             if task.is_placed or (keep_all and (task.run or task.state is TaskState.DONE))
--- a/tests/controller_harness.py
+++ b/tests/controller_harness.py
@@ -75,6 +75,7 @@
     zones_out: set[str] = field(default_factory=set)
     revision: int = 0
     is_configured: bool = True
+    withdrawn: set[str] = field(default_factory=set)
     advisor: MemoryAdvisor | None = None
     maintenance: MaintenanceAccess | None = None
 
@@ -91,10 +92,10 @@
         self.store.write(WORKERS + worker.id, msgspec.json.encode(entry))
 
     async def send_heartbeats(self) -> None:
-        """Publish the entries of the workers that respond, again and again."""
+        """Publish the entries of the workers that respond and are not withdrawn, repeatedly."""
         while True:
             for worker in self.workers.values():
-                if not worker.is_silent:
+                if not worker.is_silent and worker.id not in self.withdrawn:
                     self.publish(worker)
             await anyio.sleep(0.1)
 
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -4,13 +4,30 @@
 
 from dataclasses import replace
 
+import anyio
+import msgspec
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
-from controller_harness import LATER, Deployment, job_id, make_deployment, step
-from foxtailwell.workflows import JobState
+from controller_harness import LATER, Deployment, job_id, make_deployment, step, until
+from foxtailwell.controller._records import decode_progress, encode_progress
+from foxtailwell.workflows import (
+    CrashRecord,
+    JobProgress,
+    JobState,
+    LostRun,
+    Resources,
+    TaskId,
+    TaskProgress,
+    is_given_up,
+    weigh_crash,
+)
 
 pytestmark = pytest.mark.anyio
 
+WHOLE = Resources(10_000, 10_000, 8)
+
 
 @pytest.fixture
 async def fleet(group) -> Deployment:
@@ -26,6 +43,11 @@
         worker.faults = replace(worker.faults, fatal_tasks=frozenset(tasks))
 
 
+def evidence_against(deployment: Deployment, job: str) -> list[object]:
+    """Return the stored evidence against the tasks of a job."""
+    return msgspec.json.decode(deployment.store.items[f"foxtailwell/run/{job}"].value)["crashes"]
+
+
 async def test_task_that_crashes_every_worker_is_given_up(fleet):
     """Guards against a task that crashes one worker after the other without a limit."""
     task = f"{job_id(1)}.0.0.0"
@@ -34,3 +56,242 @@
     job = await fleet.submit(1, LATER, [step()])
     assert await fleet.reaches(job, JobState.FAILED)
     assert len(fleet.runs(task)) == 2
+
+
+async def test_lasting_task_that_crashes_every_worker_is_given_up(fleet):
+    """Guards against the exemption of lasting tasks from the limit of attempts."""
+    task = f"{job_id(1)}.0.0.0"
+    make_fatal(fleet, task)
+    fleet.start("one")
+    job = await fleet.submit(1, LATER, [step(is_lasting=True)])
+    assert await fleet.reaches(job, JobState.FAILED)
+    assert len(fleet.runs(task)) == 2
+
+
+async def test_replaced_workers_count_as_crashed(fleet):
+    """Guards against crashed workers that return under another identifier at their address."""
+    task = f"{job_id(1)}.0.0.0"
+    make_fatal(fleet, task)
+    fleet.start("one")
+    job = await fleet.submit(1, LATER, [step()])
+    for number in range(2):
+        assert await until(lambda count=number + 1: len(fleet.runs(task)) == count)
+        crashed = fleet.workers[fleet.runs(task)[-1][0]]
+        crashed.faults.is_replaced = True
+        fleet.store.delete(f"servers/{crashed.id}")
+        fleet.withdrawn.add(crashed.id)
+    assert await fleet.reaches(job, JobState.FAILED)
+    assert len(fleet.runs(task)) == 2
+
+
+async def test_crashes_count_across_a_change_of_the_controller(fleet):
+    """Guards against evidence that is lost with the controller that collected it."""
+    task = f"{job_id(1)}.0.0.0"
+    make_fatal(fleet, task)
+    first = fleet.start("one")
+    job = await fleet.submit(1, LATER, [step()])
+    assert await until(lambda: len(fleet.runs(task)) == 2)
+    assert evidence_against(fleet, job)
+    first.kill()
+    fleet.start("one")
+    assert await fleet.reaches(job, JobState.FAILED, 6.0)
+    assert len(fleet.runs(task)) == 3
+
+
+async def test_task_is_given_up_although_each_crash_ends_the_term_of_the_controller(fleet):
+    """Guards against crashes that no controller has seen from the start of the run."""
+    task = f"{job_id(1)}.0.0.0"
+    make_fatal(fleet, task)
+    instance = fleet.start("one")
+    job = await fleet.submit(1, LATER, [step()])
+    for number in range(4):
+        assert await until(lambda count=number + 1: len(fleet.runs(task)) == count)
+        instance.kill()
+        instance = fleet.start("one")
+    assert await fleet.reaches(job, JobState.FAILED)
+    assert len(fleet.runs(task)) == 4
+
+
+async def test_tasks_beside_a_crashing_task_complete(fleet):
+    """Guards against jobs that fail because they shared a worker with the cause of its crash."""
+    task = f"{job_id(9)}.0.0.0"
+    make_fatal(fleet, task)
+    fleet.start("one")
+    innocent = [await fleet.submit(number, LATER, [step(3)]) for number in range(1, 9)]
+    fatal = await fleet.submit(9, LATER, [step()])
+    assert await fleet.reaches(fatal, JobState.FAILED, 6.0)
+    for job in innocent:
+        assert await fleet.reaches(job, JobState.COMPLETED, 6.0)
+    assert len(fleet.runs(task)) <= 4
+
+
+async def test_crashing_task_of_a_larger_step_is_told_from_the_others(fleet):
+    """Guards against a crash that hides behind the other tasks of the same job."""
+    task = f"{job_id(1)}.0.0.5"
+    make_fatal(fleet, task)
+    fleet.start("one")
+    job = await fleet.submit(1, LATER, [step(12)])
+    assert await fleet.reaches(job, JobState.FAILED, 6.0)
+    assert len(fleet.runs(task)) <= 4
+
+
+async def test_gang_with_a_crashing_member_is_given_up(fleet):
+    """Guards against a gang that restarts as a whole and crashes a worker each time."""
+    task = f"{job_id(1)}.0.0.1"
+    make_fatal(fleet, task)
+    fleet.start("one")
+    job = await fleet.submit(1, LATER, [step(3, is_gang=True, request=WHOLE)])
+    assert await fleet.reaches(job, JobState.FAILED, 6.0)
+    assert len(fleet.runs(task)) <= 4
+    assert await until(lambda: not any(w.running for w in fleet.workers.values()))
+
+
+async def test_several_crashing_tasks_at_once_take_few_workers(fleet):
+    """Guards against crashes that excuse each other because they happen at the same time."""
+    tasks = [f"{job_id(number)}.0.0.0" for number in range(1, 5)]
+    make_fatal(fleet, *tasks)
+    fleet.start("one")
+    jobs = [await fleet.submit(number, LATER, [step(request=WHOLE)]) for number in range(1, 5)]
+    for job in jobs:
+        assert await fleet.reaches(job, JobState.FAILED, 8.0)
+    assert all(len(fleet.runs(task)) <= 4 for task in tasks)
+
+
+async def test_delayed_start_that_crashes_its_worker_counts(group):
+    """Guards against crashes by starts that got no response and took effect later."""
+    fleet = make_deployment(group, 1, task_duration_s=0.3)
+    group.start_soon(fleet.send_heartbeats)
+    task = f"{job_id(1)}.0.0.0"
+    make_fatal(fleet, task)
+    worker = fleet.workers["w0"]
+    worker.faults.delayed_starts = 3
+    fleet.start("one")
+    job = await fleet.submit(1, LATER, [step()])
+    assert await until(lambda: not worker.faults.delayed_starts)
+    worker.apply_delayed()
+    assert await fleet.reaches(job, JobState.FAILED, 6.0)
+    assert len(fleet.runs(task)) <= 4
+
+
+async def test_silent_worker_is_no_evidence_against_its_tasks(fleet):
+    """Guards against work that is given up because its workers were only unreachable."""
+    fleet.start("one", lease_ms=600)
+    job = await fleet.submit(1, LATER, [step(estimate_ms=60_000)])
+    task = f"{job}.0.0.0"
+    for worker in fleet.workers.values():
+        worker.task_duration_s = float("inf")
+    for number in range(2):
+        assert await until(lambda count=number + 1: len(fleet.runs(task)) == count, 6.0)
+        fleet.workers[fleet.runs(task)[-1][0]].faults.is_unreachable = True
+    assert await until(lambda: len(fleet.runs(task)) == 3, 6.0)
+    assert not evidence_against(fleet, job)
+
+
+async def test_announced_departure_is_no_evidence_against_tasks(fleet):
+    """Guards against work that is given up because its workers left as planned."""
+    for worker in fleet.workers.values():
+        worker.task_duration_s = float("inf")
+    fleet.start("one")
+    job = await fleet.submit(1, LATER, [step()])
+    task = f"{job}.0.0.0"
+    for number in range(2):
+        assert await until(lambda count=number + 1: len(fleet.runs(task)) == count)
+        holder = fleet.workers[fleet.runs(task)[-1][0]]
+        fleet.withdrawn.add(holder.id)
+        fleet.publish(holder, is_ready=False)
+        await anyio.sleep(0.4)
+        holder.crash()
+    assert await until(lambda: len(fleet.runs(task)) == 3)
+    assert not evidence_against(fleet, job)
+
+
+async def test_common_crash_of_workers_is_no_evidence_against_long_running_tasks(fleet):
+    """Guards against work that is given up after power failures of several workers."""
+    for worker in fleet.workers.values():
+        worker.task_duration_s = float("inf")
+        worker.faults.crash_s = 1.2
+    fleet.start("one")
+    job = await fleet.submit(1, LATER, [step(4, request=WHOLE)])
+    assert await until(lambda: sum(len(w.running) for w in fleet.workers.values()) == 4)
+    await anyio.sleep(3.2)
+    for worker in fleet.workers.values():
+        worker.crash()
+    assert await until(lambda: sum(len(w.running) for w in fleet.workers.values()) == 4)
+    assert not evidence_against(fleet, job)
+
+
+async def test_suspect_that_survives_its_probation_is_cleared(fleet):
+    """Guards against evidence from two coincidences far apart that ends an innocent job."""
+    for worker in fleet.workers.values():
+        worker.task_duration_s = float("inf")
+    fleet.start("one", lease_ms=2000)
+    job = await fleet.submit(1, LATER, [step()])
+    task = f"{job}.0.0.0"
+    assert await until(lambda: any(task in w.running for w in fleet.workers.values()))
+    fleet.holder_of(task).crash()
+    assert await until(lambda: bool(evidence_against(fleet, job)))
+    assert await until(lambda: not evidence_against(fleet, job), 5.0)
+
+
+async def test_nothing_starts_beside_a_suspect_on_probation(fleet):
+    """Guards against further work that is lost when a suspect crashes its next worker."""
+    for worker in fleet.workers.values():
+        worker.task_duration_s = float("inf")
+    fleet.start("one")
+    job = await fleet.submit(1, LATER, [step()])
+    task = f"{job}.0.0.0"
+    assert await until(lambda: any(task in w.running for w in fleet.workers.values()))
+    fleet.holder_of(task).crash()
+    assert await until(lambda: len(fleet.runs(task)) == 2)
+    await fleet.submit(2, LATER, [step(48)])
+    assert await until(lambda: sum(len(w.running) for w in fleet.workers.values()) == 41)
+    assert list(fleet.holder_of(task).running) == [task]
+
+
+def lost_run(number: int, *, is_recent: bool = True, is_suspect: bool = False) -> LostRun:
+    """Return a confirmed run of its own job; a recent one started just before the crash."""
+    lasted_s, silent_after_s = (0.0, 0.02) if is_recent else (5.0, 6.0)
+    return LostRun(TaskId(job_id(number), 0, 0, 0), lasted_s, silent_after_s, is_suspect)
+
+
+@given(
+    st.lists(st.tuples(st.integers(0, 4), st.integers(0, 4), st.booleans()), min_size=4, max_size=4)
+)
+def test_every_task_that_always_crashes_is_given_up_after_four_crashes(crashes):
+    """Guards against company or a common cause that excuses a task for ever."""
+    fatal = lost_run(0)
+    weight = 0
+    for recent_count, other_count, is_isolated in crashes:
+        runs = [
+            replace(fatal, is_suspect=weight > 0),
+            *(lost_run(n + 1, is_suspect=True) for n in range(recent_count)),
+            *(lost_run(n + 9, is_recent=False) for n in range(other_count)),
+        ]
+        weight += weigh_crash(runs, is_isolated=is_isolated)[fatal.task]
+    assert is_given_up([CrashRecord(1, weight, 0)])
+
+
+@given(st.lists(st.integers(1, 4), min_size=1, max_size=20))
+def test_run_that_goes_on_beside_a_fresh_start_is_never_blamed(counts):
+    """Guards against long-running work that is given up for the crashes of its neighbours."""
+    old = lost_run(0, is_recent=False, is_suspect=True)
+    for count in counts:
+        runs = [old, *(lost_run(n + 1) for n in range(count))]
+        assert old.task not in weigh_crash(runs, is_isolated=True)
+
+
+def test_earlier_suspect_is_blamed_before_other_fresh_starts():
+    """Guards against doubt about a known suspect when something else starts beside it."""
+    suspect, other = lost_run(1, is_suspect=True), lost_run(2)
+    weights = weigh_crash([other, suspect], is_isolated=True)
+    assert weights[suspect.task] > weights[other.task]
+
+
+def test_evidence_is_part_of_the_stored_progress():
+    """Guards against evidence that is not stored, or records without it that cannot be read."""
+    crashes = (CrashRecord(3, 2, 150),)
+    task = TaskProgress(0, 1, 2, 0, 3, "w1", 1, (1,), "", crashes)
+    progress = JobProgress(JobState.RUNNING, True, 0, (task,))
+    assert decode_progress(encode_progress(progress)) == progress
+    earlier = b'{"state":"running","begun":true,"tasks":[[0,1,2,0,3,"w1",1,[1],""]]}'
+    assert decode_progress(earlier).tasks == (replace(task, crashes=()),)
