--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -17,6 +17,7 @@
     JOB_PLACED,
     RUN_LEAVES_WORKER,
     RUN_STALLED,
+    STARTS_OUTDATED,
     STARTS_REJECTED,
     TASK_RECLAIMED,
     WATCH_FAILED,
@@ -121,12 +122,14 @@
         zones_out: Availability zones in which no task may start.
         guards: Returns the store conditions under which a start in the given zones is allowed.
         apply_conflict: Applies the operators' items that a failed condition returned, by key.
+        store_failed_s: Local time at which the store was last seen to be unavailable.
     """
 
     configuration: ClusterConfiguration
     zones_out: frozenset[str]
     guards: Callable[[frozenset[str]], Mapping[str, int]]
     apply_conflict: Callable[[Mapping[str, Item]], None]
+    store_failed_s: float = -math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -273,7 +276,10 @@
         workers_prefix = self._workers_prefix
         workers, revision = await self._store.list_items(workers_prefix)
         entries = tuple(Change(item.key, item.value, item.revision) for item in workers)
-        self._workers.apply_entries(ChangeBatch(entries, is_snapshot=True))
+        view = self._operators()
+        self._workers.apply_entries(
+            ChangeBatch(entries, is_snapshot=True), view.store_failed_s if view else self._now_s()
+        )
         async with anyio.create_task_group() as group:
             group.start_soon(
                 follow_prefix,
@@ -561,10 +567,7 @@
             view.apply_conflict(rejection.operator_items)
         for placement in pending.placements:
             if placement.unit.job_id in rejection.jobs:
-                for task_id in placement.workers:
-                    task = self._registry.find(task_id)
-                    if task is not None:
-                        self._registry.requeue(task)
+                self._requeue_unsent(placement)
         for job_id in rejection.cancelled:
             self._commits.cancel_marks.add(job_id)
             self._registry.cancel(job_id, self._now_unix_ms())
@@ -574,6 +577,9 @@
         for placement in placements:
             unit = placement.unit
             job = self._registry.jobs[unit.job_id]
+            if self._is_outdated(placement):
+                self._abandon(placement)
+                continue
             checkpoint = _common_checkpoint(job.tasks, unit.tasks) if unit.step.is_gang else ""
             log_event(
                 JOB_PLACED,
@@ -591,7 +597,24 @@
                 link.set_may_have_runs(True)
                 ticket = self._tickets.ticket(unit.key, worker)
                 payload = job.submission.payload
-                link.start(group, StartCommand(task_id, task.run, payload, saved, ticket))
+                command = StartCommand(task_id, task.run, payload, saved, ticket)
+                link.start(group, command, self._workers.start_until_s(worker))
+
+    def _is_outdated(self, placement: Placement) -> bool:
+        """Return whether storing a placement took so long that a worker may have shrunk."""
+        now_s = self._now_s()
+        return any(now_s > self._workers.start_until_s(w) for w in placement.workers.values())
+
+    def _abandon(self, placement: Placement) -> None:
+        """Queue the tasks of a placement again, for which no command was sent."""
+        log_event(STARTS_OUTDATED, job=placement.unit.job_id, step=placement.unit.step_number)
+        self._requeue_unsent(placement)
+
+    def _requeue_unsent(self, placement: Placement) -> None:
+        for task_id in placement.workers:
+            task = self._registry.find(task_id)
+            if task is not None:
+                self._registry.requeue(task)
 
 
 def _common_checkpoint(tasks: Mapping[TaskId, Task], members: tuple[TaskId, ...]) -> str:
--- a/src/foxtailwell/controller/_links.py
+++ b/src/foxtailwell/controller/_links.py
@@ -266,15 +266,21 @@
         until_s = self.now_s() if self.is_unresponsive else self.responsive_since_s
         return until_s - self.unresponsive_since_s
 
-    def start(self, group: TaskGroup, command: StartCommand) -> None:
-        """Send a start command in a task of the group; `StartFinished` reports its outcome."""
-        group.start_soon(self._start, command)
+    def start(self, group: TaskGroup, command: StartCommand, until_s: float) -> None:
+        """Send a start command in a task of the group; `StartFinished` reports its outcome.
 
-    async def _start(self, command: StartCommand) -> None:
+        Args:
+            group: Group of the new task.
+            command: Command to send.
+            until_s: Local time after which it is not sent again.
+        """
+        group.start_soon(self._start, command, until_s)
+
+    async def _start(self, command: StartCommand, until_s: float) -> None:
         outcome: CommandOutcome | None = None
         is_certain = True
         for _ in range(START_ATTEMPTS):
-            if not self.may_act():
+            if not self.may_act() or self.now_s() > until_s:
                 is_certain = False
                 break
             try:
--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -24,6 +25,7 @@
 from foxtailwell.workflows import (
     Advisor,
     JobRegistry,
+    Resources,
     RunningTask,
     Task,
     TaskState,
@@ -41,10 +43,16 @@
 was unavailable, and the times of deletions are unknown.
 """
 
-MAX_REPORT_AGE_S = 3.0
+HEARTBEAT_S = 1.5
+"""Usual interval of the heartbeats of one worker."""
+
+USUAL_GAP_HEARTBEATS = 4.0
+"""Longest usual gap between two updates, in mean gaps between the heartbeats of all workers."""
+
+MAX_REPORT_AGE_S = 2 * HEARTBEAT_S
 """Age of the last report up to which a deleted entry means that the worker has shut down.
 
-Two heartbeats of 1.5 s; the entry of an unresponsive worker expires only after three.
+Two heartbeats; the entry of an unresponsive worker expires only after three.
 """
 
 MIN_PACE_PERCENT = 10
@@ -56,6 +64,12 @@
 VIEW_CACHE_S = 0.5
 """Time for which the cached view of an unchanged worker is reused with its old elapsed times."""
 
+START_ALLOWANCE_S = 1.0
+"""Time that must remain at a plan for its starts to be stored and sent, repeatedly if need be."""
+
+ENTRY_TTL_S = 3 * HEARTBEAT_S
+"""Time without heartbeats after which the store deletes the entry of a worker."""
+
 REFUSAL_BACKOFF_S = 1.0
 """Time without further starts for a worker after a failed start."""
 
@@ -77,6 +91,8 @@
         connect: Opens the calls to a worker, given its identifier and address.
         advisor: Issues tickets for queues with advice; None if the platform has no such service.
         maintenance: Waves and machines; None if the platform has no such interface.
+        capacity_grace_s: Time for which a worker tolerates starts that exceed its capacity after
+            that has shrunk.
     """
 
     workers_prefix: str
@@ -84,11 +100,12 @@
     connect: Callable[[str, str], WorkerCalls]
     advisor: Advisor | None = None
     maintenance: MaintenanceAccess | None = None
+    capacity_grace_s: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
 class _CachedView:
-    key: tuple[int, bool, int]
+    key: tuple[int, bool, int, Resources]
     until_s: float
     view: WorkerView
 
@@ -127,16 +144,25 @@
         self._quarantined_until_ms: dict[str, int] = {}
         self._backoff_until_s: dict[str, float] = {}
         self._reported_s: dict[str, float] = {}
+        self._revisions: dict[str, int] = {}
+        self._written_s: dict[str, float] = {}
         self._last_update_s = 0.0
         self._removal_candidates: set[str] = set()
         self._views: dict[str, _CachedView] = {}
 
-    def apply_entries(self, event: ChangeBatch) -> None:
-        """Apply reported and deleted worker entries."""
+    def apply_entries(self, event: ChangeBatch, store_failed_s: float = -math.inf) -> None:
+        """Apply reported and deleted worker entries.
+
+        Args:
+            event: Changes of entries, or a listing.
+            store_failed_s: Local time at which the store was last seen to be unavailable. The
+                entries in the first listing of a term may be older than that.
+        """
         prefix = self._access.workers_prefix
         seen: set[str] = set()
         now_s = self._now_s()
         is_continuous = now_s - self._last_update_s < MAX_UPDATE_GAP_S
+        written_s = self._earliest_write_s(now_s, store_failed_s)
         self._last_update_s = now_s
         for change in event.changes:
             worker = change.key[len(prefix) :]
@@ -154,12 +180,31 @@
             self.entries[worker] = entry
             self._removal_candidates.discard(worker)
             self._reported_s[worker] = now_s
+            if self._revisions.get(worker) != change.revision:
+                self._revisions[worker] = change.revision
+                self._written_s[worker] = written_s
             self._update_link(entry)
         if event.is_snapshot:
             for worker in self.entries.keys() - seen:
                 self._delist(worker)
             self._health.remove_delisted(self.entries)
 
+    def _earliest_write_s(self, now_s: float, store_failed_s: float) -> float:
+        """Return the local time since which new entries of an update were written.
+
+        Updates of a small fleet have longer gaps even while the store is available.
+        """
+        if not self._last_update_s:
+            return now_s if now_s - store_failed_s > ENTRY_TTL_S else -math.inf
+        usual_gap_s = USUAL_GAP_HEARTBEATS * HEARTBEAT_S / max(1, len(self.entries))
+        is_usual = now_s - self._last_update_s < max(MAX_UPDATE_GAP_S, usual_gap_s)
+        return now_s if is_usual else self._last_update_s
+
+    def start_until_s(self, worker: str) -> float:
+        """Return the local time until which a start may rely on the reported capacity."""
+        grace_s = self._access.capacity_grace_s - MAX_UPDATE_GAP_S
+        return self._written_s.get(worker, -math.inf) + grace_s
+
     def _delist(self, worker: str) -> WorkerEntry | None:
         delisted = self.entries.pop(worker, None)
         if delisted is not None:
@@ -308,11 +353,13 @@
                 and entry.zone not in zones_out
                 and worker not in cordoned
                 and worker not in on_probation
+                and now_s + START_ALLOWANCE_S < self.start_until_s(worker)
                 and not (link and link.is_unresponsive)
                 and self._quarantined_until_ms.get(worker, 0) <= now_unix_ms
                 and self._backoff_until_s.get(worker, 0.0) <= now_s
             )
-            key = (self._registry.version_of(worker), is_usable, entry.boot_unix_ms)
+            version = self._registry.version_of(worker)
+            key = (version, is_usable, entry.boot_unix_ms, entry.capacity)
             cached = self._views.get(worker)
             if cached is not None and cached.key == key and now_s < cached.until_s:
                 views[worker] = cached.view
--- a/src/foxtailwell/platform/settings.py
+++ b/src/foxtailwell/platform/settings.py
@@ -32,6 +32,7 @@
 
 
 class _Bounds(msgspec.Struct):
+    contact_ms: int = 3000
     grace_s: float = 6
     max_hold_ms: int = 10_000
     revoke_ms: int = 5000
@@ -48,6 +49,7 @@
     platform: _Store
     recommendation: str | None = None
     cloud_api: _CloudApi | None = None
+    heartbeat_ms: int = 1500
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
@@ -83,4 +85,5 @@
         revocation_ms=file.bounds.revoke_ms,
         status_s=file.bounds.status_s,
         maintenance_s=file.bounds.maintenance_s,
+        capacity_grace_s=(file.bounds.contact_ms + file.heartbeat_ms) / 1000,
     )
--- a/tests/controller_harness.py
+++ b/tests/controller_harness.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field, replace
@@ -78,6 +79,8 @@
     withdrawn: set[str] = field(default_factory=set)
     advisor: MemoryAdvisor | None = None
     maintenance: MaintenanceAccess | None = None
+    capacity_grace_s: float = math.inf
+    store_failed_s: float = -math.inf
 
     @property
     def intake(self) -> Intake:
@@ -107,7 +110,8 @@
         def guards(zones: frozenset[str]) -> Mapping[str, int]:
             return {CONFIGURATION: self.revision} | {f"op/evacuate/{z}": 0 for z in zones}
 
-        return OperatorView(configuration, frozenset(self.zones_out), guards, self._learn)
+        zones = frozenset(self.zones_out)
+        return OperatorView(configuration, zones, guards, self._learn, self.store_failed_s)
 
     def _learn(self, items: Mapping[str, Item]) -> None:
         zones = "op/evacuate/"
@@ -122,6 +126,7 @@
             lambda worker, _: self.workers[worker],
             self.advisor,
             self.maintenance,
+            self.capacity_grace_s,
         )
         leadership = Leadership(
             self.store.client(faults),
--- /dev/null
+++ b/tests/test_shrinking_capacity.py
@@ -0,0 +1,119 @@
+"""Starts on workers whose capacity shrinks, or whose reports of it are out of date."""
+
+from __future__ import annotations
+
+import time
+
+import anyio
+import pytest
+
+from controller_harness import LATER, Deployment, make_deployment, step, until
+from foxtailwell.workflows import Resources
+
+pytestmark = pytest.mark.anyio
+
+WHOLE = Resources(10_000, 10_000, 8)
+HALF = Resources(10_000, 10_000, 4)
+SHRUNKEN = Resources(128_000, 262_144, 1)
+GRACE_S = 2.5
+
+
+@pytest.fixture
+async def fleet(group) -> Deployment:
+    """Return a deployment of two workers whose reports are soon out of date."""
+    deployment = make_deployment(group, 2)
+    deployment.capacity_grace_s = GRACE_S
+    return deployment
+
+
+@pytest.fixture
+async def reporting_fleet(group, fleet) -> Deployment:
+    """Return the same deployment with workers that send heartbeats."""
+    group.start_soon(fleet.send_heartbeats)
+    return fleet
+
+
+def run_count(deployment: Deployment) -> int:
+    """Return the number of runs that have started."""
+    return sum(len(worker.log) for worker in deployment.workers.values())
+
+
+def shrink(deployment: Deployment, *workers: str) -> None:
+    """Shrink workers, and let those report it at once that send heartbeats."""
+    for name in workers:
+        deployment.workers[name].capacity = SHRUNKEN
+        if name not in deployment.withdrawn:
+            deployment.publish(deployment.workers[name])
+
+
+async def test_task_does_not_start_on_a_worker_that_has_just_shrunk(reporting_fleet):
+    """Guards against a start that is checked against a remembered capacity."""
+    reporting_fleet.start("one")
+    await reporting_fleet.submit(1, LATER, [step(1)])
+    assert await until(lambda: run_count(reporting_fleet) == 1)
+    shrink(reporting_fleet, "w0", "w1")
+    await anyio.sleep(0.2)
+    await reporting_fleet.submit(2, LATER, [step(request=HALF)])
+    await anyio.sleep(0.3)
+    assert run_count(reporting_fleet) == 1
+
+
+async def test_worker_without_current_report_gets_no_start(reporting_fleet):
+    """Guards against starts that rely on a report from before the worker fell silent."""
+    reporting_fleet.start("one")
+    await reporting_fleet.submit(1, LATER, [step(2)])
+    assert await until(lambda: run_count(reporting_fleet) == 2)
+    reporting_fleet.withdrawn |= {"w0", "w1"}
+    await anyio.sleep(GRACE_S)
+    job = await reporting_fleet.submit(2, LATER, [step(1)])
+    await anyio.sleep(0.4)
+    assert run_count(reporting_fleet) == 2
+    assert f"foxtailwell/run/{job}" not in reporting_fleet.store.items
+    reporting_fleet.withdrawn.clear()
+    assert await until(lambda: run_count(reporting_fleet) == 3)
+
+
+async def test_start_that_was_stored_late_is_not_sent(reporting_fleet):
+    """Guards against starts that were planned before a store outage and are sent after it."""
+    instance = reporting_fleet.start("one")
+    await reporting_fleet.submit(1, LATER, [step(2)])
+    assert await until(lambda: run_count(reporting_fleet) == 2)
+    instance.faults.delayed_writes = 12
+    await reporting_fleet.submit(2, LATER, [step(2, request=HALF, is_gang=True)])
+    assert await until(lambda: instance.faults.delayed_writes < 12)
+    shrink(reporting_fleet, "w0", "w1")
+    assert await until(lambda: not instance.faults.delayed_writes)
+    await anyio.sleep(0.3)
+    assert run_count(reporting_fleet) == 2
+
+
+async def test_gang_waits_as_a_whole_while_one_worker_has_shrunk(reporting_fleet):
+    """Guards against members that start while there is no room for the others."""
+    shrink(reporting_fleet, "w0")
+    reporting_fleet.start("one")
+    await reporting_fleet.submit(1, LATER, [step(2, request=WHOLE, is_gang=True)])
+    await anyio.sleep(0.5)
+    assert run_count(reporting_fleet) == 0
+    reporting_fleet.workers["w0"].capacity = reporting_fleet.workers["w1"].capacity
+    assert await until(lambda: run_count(reporting_fleet) == 2)
+
+
+async def test_runs_continue_on_a_worker_that_has_shrunk(reporting_fleet):
+    """Guards against work that is thrown away because its worker has less room for more."""
+    reporting_fleet.start("one")
+    await reporting_fleet.submit(1, LATER, [step(16)])
+    assert await until(lambda: run_count(reporting_fleet) == 16)
+    shrink(reporting_fleet, "w0", "w1")
+    await anyio.sleep(0.5)
+    assert sum(len(worker.running) for worker in reporting_fleet.workers.values()) == 16
+
+
+async def test_new_controller_does_not_rely_on_reports_from_before_an_outage(fleet):
+    """Guards against starts on entries that no worker could update while the store was away."""
+    fleet.store_failed_s = time.monotonic()
+    fleet.start("one")
+    await fleet.submit(1, LATER, [step()])
+    await anyio.sleep(0.5)
+    assert run_count(fleet) == 0
+    fleet.publish(fleet.workers["w0"])
+    assert await until(lambda: run_count(fleet) == 1)
