--- a/src/foxtailwell/workflows/_placement.py
+++ b/src/foxtailwell/workflows/_placement.py
@@ -99,7 +99,10 @@
     unit = reservation.placement.unit
     workers = reservation.placement.workers
     if now_s > reservation.until_s or not all(
-        w in capacity.workers and capacity.workers[w].is_usable for w in workers.values()
+        w in capacity.workers
+        and capacity.workers[w].is_usable
+        and unit.step.request.fits(capacity.workers[w].capacity)
+        for w in workers.values()
     ):
         return None
     for worker in workers.values():
--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -8,7 +8,18 @@
 import pytest
 
 from controller_harness import LATER, Deployment, make_deployment, step, until
-from foxtailwell.workflows import Resources
+from foxtailwell.workflows import (
+    FleetView,
+    Placement,
+    Queue,
+    Reservation,
+    Resources,
+    SchedulingUnit,
+    Step,
+    TaskId,
+    WorkerView,
+    plan,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -117,3 +128,15 @@
     assert run_count(fleet) == 0
     fleet.publish(fleet.workers["w0"])
     assert await until(lambda: run_count(fleet) == 1)
+
+
+def test_reservation_ends_when_its_worker_shrinks():
+    """Guards against a unit that waits for room which its worker no longer has."""
+    queue = Queue("urgent", "pool", priority=0)
+    task = TaskId("u", 0, 0, 0)
+    unit = SchedulingUnit("u", 0, 0, Step(1, WHOLE, 1000), queue, "acme", (task,), 0.0, 9.0)
+    shrunken = WorkerView("w0", "pool", "a", "r1", frozenset(), SHRUNKEN)
+    other = WorkerView("w1", "pool", "a", "r1", frozenset(), WHOLE)
+    reservation = Reservation(Placement(unit, {task: "w0"}), until_s=5.0)
+    decided = plan(FleetView(1.0, {"w0": shrunken, "w1": other}, [unit], (reservation,)))
+    assert decided.placements[0].workers == {task: "w1"}
