--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -43,18 +43,18 @@
 was unavailable, and the times of deletions are unknown.
 """
 
-HEARTBEAT_S = 1.5
-"""Usual interval of the heartbeats of one worker."""
-
 USUAL_GAP_HEARTBEATS = 4.0
 """Longest usual gap between two updates, in mean gaps between the heartbeats of all workers."""
 
-MAX_REPORT_AGE_S = 2 * HEARTBEAT_S
+MAX_REPORT_AGE_HEARTBEATS = 2
 """Age of the last report up to which a deleted entry means that the worker has shut down.
 
-Two heartbeats; the entry of an unresponsive worker expires only after three.
+The entry of an unresponsive worker expires only after three heartbeats.
 """
 
+MIN_USABLE_REPORT_HEARTBEATS = 1.5
+"""Age of a report, in heartbeats, up to which its worker may get starts even without a grace."""
+
 MIN_PACE_PERCENT = 10
 """Progress from which the remaining time is extrapolated from it, not taken from the estimate."""
 
@@ -67,8 +67,8 @@
 START_ALLOWANCE_S = 1.0
 """Time that must remain at a plan for its starts to be stored and sent, repeatedly if need be."""
 
-ENTRY_TTL_S = 3 * HEARTBEAT_S
-"""Time without heartbeats after which the store deletes the entry of a worker."""
+ENTRY_TTL_HEARTBEATS = 3
+"""Missed heartbeats after which the store deletes the entry of a worker."""
 
 REFUSAL_BACKOFF_S = 1.0
 """Time without further starts for a worker after a failed start."""
@@ -91,6 +91,7 @@
         connect: Opens the calls to a worker, given its identifier and address.
         advisor: Issues tickets for queues with advice; None if the platform has no such service.
         maintenance: Waves and machines; None if the platform has no such interface.
+        heartbeat_s: Interval of the heartbeats of a worker.
         capacity_grace_s: Time for which a worker tolerates starts that exceed its capacity after
             that has shrunk.
     """
@@ -100,6 +101,7 @@
     connect: Callable[[str, str], WorkerCalls]
     advisor: Advisor | None = None
     maintenance: MaintenanceAccess | None = None
+    heartbeat_s: float = 1.5
     capacity_grace_s: float = math.inf
 
 
@@ -195,15 +197,19 @@
         Updates of a small fleet have longer gaps even while the store is available.
         """
         if not self._last_update_s:
-            return now_s if now_s - store_failed_s > ENTRY_TTL_S else -math.inf
-        usual_gap_s = USUAL_GAP_HEARTBEATS * HEARTBEAT_S / max(1, len(self.entries))
+            ttl_s = ENTRY_TTL_HEARTBEATS * self._access.heartbeat_s
+            return now_s if now_s - store_failed_s > ttl_s else -math.inf
+        usual_gap_s = USUAL_GAP_HEARTBEATS * self._access.heartbeat_s / max(1, len(self.entries))
         is_usual = now_s - self._last_update_s < max(MAX_UPDATE_GAP_S, usual_gap_s)
         return now_s if is_usual else self._last_update_s
 
     def start_until_s(self, worker: str) -> float:
         """Return the local time until which a start may rely on the reported capacity."""
-        grace_s = self._access.capacity_grace_s - MAX_UPDATE_GAP_S
-        return self._written_s.get(worker, -math.inf) + grace_s
+        limit_s = max(
+            self._access.capacity_grace_s - MAX_UPDATE_GAP_S,
+            MIN_USABLE_REPORT_HEARTBEATS * self._access.heartbeat_s + START_ALLOWANCE_S,
+        )
+        return self._written_s.get(worker, -math.inf) + limit_s
 
     def _delist(self, worker: str) -> WorkerEntry | None:
         delisted = self.entries.pop(worker, None)
@@ -222,7 +228,7 @@
         and still run its tasks.
         """
         report_age_s = now_s - self._reported_s.get(entry.id, 0.0)
-        if entry.is_ready or report_age_s > MAX_REPORT_AGE_S:
+        if entry.is_ready or report_age_s > MAX_REPORT_AGE_HEARTBEATS * self._access.heartbeat_s:
             return
         self._removal_candidates.add(entry.id)
 
--- a/src/foxtailwell/instance/_settings.py
+++ b/src/foxtailwell/instance/_settings.py
@@ -21,6 +21,7 @@
         revocation_ms: Time after which a removed API key must no longer be accepted.
         status_s: Time for which the state of an ended job remains available.
         maintenance_s: Time for which maintenance takes a machine down.
+        heartbeat_s: Interval of the heartbeats of a worker.
         capacity_grace_s: Time for which a worker tolerates starts that exceed its capacity after
             that has shrunk.
     """
@@ -38,4 +39,5 @@
     revocation_ms: int
     status_s: float
     maintenance_s: float
+    heartbeat_s: float
     capacity_grace_s: float
--- a/src/foxtailwell/platform/assembly.py
+++ b/src/foxtailwell/platform/assembly.py
@@ -37,6 +37,7 @@
             connect_worker,
             open_advisor(settings.advisor_address) if settings.advisor_address else None,
             _maintenance_access(settings) if settings.machines_address else None,
+            settings.heartbeat_s,
             settings.capacity_grace_s,
         ),
         operator_keys=OperatorKeys(
--- a/src/foxtailwell/platform/settings.py
+++ b/src/foxtailwell/platform/settings.py
@@ -85,5 +85,6 @@
         revocation_ms=file.bounds.revoke_ms,
         status_s=file.bounds.status_s,
         maintenance_s=file.bounds.maintenance_s,
+        heartbeat_s=file.heartbeat_ms / 1000,
         capacity_grace_s=(file.bounds.contact_ms + file.heartbeat_ms) / 1000,
     )
--- a/tests/controller_harness.py
+++ b/tests/controller_harness.py
@@ -79,6 +79,7 @@
     withdrawn: set[str] = field(default_factory=set)
     advisor: MemoryAdvisor | None = None
     maintenance: MaintenanceAccess | None = None
+    heartbeat_s: float = 1.5
     capacity_grace_s: float = math.inf
     store_failed_s: float = -math.inf
 
@@ -126,6 +127,7 @@
             lambda worker, _: self.workers[worker],
             self.advisor,
             self.maintenance,
+            self.heartbeat_s,
             self.capacity_grace_s,
         )
         leadership = Leadership(
--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -33,7 +33,7 @@
 async def fleet(group) -> Deployment:
     """Return a deployment of two workers whose reports are soon out of date."""
     deployment = make_deployment(group, 2)
-    deployment.capacity_grace_s = GRACE_S
+    deployment.heartbeat_s, deployment.capacity_grace_s = 0.3, GRACE_S
     return deployment
 
 
@@ -84,6 +84,14 @@
     assert await until(lambda: run_count(reporting_fleet) == 3)
 
 
+async def test_workers_get_starts_although_no_grace_follows_a_shrink(reporting_fleet):
+    """Guards against a deployment in which every report is out of date when it arrives."""
+    reporting_fleet.capacity_grace_s = reporting_fleet.heartbeat_s
+    reporting_fleet.start("one")
+    await reporting_fleet.submit(1, LATER, [step(2)])
+    assert await until(lambda: run_count(reporting_fleet) == 2)
+
+
 async def test_start_that_was_stored_late_is_not_sent(reporting_fleet):
     """Guards against starts that were planned before a store outage and are sent after it."""
     instance = reporting_fleet.start("one")
