--- a/src/foxtailwell/adapters/events.py
+++ b/src/foxtailwell/adapters/events.py
@@ -75,6 +75,7 @@
 WORKER_QUARANTINED = _event("FW1417", "WARNING", "worker quarantined")
 WORKER_RETURNED = _event("FW1418", "INFO", "worker released from quarantine")
 PLAN_FAILED = _event("FW1419", "ERROR", "planning failed; running gangs continue")
+WORKER_RESTARTED = _event("FW1420", "WARNING", "a worker has restarted and lost its runs")
 
 # 1500-1599: operators
 CONFIGURATION_CHANGED = _event("FW1501", "INFO", "operator change stored")
--- a/src/foxtailwell/core/__init__.py
+++ b/src/foxtailwell/core/__init__.py
@@ -65,6 +65,12 @@
     split_changes,
     validate_configuration,
 )
+from foxtailwell.core._crashes import (
+    PROBATION_S,
+    CrashedRun,
+    is_given_up,
+    weigh_crash,
+)
 from foxtailwell.core._explain import (
     BlockingJob,
     Explanation,
@@ -214,6 +220,7 @@
     "JOB_SHARD_COUNT",
     "OPERATION_NAMES",
     "PREPARATION_LIMIT_S",
+    "PROBATION_S",
     "REPORT_TIMEOUT_S",
     "RESEND_INTERVAL_S",
     "RUN_DEADLINE_S",
@@ -238,6 +245,7 @@
     "CommitRun",
     "Configuration",
     "ConfigurationOperation",
+    "CrashedRun",
     "Decision",
     "DeleteAccount",
     "DeleteClass",
@@ -337,6 +345,7 @@
     "free_capacity",
     "has_exhausted_workers",
     "is_ejected",
+    "is_given_up",
     "is_reclaimable",
     "job_id",
     "job_shard",
@@ -370,6 +379,7 @@
     "split_changes",
     "transition",
     "validate_configuration",
+    "weigh_crash",
     "withdraw_for_retry",
     "without_expired_jobs",
 ]
--- a/src/foxtailwell/core/_gangs.py
+++ b/src/foxtailwell/core/_gangs.py
@@ -139,12 +139,14 @@
         reason: Reason for the job's history.
         checkpoint: Checkpoint from which a later attempt can continue.
         failed_workers: Workers on which a task failed.
+        lasted_s: Time for which every member was reported as running.
     """
 
     state: JobState
     reason: str
     checkpoint: str = ""
     failed_workers: tuple[str, ...] = ()
+    lasted_s: float = 0.0
 
 
 Effect = CommitRun | RecordJobState | EndAttempt
@@ -277,6 +279,8 @@
         is_fenced: Whether no previous holder of the zone can renew the task lease: the worker has
             reported under the current term or is removed. Before that, a previous holder that is
             partitioned from the store may still renew it, so its expiry cannot be concluded.
+        running_since_s: Time of the first report that it is running; None before that.
+        lasted_s: Time from that report to the newest one that says the same.
         detail: Cause of a failure.
     """
 
@@ -287,6 +291,8 @@
     checkpoint: str = ""
     is_lease_expired: bool = False
     is_fenced: bool = True
+    running_since_s: float | None = None
+    lasted_s: float = 0.0
     detail: str = ""
 
     @property
@@ -442,11 +448,17 @@
     may_have_run = report.has_run or (
         member.may_have_run and not (has_not_run and report.state in _ENDED)
     )
+    running_since_s, lasted_s = member.running_since_s, member.lasted_s
+    if report.state is TaskState.RUNNING:
+        running_since_s = now_s if running_since_s is None else running_since_s
+        lasted_s = now_s - running_since_s
     return replace(
         member,
         task=report.state,
         last_report_s=now_s,
         is_fenced=True,
+        running_since_s=running_since_s,
+        lasted_s=lasted_s,
         may_have_run=may_have_run,
         checkpoint=report.checkpoint or member.checkpoint,
         detail=report.detail or member.detail,
@@ -655,7 +667,8 @@
         if failed:
             return EndAttempt(JobState.FAILED, _describe_loss(failed), "", workers)
         return EndAttempt(JobState.FAILED, f"outcome_unknown: {run.stop_reason}")
-    return EndAttempt(JobState.WAITING, run.stop_reason, run.checkpoint, workers)
+    lasted_s = min(m.lasted_s for m in run.members)
+    return EndAttempt(JobState.WAITING, run.stop_reason, run.checkpoint, workers, lasted_s)
 
 
 def _lost_members(run: GangRun, permission: StartPermission) -> tuple[MemberRun, ...]:
--- a/src/foxtailwell/core/_jobs.py
+++ b/src/foxtailwell/core/_jobs.py
@@ -86,6 +86,7 @@
         checkpoint: Newest checkpoint of the whole gang, empty when there is none.
         started_unix_ms: Start of the current attempt, 0 while not running.
         failed_workers: Workers on which the job failed.
+        crash_weight: Evidence that the job crashes its workers; 0 once it has outlasted a start.
         cancel_requested: Whether a caller has cancelled the job; such a job never starts.
         history: Newest transitions, oldest first; at most `HISTORY_LIMIT`.
         term: Fencing token of the scheduler that assigned or took over the current attempt. A
@@ -106,6 +107,7 @@
     checkpoint: str = ""
     started_unix_ms: int = 0
     failed_workers: tuple[str, ...] = ()
+    crash_weight: int = 0
     cancel_requested: bool = False
     history: tuple[Transition, ...] = ()
     term: int = 0
--- a/src/foxtailwell/scheduler/_mutations.py
+++ b/src/foxtailwell/scheduler/_mutations.py
@@ -13,6 +13,7 @@
 
 from foxtailwell.adapters.group_commit import Mutation
 from foxtailwell.core import (
+    PROBATION_S,
     EndAttempt,
     Gang,
     Job,
@@ -21,6 +22,7 @@
     ZoneAllocation,
     allocate,
     begin_attempt,
+    is_given_up,
     lift_quarantine,
     put_job,
     quarantine,
@@ -126,11 +128,18 @@
 
 
 def end_attempt(
-    job_id: str, attempt: int, zone: str, term: int, end: EndAttempt, at_unix_ms: int
+    job_id: str,
+    attempt: int,
+    zone: str,
+    term: int,
+    end: EndAttempt,
+    at_unix_ms: int,
+    crash_weight: int = 0,
 ) -> JobMutation:
     """Return the mutation that records the outcome of an attempt.
 
-    A cancelled job that would be queued again ends as cancelled.
+    A cancelled job that would be queued again ends as cancelled, and one that has crashed too many
+    workers as failed.
     """
 
     def mutate(shard: JobShard) -> tuple[JobShard, Job | None]:
@@ -139,12 +148,16 @@
             return shard, job
         _check_current_attempt(job, attempt, zone, term)
         state, reason = end.state, end.reason
+        evidence = crash_weight + (0 if end.lasted_s >= PROBATION_S else job.crash_weight)
         if state is JobState.WAITING and job.cancel_requested:
             state, reason = JobState.CANCELLED, "cancelled by the caller"
+        elif state is JobState.WAITING and is_given_up(evidence):
+            state, reason = JobState.FAILED, f"workers crash when the job starts: {reason}"
         ended = replace(
             transition(job, state, at_unix_ms, reason),
             checkpoint=end.checkpoint or job.checkpoint,
             failed_workers=tuple(dict.fromkeys((*job.failed_workers, *end.failed_workers))),
+            crash_weight=evidence,
         )
         return put_job(shard, ended), ended
 
--- a/src/foxtailwell/scheduler/_zone.py
+++ b/src/foxtailwell/scheduler/_zone.py
@@ -24,6 +24,7 @@
     GANG_STOPPING,
     START_REFUSED,
     WORKER_QUARANTINED,
+    WORKER_RESTARTED,
     WORKER_RETURNED,
     ZONE_LOST,
 )
@@ -31,9 +32,11 @@
 from foxtailwell.adapters.workers import SyncReply, TaskReport, WorkerCommand
 from foxtailwell.core import (
     PREPARATION_LIMIT_S,
+    PROBATION_S,
     TASK_LEASE_S,
     CommandRefused,
     CommitRun,
+    CrashedRun,
     Decision,
     Effect,
     EndAttempt,
@@ -63,6 +66,7 @@
     advance,
     begin_gang,
     resume_gang,
+    weigh_crash,
 )
 from foxtailwell.core.errors import (
     FoxtailwellError,
@@ -132,12 +136,14 @@
         job: Job as it was when the executor took on the gang.
         gang: Workers and accelerators of the gang.
         run: State of the attempt.
+        crash_weight: Evidence of this attempt that the job crashes its workers.
         members_by_worker: Indexes of the gang's members by worker.
     """
 
     job: Job
     gang: Gang
     run: GangRun
+    crash_weight: int = 0
     members_by_worker: dict[str, list[int]] = field(init=False)
 
     def __post_init__(self) -> None:
@@ -145,6 +151,12 @@
         for index, member in enumerate(self.gang.members):
             self.members_by_worker.setdefault(member.worker, []).append(index)
 
+    @property
+    def is_on_probation(self) -> bool:
+        """Whether the job may have crashed workers and has not outlasted its present start."""
+        lasted_s = min(member.lasted_s for member in self.run.members)
+        return self.job.crash_weight > 0 and lasted_s < PROBATION_S
+
 
 @dataclass(frozen=True, slots=True)
 class _DecisionsMade:
@@ -415,7 +427,9 @@
             _start_write(executor, _quarantine, executor, decision.worker, decision.until_unix_ms)
     for start in starts:
         job = executor.state.find_job(start.job_id)
-        if job is not None and not _has_overlap(executor, start.members):
+        if job is None or _is_beside_suspect(executor, start.members):
+            continue
+        if not _has_overlap(executor, start.members):
             gang = Gang(job.id, job.attempt + 1, job.account, start.members, now_unix_ms())
             executor.starting[job.id] = gang
             _start_write(executor, _allocate_gang, executor, gang)
@@ -431,6 +445,17 @@
     return executor.state.start_permission(executor.zone).allows_start
 
 
+def _is_beside_suspect(executor: ZoneExecutor, members: tuple[Member, ...]) -> bool:
+    """Whether a worker of a start has a suspect on probation, whose next crash would hit it too."""
+    gangs = [active.gang for active in executor.active_gangs.values() if active.is_on_probation]
+    for job_id, gang in executor.starting.items():
+        job = executor.state.find_job(job_id)
+        if job is not None and job.crash_weight:
+            gangs.append(gang)
+    occupied = {member.worker for gang in gangs for member in gang.members}
+    return any(member.worker in occupied for member in members)
+
+
 def _has_overlap(executor: ZoneExecutor, members: tuple[Member, ...]) -> bool:
     allocated = {
         (member.worker, index)
@@ -589,6 +614,7 @@
         active = executor.active_gangs.get(refusal.job_id)
         if active is not None and active.run.attempt == refusal.attempt:
             _advance(executor, active, CommandRefused(refusal.member, refusal.op, refusal.reason))
+    _weigh_restart(executor, message.worker, reports)
     for active in list(executor.active_gangs.values()):
         indexes = active.members_by_worker.get(message.worker)
         if indexes:
@@ -597,6 +623,28 @@
             _advance(executor, active, TasksReported(tasks))
 
 
+def _weigh_restart(
+    executor: ZoneExecutor, worker: str, reports: Mapping[tuple[str, int, int], TaskReport]
+) -> None:
+    """Record evidence against the jobs whose runs a worker no longer knows after a restart."""
+    lost: dict[str, CrashedRun] = {}
+    for job_id, active in executor.active_gangs.items():
+        for index in active.members_by_worker.get(worker, ()):
+            member = active.run.members[index]
+            is_known = (job_id, active.gang.attempt, index) in reports
+            if member.may_have_run and not member.has_ended and not is_known:
+                lost[job_id] = CrashedRun(
+                    job_id, member.lasted_s, member.is_fenced, active.job.crash_weight > 0
+                )
+    if not lost:
+        return
+    weights = weigh_crash(lost.values())
+    log_event(WORKER_RESTARTED, worker=worker, zone=executor.zone, jobs=list(lost), blamed=weights)
+    for job_id, weight in weights.items():
+        active = executor.active_gangs[job_id]
+        active.crash_weight = max(active.crash_weight, weight)
+
+
 def _reported_task(
     active: _ActiveGang, index: int, reports: Mapping[tuple[str, int, int], TaskReport]
 ) -> TaskReported:
@@ -650,7 +698,7 @@
 
 async def _end_attempt(executor: ZoneExecutor, active: _ActiveGang, end: EndAttempt) -> None:
     gang = active.gang
-    await _record_outcome(executor, gang, end)
+    await _record_outcome(executor, gang, end, active.crash_weight)
     # The job is written first. After an interruption, `_reconcile` can release a gang whose job has
     # ended, but a job whose outcome is lost would run again.
     await _retry_until_stored(
@@ -665,9 +713,11 @@
     executor.state.notify()
 
 
-async def _record_outcome(executor: ZoneExecutor, gang: Gang, end: EndAttempt) -> None:
+async def _record_outcome(
+    executor: ZoneExecutor, gang: Gang, end: EndAttempt, crash_weight: int = 0
+) -> None:
     mutation = end_attempt(
-        gang.job_id, gang.attempt, executor.zone, executor.term, end, now_unix_ms()
+        gang.job_id, gang.attempt, executor.zone, executor.term, end, now_unix_ms(), crash_weight
     )
     await _retry_until_stored(
         lambda: executor.state.job_documents.apply(shard_key(gang.job_id), mutation)
--- a/src/foxtailwell_standins/workers.py
+++ b/src/foxtailwell_standins/workers.py
@@ -3,7 +3,8 @@
 It belongs to the model of `foxtailwell.core`. All workers of a process share one HTTP application,
 and each listens on its own port. Times are readings of the monotonic clock, which all processes of
 a machine share, so tests can compare them. Task states that depend on time are updated when a call
-reads them.
+reads them. A task whose payload has `is_fatal` restarts its worker as soon as it starts to work,
+and the call that started it gets no response.
 """
 
 from __future__ import annotations
@@ -99,6 +100,7 @@
     run_s: float
     fail_after_s: float | None
     progress_s: float
+    is_fatal: bool = False
     speed: float = 1.0
     speed_since_s: float = 0.0
     checkpoint: str = ""
@@ -259,7 +261,8 @@
     )
     fail_after_s = values.get("fail_after_s")
     run_s = float(values.get("run_s", 1.0))
-    return _Task(record, command, now_s + command.lease_s, run_s, fail_after_s, 0.0)
+    is_fatal = bool(values.get("is_fatal"))
+    return _Task(record, command, now_s + command.lease_s, run_s, fail_after_s, 0.0, is_fatal)
 
 
 def _record_stop(worker: WorkerState, zone: str, command: WorkerCommand, now_s: float) -> None:
@@ -298,6 +301,9 @@
     task.record.state = TaskState.RUNNING
     task.record.first_work_s = now_s
     task.speed_since_s = now_s
+    if task.is_fatal:
+        restart_worker(worker)
+        worker.failures = replace(worker.failures, lose_responses=1)
     return ""
 
 
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -166,7 +166,8 @@
     for index in range(3):
         step = advance(run, TaskReported(index, TaskState.STOPPED, True), _permission(1.2))
         run = step.run
-    assert step.effects == (EndAttempt(JobState.WAITING, "reclaim", label),)
+    ended = EndAttempt(JobState.WAITING, "reclaim", label, lasted_s=1.0)
+    assert step.effects == (ended,)
 
 
 @pytest.mark.parametrize("state", [JobState.RUNNING, JobState.PREPARING])
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -289,3 +289,59 @@
         await platform.submit("other")
         await platform.wait_until(lambda: not state.plan.decisions)
         await platform.wait_for_state(identifier, JobState.DONE)
+
+
+async def test_job_that_crashes_every_worker_is_given_up(platform):
+    """Guards against a job that restarts one worker after the other without a limit."""
+    async with running_scheduler(platform):
+        identifier = await platform.submit("k", members=1, size=4, is_fatal=True)
+        await platform.wait_for_state(identifier, JobState.FAILED)
+        assert len(_records_with_work(platform, identifier)) == 2
+        assert "crash" in platform.job(identifier).history[-1].reason
+
+
+async def test_jobs_beside_a_crashing_job_complete(platform):
+    """Guards against jobs that fail because they shared a worker with the cause of its crash."""
+    async with running_scheduler(platform):
+        innocent = [await platform.submit(f"k{n}", members=1, size=2) for n in range(9)]
+        fatal = await platform.submit("fatal", members=1, size=2, is_fatal=True)
+        await platform.wait_for_state(fatal, JobState.FAILED)
+        for identifier in innocent:
+            await platform.wait_for_state(identifier, JobState.DONE)
+        assert len(_records_with_work(platform, fatal)) <= 4
+
+
+async def test_evidence_against_a_job_survives_a_takeover(platform):
+    """Guards against crashes that only the scheduler which saw them remembers."""
+    async with running_scheduler(platform, "s1"):
+        identifier = await platform.submit("k", members=1, size=4, is_fatal=True)
+        await platform.wait_until(lambda: platform.job(identifier).crash_weight > 0)
+    async with running_scheduler(platform, "s2"):
+        await platform.wait_for_state(identifier, JobState.FAILED)
+    assert len(_records_with_work(platform, identifier)) <= 4
+
+
+async def test_silent_worker_is_no_evidence_against_its_job(platform):
+    """Guards against work that is given up because its worker was only unreachable."""
+    async with running_scheduler(platform):
+        identifier = await platform.submit("k", members=1, size=8, run_s=30.0)
+        await platform.wait_until(lambda: len(_records_with_work(platform)) == 1)
+        worker = _records_with_work(platform)[0].worker
+        platform.set_failures(worker, unreachable=True)
+        await anyio.sleep(3.0)
+        platform.set_failures(worker)
+        await anyio.sleep(1.0)
+        assert platform.job(identifier).state is JobState.RUNNING
+        assert platform.job(identifier).attempt == 1
+        assert not platform.job(identifier).crash_weight
+
+
+async def test_run_that_went_on_is_not_blamed_for_a_restart(platform):
+    """Guards against long-running work that is given up after restarts of its workers."""
+    async with running_scheduler(platform):
+        identifier = await platform.submit("k", members=1, size=8, run_s=8.0)
+        await platform.wait_until(lambda: len(_records_with_work(platform)) == 1)
+        await anyio.sleep(4.0)
+        platform.restart(_records_with_work(platform)[0].worker)
+        await platform.wait_until(lambda: platform.job(identifier).attempt == 2)
+        assert not platform.job(identifier).crash_weight
