--- a/src/foxtailwell_soak/_checker.py
+++ b/src/foxtailwell_soak/_checker.py
@@ -9,7 +9,7 @@
 import anyio
 
 from foxtailwell.workflows import EndKind, Resources
-from foxtailwell_soak._fleet import BOUNDS, Fleet, WorkerHandle
+from foxtailwell_soak._fleet import BOUNDS, HEARTBEAT_S, Fleet, WorkerHandle
 from foxtailwell_soak._history import MAX_ATTEMPTS, History, JobRecord
 from foxtailwell_standins.platform_worker import RunSpan
 
@@ -18,6 +18,12 @@
 CHECK_INTERVAL_S = 0.05
 """Pause between two checks; workers record the times of runs, so no run is missed."""
 
+CAPACITY_GRACE_S = BOUNDS.contact_ms / 1000 + HEARTBEAT_S
+"""Time for which a capacity still counts after it has shrunk."""
+
+FORBIDDEN_FATAL_STARTS = 3 + 3
+"""Starts of a task that crashes its workers: three more after three workers have crashed."""
+
 TOLERANCE_S = 0.2
 """Tolerance for the delay between an event and its record on a loaded machine."""
 
@@ -49,9 +55,10 @@
             spans = handle.worker.spans
             for span in spans[self._checked_count.get(handle.worker.id, 0) :]:
                 self._check_start(handle, span)
+                self._check_capacity(handle, span)
                 self._runs.setdefault(span.task, []).append(span)
+                self._check_crashes(span.task)
             self._checked_count[handle.worker.id] = len(spans)
-            self._check_capacity(handle)
             self._record_acknowledged_ends(handle)
         for instance in self._fleet.instances:
             if instance.has_exited_unexpectedly():
@@ -90,16 +97,30 @@
                 f"{span.task} started in zone {handle.worker.zone}, which is out of service"
             )
 
-    def _check_capacity(self, handle: WorkerHandle) -> None:
+    def _check_capacity(self, handle: WorkerHandle, started: RunSpan) -> None:
+        """Check that a start fits beside the runs that its worker had at that time.
+
+        A capacity counts until `CAPACITY_GRACE_S` after it has shrunk; for a start that was carried
+        out late, when it was sent is not known.
+        """
+        at_s = started.started_s
+        running = [s for s in handle.worker.spans if s.started_s <= at_s < s.ended_s]
         used = Resources()
-        for task in handle.worker.running:
-            job = self._history.jobs.get(task.partition(".")[0])
+        for span in running:
+            job = self._history.jobs.get(span.task.partition(".")[0])
             if job is not None:
                 used = used.plus(job.request)
-        if not used.fits(handle.worker.capacity):
-            tasks = ", ".join(f"{task} run {r.run}" for task, r in handle.worker.running.items())
+        since_s = 0.0 if started.is_delayed else at_s - CAPACITY_GRACE_S
+        if not any(used.fits(c) for c in handle.capacities_within(since_s, at_s)):
+            tasks = ", ".join(f"{span.task} run {span.run}" for span in running)
             self._history.add_violation(f"{handle.worker.id} is over its capacity: {tasks}")
 
+    def _check_crashes(self, task: str) -> None:
+        """Check that a task which crashes its workers is given up; late starts do not count."""
+        starts = sum(not span.is_delayed for span in self._runs[task])
+        if task in self._fleet.fatal_tasks and starts >= FORBIDDEN_FATAL_STARTS:
+            self._history.add_violation(f"{task} has crashed {starts} workers")
+
     def _record_acknowledged_ends(self, handle: WorkerHandle) -> None:
         for span in handle.worker.spans:
             is_same_incarnation = span.boot_unix_ms == handle.worker.boot_unix_ms
@@ -120,7 +141,7 @@
             if job.cancel_sent_s:
                 if any(math.isinf(span.ended_s) for span in runs):
                     self._history.add_violation(f"{job.job_id} still runs after its cancellation")
-            elif job.last_state == "failed" and _is_out_of_attempts(runs):
+            elif job.last_state == "failed" and (job.is_fatal or _is_out_of_attempts(runs)):
                 continue
             elif job.last_state != "completed":
                 self._history.add_violation(
--- a/src/foxtailwell_soak/_clients.py
+++ b/src/foxtailwell_soak/_clients.py
@@ -47,6 +47,7 @@
     def __init__(self, fleet: Fleet, history: History, rng: random.Random) -> None:
         self._history = history
         self._rng = rng
+        self._fleet = fleet
         self._gangs = fleet.gangs
         self._endpoints = [
             HttpEndpoint(instance.address, host=HOST) for instance in fleet.instances
@@ -96,6 +97,10 @@
         }
         body = msgspec.json.encode({"spec": job.payload, "phases": [phase]})
         prefix = rng.choice((URGENT_PREFIX, LATER_PREFIX))
+        if self._fleet.fatal_jobs_due:
+            self._fleet.fatal_jobs_due -= 1
+            self._fleet.fatal_tasks.add(f"{job.job_id}.0.0.0")
+            job.is_fatal = True
         self._history.jobs[job.job_id] = job
         if is_gang:
             self._gangs.sizes[f"{job.job_id}.0.0"] = count
--- a/src/foxtailwell_soak/_faults.py
+++ b/src/foxtailwell_soak/_faults.py
@@ -5,18 +5,25 @@
 import random
 import signal
 import time
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, fields
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass, fields, replace
 
 import anyio
 from anyio.abc import TaskGroup
 
-from foxtailwell_soak._fleet import ZONES, Fleet, InstanceProcess, is_signal_handled, restore_links
+from foxtailwell_soak._fleet import (
+    WORKER_CAPACITY,
+    ZONES,
+    Fleet,
+    InstanceProcess,
+    is_signal_handled,
+    restore_links,
+)
 from foxtailwell_soak._operators import Operators
 from foxtailwell_standins.platform_store import StoreFaults
 from foxtailwell_standins.relay import LinkFailures, RelayState
 
-__all__ = ["Fault", "FaultInjector", "draw_faults"]
+__all__ = ["Fault", "FaultInjector", "draw_faults", "draw_workload_faults"]
 
 FIRST_FAULT_S = 1.5
 """Time before the first fault, in which the instances start and accept jobs."""
@@ -48,22 +55,39 @@
     for_s: float
 
 
-def draw_faults(rng: random.Random, length_s: float) -> list[Fault]:
+def draw_faults(
+    rng: random.Random,
+    length_s: float,
+    kinds: Sequence[str] | None = None,
+    interval_s: tuple[float, float] = INTERVAL_S,
+) -> list[Fault]:
     """Return a random schedule of overlapping faults.
 
     Args:
         rng: Random source; the order of draws determines the schedule of a seed.
         length_s: Time in which faults start.
+        kinds: Kinds to draw from; `FAULT_KINDS` if omitted.
+        interval_s: Range of the time between the starts of two faults.
     """
     faults: list[Fault] = []
     at_s = FIRST_FAULT_S
     while at_s < length_s:
-        kind = rng.choice(FAULT_KINDS)
+        kind = rng.choice(kinds or FAULT_KINDS)
         faults.append(Fault(at_s, kind, rng.getrandbits(16), rng.uniform(*DURATION_S)))
-        at_s += rng.uniform(*INTERVAL_S)
+        at_s += rng.uniform(*interval_s)
     return faults
 
 
+def draw_workload_faults(rng: random.Random, length_s: float) -> list[Fault]:
+    """Return a random schedule of fatal jobs and shrinking workers.
+
+    Args:
+        rng: Random source; the order of draws determines the schedule of a seed.
+        length_s: Time in which faults start.
+    """
+    return draw_faults(rng, length_s, WORKLOAD_FAULT_KINDS, WORKLOAD_INTERVAL_S)
+
+
 class FaultInjector:
     """Injects faults into a deployment and removes them.
 
@@ -290,6 +314,18 @@
         await anyio.sleep(fault.for_s)
         faults.is_stalled = False
 
+    async def submit_fatal_job(self, fault: Fault) -> None:
+        """Let the first task of the next submitted job crash each worker that starts it."""
+        self._fleet.fatal_jobs_due += 1
+
+    async def shrink_worker(self, fault: Fault) -> None:
+        """Shrink a worker below the size of many jobs, and let it grow again."""
+        handle = self._fleet.workers[fault.target % len(self._fleet.workers)]
+        cores = 1 + fault.target % 3
+        handle.resize(replace(WORKER_CAPACITY, cpu_millicores=cores * 1000, accelerators=cores))
+        await anyio.sleep(2 * fault.for_s)
+        handle.resize(WORKER_CAPACITY)
+
     # Operators
 
     async def remove_worker(self, fault: Fault) -> None:
@@ -345,3 +381,9 @@
     "configuration_burst",
 )
 """Kinds of faults, each a method of `FaultInjector`; their order determines a seed's faults."""
+
+WORKLOAD_FAULT_KINDS = ("submit_fatal_job", "shrink_worker", "shrink_worker")
+"""Kinds of faults with a schedule of their own, so that earlier seeds keep their faults."""
+
+WORKLOAD_INTERVAL_S = (0.5, 3.0)
+"""Range of the time between the starts of two faults of `WORKLOAD_FAULT_KINDS`."""
--- a/src/foxtailwell_soak/_fleet.py
+++ b/src/foxtailwell_soak/_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 import signal
 import subprocess
@@ -24,12 +25,14 @@
     worker_app,
 )
 from foxtailwell_standins.platform_store import MemoryStore, StoreFaults
-from foxtailwell_standins.platform_worker import GangCoordinator, MemoryWorker
+from foxtailwell_standins.platform_worker import GangCoordinator, MemoryWorker, WorkerFaults
 from foxtailwell_standins.ports import free_ports
 from foxtailwell_standins.relay import LinkFailures, RelayState, serve_relay
 
 __all__ = [
     "BOUNDS",
+    "HEARTBEAT_S",
+    "WORKER_CAPACITY",
     "Bounds",
     "Fleet",
     "InstanceProcess",
@@ -53,6 +56,9 @@
 WORKER_CAPACITY = Resources(8_000, 8_000, 8)
 """Capacity of a worker; small, so that a few jobs fill it."""
 
+CRASH_S = 1.0
+"""Time for which a worker is silent after a task has crashed it."""
+
 ZONES = ("a", "b")
 
 
@@ -60,6 +66,7 @@
 class Bounds:
     """Time limits in the settings; leases are shorter than on the platform to end a test sooner."""
 
+    contact_ms: int = 2000
     max_hold_ms: int = 4000
     revoke_ms: int = 5000
     cancel_ms: int = 3000
@@ -111,6 +118,7 @@
             "zone": self.zone,
             "listen_addrs": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}"},
             "port_range": [metrics, metrics],
+            "heartbeat_ms": int(HEARTBEAT_S * 1000),
             "platform": {"address": self.store_address},
             "bounds": msgspec.to_builtins(BOUNDS),
         }
@@ -151,6 +159,7 @@
         draining_s: When its state "draining" was stored; 0 while it is ready.
         is_removed: Whether it is temporarily removed from the fleet.
         published_s: Time of its last heartbeat.
+        capacities: Its capacities, each with the time from which it holds.
     """
 
     worker: MemoryWorker
@@ -159,6 +168,21 @@
     draining_s: float = 0.0
     is_removed: bool = False
     published_s: float = 0.0
+    capacities: list[tuple[float, Resources]] = field(default_factory=list)
+
+    def resize(self, capacity: Resources) -> None:
+        """Change the capacity; the next heartbeat reports it."""
+        self.worker.capacity = capacity
+        self.capacities.append((time.monotonic(), capacity))
+
+    def capacities_within(self, since_s: float, until_s: float) -> list[Resources]:
+        """Return the capacities that held at some time between two times."""
+        ends_s = [from_s for from_s, _ in self.capacities[1:]] + [math.inf]
+        return [
+            capacity
+            for (from_s, capacity), end_s in zip(self.capacities, ends_s, strict=True)
+            if from_s <= until_s and end_s >= since_s
+        ]
 
 
 @dataclass(slots=True)
@@ -167,11 +191,15 @@
 
     Attributes:
         shared_store_faults: Faults of the store that also stop worker heartbeats.
+        fatal_tasks: Tasks that crash each worker that starts them.
+        fatal_jobs_due: Number of coming jobs whose first task is to be fatal.
         clients: Connections of clients, to be closed after the test.
     """
 
     store: MemoryStore
     shared_store_faults: StoreFaults
+    fatal_tasks: set[str] = field(default_factory=set)
+    fatal_jobs_due: int = 0
     gangs: GangCoordinator = field(default_factory=GangCoordinator)
     instances: list[InstanceProcess] = field(default_factory=list)
     workers: list[WorkerHandle] = field(default_factory=list)
@@ -202,7 +230,8 @@
             for handle in self.workers:
                 handle.worker.end_due_runs()
                 is_due = now_s - handle.published_s >= HEARTBEAT_S
-                if is_due and not handle.is_removed and not is_store_down:
+                is_silent = handle.is_removed or handle.worker.is_silent
+                if is_due and not is_silent and not is_store_down:
                     self.publish(handle)
                 elif now_s - handle.published_s > MISSED_HEARTBEATS * HEARTBEAT_S:
                     self.store.delete(f"servers/{handle.worker.id}")
@@ -232,10 +261,11 @@
             payload_duration_s=float,
             gangs=fleet.gangs,
             now_s=lambda rate=rate: time.monotonic() * rate,  # type: ignore[misc]
+            faults=WorkerFaults(fatal_tasks=fleet.fatal_tasks, crash_s=CRASH_S),
         )
         worker.restart()
         link, address = await _open_link(group, await serve_on_loopback(group, worker_app(worker)))
-        handle = WorkerHandle(worker, link, address)
+        handle = WorkerHandle(worker, link, address, capacities=[(0.0, WORKER_CAPACITY)])
         fleet.workers.append(handle)
         fleet.publish(handle)
     ports = iter(free_ports(3 * instance_count))
--- a/src/foxtailwell_soak/_history.py
+++ b/src/foxtailwell_soak/_history.py
@@ -22,6 +22,7 @@
     Attributes:
         request: Resources of one task.
         count: Number of tasks.
+        is_fatal: The first task crashes each worker that starts it.
         statuses: Status of each submission attempt; 0 if there was no response.
         accepted_s: When the first success response arrived.
         cancelled_s: When a cancellation was acknowledged.
@@ -34,6 +35,7 @@
     request: Resources
     count: int
     is_gang: bool
+    is_fatal: bool = False
     statuses: list[int] = field(default_factory=list)
     accepted_s: float = 0.0
     cancelled_s: float = 0.0
--- a/src/foxtailwell_soak/_run.py
+++ b/src/foxtailwell_soak/_run.py
@@ -13,7 +13,7 @@
 
 from foxtailwell_soak._checker import Checker
 from foxtailwell_soak._clients import Client
-from foxtailwell_soak._faults import FaultInjector, draw_faults
+from foxtailwell_soak._faults import FaultInjector, draw_faults, draw_workload_faults
 from foxtailwell_soak._fleet import Fleet, open_fleet
 from foxtailwell_soak._history import History
 from foxtailwell_soak._operators import Operators
@@ -84,7 +84,8 @@
 
 async def _run(seed: int, directory: Path, length_s: float, size: tuple[int, int]) -> SoakResult:
     rng = random.Random(seed)
-    faults = draw_faults(rng, length_s)
+    faults = draw_faults(rng, length_s) + draw_workload_faults(random.Random(seed + 2), length_s)
+    faults.sort(key=lambda fault: fault.at_s)
     descriptions: list[str] = []
     history = History()
     async with anyio.create_task_group() as group:
--- a/src/foxtailwell_standins/platform_worker.py
+++ b/src/foxtailwell_standins/platform_worker.py
@@ -7,6 +7,7 @@
 
 import time
 from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, field
 
 import anyio
@@ -47,7 +48,8 @@
         is_failing_runs: Each run ends as failed as soon as it starts.
         is_stalled: Runs make no progress and do not complete.
         is_replaced: Another worker has its address and rejects all calls that name this one.
-        fatal_tasks: Tasks that crash the worker as soon as one of their runs starts.
+        fatal_tasks: Tasks that crash the worker as soon as one of their runs starts; workers may
+            share the set.
         crash_s: Time for which the worker is silent after such a crash.
     """
 
@@ -58,7 +60,7 @@
     is_failing_runs: bool = False
     is_stalled: bool = False
     is_replaced: bool = False
-    fatal_tasks: frozenset[str] = frozenset()
+    fatal_tasks: AbstractSet[str] = frozenset()
     crash_s: float = 0.2
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,8 +9,13 @@
 
 from foxtailwell.workflows import EndKind, Resources, StartCommand, TaskId
 from foxtailwell_soak import run_soak
-from foxtailwell_soak._checker import Checker
-from foxtailwell_soak._faults import FAULT_KINDS, FaultInjector, draw_faults
+from foxtailwell_soak._checker import CAPACITY_GRACE_S, Checker
+from foxtailwell_soak._faults import (
+    FAULT_KINDS,
+    WORKLOAD_FAULT_KINDS,
+    FaultInjector,
+    draw_faults,
+)
 from foxtailwell_soak._fleet import BOUNDS, Fleet, WorkerHandle
 from foxtailwell_soak._history import History, JobRecord
 from foxtailwell_standins.platform_store import MemoryStore, StoreFaults
@@ -43,8 +48,11 @@
 @pytest.fixture
 def checked_worker():
     """Return a checker, its history with one accepted job of two tasks, and the only worker."""
-    worker = MemoryWorker("w0", capacity=Resources(2000, 1000, 2))
-    handle = WorkerHandle(worker, RelayState("127.0.0.1:1"), "127.0.0.1:1")
+    capacity = Resources(2000, 1000, 2)
+    worker = MemoryWorker("w0", capacity=capacity)
+    handle = WorkerHandle(
+        worker, RelayState("127.0.0.1:1"), "127.0.0.1:1", capacities=[(0.0, capacity)]
+    )
     fleet = Fleet(MemoryStore(), StoreFaults(), workers=[handle])
     history = History()
     history.jobs[JOB] = JobRecord(JOB, "1.0", Resources(1000, 100, 1), 2, False, accepted_s=1.0)
@@ -135,10 +143,35 @@
     assert "over its capacity" in history.violations[0]
 
 
+def test_checker_reports_a_start_on_a_worker_that_has_shrunk_before(checked_worker):
+    """Guards against a checker that forgets the shrink, or counts it before its grace is over."""
+    checker, history, handle = checked_worker
+    handle.capacities.append((1.0, Resources(1000, 1000, 1)))
+    handle.worker.spans += [span(0.5), span(1.0 + CAPACITY_GRACE_S, task=f"{JOB}.0.0.1")]
+    checker.check_new()
+    assert not history.violations
+    handle.worker.spans[1].ended_s = 9.0
+    handle.worker.spans.append(span(10.0, task=f"{JOB}.0.0.1", run=2))
+    checker.check_new()
+    assert "over its capacity" in history.violations[0]
+
+
+def test_checker_reports_a_task_that_crashes_too_many_workers(checked_worker):
+    """Guards against a checker that does not count the starts of a fatal task."""
+    checker, history, handle = checked_worker
+    checker._fleet.fatal_tasks.add(f"{JOB}.0.0.0")
+    handle.worker.spans += [span(n, n + 0.1, run=n) for n in range(1, 6)]
+    checker.check_new()
+    assert not history.violations
+    handle.worker.spans.append(span(7.0, 7.1, run=7))
+    checker.check_new()
+    assert "crashed 6 workers" in history.violations[0]
+
+
 def test_fault_schedule_is_reproducible_and_faults_overlap():
     """Guards against a schedule that a seed does not reproduce, or without overlaps."""
     schedules = [draw_faults(random.Random(7), 12.0) for _ in range(2)]
     assert schedules[0] == schedules[1]
     pairs = zip(schedules[0], schedules[0][1:], strict=False)
     assert any(one.at_s + one.for_s > two.at_s for one, two in pairs)
-    assert all(hasattr(FaultInjector, kind) for kind in FAULT_KINDS)
+    assert all(hasattr(FaultInjector, kind) for kind in (*FAULT_KINDS, *WORKLOAD_FAULT_KINDS))
