--- a/src/foxtailwell/adapters/events.py
+++ b/src/foxtailwell/adapters/events.py
@@ -61,6 +61,9 @@
 PEER_MISMATCH = _event("FW1307", "WARNING", "another daemon responds at a peer's address")
 PEER_CONNECTIONS_FULL = _event("FW1308", "WARNING", "too many peer connections")
 CLAIM_QUERY_FAILED = _event("FW1309", "ERROR", "a claim query failed")
+REQUEST_REFUSED_AS_SUSPECT = _event(
+    "FW1310", "WARNING", "a request is refused for a while because minions break under it"
+)
 
 # 1400-1499: scheduler
 ZONE_ACQUIRED = _event("FW1401", "INFO", "zone acquired")
--- a/src/foxtailwell/adapters/minions.py
+++ b/src/foxtailwell/adapters/minions.py
@@ -69,12 +69,14 @@
     Attributes:
         cause: Cause of the failure.
         may_have_run: Whether any byte of the request may have been sent.
+        is_connection_lost: Whether the connection broke after that, before the whole response.
     """
 
-    def __init__(self, cause: str, may_have_run: bool) -> None:
+    def __init__(self, cause: str, may_have_run: bool, *, is_connection_lost: bool = False) -> None:
         super().__init__(cause)
         self.cause = cause
         self.may_have_run = may_have_run
+        self.is_connection_lost = is_connection_lost
 
 
 class MinionResponse:
@@ -317,7 +319,11 @@
         try:
             response = await connection.http.handle_async_request(self._client._request(self._call))
         except _TRANSPORT_ERRORS as error:
-            raise MinionCallError(type(error).__name__, connection.has_sent()) from error
+            has_sent = connection.has_sent()
+            is_lost = has_sent and not isinstance(error, httpcore.TimeoutException)
+            raise MinionCallError(
+                type(error).__name__, has_sent, is_connection_lost=is_lost
+            ) from error
         self._response = response
         stream = cast("AsyncIterator[bytes]", response.stream)
         try:
@@ -335,7 +341,11 @@
         try:
             body = b"".join([chunk async for chunk in stream])
         except _TRANSPORT_ERRORS as error:
-            raise MinionCallError(f"short response: {type(error).__name__}", True) from error
+            raise MinionCallError(
+                f"short response: {type(error).__name__}",
+                True,
+                is_connection_lost=not isinstance(error, httpcore.TimeoutException),
+            ) from error
         self._is_complete = True
         return body
 
--- a/src/foxtailwell/core/__init__.py
+++ b/src/foxtailwell/core/__init__.py
@@ -213,6 +213,7 @@
     largest_member_count,
     members_per_worker,
 )
+from foxtailwell.core._suspect_requests import SuspectRequests
 
 __all__ = [
     "CLAIM_SHARD_COUNT",
@@ -301,6 +302,7 @@
     "StopReason",
     "StopRequested",
     "Submission",
+    "SuspectRequests",
     "TakeZoneOut",
     "TaskReported",
     "TaskState",
--- a/src/foxtailwell/core/errors.py
+++ b/src/foxtailwell/core/errors.py
@@ -143,10 +143,20 @@
 
 
 class NotRunError(FoxtailwellError):
-    """The work did not run, so it is safe to send it again."""
+    """The work did not run, so it is safe to send it again.
+
+    Args:
+        message: What happened, with the relevant values.
+        remedy: What the reader of the message can do about it.
+        retry_after_s: Time after which the work may be accepted; None if it is not known.
+    """
 
     code = "not_run"
 
+    def __init__(self, message: str, remedy: str, *, retry_after_s: float | None = None) -> None:
+        super().__init__(message, remedy)
+        self.retry_after_s = retry_after_s
+
 
 class OutcomeUnknownError(FoxtailwellError):
     """The work may have run, so sending it again could run it twice."""
--- a/src/foxtailwell/entry/_requests.py
+++ b/src/foxtailwell/entry/_requests.py
@@ -14,6 +14,8 @@
 
 import anyio
 
+from foxtailwell.adapters.events import REQUEST_REFUSED_AS_SUSPECT
+from foxtailwell.adapters.logs import log_event
 from foxtailwell.adapters.minions import (
     MinionCall,
     MinionCallError,
@@ -25,6 +27,7 @@
     Claim,
     ClaimRequest,
     RetryBudget,
+    SuspectRequests,
     Ticket,
     WorkClass,
     claim_key,
@@ -131,6 +134,7 @@
         self._results = results
         self._clock = clock
         self._retry_budget = RetryBudget()
+        self._suspects = SuspectRequests()
 
     async def run(self, request: Request, respond: Respond) -> None:
         """Run a request and respond to its caller.
@@ -140,7 +144,8 @@
             respond: Sends the response to the caller; called at most once.
 
         Raises:
-            NotRunError: The request did not run.
+            NotRunError: The request did not run, or it is refused because minions that run it break
+                their connections.
             KeyReusedError: The key belongs to a request with other content; nothing ran.
             OutcomeUnknownError: The request may have run, or a streamed response broke off.
             UnavailableError: The claim could not be stored; the request did not run.
@@ -154,6 +159,20 @@
         if response is not None:
             await respond(response)
 
+    def _check_suspects(self, request: Request) -> None:
+        refusal_s = self._refusal_s(request)
+        if refusal_s > 0:
+            raise NotRunError(
+                "several minions broke the connection soon after they got this request",
+                f"send it again after {refusal_s:.0f} s, or with other content",
+                retry_after_s=refusal_s,
+            )
+
+    def _refusal_s(self, request: Request) -> float:
+        if self._suspects.is_empty:
+            return 0.0
+        return self._suspects.refusal_s(_digest(request), self._clock())
+
     def _make_ticket(self, request: Request) -> Ticket:
         work_class = request.work_class
         patience_ms = work_class.patience_ms or max(work_class.target_ms, 1)
@@ -171,6 +190,7 @@
     async def _run_in_slot(
         self, request: Request, ticket: Ticket, respond: Respond
     ) -> MinionResponse | None:
+        self._check_suspects(request)
         await self._dispatcher.acquire(ticket)
         started_s = self._clock()
         run_s: float | None = None
@@ -193,16 +213,21 @@
         avoid_zone = ""
         for attempts in count(1):
             minion = self._pick(request, avoid, avoid_zone)
+            started_s = self._clock()
             try:
                 response = await self._attempt(request, minion, attempts, respond)
             except (MinionRefusedError, MinionCallError) as error:
                 failure: MinionRefusedError | MinionCallError = error
                 response = None
             else:
+                if not self._suspects.is_empty:
+                    self._suspects.record_success(_digest(request))
                 if response is None or response.status < MIN_SERVER_ERROR_STATUS:
                     return response
                 failure = MinionCallError(f"status {response.status}", may_have_run=True)
             may_have_run = isinstance(failure, MinionCallError) and failure.may_have_run
+            if isinstance(failure, MinionCallError) and failure.is_connection_lost:
+                self._record_loss(request, minion, started_s)
             request.may_have_run = request.may_have_run or may_have_run
             if request.has_response_begun or not self._may_retry(request, attempts, may_have_run):
                 if response is not None:
@@ -213,7 +238,22 @@
             avoid_zone = minion.record.zone if may_have_run else ""
         raise AssertionError("unreachable")
 
+    def _record_loss(self, request: Request, minion: Minion, started_s: float) -> None:
+        now_s = self._clock()
+        digest = _digest(request)
+        self._suspects.record_loss(digest, minion.record.id, ran_s=now_s - started_s, now_s=now_s)
+        if self._suspects.refusal_s(digest, now_s) > 0:
+            log_event(
+                REQUEST_REFUSED_AS_SUSPECT,
+                request=request.id,
+                account=request.account,
+                work_class=request.work_class.name,
+                minion=minion.record.id,
+            )
+
     def _may_retry(self, request: Request, attempts: int, may_have_run: bool) -> bool:
+        if self._refusal_s(request) > 0:
+            return False
         return may_retry(
             self._retry_budget,
             is_idempotent=request.work_class.idempotent,
@@ -403,6 +443,10 @@
         yield number, f"{prefix}-{number:x}"
 
 
+def _digest(request: Request) -> str:
+    return request_digest(request.work_class.name, request.body)
+
+
 def _to_error(request: Request, failure: MinionRefusedError | MinionCallError) -> FoxtailwellError:
     if request.may_have_run:
         return OutcomeUnknownError(
--- a/src/foxtailwell/entry/_requests_api.py
+++ b/src/foxtailwell/entry/_requests_api.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Awaitable, Callable, Iterator, MutableMapping
 from dataclasses import dataclass, field
@@ -275,6 +276,8 @@
             (b"foxtailwell-outcome", outcome),
             (b"foxtailwell-request-id", request_id.encode()),
         ]
+        if isinstance(error, NotRunError) and error.retry_after_s is not None:
+            headers.append((b"retry-after", b"%d" % math.ceil(error.retry_after_s)))
         await self._send_start(send, _status_code(error), headers)
         await send({"type": "http.response.body", "body": body})
 
--- a/src/foxtailwell_standins/minions.py
+++ b/src/foxtailwell_standins/minions.py
@@ -39,6 +39,7 @@
         run_ms: Run time of a request.
         run_ms_by_class: Run time by work class; overrides `run_ms`.
         answer_bytes: Size of a response body; 0 returns the body of the request.
+        fatal_body: Request body that crashes the minion: all its connections break.
     """
 
     mode: Mode = ""
@@ -47,6 +48,7 @@
     run_ms: float = 0.0
     run_ms_by_class: dict[str, float] = field(default_factory=dict)
     answer_bytes: int = 0
+    fatal_body: str = ""
 
 
 @dataclass(slots=True)
@@ -57,6 +59,7 @@
         slots: Requests that run at once; more are refused.
         connections: Open connections; more are aborted.
         executed: Request identifier, idempotency key and work class of each run.
+        transports: Open connections.
     """
 
     slots: int = 8
@@ -70,6 +73,12 @@
     executed: deque[tuple[str, str, str]] = field(
         default_factory=lambda: deque(maxlen=EXECUTED_LIMIT)
     )
+    transports: set[asyncio.Transport] = field(default_factory=set)
+
+    def crash(self) -> None:
+        """Break all connections; the minion accepts new ones at once."""
+        for transport in list(self.transports):
+            transport.abort()
 
     def next_mode(self) -> Mode:
         """Return the failure of the next request and decrement `count`."""
@@ -99,12 +108,15 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop transports implement asyncio.Transport without inheriting from it.
         self._transport = cast("asyncio.Transport", transport)
+        self._state.transports.add(self._transport)
         self._state.open_connections += 1
         if self._state.open_connections > self._state.connections:
             self._transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._state.open_connections -= 1
+        if self._transport is not None:
+            self._state.transports.discard(self._transport)
 
     def data_received(self, data: bytes) -> None:
         try:
@@ -169,6 +181,10 @@
         state.peak_in_flight = max(state.peak_in_flight, state.in_flight)
         state.executed.append((request_id.decode(), key, work_class))
         failures = state.failures
+        if failures.fatal_body and body == failures.fatal_body.encode():
+            state.in_flight -= 1
+            state.crash()
+            return
         run_ms = failures.run_ms_by_class.get(work_class, failures.run_ms)
         if mode == "late":
             run_ms += failures.late_ms
--- a/tests/test_request_core.py
+++ b/tests/test_request_core.py
@@ -17,6 +17,7 @@
     RetryBudget,
     ServiceTimes,
     SlotLimits,
+    SuspectRequests,
     Ticket,
     apply_claims,
     choose_minion,
@@ -225,3 +226,36 @@
     shard, _ = apply_claims(ClaimShard(), [ClaimRequest("k", claim("r1"))], 0)
     _, outcomes = apply_claims(shard, [ClaimRequest("k", claim("r2", age_ms))], age_ms)
     assert outcomes[0].kind == kind
+
+
+def test_request_is_refused_after_two_isolated_losses_until_it_succeeds():
+    """Guards against a request that crashes minions without a limit, or is refused for ever."""
+    suspects = SuspectRequests()
+    suspects.record_loss("d", "m1", ran_s=0.1, now_s=1.0)
+    assert not suspects.refusal_s("d", 1.0)
+    suspects.record_loss("d", "m2", ran_s=0.1, now_s=5.0)
+    assert suspects.refusal_s("d", 5.0) == 30.0
+    assert not suspects.refusal_s("d", 35.0)
+    suspects.record_loss("d", "m2", ran_s=0.1, now_s=36.0)
+    assert suspects.refusal_s("d", 36.0)
+    suspects.record_success("d")
+    assert suspects.is_empty
+
+
+def test_request_is_not_blamed_for_a_common_cause_or_a_late_loss():
+    """Guards against requests that are refused after a network failure or restarts of minions."""
+    suspects = SuspectRequests()
+    for number in range(3):
+        suspects.record_loss("other", f"n{number}", ran_s=9.0, now_s=10.0 * number)
+        suspects.record_loss("d", f"m{number}", ran_s=0.1, now_s=10.0 * number + 0.5)
+        suspects.record_loss("late", f"m{number}", ran_s=5.0, now_s=10.0 * number + 4.0)
+        suspects.record_loss("same", "m0", ran_s=0.1, now_s=10.0 * number + 6.0)
+    assert not any(suspects.refusal_s(digest, 21.0) for digest in ("d", "late", "same"))
+
+
+def test_evidence_against_requests_is_bounded():
+    """Guards against memory that grows with the number of different requests."""
+    suspects = SuspectRequests()
+    for number in range(5000):
+        suspects.record_loss(f"d{number}", "m1", ran_s=0.1, now_s=float(number))
+    assert len(suspects._evidence) <= 1024
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -412,3 +412,55 @@
     fleet.views["e1"].peers[peer] = PeerState(record, 1, Load(), time.monotonic())
     async with open_caller(ports.callers) as http:
         assert (await http.request("GET", "/readyz")).status == status
+
+
+async def add_fatal_minions(fleet, count: int) -> None:
+    """Start minions that the request body `fatal` crashes."""
+    for number in range(count):
+        await fleet.add_minion(f"m{number}", fatal_body="fatal", run_ms=20)
+
+
+async def test_request_that_crashes_every_minion_is_refused(fleet):
+    """Guards against a request that crashes more minions each time its caller repeats it."""
+    await add_fatal_minions(fleet, 8)
+    ports = await fleet.add_entry("e1")
+    async with open_caller(ports.callers) as http:
+        replies = [await send(http, body=b"fatal") for _ in range(10)]
+        other = await send(http, body=b"other")
+    assert sum(len(m.executed) for m in fleet.minions.values()) - 1 <= 2
+    assert outcome(replies[0]) == "outcome_unknown"
+    assert {outcome(r) for r in replies[1:]} == {"not_run"}
+    assert 0 < int(replies[-1].headers["retry-after"]) <= 30
+    assert other.body == b"other"
+
+
+async def test_requests_beside_a_fatal_request_are_served(fleet):
+    """Guards against requests that are refused because they shared a minion with its crash."""
+    await add_fatal_minions(fleet, 6)
+    ports = await fleet.add_entry("e1")
+    replies = []
+    async with open_caller(ports.callers) as http, anyio.create_task_group() as group:
+
+        async def send_others(number: int) -> None:
+            for _ in range(5):
+                replies.append(await send(http, body=b"other-%d" % number))
+
+        for number in range(12):
+            group.start_soon(send_others, number)
+        for _ in range(5):
+            await send(http, body=b"fatal")
+            await anyio.sleep(0.02)
+    assert not [r for r in replies if outcome(r) == "not_run"]
+
+
+async def test_repeated_key_of_a_fatal_request_is_never_said_not_to_have_run(fleet):
+    """Guards against a refusal that denies the run of an earlier copy."""
+    await add_fatal_minions(fleet, 4)
+    ports = await fleet.add_entry("e1")
+    async with open_caller(ports.callers) as http:
+        first = [await send(http, "survey", b"fatal", key=f"k{n}") for n in range(2)]
+        again = [await send(http, "survey", b"fatal", key=f"k{n}") for n in range(2)]
+        new = await send(http, "survey", b"fatal", key="k9")
+    assert {outcome(r) for r in first + again} == {"outcome_unknown"}
+    assert outcome(new) == "not_run"
+    assert fleet.runs("k9") == 0
