--- a/src/foxtailwell/controller/_crashes.py
+++ b/src/foxtailwell/controller/_crashes.py
@@ -11,6 +11,7 @@
 from foxtailwell.controller._links import WorkerLink
 from foxtailwell.controller._workers import Workers
 from foxtailwell.workflows import (
+    CERTAIN_WEIGHT,
     RECENT_START_S,
     JobRegistry,
     LostRun,
@@ -53,7 +54,10 @@
         self._metrics = metrics
         self._now_s = now_s
         self._now_unix_ms = now_unix_ms
-        self._explained_silences: dict[str, float] = {}
+        # Starts of the silences that ended with a crash, by worker, and of those among them whose
+        # cause is a suspect or a certain one.
+        self._crashed_since_s: dict[str, float] = {}
+        self._explained_since_s: dict[str, float] = {}
 
     def apply(self, worker: str, lost: Sequence[Task]) -> None:
         """Record that an incarnation of a worker has ended together with its runs.
@@ -67,11 +71,11 @@
             # The worker had announced its end.
             return
         runs = [_to_lost_run(task, link) for task in lost]
-        started = [task for task in lost if task.lasted_s < RECENT_START_S]
         is_isolated = self._is_isolated(link)
-        if started:
-            self._explained_silences[worker] = link.unresponsive_since_s
+        self._crashed_since_s[worker] = link.unresponsive_since_s
         weights = weigh_crash(runs, is_isolated=is_isolated)
+        if CERTAIN_WEIGHT in weights.values() or any(_is_recent_suspect(task) for task in lost):
+            self._explained_since_s[worker] = link.unresponsive_since_s
         self._metrics.count("worker_crashes")
         log_event(
             WORKER_CRASHED,
@@ -106,16 +110,21 @@
 
     def _is_silence_near(self, link: WorkerLink, at_s: float) -> bool:
         is_near = abs(link.unresponsive_since_s - at_s) <= SIMULTANEOUS_S
-        return is_near and link.silence_s() >= MIN_SILENCE_S
+        has_crashed = self._crashed_since_s.get(link.entry.id) == link.unresponsive_since_s
+        return is_near and (has_crashed or link.silence_s() >= MIN_SILENCE_S)
 
     def _has_explanation(self, link: WorkerLink) -> bool:
-        """Return whether a run had just started on a worker when it fell silent."""
+        """Return whether a suspect had just started on a worker when it fell silent."""
         worker = link.entry.id
-        return self._explained_silences.get(worker) == link.unresponsive_since_s or any(
-            task.lasted_s < RECENT_START_S for task in self._registry.placed_on(worker)
+        return self._explained_since_s.get(worker) == link.unresponsive_since_s or any(
+            _is_recent_suspect(task) for task in self._registry.placed_on(worker)
         )
 
 
+def _is_recent_suspect(task: Task) -> bool:
+    return bool(task.crashes) and task.lasted_s < RECENT_START_S
+
+
 def _to_lost_run(task: Task, link: WorkerLink) -> LostRun:
     # The time of a start that an earlier controller sent is not known.
     silent_after_s = None
--- a/src/foxtailwell/workflows/__init__.py
+++ b/src/foxtailwell/workflows/__init__.py
@@ -11,6 +11,7 @@
     WorkerEntry,
 )
 from foxtailwell.workflows._crashes import (
+    CERTAIN_WEIGHT,
     RECENT_START_S,
     CrashRecord,
     LostRun,
@@ -108,6 +109,7 @@
     "Plan",
     "Put",
     "Queue",
+    "CERTAIN_WEIGHT",
     "RECENT_START_S",
     "Reservation",
     "Resources",
--- a/src/foxtailwell/workflows/_crashes.py
+++ b/src/foxtailwell/workflows/_crashes.py
@@ -14,6 +14,7 @@
 from foxtailwell.workflows._jobs import TaskId
 
 __all__ = [
+    "CERTAIN_WEIGHT",
     "RECENT_START_S",
     "CrashRecord",
     "LostRun",
@@ -29,7 +30,7 @@
 """Time from the start of a run to the silence of its worker that points to this run."""
 
 CERTAIN_WEIGHT = 2
-"""Weight of a crash that only one job can have caused."""
+"""Weight of a crash that followed a start immediately and that only one job can have caused."""
 
 POSSIBLE_WEIGHT = 1
 """Weight of a crash with other possible causes."""
@@ -75,12 +76,12 @@
 
     Runs that had been going on for a while are cleared by those that had just started. Among
     these, earlier suspects are the likeliest cause, then runs whose start the crash followed
-    immediately.
+    immediately. A crash that comes later may have any cause.
 
     Args:
         runs: All runs on the crashed worker.
-        is_isolated: No other worker fell silent at the same time without a run that had just
-            started; otherwise an external cause, such as a power failure, is likely.
+        is_isolated: No other worker fell silent at the same time without a suspect of its own;
+            otherwise an external cause, such as a power failure, is likely.
     """
     recent = [run for run in runs if run.lasted_s < RECENT_START_S]
     if not recent:
@@ -93,7 +94,7 @@
     is_certain = is_isolated and len({run.task.job_id for run in likeliest}) == 1
     weights = {run.task: POSSIBLE_WEIGHT for run in recent}
     for run in likeliest:
-        if is_certain and run.silent_after_s is not None:
+        if is_certain and _is_immediate(run):
             weights[run.task] = CERTAIN_WEIGHT
     return weights
 
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -220,6 +220,23 @@
     assert not evidence_against(fleet, job)
 
 
+async def test_job_that_two_crashes_of_other_causes_interrupt_completes(fleet):
+    """Guards against a job that fails because its workers crashed some time after its starts."""
+    for worker in fleet.workers.values():
+        worker.task_duration_s = float("inf")
+    fleet.start("one")
+    job = await fleet.submit(1, LATER, [step()])
+    task = f"{job}.0.0.0"
+    for number in range(2):
+        assert await until(lambda count=number + 1: len(fleet.runs(task)) == count)
+        await anyio.sleep(0.8)
+        fleet.holder_of(task).crash()
+    assert await until(lambda: len(fleet.runs(task)) == 3)
+    for worker in fleet.workers.values():
+        worker.task_duration_s = 0.3
+    assert await fleet.reaches(job, JobState.COMPLETED)
+
+
 async def test_suspect_that_survives_its_probation_is_cleared(fleet):
     """Guards against evidence from two coincidences far apart that ends an innocent job."""
     for worker in fleet.workers.values():
@@ -287,6 +304,13 @@
     assert weights[suspect.task] > weights[other.task]
 
 
+def test_crash_some_time_after_a_start_is_no_certain_evidence():
+    """Guards against innocent jobs that two later crashes of their workers would end."""
+    later = replace(lost_run(1), silent_after_s=0.8)
+    assert weigh_crash([later], is_isolated=True)[later.task] == 1
+    assert weigh_crash([lost_run(1)], is_isolated=True)[later.task] == 2
+
+
 def test_evidence_is_part_of_the_stored_progress():
     """Guards against evidence that is not stored, or records without it that cannot be read."""
     crashes = (CrashRecord(3, 2, 150),)
