--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -107,7 +107,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _CachedView:
-    key: tuple[int, bool, int, Resources]
+    key: tuple[int, bool, bool, int, Resources]
     until_s: float
     view: WorkerView
 
@@ -351,21 +351,23 @@
         now_unix_ms = self._now_unix_ms()
         views: dict[str, WorkerView] = {}
         failures = self._health.failures()
-        on_probation = self._registry.workers_on_probation()
+        with_lone_suspect = self._registry.workers_of_lone_suspects()
         for worker, entry in self.entries.items():
             link = self.links.get(worker)
             is_usable = (
                 entry.is_ready
                 and entry.zone not in zones_out
                 and worker not in cordoned
-                and worker not in on_probation
+                and worker not in with_lone_suspect
                 and now_s + START_ALLOWANCE_S < self.start_until_s(worker)
                 and not (link and link.is_unresponsive)
                 and self._quarantined_until_ms.get(worker, 0) <= now_unix_ms
                 and self._backoff_until_s.get(worker, 0.0) <= now_s
             )
             version = self._registry.version_of(worker)
-            key = (version, is_usable, entry.boot_unix_ms, entry.capacity)
+            placed = self._registry.placed_on(worker)
+            has_suspect = any(task.is_on_probation for task in placed)
+            key = (version, is_usable, has_suspect, entry.boot_unix_ms, entry.capacity)
             cached = self._views.get(worker)
             if cached is not None and cached.key == key and now_s < cached.until_s:
                 views[worker] = cached.view
@@ -378,12 +380,10 @@
                 entry.rack,
                 entry.labels,
                 entry.capacity,
-                tuple(
-                    self._running(task, now_s, within_guarantee)
-                    for task in self._registry.placed_on(worker)
-                ),
+                tuple(self._running(task, now_s, within_guarantee) for task in placed),
                 is_usable,
                 float(len(failed.job_ids)) if failed else 0.0,
+                has_suspect,
             )
             self._views[worker] = _CachedView(key, now_s + VIEW_CACHE_S, views[worker])
         return views
--- a/src/foxtailwell/workflows/_crashes.py
+++ b/src/foxtailwell/workflows/_crashes.py
@@ -3,7 +3,8 @@
 Answers the load pattern of a task that crashes every worker that starts it, beside tasks of other
 jobs that only happened to run there. A crash is evidence against a task, of a weight that depends
 on what else could have caused it. A task with any evidence is a suspect: while it is on probation,
-nothing else starts on its worker, so that the next crash leaves no doubt.
+no other suspect starts on its worker, and with more evidence nothing does, so that the next crash
+leaves no doubt.
 """
 
 from __future__ import annotations
@@ -19,6 +20,7 @@
     "CrashRecord",
     "LostRun",
     "is_given_up",
+    "is_kept_alone",
     "probation_s",
     "weigh_crash",
 ]
@@ -108,6 +110,15 @@
     return sum(crash.weight for crash in crashes) >= GIVE_UP_WEIGHT
 
 
+def is_kept_alone(crashes: Iterable[CrashRecord]) -> bool:
+    """Return whether nothing else may start on the worker of a suspect on probation.
+
+    A single crash with other possible causes is not enough: after a power failure, every task that
+    had just started would block a worker.
+    """
+    return sum(crash.weight for crash in crashes) >= CERTAIN_WEIGHT
+
+
 def probation_s(crashes: Iterable[CrashRecord]) -> float:
     """Return how long a run of a suspect must last to be cleared; 0 if there is no evidence.
 
--- a/src/foxtailwell/workflows/_fleet_view.py
+++ b/src/foxtailwell/workflows/_fleet_view.py
@@ -82,6 +82,7 @@
     Attributes:
         is_usable: New tasks may start here.
         fault_score: Evidence that the worker is faulty or slow; lower scores are preferred.
+        has_suspect: A suspect on probation runs there, so no other suspect may start.
     """
 
     id: str
@@ -93,6 +94,7 @@
     running: tuple[RunningTask, ...] = ()
     is_usable: bool = True
     fault_score: float = 0.0
+    has_suspect: bool = False
 
     def free(self) -> Resources:
         """Return the capacity that no run occupies; negative where the worker is overcommitted."""
@@ -172,8 +174,8 @@
         is_highly_utilized: The share of used accelerators exceeds `HIGH_UTILIZATION`.
         serving_workers: Workers with latency-sensitive tasks; filling tasks are kept off them.
         filling_workers: Workers with filling tasks; serving tasks are kept off them.
-        suspect_workers: Workers that this plan gives to a suspect, with the key of its unit; all
-            other units are kept off them.
+        suspects: Units with suspects that this plan places, by worker. Other suspects are kept off
+            these workers, and all units if the suspects are kept alone.
     """
 
     workers: Mapping[str, WorkerView]
@@ -183,7 +185,7 @@
     is_highly_utilized: bool = False
     serving_workers: set[str] = field(default_factory=set)
     filling_workers: set[str] = field(default_factory=set)
-    suspect_workers: dict[str, tuple[str, int, int]] = field(default_factory=dict)
+    suspects: dict[str, SchedulingUnit] = field(default_factory=dict)
     _eligible: dict[tuple[str, str], EligibleWorkers] = field(default_factory=dict)
 
     def eligible_workers(self, unit: SchedulingUnit) -> EligibleWorkers:
@@ -214,7 +216,7 @@
         if unit.step.is_filling:
             self.filling_workers.add(worker)
         if unit.is_suspect:
-            self.suspect_workers[worker] = unit.key
+            self.suspects[worker] = unit
 
     def max_copies(self, worker: str, unit: SchedulingUnit, free: Resources | None = None) -> int:
         """Return how many more tasks of the unit may be placed on a worker.
@@ -226,7 +228,7 @@
         """
         if self.reserved_after_s.get(worker, math.inf) < unit.step.estimate_ms / 1e3:
             return 0
-        if self.suspect_workers.get(worker, unit.key) != unit.key:
+        if not self._is_free_of_suspects(worker, unit):
             return 0
         if (unit.step.is_filling and worker in self.serving_workers) or (
             unit.step.is_serving and worker in self.filling_workers
@@ -239,6 +241,14 @@
             count = min(count, unit.step.max_per_worker - taken)
         return max(0, count)
 
+    def _is_free_of_suspects(self, worker: str, unit: SchedulingUnit) -> bool:
+        """Return whether no suspect on the worker rules out that the unit starts there."""
+        if unit.is_suspect and self.workers[worker].has_suspect:
+            return False
+        placed = self.suspects.get(worker, unit)
+        is_apart = not (placed.is_kept_alone or unit.is_suspect)
+        return placed.key == unit.key or is_apart
+
 
 def free_capacity(view: FleetView) -> FreeCapacity:
     """Return the capacity that is not occupied by the runs of a view."""
--- a/src/foxtailwell/workflows/_job_registry.py
+++ b/src/foxtailwell/workflows/_job_registry.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator, Mapping, Sequence
 
-from foxtailwell.workflows._crashes import CrashRecord, is_given_up
+from foxtailwell.workflows._crashes import CrashRecord, is_given_up, is_kept_alone
 from foxtailwell.workflows._jobs import JobState, Queue, Submission, TaskId
 from foxtailwell.workflows._tasks import (
     EndKind,
@@ -256,12 +256,12 @@
         self.changed.add(task.id.job_id)
         self._update_job_state(self.jobs[task.id.job_id], now_unix_ms)
 
-    def workers_on_probation(self) -> frozenset[str]:
-        """Return the workers that run a suspect on probation, where nothing else may start."""
+    def workers_of_lone_suspects(self) -> frozenset[str]:
+        """Return the workers with a suspect beside which nothing else may start."""
         return frozenset(
             worker
             for worker, placed in self._placed.items()
-            if any(task.is_on_probation for task in placed.values())
+            if any(task.is_kept_alone for task in placed.values())
         )
 
     def requeue(self, task: Task) -> None:
@@ -391,6 +391,7 @@
                 job.accepted_s,
                 job.queue.priority == 0 and job.submission.account in within_guarantee,
                 any(task.crashes for task in waiting),
+                any(is_kept_alone(task.crashes) for task in waiting),
             )
 
 
--- a/src/foxtailwell/workflows/_tasks.py
+++ b/src/foxtailwell/workflows/_tasks.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from enum import IntEnum, StrEnum
 
-from foxtailwell.workflows._crashes import CrashRecord, probation_s
+from foxtailwell.workflows._crashes import CrashRecord, is_kept_alone, probation_s
 from foxtailwell.workflows._jobs import JobState, Queue, Step, Submission, TaskId
 
 __all__ = [
@@ -93,6 +93,11 @@
         """Whether earlier crashes speak against the task and its run has not outlasted them."""
         return bool(self.crashes) and self.is_placed and self.lasted_s < probation_s(self.crashes)
 
+    @property
+    def is_kept_alone(self) -> bool:
+        """Whether nothing else may start on its worker."""
+        return self.is_on_probation and is_kept_alone(self.crashes)
+
     @property
     def is_placed(self) -> bool:
         """Whether the task occupies a worker: it is assigned or being stopped."""
@@ -139,6 +144,7 @@
         accepted_s: Local time at which its job was accepted.
         is_guaranteed: It is urgent, and its account's urgent jobs together fit into the guarantee.
         is_suspect: Earlier crashes speak against its tasks.
+        is_kept_alone: They speak against them so much that nothing else starts beside its tasks.
         allowed: Workers for which the unit has a valid ticket; None if its queue needs no tickets.
     """
 
@@ -154,6 +160,7 @@
     accepted_s: float = 0.0
     is_guaranteed: bool = False
     is_suspect: bool = False
+    is_kept_alone: bool = False
     allowed: frozenset[str] | None = None
 
     @property
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -237,6 +237,24 @@
     assert await fleet.reaches(job, JobState.COMPLETED)
 
 
+async def test_crash_of_several_workers_keeps_no_worker_from_other_work(group):
+    """Guards against a power failure after which each interrupted task blocks a worker."""
+    fleet = make_deployment(group, 2)
+    group.start_soon(fleet.send_heartbeats)
+    for worker in fleet.workers.values():
+        worker.faults.crash_s = 1.2
+    fleet.start("one")
+    jobs = [await fleet.submit(n, LATER, [step(request=WHOLE)]) for n in (1, 2)]
+    assert await until(lambda: sum(len(w.running) for w in fleet.workers.values()) == 2)
+    for worker in fleet.workers.values():
+        worker.crash()
+    await fleet.submit(3, LATER, [step(14)])
+    for worker in fleet.workers.values():
+        worker.capacity = Resources(128_000, 262_144, 16)
+    assert await until(lambda: sum(len(w.running) for w in fleet.workers.values()) == 16)
+    assert all(evidence_against(fleet, job) for job in jobs)
+
+
 async def test_suspect_that_survives_its_probation_is_cleared(fleet):
     """Guards against evidence from two coincidences far apart that ends an innocent job."""
     for worker in fleet.workers.values():
