--- a/src/foxtailwell_standins/platform_worker.py
+++ b/src/foxtailwell_standins/platform_worker.py
@@ -189,6 +189,7 @@
         gangs: Gangs that the workers share; None if gang members run independently.
         boot_unix_ms: Identifies the incarnation; each restart adds 1.
         log: Every run that has started, as (task, run, checkpoint).
+        commands: Every start command that arrived, as (task, run, fencing token).
         spans: Every run with its times.
         acknowledged: Highest acknowledged number of an end.
         token: Highest fencing token of a command.
@@ -207,6 +208,7 @@
     faults: WorkerFaults = field(default_factory=WorkerFaults)
     boot_unix_ms: int = 1
     log: list[tuple[str, int, str]] = field(default_factory=list)
+    commands: list[tuple[str, int, int]] = field(default_factory=list)
     spans: list[RunSpan] = field(default_factory=list)
     acknowledged: int = 0
     token: int = 0
@@ -351,6 +353,7 @@
     ) -> tuple[CommandOutcome, int | None]:
         """Start a run under a lease that ends at `until_clock_ms` on the worker's clock."""
         await self._begin_call()
+        self.commands.append((str(command.task), command.run, token))
         if self.faults.is_replaced:
             return CommandOutcome.OTHER_INCARNATION, None
         if self.faults.is_unhealthy:
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -423,6 +423,47 @@
     assert await until(lambda: second.leadership.is_controller, 0.5)
 
 
+async def test_new_controller_starts_nothing_on_a_worker_that_has_left(group):
+    """Guards against a departed worker that is in use again after a change of the controller."""
+    deployment = make_deployment(group, 2)
+    first = deployment.start("one")
+    assert await until(lambda: first.leadership.is_controller)
+    job = await deployment.submit(1, LATER, [step(16)])
+    assert await until(lambda: all(len(w.running) == 8 for w in deployment.workers.values()))
+    first.kill()
+    departed = deployment.workers["w1"]
+    deployment.store.delete(f"servers/{departed.id}")
+    departed.faults.is_unreachable = True
+    count = len(departed.commands)
+    deployment.start("one")
+    later = await deployment.submit(2, LATER, [step(4)])
+    for task in list(deployment.workers["w0"].running):
+        deployment.workers["w0"].end(task, EndKind.DONE)
+    assert await until(lambda: bool(deployment.runs(f"{later}.0.0.0")))
+    departed.faults.is_unreachable = False
+    await anyio.sleep(1.0)
+    assert len(departed.commands) == count
+    assert await deployment.state(job) is JobState.RUNNING
+
+
+async def test_orders_are_sent_once_around_a_planned_change_of_the_controller(group):
+    """Guards against two controllers that both act for a moment during a hand-over."""
+    deployment = make_deployment(group, 3, task_duration_s=0.2)
+    instances = [deployment.start("one")]
+    assert await until(lambda: instances[0].leadership.is_controller)
+    jobs = []
+    for number in range(1, 13):
+        jobs.append(await deployment.submit(number, LATER, [step(2)]))
+        if number % 4 == 0:
+            instances.append(deployment.start(f"next{number}"))
+            await instances[-2].leadership.stop(1.0)
+            instances[-2].kill()
+    for job in jobs:
+        assert await deployment.reaches(job, JobState.COMPLETED, 6.0)
+    commands = [(task, run) for w in deployment.workers.values() for task, run, _ in w.commands]
+    assert len(commands) == len(set(commands)) == 24
+
+
 async def test_removed_worker_that_still_responds_keeps_its_tasks(group):
     """Guards against restarting a task whose delisted worker can still report its end."""
     deployment = make_deployment(group, 2)
--- a/tests/test_instance_api.py
+++ b/tests/test_instance_api.py
@@ -165,6 +165,19 @@
     assert (await instance.call("GET", "/q/"))[0] == 200
 
 
+async def test_restarted_instance_does_not_accept_a_removed_key(store, instance):
+    """Guards against a key that is in use again after a restart, also while the store is away."""
+    assert (await instance.call("GET", "/q/"))[0] == 200
+    configure(store, 2, keys=("k2",))
+    restarted = Instance(store)
+    restarted.faults.is_down = True
+    assert (await restarted.call("GET", "/q/"))[0] == 503
+    restarted.faults.is_down = False
+    await restarted.operators.confirm(restarted._now_s())
+    assert (await restarted.call("GET", "/q/"))[0] == 401
+    assert (await restarted.call("GET", "/q/", key="k2"))[0] == 200
+
+
 async def test_request_before_the_first_configuration_is_refused_temporarily():
     """Guards against a final 404 before the first configuration is read."""
     assert (await Instance(MemoryStore()).call("POST", JOB))[0] == 503
