--- a/src/foxtailwell/controller/_crashes.py
+++ b/src/foxtailwell/controller/_crashes.py
@@ -12,7 +12,6 @@
 from foxtailwell.controller._workers import Workers
 from foxtailwell.workflows import (
     CERTAIN_WEIGHT,
-    RECENT_START_S,
     JobRegistry,
     LostRun,
     Task,
@@ -74,7 +73,7 @@
         is_isolated = self._is_isolated(link)
         self._crashed_since_s[worker] = link.unresponsive_since_s
         weights = weigh_crash(runs, is_isolated=is_isolated)
-        if CERTAIN_WEIGHT in weights.values() or any(_is_recent_suspect(task) for task in lost):
+        if CERTAIN_WEIGHT in weights.values() or any(task.is_on_probation for task in lost):
             self._explained_since_s[worker] = link.unresponsive_since_s
         self._metrics.count("worker_crashes")
         log_event(
@@ -114,17 +113,13 @@
         return is_near and (has_crashed or link.silence_s() >= MIN_SILENCE_S)
 
     def _has_explanation(self, link: WorkerLink) -> bool:
-        """Return whether a suspect had just started on a worker when it fell silent."""
+        """Return whether a suspect on probation was on a worker when it fell silent."""
         worker = link.entry.id
         return self._explained_since_s.get(worker) == link.unresponsive_since_s or any(
-            _is_recent_suspect(task) for task in self._registry.placed_on(worker)
+            task.is_on_probation for task in self._registry.placed_on(worker)
         )
 
 
-def _is_recent_suspect(task: Task) -> bool:
-    return bool(task.crashes) and task.lasted_s < RECENT_START_S
-
-
 def _to_lost_run(task: Task, link: WorkerLink) -> LostRun:
     # The time of a start that an earlier controller sent is not known.
     silent_after_s = None
@@ -132,4 +127,4 @@
         silent_after_s = link.unresponsive_since_s - task.start_settled_s
         if silent_after_s < 0:
             silent_after_s = math.inf
-    return LostRun(task.id, task.lasted_s, silent_after_s, bool(task.crashes))
+    return LostRun(task.id, task.lasted_s, silent_after_s, bool(task.crashes), task.is_on_probation)
--- a/src/foxtailwell/workflows/__init__.py
+++ b/src/foxtailwell/workflows/__init__.py
@@ -12,7 +12,6 @@
 )
 from foxtailwell.workflows._crashes import (
     CERTAIN_WEIGHT,
-    RECENT_START_S,
     CrashRecord,
     LostRun,
     is_given_up,
@@ -110,7 +109,6 @@
     "Put",
     "Queue",
     "CERTAIN_WEIGHT",
-    "RECENT_START_S",
     "Reservation",
     "Resources",
     "Route",
--- a/src/foxtailwell/workflows/_crashes.py
+++ b/src/foxtailwell/workflows/_crashes.py
@@ -16,7 +16,6 @@
 
 __all__ = [
     "CERTAIN_WEIGHT",
-    "RECENT_START_S",
     "CrashRecord",
     "LostRun",
     "is_given_up",
@@ -65,27 +64,29 @@
         silent_after_s: Time from the confirmation of its start to the silence of the worker;
             infinite if none was noticed, None if this controller has no confirmation.
         is_suspect: There is evidence against its task from earlier crashes.
+        is_on_probation: It had not outlasted the runs that ended in these crashes.
     """
 
     task: TaskId
     lasted_s: float
     silent_after_s: float | None
     is_suspect: bool
+    is_on_probation: bool = False
 
 
 def weigh_crash(runs: Sequence[LostRun], *, is_isolated: bool) -> dict[TaskId, int]:
     """Return the weight of the evidence that a crash adds against each task.
 
-    Runs that had been going on for a while are cleared by those that had just started. Among
-    these, earlier suspects are the likeliest cause, then runs whose start the crash followed
-    immediately. A crash that comes later may have any cause.
+    Runs that had been going on for a while are cleared by those that had just started, unless they
+    are still on probation. Among these, earlier suspects are the likeliest cause, then runs whose
+    start the crash followed immediately. A crash that comes later may have any cause.
 
     Args:
         runs: All runs on the crashed worker.
         is_isolated: No other worker fell silent at the same time without a suspect of its own;
             otherwise an external cause, such as a power failure, is likely.
     """
-    recent = [run for run in runs if run.lasted_s < RECENT_START_S]
+    recent = [run for run in runs if run.lasted_s < RECENT_START_S or run.is_on_probation]
     if not recent:
         return {run.task: POSSIBLE_WEIGHT for run in runs if is_isolated}
     likeliest = (
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -322,6 +322,12 @@
     assert weights[suspect.task] > weights[other.task]
 
 
+def test_suspect_on_probation_is_blamed_beside_fresh_starts():
+    """Guards against a task that crashes its workers late and is excused by what starts there."""
+    late = LostRun(TaskId(job_id(1), 0, 0, 0), 5.0, 6.0, is_suspect=True, is_on_probation=True)
+    assert weigh_crash([late, lost_run(2)], is_isolated=True)[late.task] == 1
+
+
 def test_crash_some_time_after_a_start_is_no_certain_evidence():
     """Guards against innocent jobs that two later crashes of their workers would end."""
     later = replace(lost_run(1), silent_after_s=0.8)
