--- a/src/foxtailwell/workflows/_crashes.py
+++ b/src/foxtailwell/workflows/_crashes.py
@@ -31,7 +31,7 @@
 """Time from the start of a run to the silence of its worker that points to this run."""
 
 CERTAIN_WEIGHT = 2
-"""Weight of a crash that followed a start immediately and that only one job can have caused."""
+"""Weight of a crash right after a start that hardly anything but one job can have caused."""
 
 POSSIBLE_WEIGHT = 1
 """Weight of a crash with other possible causes."""
@@ -79,7 +79,8 @@
 
     Runs that had been going on for a while are cleared by those that had just started, unless they
     are still on probation. Among these, earlier suspects are the likeliest cause, then runs whose
-    start the crash followed immediately. A crash that comes later may have any cause.
+    start the crash followed immediately. A crash that comes later may have any cause. One right
+    after the start of a suspect is blamed on it even if other workers fall silent.
 
     Args:
         runs: All runs on the crashed worker.
@@ -94,10 +95,10 @@
         or [run for run in recent if _is_immediate(run)]
         or recent
     )
-    is_certain = is_isolated and len({run.task.job_id for run in likeliest}) == 1
+    is_one_job = len({run.task.job_id for run in likeliest}) == 1
     weights = {run.task: POSSIBLE_WEIGHT for run in recent}
     for run in likeliest:
-        if is_certain and _is_immediate(run):
+        if is_one_job and (is_isolated or run.is_suspect) and _is_immediate(run):
             weights[run.task] = CERTAIN_WEIGHT
     return weights
 
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -328,6 +328,13 @@
     assert weigh_crash([late, lost_run(2)], is_isolated=True)[late.task] == 1
 
 
+def test_suspect_is_blamed_for_its_second_crash_while_other_workers_crash():
+    """Guards against several crashing tasks that excuse each other up to the limit of doubt."""
+    suspect = lost_run(1, is_suspect=True)
+    assert weigh_crash([suspect], is_isolated=False)[suspect.task] == 2
+    assert weigh_crash([lost_run(1)], is_isolated=False)[suspect.task] == 1
+
+
 def test_crash_some_time_after_a_start_is_no_certain_evidence():
     """Guards against innocent jobs that two later crashes of their workers would end."""
     later = replace(lost_run(1), silent_after_s=0.8)
