--- a/src/foxtailwell/controller/_links.py
+++ b/src/foxtailwell/controller/_links.py
@@ -81,6 +81,7 @@
     """A start command got a response, or was given up after failed attempts.
 
     Attributes:
+        settled_s: Local time at which the last attempt returned or failed.
         outcome: None if no attempt got a response.
         is_certain: Every attempt got a response, so that none may take effect later.
     """
@@ -88,6 +89,7 @@
     worker: str
     task: TaskId
     run: int
+    settled_s: float
     outcome: CommandOutcome | None
     is_certain: bool
 
@@ -295,6 +297,7 @@
             elif outcome is CommandOutcome.DONE:
                 self._mark_responsive()
             break
+        settled_s = self.now_s()
         if outcome is not CommandOutcome.DONE:
             log_event(
                 COMMAND_REFUSED,
@@ -304,7 +307,7 @@
                 outcome=outcome.value if outcome else "no answer",
             )
         await self.events.send(
-            StartFinished(self.entry.id, command.task, command.run, outcome, is_certain)
+            StartFinished(self.entry.id, command.task, command.run, settled_s, outcome, is_certain)
         )
 
     def stop(self, group: TaskGroup, task: TaskId, run: int) -> None:
--- a/src/foxtailwell/controller/_runs.py
+++ b/src/foxtailwell/controller/_runs.py
@@ -166,7 +166,7 @@
         task = self._registry.find(event.task)
         if task is None or task.run != event.run or task.state is not TaskState.ASSIGNED:
             return
-        task.start_settled_s = self._now_s()
+        task.start_settled_s = event.settled_s
         outcome = event.outcome.value if event.outcome else "no answer"
         self._metrics.count("starts", outcome=outcome)
         self._metrics.observe_s("placement_to_start", task.start_settled_s - task.started_s)
--- a/src/foxtailwell_standins/platform_store.py
+++ b/src/foxtailwell_standins/platform_store.py
@@ -38,6 +38,7 @@
             `apply_delayed` is called.
         is_watch_stalled: Watches report no changes.
         silence_s: Time after which every call fails without a response; 0 for none.
+        write_delay_s: Time that every write takes.
     """
 
     is_down: bool = False
@@ -45,6 +46,7 @@
     delayed_writes: int = 0
     is_watch_stalled: bool = False
     silence_s: float = 0.0
+    write_delay_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -213,6 +215,7 @@
         deletes: Sequence[str] = (),
     ) -> Committed | Conflict:
         await self._begin_call()
+        await anyio.sleep(self.faults.write_delay_s)
         if self.faults.delayed_writes:
             self.faults.delayed_writes -= 1
             self._store.delay_write(lambda: self._store.transact(conditions, puts, deletes))
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -58,6 +58,25 @@
     assert len(fleet.runs(task)) == 2
 
 
+async def test_slow_store_does_not_excuse_a_task_that_crashes_every_worker(group, fleet):
+    """Guards against the time of a start that is only taken once the store has answered."""
+    task = f"{job_id(1)}.0.0.0"
+    make_fatal(fleet, task)
+    instance = fleet.start("one")
+    assert await until(lambda: instance.leadership.is_controller)
+
+    async def submit_others() -> None:
+        for number in range(2, 90):
+            await fleet.submit(number, LATER, [step()])
+            await anyio.sleep(0.1)
+
+    group.start_soon(submit_others)
+    instance.faults.write_delay_s = 0.7
+    job = await fleet.submit(1, LATER, [step()])
+    assert await fleet.reaches(job, JobState.FAILED, 8.0)
+    assert len(fleet.runs(task)) == 2
+
+
 async def test_lasting_task_that_crashes_every_worker_is_given_up(fleet):
     """Guards against the exemption of lasting tasks from the limit of attempts."""
     task = f"{job_id(1)}.0.0.0"
