--- a/src/foxtailwell/controller/_crashes.py
+++ b/src/foxtailwell/controller/_crashes.py
@@ -84,12 +84,13 @@
             evidence={str(task): weight for task, weight in weights.items()},
             others=len(lost) - len(weights),
         )
-        for task in lost:
+        for task, run in zip(lost, runs, strict=True):
             if task.id in weights:
-                self._record(task, weights[task.id])
+                self._record(task, weights[task.id], is_immediate=run.is_immediate)
 
-    def _record(self, task: Task, weight: int) -> None:
-        self._registry.record_crash(task, weight, self._now_unix_ms())
+    def _record(self, task: Task, weight: int, *, is_immediate: bool) -> None:
+        now_unix_ms = self._now_unix_ms()
+        self._registry.record_crash(task, weight, now_unix_ms, is_immediate=is_immediate)
         if is_given_up(task.crashes):
             self._metrics.count("tasks_given_up")
             log_event(
--- a/src/foxtailwell/controller/_records.py
+++ b/src/foxtailwell/controller/_records.py
@@ -55,8 +55,8 @@
     begun: bool
     ended_unix_ms: int = 0
     tasks: list[tuple[int, int, int, int, int, str, int, tuple[int, ...], str]] = []
-    # Occurrence, step and index of a task; then number, weight and duration of each run.
-    crashes: list[tuple[int, int, int, list[tuple[int, int, int]]]] = []
+    # Occurrence, step and index of a task; then the crash records of its runs.
+    crashes: list[tuple[int, int, int, list[tuple[int, int, int, bool]]]] = []
 
 
 def job_key(job_id: str) -> str:
@@ -118,7 +118,12 @@
         for task in progress.tasks
     ]
     crashes = [
-        (t.occurrence, t.step, t.index, [(c.run, c.weight, c.lasted_ms) for c in t.crashes])
+        (
+            t.occurrence,
+            t.step,
+            t.index,
+            [(c.run, c.weight, c.lasted_ms, c.is_immediate) for c in t.crashes],
+        )
         for t in progress.tasks
         if t.crashes
     ]
--- a/src/foxtailwell/workflows/__init__.py
+++ b/src/foxtailwell/workflows/__init__.py
@@ -15,6 +15,7 @@
     CrashRecord,
     LostRun,
     is_given_up,
+    is_kept_alone,
     probation_s,
     weigh_crash,
 )
@@ -128,6 +129,7 @@
     "WorkerListing",
     "WorkerView",
     "is_given_up",
+    "is_kept_alone",
     "plan",
     "probation_s",
     "runs_to_stop",
--- a/src/foxtailwell/workflows/_crashes.py
+++ b/src/foxtailwell/workflows/_crashes.py
@@ -3,8 +3,8 @@
 Answers the load pattern of a task that crashes every worker that starts it, beside tasks of other
 jobs that only happened to run there. A crash is evidence against a task, of a weight that depends
 on what else could have caused it. A task with any evidence is a suspect: while it is on probation,
-no other suspect starts on its worker, and with more evidence nothing does, so that the next crash
-leaves no doubt.
+no other suspect starts on its worker, and with more evidence, or after a crash right after its
+start, nothing does, so that the next crash leaves no doubt.
 """
 
 from __future__ import annotations
@@ -48,11 +48,13 @@
         run: Number of the run.
         weight: Weight of the evidence.
         lasted_ms: Time for which the worker was seen running it.
+        is_immediate: The crash followed its start immediately.
     """
 
     run: int
     weight: int
     lasted_ms: int
+    is_immediate: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +75,11 @@
     is_suspect: bool
     is_on_probation: bool = False
 
+    @property
+    def is_immediate(self) -> bool:
+        """Whether the worker fell silent immediately after the start."""
+        return self.silent_after_s is not None and self.silent_after_s < IMMEDIATE_S
+
 
 def weigh_crash(runs: Sequence[LostRun], *, is_isolated: bool) -> dict[TaskId, int]:
     """Return the weight of the evidence that a crash adds against each task.
@@ -92,21 +99,17 @@
         return {run.task: POSSIBLE_WEIGHT for run in runs if is_isolated}
     likeliest = (
         [run for run in recent if run.is_suspect]
-        or [run for run in recent if _is_immediate(run)]
+        or [run for run in recent if run.is_immediate]
         or recent
     )
     is_one_job = len({run.task.job_id for run in likeliest}) == 1
     weights = {run.task: POSSIBLE_WEIGHT for run in recent}
     for run in likeliest:
-        if is_one_job and (is_isolated or run.is_suspect) and _is_immediate(run):
+        if is_one_job and (is_isolated or run.is_suspect) and run.is_immediate:
             weights[run.task] = CERTAIN_WEIGHT
     return weights
 
 
-def _is_immediate(run: LostRun) -> bool:
-    return run.silent_after_s is not None and run.silent_after_s < IMMEDIATE_S
-
-
 def is_given_up(crashes: Iterable[CrashRecord]) -> bool:
     """Return whether the evidence suffices to give up a task."""
     return sum(crash.weight for crash in crashes) >= GIVE_UP_WEIGHT
@@ -115,10 +118,12 @@
 def is_kept_alone(crashes: Iterable[CrashRecord]) -> bool:
     """Return whether nothing else may start on the worker of a suspect on probation.
 
-    A single crash with other possible causes is not enough: after a power failure, every task that
-    had just started would block a worker.
+    A single crash some time after a start is not enough: after a power failure, every task that had
+    not run for long would block a worker.
     """
-    return sum(crash.weight for crash in crashes) >= CERTAIN_WEIGHT
+    crashes = tuple(crashes)
+    weight = sum(crash.weight for crash in crashes)
+    return weight >= CERTAIN_WEIGHT or any(crash.is_immediate for crash in crashes)
 
 
 def probation_s(crashes: Iterable[CrashRecord]) -> float:
--- a/src/foxtailwell/workflows/_job_registry.py
+++ b/src/foxtailwell/workflows/_job_registry.py
@@ -241,7 +241,9 @@
             if not placed:
                 del self._placed[task.worker]
 
-    def record_crash(self, task: Task, weight: int, now_unix_ms: int) -> None:
+    def record_crash(
+        self, task: Task, weight: int, now_unix_ms: int, *, is_immediate: bool = False
+    ) -> None:
         """Record that the current run ended with a crash of its worker.
 
         The job fails once the evidence suffices to give the task up.
@@ -250,8 +252,9 @@
             task: Task that may have caused the crash.
             weight: Weight of the evidence.
             now_unix_ms: Time of day.
+            is_immediate: The crash followed the start immediately.
         """
-        crash = CrashRecord(task.run, weight, int(task.lasted_s * 1000))
+        crash = CrashRecord(task.run, weight, int(task.lasted_s * 1000), is_immediate)
         task.crashes = (*task.crashes, crash)
         self.changed.add(task.id.job_id)
         self._update_job_state(self.jobs[task.id.job_id], now_unix_ms)
