--- a/src/foxtailwell/workflows/_fleet_view.py
+++ b/src/foxtailwell/workflows/_fleet_view.py
@@ -176,6 +176,7 @@
         filling_workers: Workers with filling tasks; serving tasks are kept off them.
         suspects: Units with suspects that this plan places, by worker. Other suspects are kept off
             these workers, and all units if the suspects are kept alone.
+        starting: Keys of the units that this plan places, by worker.
     """
 
     workers: Mapping[str, WorkerView]
@@ -186,6 +187,7 @@
     serving_workers: set[str] = field(default_factory=set)
     filling_workers: set[str] = field(default_factory=set)
     suspects: dict[str, SchedulingUnit] = field(default_factory=dict)
+    starting: dict[str, set[tuple[str, int, int]]] = field(default_factory=dict)
     _eligible: dict[tuple[str, str], EligibleWorkers] = field(default_factory=dict)
 
     def eligible_workers(self, unit: SchedulingUnit) -> EligibleWorkers:
@@ -211,6 +213,7 @@
         self.free[worker] = self.free[worker].minus(unit.step.request)
         key = (worker, unit.key)
         self.step_counts[key] = self.step_counts.get(key, 0) + 1
+        self.starting.setdefault(worker, set()).add(unit.key)
         if unit.step.is_serving:
             self.serving_workers.add(worker)
         if unit.step.is_filling:
@@ -245,6 +248,8 @@
         """Return whether no suspect on the worker rules out that the unit starts there."""
         if unit.is_suspect and self.workers[worker].has_suspect:
             return False
+        if unit.is_kept_alone and self.starting.get(worker, set()) - {unit.key}:
+            return False
         placed = self.suspects.get(worker, unit)
         is_apart = not (placed.is_kept_alone or unit.is_suspect)
         return placed.key == unit.key or is_apart
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -14,14 +14,18 @@
 from foxtailwell.controller._records import decode_progress, encode_progress
 from foxtailwell.workflows import (
     CrashRecord,
+    FleetView,
     JobProgress,
     JobState,
     LostRun,
     Resources,
+    SchedulingUnit,
     TaskId,
     TaskProgress,
+    WorkerView,
     is_given_up,
     is_kept_alone,
+    plan,
     weigh_crash,
 )
 
@@ -304,6 +308,20 @@
     assert list(fleet.holder_of(task).running) == [task]
 
 
+def test_suspect_does_not_join_what_the_same_plan_starts():
+    """Guards against work that starts together with a suspect and is lost by its next crash."""
+    units = [
+        SchedulingUnit(
+            job_id(n), 0, 0, step(), LATER, "acme", (TaskId(job_id(n), 0, 0, 0),), 0.0, 90.0 + n
+        )
+        for n in (1, 2)
+    ]
+    units[1] = replace(units[1], is_suspect=True, is_kept_alone=True)
+    worker = WorkerView("w0", "pool", "a", "r1", frozenset({"a"}), Resources(128_000, 262_144, 8))
+    decided = plan(FleetView(1.0, {"w0": worker}, units))
+    assert [placement.unit.job_id for placement in decided.placements] == [job_id(1)]
+
+
 def lost_run(number: int, *, is_recent: bool = True, is_suspect: bool = False) -> LostRun:
     """Return a confirmed run of its own job; a recent one started just before the crash."""
     lasted_s, silent_after_s = (0.0, 0.02) if is_recent else (5.0, 6.0)
