--- a/src/foxtailwell/workflows/_crashes.py
+++ b/src/foxtailwell/workflows/_crashes.py
@@ -37,7 +37,7 @@
 """Weight of a crash with other possible causes."""
 
 GIVE_UP_WEIGHT = 4
-"""Total weight at which a task is given up: two crashes without doubt, or four with doubt."""
+"""Total weight at which a task is given up: two certain crashes, or up to four possible ones."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/foxtailwell/workflows/_fleet_view.py
+++ b/src/foxtailwell/workflows/_fleet_view.py
@@ -231,7 +231,7 @@
         """
         if self.reserved_after_s.get(worker, math.inf) < unit.step.estimate_ms / 1e3:
             return 0
-        if not self._is_free_of_suspects(worker, unit):
+        if not self._may_share(worker, unit):
             return 0
         if (unit.step.is_filling and worker in self.serving_workers) or (
             unit.step.is_serving and worker in self.filling_workers
@@ -244,15 +244,16 @@
             count = min(count, unit.step.max_per_worker - taken)
         return max(0, count)
 
-    def _is_free_of_suspects(self, worker: str, unit: SchedulingUnit) -> bool:
-        """Return whether no suspect on the worker rules out that the unit starts there."""
+    def _may_share(self, worker: str, unit: SchedulingUnit) -> bool:
+        """Return whether a unit may start beside the suspects on a worker, or as one of them."""
         if unit.is_suspect and self.workers[worker].has_suspect:
             return False
         if unit.is_kept_alone and self.starting.get(worker, set()) - {unit.key}:
             return False
-        placed = self.suspects.get(worker, unit)
-        is_apart = not (placed.is_kept_alone or unit.is_suspect)
-        return placed.key == unit.key or is_apart
+        suspect = self.suspects.get(worker)
+        if suspect is None or suspect.key == unit.key:
+            return True
+        return not (suspect.is_kept_alone or unit.is_suspect)
 
 
 def free_capacity(view: FleetView) -> FreeCapacity:
--- a/src/foxtailwell/workflows/_placement.py
+++ b/src/foxtailwell/workflows/_placement.py
@@ -248,8 +248,8 @@
     """Assign tasks by best fit: the fullest workers first, so that whole workers stay free.
 
     Suspects go where their worker's crash would lose the least work. Workers with a lower fault
-    score precede all others. Without `is_partial_allowed` the result
-    is empty unless every task fits.
+    score precede all others. Without `is_partial_allowed` the result is empty unless every task
+    fits.
     """
     remaining = list(unit.tasks if tasks is None else tasks)
     chosen: dict[TaskId, str] = {}
