--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -598,7 +598,21 @@
                 ticket = self._tickets.ticket(unit.key, worker)
                 payload = job.submission.payload
                 command = StartCommand(task_id, task.run, payload, saved, ticket)
-                link.start(group, command, self._workers.start_until_s(worker))
+                link.start(group, command, self._is_wanted(task))
+
+    def _is_wanted(self, task: Task) -> Callable[[], bool]:
+        """Return a function that tells whether the present run of a task may still be started.
+
+        A run may have ended although its start got no response. Another attempt would start it
+        again on a worker that has restarted meanwhile.
+        """
+        run, until_s = task.run, self._workers.start_until_s(task.worker)
+
+        def is_wanted() -> bool:
+            is_current = task.run == run and task.state is TaskState.ASSIGNED
+            return is_current and self._now_s() <= until_s
+
+        return is_wanted
 
     def _is_outdated(self, placement: Placement) -> bool:
         """Return whether storing a placement took so long that a worker may have shrunk."""
--- a/src/foxtailwell/controller/_links.py
+++ b/src/foxtailwell/controller/_links.py
@@ -268,21 +268,21 @@
         until_s = self.now_s() if self.is_unresponsive else self.responsive_since_s
         return until_s - self.unresponsive_since_s
 
-    def start(self, group: TaskGroup, command: StartCommand, until_s: float) -> None:
+    def start(self, group: TaskGroup, command: StartCommand, is_wanted: Callable[[], bool]) -> None:
         """Send a start command in a task of the group; `StartFinished` reports its outcome.
 
         Args:
             group: Group of the new task.
             command: Command to send.
-            until_s: Local time after which it is not sent again.
+            is_wanted: Returns whether the run is still to be started; checked before each attempt.
         """
-        group.start_soon(self._start, command, until_s)
+        group.start_soon(self._start, command, is_wanted)
 
-    async def _start(self, command: StartCommand, until_s: float) -> None:
+    async def _start(self, command: StartCommand, is_wanted: Callable[[], bool]) -> None:
         outcome: CommandOutcome | None = None
         is_certain = True
         for _ in range(START_ATTEMPTS):
-            if not self.may_act() or self.now_s() > until_s:
+            if not self.may_act() or not is_wanted():
                 is_certain = False
                 break
             try:
--- a/src/foxtailwell_standins/platform_worker.py
+++ b/src/foxtailwell_standins/platform_worker.py
@@ -42,6 +42,7 @@
     Attributes:
         is_unreachable: No call reaches the worker; its runs continue.
         lost_start_responses: Number of coming starts that take effect but get no response.
+        response_timeout_s: Time after which the caller gives up a start without a response.
         delayed_starts: Number of coming starts that get no response and take effect when
             `apply_delayed` is called.
         is_unhealthy: Starts are refused with UNHEALTHY.
@@ -55,6 +56,7 @@
 
     is_unreachable: bool = False
     lost_start_responses: int = 0
+    response_timeout_s: float = 0.0
     delayed_starts: int = 0
     is_unhealthy: bool = False
     is_failing_runs: bool = False
@@ -365,6 +367,7 @@
         outcome = self._begin_run(command, until_clock_ms, token)
         if self.faults.lost_start_responses:
             self.faults.lost_start_responses -= 1
+            await anyio.sleep(self.faults.response_timeout_s)
             raise WorkerCallError("no response")
         return outcome, self.clock_ms()
 
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -74,6 +74,20 @@
     assert deployment.runs(f"{job}.0.0.0") == [("w0", 1)]
 
 
+async def test_start_is_not_repeated_after_its_run_has_ended(group):
+    """Guards against a run that starts again on a restarted worker after a lost response."""
+    deployment = make_deployment(group, 1)
+    worker = deployment.workers["w0"]
+    worker.faults.lost_start_responses, worker.faults.response_timeout_s = 1, 0.5
+    deployment.start("one")
+    job, task = await deployment.start_one_task()
+    worker.end(task, EndKind.DONE)
+    assert await deployment.reaches(job, JobState.COMPLETED, 0.4)
+    worker.restart()
+    await anyio.sleep(0.8)
+    assert len(deployment.runs(task)) == 1
+
+
 async def test_delayed_start_after_a_stop_does_not_run(group):
     """Guards against a delayed start command that takes effect after its task has moved."""
     deployment = make_deployment(group, 2)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -29,6 +29,7 @@
         (454861516, 2252139179, 3588264186, 883391157, 3750200725, 1537704294),
         "the stand-in ended the members of a gang one by one",
     ),
+    1644043508: "a start was repeated after its run had ended, on a worker that had restarted",
     125992539: "the checker confused the ends of two incarnations of a worker",
 }
 """Seeds of earlier failures, each with the cause."""
