--- a/src/foxtailwell/workflows/_job_registry.py
+++ b/src/foxtailwell/workflows/_job_registry.py
@@ -214,6 +214,8 @@
             self.changed.add(task.id.job_id)
         is_newest = run == task.run and task.state is not TaskState.DONE
         if is_newest:
+            # A controller that takes over may see the end before it has seen the run.
+            self.confirm(task)
             self._apply_end(job, task, kind, checkpoint)
             self.changed.add(task.id.job_id)
         self._update_job_state(job, now_unix_ms)
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -10,7 +10,14 @@
 
 from controller_harness import LATER, URGENT, make_deployment, step, until
 from foxtailwell.controller import _controller
-from foxtailwell.workflows import EndKind, JobState, Resources
+from foxtailwell.workflows import (
+    EndKind,
+    JobRegistry,
+    JobState,
+    Resources,
+    Submission,
+    TaskId,
+)
 from foxtailwell_standins.platform_worker import WorkerFaults
 
 pytestmark = pytest.mark.anyio
@@ -478,6 +485,16 @@
     assert len(commands) == len(set(commands)) == 24
 
 
+def test_job_whose_task_has_ended_is_shown_as_running():
+    """Guards against a job that is shown as queued since its controller saw no run, only ends."""
+    registry = JobRegistry()
+    job = registry.add(Submission("j", LATER.name, "acme", "text", (step(2),)), LATER, 0.0)
+    task = job.tasks[TaskId("j", 0, 0, 0)]
+    registry.assign(task, "w0", 1, 1, 0.0)
+    registry.end_run(task, 1, EndKind.DONE, "", 1)
+    assert job.state is JobState.RUNNING
+
+
 async def test_removed_worker_that_still_responds_keeps_its_tasks(group):
     """Guards against restarting a task whose delisted worker can still report its end."""
     deployment = make_deployment(group, 2)
