--- a/src/foxtailwell/controller/_links.py
+++ b/src/foxtailwell/controller/_links.py
@@ -164,6 +164,7 @@
     stopping: set[tuple[TaskId, int]] = field(default_factory=set)
     wake: anyio.Event = field(default_factory=anyio.Event)
     _first_response_s: float = 0.0
+    _has_listed: bool = False
 
     def begin_lease(self) -> int:
         """Record a lease that begins now, and return its end on the worker's clock in ms."""
@@ -199,6 +200,7 @@
             if not self.may_have_runs and self.durable_end <= self.acknowledged_end:
                 self.wake = anyio.Event()
                 await self.wake.wait()
+                self._has_listed = False
                 continue
             if not self.may_act():
                 await anyio.sleep(RETRY_PAUSE_S)
@@ -210,7 +212,8 @@
         has_unprocessed_ends = self.listed_end > self.durable_end
         is_waiting = self.may_have_runs and not has_unprocessed_ends and not self.is_unresponsive
         wait_ms = min(LISTING_WAIT_MS, self.lease_ms // RENEWALS_PER_LEASE) if is_waiting else 0
-        acknowledged = self.durable_end
+        # Another incarnation counts its ends anew, and would discard ends that nobody has read.
+        acknowledged = self.durable_end if self._has_listed else 0
         address, boot_unix_ms = self.entry.address, self.boot_unix_ms
         try:
             # An unresponsive worker is only probed: a renewal that it may never receive would
@@ -237,6 +240,7 @@
             await anyio.sleep(RETRY_PAUSE_S)
             return
         self._mark_responsive()
+        self._has_listed = True
         self.update_clock(response.clock_ms, response.boot_unix_ms)
         self.acknowledged_end = max(self.acknowledged_end, acknowledged)
         self.listed_end = max((end.number for end in response.ended), default=self.durable_end)
@@ -246,6 +250,7 @@
             await processed.wait()
 
     def _mark_unresponsive(self, reason: str) -> None:
+        self._has_listed = False
         if not self.is_unresponsive:
             self.is_unresponsive = True
             self.unresponsive_since_s = self.now_s()
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -15,6 +15,7 @@
     JobRegistry,
     JobState,
     Resources,
+    StartCommand,
     Submission,
     TaskId,
 )
@@ -95,6 +96,26 @@
     assert len(deployment.runs(task)) == 1
 
 
+async def test_end_on_a_restarted_worker_is_not_acknowledged_unread(group):
+    """Guards against an acknowledgement that discards the ends of a new incarnation."""
+    deployment = make_deployment(group, 1)
+    worker = deployment.workers["w0"]
+    deployment.start("one")
+    jobs = [await deployment.submit(number, LATER, [step()]) for number in (1, 2)]
+    first, second = (f"{job}.0.0.0" for job in jobs)
+    assert await until(lambda: len(worker.running) == 2)
+    worker.end(first, EndKind.DONE)
+    assert await until(lambda: worker.acknowledged == 1)
+    run, token = worker.running[second].run, worker.token
+    worker.crash()
+    # A command that was on its way to the former incarnation.
+    command = StartCommand(TaskId(jobs[1], 0, 0, 0), run, "text", "")
+    worker._begin_run(command, 60_000, token)
+    worker.end(second, EndKind.DONE)
+    assert await deployment.reaches(jobs[1], JobState.COMPLETED)
+    assert {started for _, started in deployment.runs(second)} == {run}
+
+
 async def test_delayed_start_after_a_stop_does_not_run(group):
     """Guards against a delayed start command that takes effect after its task has moved."""
     deployment = make_deployment(group, 2)
