--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -598,7 +598,7 @@
                 ticket = self._tickets.ticket(unit.key, worker)
                 payload = job.submission.payload
                 command = StartCommand(task_id, task.run, payload, saved, ticket)
-                link.start(group, command, self._is_wanted(task))
+                link.start(group, command, unit.step.request, self._is_wanted(task))
 
     def _is_wanted(self, task: Task) -> Callable[[], bool]:
         """Return a function that tells whether the present run of a task may still be started.
--- a/src/foxtailwell/controller/_links.py
+++ b/src/foxtailwell/controller/_links.py
@@ -16,6 +16,7 @@
 from foxtailwell.adapters.logs import log_event
 from foxtailwell.workflows import (
     CommandOutcome,
+    Resources,
     StartCommand,
     TaskId,
     WorkerCallError,
@@ -81,6 +82,8 @@
     """A start command got a response, or was given up after failed attempts.
 
     Attributes:
+        request: Resources of the task.
+        boot_unix_ms: Start time of the worker's incarnation at the first attempt.
         settled_s: Local time at which the last attempt returned or failed.
         outcome: None if no attempt got a response.
         is_certain: Every attempt got a response, so that none may take effect later.
@@ -89,6 +92,8 @@
     worker: str
     task: TaskId
     run: int
+    request: Resources
+    boot_unix_ms: int
     settled_s: float
     outcome: CommandOutcome | None
     is_certain: bool
@@ -273,17 +278,27 @@
         until_s = self.now_s() if self.is_unresponsive else self.responsive_since_s
         return until_s - self.unresponsive_since_s
 
-    def start(self, group: TaskGroup, command: StartCommand, is_wanted: Callable[[], bool]) -> None:
+    def start(
+        self,
+        group: TaskGroup,
+        command: StartCommand,
+        request: Resources,
+        is_wanted: Callable[[], bool],
+    ) -> None:
         """Send a start command in a task of the group; `StartFinished` reports its outcome.
 
         Args:
             group: Group of the new task.
             command: Command to send.
+            request: Resources of the task.
             is_wanted: Returns whether the run is still to be started; checked before each attempt.
         """
-        group.start_soon(self._start, command, is_wanted)
+        group.start_soon(self._start, command, request, is_wanted)
 
-    async def _start(self, command: StartCommand, is_wanted: Callable[[], bool]) -> None:
+    async def _start(
+        self, command: StartCommand, request: Resources, is_wanted: Callable[[], bool]
+    ) -> None:
+        boot_unix_ms = self.boot_unix_ms
         outcome: CommandOutcome | None = None
         is_certain = True
         for _ in range(START_ATTEMPTS):
@@ -312,7 +327,16 @@
                 outcome=outcome.value if outcome else "no answer",
             )
         await self.events.send(
-            StartFinished(self.entry.id, command.task, command.run, settled_s, outcome, is_certain)
+            StartFinished(
+                self.entry.id,
+                command.task,
+                command.run,
+                request,
+                boot_unix_ms,
+                settled_s,
+                outcome,
+                is_certain,
+            )
         )
 
     def stop(self, group: TaskGroup, task: TaskId, run: int) -> None:
--- a/src/foxtailwell/controller/_runs.py
+++ b/src/foxtailwell/controller/_runs.py
@@ -163,6 +163,8 @@
         After an uncertain outcome the run is stopped before the task is queued again, because the
         worker may still start it.
         """
+        if not event.is_certain:
+            self._workers.record_unanswered_start(event)
         task = self._registry.find(event.task)
         if task is None or task.run != event.run or task.state is not TaskState.ASSIGNED:
             return
--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -18,7 +18,7 @@
     WORKER_QUARANTINED,
 )
 from foxtailwell.adapters.logs import log_event
-from foxtailwell.controller._links import WorkerLink
+from foxtailwell.controller._links import StartFinished, WorkerLink
 from foxtailwell.controller._maintenance import MaintenanceAccess
 from foxtailwell.controller._watch import ChangeBatch
 from foxtailwell.core import WorkerHealth, quarantine_until_ms
@@ -70,6 +70,9 @@
 ENTRY_TTL_HEARTBEATS = 3
 """Missed heartbeats after which the store deletes the entry of a worker."""
 
+LATE_START_S = 12.0
+"""Time within which the platform may still deliver a start that got no response."""
+
 REFUSAL_BACKOFF_S = 1.0
 """Time without further starts for a worker after a failed start."""
 
@@ -150,6 +153,7 @@
         self._written_s: dict[str, float] = {}
         self._last_update_s = 0.0
         self._removal_candidates: set[str] = set()
+        self._unanswered_starts: dict[str, list[StartFinished]] = {}
         self._views: dict[str, _CachedView] = {}
 
     def apply_entries(self, event: ChangeBatch, store_failed_s: float = -math.inf) -> None:
@@ -287,6 +291,30 @@
         """Exclude a worker from starts for `REFUSAL_BACKOFF_S` after a failed start."""
         self._backoff_until_s[worker] = self._now_s() + REFUSAL_BACKOFF_S
 
+    def record_unanswered_start(self, event: StartFinished) -> None:
+        """Record that a start may still be delivered, after a restart of the worker as well."""
+        self._unanswered_starts.setdefault(event.worker, []).append(event)
+
+    def _capacity(self, entry: WorkerEntry, now_s: float) -> Resources:
+        """Return the capacity of a worker without the room that late starts may take.
+
+        A worker rejects the late start of a run that it has stopped, but another incarnation under
+        the same identifier does not know of the stop.
+        """
+        capacity = entry.capacity
+        starts = self._unanswered_starts.get(entry.id)
+        if starts is None:
+            return capacity
+        starts[:] = [start for start in starts if now_s - start.settled_s < LATE_START_S]
+        if not starts:
+            del self._unanswered_starts[entry.id]
+        link = self.links.get(entry.id)
+        boot_unix_ms = max(entry.boot_unix_ms, link.boot_unix_ms if link else 0)
+        for start in starts:
+            if start.boot_unix_ms != boot_unix_ms:
+                capacity = capacity.minus(start.request)
+        return capacity
+
     def record_success(self, worker: str) -> None:
         """Record a completed run, which resets the worker's series of failures."""
         self._health.record_success(worker)
@@ -367,7 +395,8 @@
             version = self._registry.version_of(worker)
             placed = self._registry.placed_on(worker)
             has_suspect = any(task.is_on_probation for task in placed)
-            key = (version, is_usable, has_suspect, entry.boot_unix_ms, entry.capacity)
+            capacity = self._capacity(entry, now_s)
+            key = (version, is_usable, has_suspect, entry.boot_unix_ms, capacity)
             cached = self._views.get(worker)
             if cached is not None and cached.key == key and now_s < cached.until_s:
                 views[worker] = cached.view
@@ -379,7 +408,7 @@
                 entry.zone,
                 entry.rack,
                 entry.labels,
-                entry.capacity,
+                capacity,
                 tuple(self._running(task, now_s, within_guarantee) for task in placed),
                 is_usable,
                 float(len(failed.job_ids)) if failed else 0.0,
--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -106,6 +106,23 @@
     assert run_count(reporting_fleet) == 2
 
 
+async def test_late_start_on_a_restarted_worker_does_not_exceed_its_capacity(group):
+    """Guards against room that a start without response may still take after a restart."""
+    deployment = make_deployment(group, 1)
+    group.start_soon(deployment.send_heartbeats)
+    worker = deployment.workers["w0"]
+    worker.faults.delayed_starts = 3
+    deployment.start("one")
+    first = await deployment.submit(1, LATER, [step(request=WHOLE)])
+    assert await until(lambda: not worker.faults.delayed_starts)
+    await deployment.intake.cancel(first)
+    worker.crash()
+    second = await deployment.submit(2, LATER, [step(request=WHOLE)])
+    await until(lambda: bool(deployment.runs(f"{second}.0.0.0")), 2.0)
+    worker.apply_delayed()
+    assert list(worker.running) == [f"{first}.0.0.0"]
+
+
 async def test_gang_waits_as_a_whole_while_one_worker_has_shrunk(reporting_fleet):
     """Guards against members that start while there is no room for the others."""
     shrink(reporting_fleet, "w0")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -30,6 +30,8 @@
         "the stand-in ended the members of a gang one by one",
     ),
     1644043508: "a start was repeated after its run had ended, on a worker that had restarted",
+    2930878800: "an acknowledgement discarded the ends of a restarted worker unread",
+    3766518247: "a start that was carried out late took room on a restarted worker",
     125992539: "the checker confused the ends of two incarnations of a worker",
 }
 """Seeds of earlier failures, each with the cause."""
