--- a/src/foxtailwell/core/_gangs.py
+++ b/src/foxtailwell/core/_gangs.py
@@ -140,6 +140,8 @@
         checkpoint: Checkpoint from which a later attempt can continue.
         failed_workers: Workers on which a task failed.
         lasted_s: Time for which every member was reported as running.
+        crash_weight: Evidence that the job crashes its workers; the executor adds it, because it
+            depends on the other gangs there.
     """
 
     state: JobState
@@ -147,6 +149,7 @@
     checkpoint: str = ""
     failed_workers: tuple[str, ...] = ()
     lasted_s: float = 0.0
+    crash_weight: int = 0
 
 
 Effect = CommitRun | RecordJobState | EndAttempt
--- a/src/foxtailwell/scheduler/_mutations.py
+++ b/src/foxtailwell/scheduler/_mutations.py
@@ -128,13 +128,7 @@
 
 
 def end_attempt(
-    job_id: str,
-    attempt: int,
-    zone: str,
-    term: int,
-    end: EndAttempt,
-    at_unix_ms: int,
-    crash_weight: int = 0,
+    job_id: str, attempt: int, zone: str, term: int, end: EndAttempt, at_unix_ms: int
 ) -> JobMutation:
     """Return the mutation that records the outcome of an attempt.
 
@@ -148,7 +142,7 @@
             return shard, job
         _check_current_attempt(job, attempt, zone, term)
         state, reason = end.state, end.reason
-        evidence = crash_weight + (0 if end.lasted_s >= PROBATION_S else job.crash_weight)
+        evidence = end.crash_weight + (0 if end.lasted_s >= PROBATION_S else job.crash_weight)
         if state is JobState.WAITING and job.cancel_requested:
             state, reason = JobState.CANCELLED, "cancelled by the caller"
         elif state is JobState.WAITING and is_given_up(evidence):
--- a/src/foxtailwell/scheduler/_zone.py
+++ b/src/foxtailwell/scheduler/_zone.py
@@ -154,8 +154,9 @@
     @property
     def is_on_probation(self) -> bool:
         """Whether the job may have crashed workers and has not outlasted its present start."""
-        lasted_s = min(member.lasted_s for member in self.run.members)
-        return self.job.crash_weight > 0 and lasted_s < PROBATION_S
+        return self.job.crash_weight > 0 and any(
+            member.lasted_s < PROBATION_S for member in self.run.members
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -614,27 +615,31 @@
         active = executor.active_gangs.get(refusal.job_id)
         if active is not None and active.run.attempt == refusal.attempt:
             _advance(executor, active, CommandRefused(refusal.member, refusal.op, refusal.reason))
-    _weigh_restart(executor, message.worker, reports)
-    for active in list(executor.active_gangs.values()):
-        indexes = active.members_by_worker.get(message.worker)
-        if indexes:
-            # One event for all tasks of the worker, because each step visits every gang member.
-            tasks = tuple(_reported_task(active, index, reports) for index in indexes)
-            _advance(executor, active, TasksReported(tasks))
+    reported = [
+        (active, tuple(_reported_task(active, index, reports) for index in indexes))
+        for active in executor.active_gangs.values()
+        if (indexes := active.members_by_worker.get(message.worker))
+    ]
+    _weigh_restart(executor, message.worker, reported)
+    for active, tasks in reported:
+        # One event for all tasks of the worker, because each step visits every gang member.
+        _advance(executor, active, TasksReported(tasks))
 
 
 def _weigh_restart(
-    executor: ZoneExecutor, worker: str, reports: Mapping[tuple[str, int, int], TaskReport]
+    executor: ZoneExecutor,
+    worker: str,
+    reported: Iterable[tuple[_ActiveGang, tuple[TaskReported, ...]]],
 ) -> None:
     """Record evidence against the jobs whose runs a worker no longer knows after a restart."""
     lost: dict[str, CrashedRun] = {}
-    for job_id, active in executor.active_gangs.items():
-        for index in active.members_by_worker.get(worker, ()):
-            member = active.run.members[index]
-            is_known = (job_id, active.gang.attempt, index) in reports
-            if member.may_have_run and not member.has_ended and not is_known:
-                lost[job_id] = CrashedRun(
-                    job_id, member.lasted_s, member.is_fenced, active.job.crash_weight > 0
+    for active, tasks in reported:
+        for task in tasks:
+            member = active.run.members[task.member]
+            is_lost = task.state is TaskState.ABSENT and not member.has_ended
+            if is_lost and member.may_have_run:
+                lost[active.job.id] = CrashedRun(
+                    active.job.id, member.lasted_s, member.is_fenced, active.job.crash_weight > 0
                 )
     if not lost:
         return
@@ -698,7 +703,7 @@
 
 async def _end_attempt(executor: ZoneExecutor, active: _ActiveGang, end: EndAttempt) -> None:
     gang = active.gang
-    await _record_outcome(executor, gang, end, active.crash_weight)
+    await _record_outcome(executor, gang, replace(end, crash_weight=active.crash_weight))
     # The job is written first. After an interruption, `_reconcile` can release a gang whose job has
     # ended, but a job whose outcome is lost would run again.
     await _retry_until_stored(
@@ -713,11 +718,9 @@
     executor.state.notify()
 
 
-async def _record_outcome(
-    executor: ZoneExecutor, gang: Gang, end: EndAttempt, crash_weight: int = 0
-) -> None:
+async def _record_outcome(executor: ZoneExecutor, gang: Gang, end: EndAttempt) -> None:
     mutation = end_attempt(
-        gang.job_id, gang.attempt, executor.zone, executor.term, end, now_unix_ms(), crash_weight
+        gang.job_id, gang.attempt, executor.zone, executor.term, end, now_unix_ms()
     )
     await _retry_until_stored(
         lambda: executor.state.job_documents.apply(shard_key(gang.job_id), mutation)
