--- a/src/foxtailwell/controller/_crashes.py
+++ b/src/foxtailwell/controller/_crashes.py
@@ -123,9 +123,8 @@
 
 def _to_lost_run(task: Task, link: WorkerLink) -> LostRun:
     # The time of a start that an earlier controller sent is not known.
-    silent_after_s = None
-    if task.is_confirmed and task.start_settled_s > 0:
-        silent_after_s = link.unresponsive_since_s - task.start_settled_s
-        if silent_after_s < 0:
-            silent_after_s = math.inf
+    is_start_known = task.is_confirmed and task.start_settled_s > 0
+    silent_after_s = (
+        link.unresponsive_since_s - task.start_settled_s if is_start_known else math.inf
+    )
     return LostRun(task.id, task.lasted_s, silent_after_s, bool(task.crashes), task.is_on_probation)
--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -379,21 +379,20 @@
         now_unix_ms = self._now_unix_ms()
         views: dict[str, WorkerView] = {}
         failures = self._health.failures()
-        with_lone_suspect = self._registry.workers_of_lone_suspects()
         for worker, entry in self.entries.items():
             link = self.links.get(worker)
+            placed = self._registry.placed_on(worker)
             is_usable = (
                 entry.is_ready
                 and entry.zone not in zones_out
                 and worker not in cordoned
-                and worker not in with_lone_suspect
+                and not any(task.is_kept_alone for task in placed)
                 and now_s + START_ALLOWANCE_S < self.start_until_s(worker)
                 and not (link and link.is_unresponsive)
                 and self._quarantined_until_ms.get(worker, 0) <= now_unix_ms
                 and self._backoff_until_s.get(worker, 0.0) <= now_s
             )
             version = self._registry.version_of(worker)
-            placed = self._registry.placed_on(worker)
             has_suspect = any(task.is_on_probation for task in placed)
             capacity = self._capacity(entry, now_s)
             key = (version, is_usable, has_suspect, entry.boot_unix_ms, capacity)
--- a/src/foxtailwell/workflows/_crashes.py
+++ b/src/foxtailwell/workflows/_crashes.py
@@ -63,22 +63,22 @@
 
     Attributes:
         lasted_s: Time for which the worker was seen running it.
-        silent_after_s: Time from the confirmation of its start to the silence of the worker;
-            infinite if none was noticed, None if this controller has no confirmation.
+        silent_after_s: Time from the confirmation of its start to the last silence of the worker;
+            negative if none was noticed since, infinite if this controller has no confirmation.
         is_suspect: There is evidence against its task from earlier crashes.
         is_on_probation: It had not outlasted the runs that ended in these crashes.
     """
 
     task: TaskId
     lasted_s: float
-    silent_after_s: float | None
+    silent_after_s: float
     is_suspect: bool
     is_on_probation: bool = False
 
     @property
     def is_immediate(self) -> bool:
         """Whether the worker fell silent immediately after the start."""
-        return self.silent_after_s is not None and self.silent_after_s < IMMEDIATE_S
+        return 0 <= self.silent_after_s < IMMEDIATE_S
 
 
 def weigh_crash(runs: Sequence[LostRun], *, is_isolated: bool) -> dict[TaskId, int]:
--- a/src/foxtailwell/workflows/_job_registry.py
+++ b/src/foxtailwell/workflows/_job_registry.py
@@ -261,14 +261,6 @@
         self.changed.add(task.id.job_id)
         self._update_job_state(self.jobs[task.id.job_id], now_unix_ms)
 
-    def workers_of_lone_suspects(self) -> frozenset[str]:
-        """Return the workers with a suspect beside which nothing else may start."""
-        return frozenset(
-            worker
-            for worker, placed in self._placed.items()
-            if any(task.is_kept_alone for task in placed.values())
-        )
-
     def requeue(self, task: Task) -> None:
         """Return a task to the waiting state after its run was lost or will never start."""
         self._unplace(task)
