--- a/src/foxtailwell/adapters/minions.py
+++ b/src/foxtailwell/adapters/minions.py
@@ -137,6 +137,12 @@
 )
 
 
+def _transport_failure(error: Exception, cause: str, *, may_have_run: bool) -> MinionCallError:
+    """Return the failure of a call; after a time-out the connection may still be whole."""
+    is_lost = may_have_run and not isinstance(error, httpcore.TimeoutException)
+    return MinionCallError(cause, may_have_run, is_connection_lost=is_lost)
+
+
 class _SendTrackingStream(AsyncNetworkStream):
     """A network stream that records whether anything was written to it."""
 
@@ -319,10 +325,8 @@
         try:
             response = await connection.http.handle_async_request(self._client._request(self._call))
         except _TRANSPORT_ERRORS as error:
-            has_sent = connection.has_sent()
-            is_lost = has_sent and not isinstance(error, httpcore.TimeoutException)
-            raise MinionCallError(
-                type(error).__name__, has_sent, is_connection_lost=is_lost
+            raise _transport_failure(
+                error, type(error).__name__, may_have_run=connection.has_sent()
             ) from error
         self._response = response
         stream = cast("AsyncIterator[bytes]", response.stream)
@@ -341,11 +345,8 @@
         try:
             body = b"".join([chunk async for chunk in stream])
         except _TRANSPORT_ERRORS as error:
-            raise MinionCallError(
-                f"short response: {type(error).__name__}",
-                True,
-                is_connection_lost=not isinstance(error, httpcore.TimeoutException),
-            ) from error
+            cause = f"short response: {type(error).__name__}"
+            raise _transport_failure(error, cause, may_have_run=True) from error
         self._is_complete = True
         return body
 
