--- a/src/foxtailwell/core/_suspect_requests.py
+++ b/src/foxtailwell/core/_suspect_requests.py
@@ -63,11 +63,16 @@
     def refusal_s(self, digest: str, now_s: float) -> float:
         """Return for how long a request is refused; 0 if it may be sent."""
         evidence = self._evidence.get(digest)
-        if evidence is None:
-            return 0.0
-        if now_s - evidence.last_s > EVIDENCE_TTL_S:
-            del self._evidence[digest]
-        return max(0.0, evidence.refused_until_s - now_s)
+        return max(0.0, evidence.refused_until_s - now_s) if evidence is not None else 0.0
+
+    def drop_expired(self, now_s: float) -> None:
+        """Drop the evidence against requests that have lost no connection for a long time."""
+        while self._evidence:
+            # Every loss moves its request to the end.
+            oldest = next(iter(self._evidence))
+            if now_s - self._evidence[oldest].last_s <= EVIDENCE_TTL_S:
+                return
+            del self._evidence[oldest]
 
     def record_loss(self, digest: str, minion: str, *, ran_s: float, now_s: float) -> None:
         """Record that the connection of a running request was lost.
--- a/src/foxtailwell/entry/_requests.py
+++ b/src/foxtailwell/entry/_requests.py
@@ -169,9 +169,11 @@
             )
 
     def _refusal_s(self, request: Request) -> float:
+        now_s = self._clock()
+        self._suspects.drop_expired(now_s)
         if self._suspects.is_empty:
             return 0.0
-        return self._suspects.refusal_s(_digest(request), self._clock())
+        return self._suspects.refusal_s(_digest(request), now_s)
 
     def _make_ticket(self, request: Request) -> Ticket:
         work_class = request.work_class
--- a/tests/test_request_core.py
+++ b/tests/test_request_core.py
@@ -259,3 +259,15 @@
     for number in range(5000):
         suspects.record_loss(f"d{number}", "m1", ran_s=0.1, now_s=float(number))
     assert len(suspects._evidence) <= 1024
+
+
+def test_evidence_against_requests_expires():
+    """Guards against digests that are computed for ever after one lost connection."""
+    suspects = SuspectRequests()
+    suspects.record_loss("d1", "m1", ran_s=0.1, now_s=0.0)
+    suspects.record_loss("d2", "m1", ran_s=0.1, now_s=500.0)
+    suspects.record_loss("d1", "m2", ran_s=0.1, now_s=550.0)
+    suspects.drop_expired(1120.0)
+    assert list(suspects._evidence) == ["d1"]
+    suspects.drop_expired(1151.0)
+    assert suspects.is_empty
