--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -48,6 +48,12 @@
         worker.faults = replace(worker.faults, fatal_tasks=frozenset(tasks))
 
 
+def run_endlessly(deployment: Deployment) -> None:
+    """Let the runs on all workers go on until the test ends them."""
+    for worker in deployment.workers.values():
+        worker.task_duration_s = float("inf")
+
+
 def evidence_against(deployment: Deployment, job: str) -> list[object]:
     """Return the stored evidence against the tasks of a job."""
     return msgspec.json.decode(deployment.store.items[f"foxtailwell/run/{job}"].value)["crashes"]
@@ -202,8 +208,7 @@
     fleet.start("one", lease_ms=600)
     job = await fleet.submit(1, LATER, [step(estimate_ms=60_000)])
     task = f"{job}.0.0.0"
-    for worker in fleet.workers.values():
-        worker.task_duration_s = float("inf")
+    run_endlessly(fleet)
     for number in range(2):
         assert await until(lambda count=number + 1: len(fleet.runs(task)) == count, 6.0)
         fleet.workers[fleet.runs(task)[-1][0]].faults.is_unreachable = True
@@ -213,8 +218,7 @@
 
 async def test_announced_departure_is_no_evidence_against_tasks(fleet):
     """Guards against work that is given up because its workers left as planned."""
-    for worker in fleet.workers.values():
-        worker.task_duration_s = float("inf")
+    run_endlessly(fleet)
     fleet.start("one")
     job = await fleet.submit(1, LATER, [step()])
     task = f"{job}.0.0.0"
@@ -231,8 +235,8 @@
 
 async def test_common_crash_of_workers_is_no_evidence_against_long_running_tasks(fleet):
     """Guards against work that is given up after power failures of several workers."""
+    run_endlessly(fleet)
     for worker in fleet.workers.values():
-        worker.task_duration_s = float("inf")
         worker.faults.crash_s = 1.2
     fleet.start("one")
     job = await fleet.submit(1, LATER, [step(4, request=WHOLE)])
@@ -246,8 +250,7 @@
 
 async def test_job_that_two_crashes_of_other_causes_interrupt_completes(fleet):
     """Guards against a job that fails because its workers crashed some time after its starts."""
-    for worker in fleet.workers.values():
-        worker.task_duration_s = float("inf")
+    run_endlessly(fleet)
     fleet.start("one")
     job = await fleet.submit(1, LATER, [step()])
     task = f"{job}.0.0.0"
@@ -282,8 +285,7 @@
 
 async def test_suspect_that_survives_its_probation_is_cleared(fleet):
     """Guards against evidence from two coincidences far apart that ends an innocent job."""
-    for worker in fleet.workers.values():
-        worker.task_duration_s = float("inf")
+    run_endlessly(fleet)
     fleet.start("one", lease_ms=2000)
     job = await fleet.submit(1, LATER, [step()])
     task = f"{job}.0.0.0"
@@ -295,8 +297,7 @@
 
 async def test_nothing_starts_beside_a_suspect_on_probation(fleet):
     """Guards against further work that is lost when a suspect crashes its next worker."""
-    for worker in fleet.workers.values():
-        worker.task_duration_s = float("inf")
+    run_endlessly(fleet)
     fleet.start("one")
     job = await fleet.submit(1, LATER, [step()])
     task = f"{job}.0.0.0"
