--- a/src/foxtailwell_bench/deployment.py
+++ b/src/foxtailwell_bench/deployment.py
@@ -348,6 +348,18 @@
             lambda: self.job_document(job_id)["state"] == state, f"job is {state}", timeout_s
         )
 
+    def wait_until_working(self, job_id: str) -> None:
+        """Wait until all tasks of a job's gang work.
+
+        The job is stored as running before its workers are told to let the tasks pass the barrier.
+        """
+
+        def is_working() -> bool:
+            worked = [r for r in self.worker_log(job_id) if r["first_work_s"]]
+            return len(worked) == int(self.job_document(job_id)["spec"]["members"])
+
+        self.wait_until(is_working, "all tasks of the job work")
+
     def allocation(self, zone: str = "a") -> dict[str, Any]:
         """Return a zone's allocation document from the store; empty if there is none."""
         reply = self.call("GET", self.store_address, f"/v1/kv/alloc%2F{zone}")
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -211,7 +211,7 @@
 def test_gang_survives_its_scheduler_and_all_instances(two):
     """Guards against a gang that ends or restarts with the processes that started it (I10)."""
     job = two.submit(1, "j", run_s=12.0)
-    two.wait_for_state(job, "running")
+    two.wait_until_working(job)
     holder = two.holder()
     killed_s = time.monotonic()
     two.kill(f"scheduler-{holder}")
@@ -231,7 +231,7 @@
 def test_scheduler_paused_beyond_its_lease_changes_nothing_when_resumed(two):
     """Guards against a former lease holder that starts, stops or restarts a gang (I2, I10)."""
     job = two.submit(1, "j", run_s=7.0)
-    two.wait_for_state(job, "running")
+    two.wait_until_working(job)
     old = two.holder()
     two.send_signal(f"scheduler-{old}", signal.SIGSTOP)
     later = [two.submit(1, f"l{i}", members=1, run_s=0.5) for i in range(4)]
