--- a/src/foxtailwell_standins/platform_worker.py
+++ b/src/foxtailwell_standins/platform_worker.py
@@ -45,6 +45,7 @@
         response_timeout_s: Time after which the caller gives up a start without a response.
         delayed_starts: Number of coming starts that get no response and take effect when
             `apply_delayed` is called.
+        is_losing_stops: Stops get no response and have no effect.
         is_unhealthy: Starts are refused with UNHEALTHY.
         is_failing_runs: Each run ends as failed as soon as it starts.
         is_stalled: Runs make no progress and do not complete.
@@ -58,6 +59,7 @@
     lost_start_responses: int = 0
     response_timeout_s: float = 0.0
     delayed_starts: int = 0
+    is_losing_stops: bool = False
     is_unhealthy: bool = False
     is_failing_runs: bool = False
     is_stalled: bool = False
@@ -278,10 +280,11 @@
             self.gangs.leave(task, run.run, kind)
 
     def apply_delayed(self) -> None:
-        """Execute the start commands that the fault `delayed_starts` queued."""
+        """Execute the start commands that the fault `delayed_starts` queued, up to a crash."""
         delayed, self._delayed = self._delayed, []
         for command, until_clock_ms, token in delayed:
-            self._begin_run(command, until_clock_ms, token, is_delayed=True)
+            if not self.is_silent:
+                self._begin_run(command, until_clock_ms, token, is_delayed=True)
 
     def end_due_runs(self) -> None:
         """End the runs whose lease has expired or whose work is complete."""
@@ -374,6 +377,8 @@
     async def stop(self, task: TaskId, run: int, token: int) -> CommandOutcome:
         """Stop a run; a run that has not started yet will be rejected."""
         await self._begin_call()
+        if self.faults.is_losing_stops:
+            raise WorkerCallError("no response")
         if self.faults.is_replaced:
             return CommandOutcome.OTHER_INCARNATION
         if token < self.token:
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -195,10 +195,14 @@
     make_fatal(fleet, task)
     worker = fleet.workers["w0"]
     worker.faults.delayed_starts = 3
+    worker.faults.is_losing_stops = True
     fleet.start("one")
     job = await fleet.submit(1, LATER, [step()])
     assert await until(lambda: not worker.faults.delayed_starts)
     worker.apply_delayed()
+    assert fleet.runs(task) == [("w0", 1)]
+    worker.faults.is_losing_stops = False
+    assert await until(lambda: bool(evidence_against(fleet, job)))
     assert await fleet.reaches(job, JobState.FAILED, 6.0)
     assert len(fleet.runs(task)) <= 4
 
