--- a/src/foxtailwell/controller/_links.py
+++ b/src/foxtailwell/controller/_links.py
@@ -48,7 +48,7 @@
 """Pause after a failed call."""
 
 START_ATTEMPTS = 3
-"""Attempts to send a start command; a worker starts each run at most once."""
+"""Attempts to send a start command; an incarnation starts each run at most once."""
 
 CLOCK_DRIFT_FACTOR = 1.03
 """Longest local time per unit of a worker's clock, which may be 2 % slow."""
@@ -302,7 +302,9 @@
         outcome: CommandOutcome | None = None
         is_certain = True
         for _ in range(START_ATTEMPTS):
-            if not self.may_act() or not is_wanted():
+            # The start may have crashed the worker, and would crash its next incarnation as well.
+            has_restarted = self.boot_unix_ms != boot_unix_ms
+            if has_restarted or not self.may_act() or not is_wanted():
                 is_certain = False
                 break
             try:
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -207,6 +207,22 @@
     assert len(fleet.runs(task)) <= 4
 
 
+async def test_start_is_not_repeated_after_the_crash_that_it_caused(group):
+    """Guards against a repeated start that crashes the next incarnation of its worker as well."""
+    fleet = make_deployment(group, 1, task_duration_s=0.3)
+    group.start_soon(fleet.send_heartbeats)
+    task = f"{job_id(1)}.0.0.0"
+    make_fatal(fleet, task)
+    worker = fleet.workers["w0"]
+    worker.faults.crash_s = 0.05
+    worker.faults.lost_start_responses, worker.faults.response_timeout_s = 9, 0.5
+    fleet.start("one")
+    job = await fleet.submit(1, LATER, [step()])
+    assert await fleet.reaches(job, JobState.FAILED, 20.0)
+    started = [run for _, run in fleet.runs(task)]
+    assert len(started) == len(set(started)) <= 4
+
+
 async def test_silent_worker_is_no_evidence_against_its_tasks(fleet):
     """Guards against work that is given up because its workers were only unreachable."""
     fleet.start("one", lease_ms=600)
