--- a/src/foxtailwell/instance/_jobs_api.py
+++ b/src/foxtailwell/instance/_jobs_api.py
@@ -30,7 +30,8 @@
 SubmissionDecoder = Callable[[str, str, str, int, bytes], Submission]
 
 UNKNOWN_RECHECK_AGE_S = 0.1
-"""Age of the evidence above which the store is asked again about an unknown key or route."""
+"""Age of the evidence at the arrival of a request with an unknown key or route above which the
+store is asked again."""
 
 RETRY_AFTER_S = 1
 """Value of the `Retry-After` header of responses with status 429 or 503."""
@@ -55,6 +56,7 @@
     path: str
     host: str
     key: str
+    arrived_s: float
 
 
 def _refuse(request: _Request, status: int, reason: str) -> Reply:
@@ -108,7 +110,8 @@
             body: Reads the request body.
         """
         start_s = self._now_s()
-        reply = await self._process(_Request(method, path, host.lower(), key), await body())
+        request = _Request(method, path, host.lower(), key, start_s)
+        reply = await self._process(request, await body())
         self._metrics.count("requests", method=method, status=str(reply.status))
         self._metrics.observe_s("request", self._now_s() - start_s)
         return reply
@@ -145,7 +148,8 @@
     ) -> tuple[Reply | None, Route | None]:
         """Check route and key against the configuration.
 
-        An unknown route or key is refused only on recent evidence; otherwise it may be new.
+        An unknown route or key is refused only on evidence that is hardly older than the request;
+        otherwise it may be new.
 
         Returns:
             A refusal or the route; neither if the configuration was confirmed again and the check
@@ -157,7 +161,8 @@
         )
         if is_known:
             return None, route
-        if self._operators.evidence_age_s > UNKNOWN_RECHECK_AGE_S:
+        waited_s = self._now_s() - request.arrived_s
+        if self._operators.evidence_age_s > waited_s + UNKNOWN_RECHECK_AGE_S:
             if not await self._operators.confirm(self._now_s()):
                 return _refuse(
                     request,
--- a/tests/test_instance_api.py
+++ b/tests/test_instance_api.py
@@ -148,6 +148,16 @@
     assert (await instance.call("GET", "/newer/"))[0] == 200
 
 
+async def test_unknown_route_is_refused_although_the_store_is_slow(store, instance):
+    """Guards against a 503 for each unknown route while a confirmation takes longer than 0.1 s."""
+    assert (await instance.call("GET", "/q/"))[0] == 200
+    instance.faults.write_delay_s = 0.3
+    instance.skew_s = 0.2
+    calls = store.calls
+    assert (await instance.call("GET", "/never/"))[0] == 404
+    assert store.calls == calls + 1
+
+
 async def test_submission_on_an_outdated_configuration_is_checked_again(store, instance):
     """Guards against a job that is stored under a key that was just removed."""
     await instance.operators.confirm(instance._now_s())
