--- a/src/foxtailwell/instance/_jobs_api.py
+++ b/src/foxtailwell/instance/_jobs_api.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+import anyio
 import msgspec
 
 from foxtailwell.adapters.events import (
@@ -96,6 +97,7 @@
         self._decode_error = decode_error
         self._now_s = now_s
         self._now_unix_ms = now_unix_ms
+        self._recheck_lock = anyio.Lock()
 
     async def handle(
         self, method: str, host: str, path: str, key: str, body: Callable[[], Awaitable[bytes]]
@@ -117,13 +119,11 @@
         return reply
 
     async def _process(self, request: _Request, content: bytes) -> Reply:
-        if self._operators.is_store_unavailable:
-            # Nothing is sent to the store, so the refusal is certain and immediate.
-            return _refuse(request, 503, "the store does not answer")
         for _ in range(MAX_CONFIGURATION_ATTEMPTS):
-            if not self._operators.is_confirmed and not await self._operators.confirm(
-                self._now_s()
-            ):
+            if self._operators.is_store_unavailable or not await self._wait_for_rechecks():
+                # Nothing is sent to the store, so the refusal is certain and immediate.
+                return _refuse(request, 503, "the store does not answer")
+            if not self._operators.is_confirmed and not await self._recheck():
                 return _refuse(
                     request,
                     503,
@@ -140,9 +140,29 @@
             reply = await self._dispatch(request, route, content)
             if reply is not None:
                 return reply
-            await self._operators.confirm(self._now_s())
+            await self._recheck()
         return _refuse(request, 503, "the configuration changes too often")
 
+    async def _recheck(self) -> bool:
+        """Confirm the configuration again, and return whether the store answered."""
+        newer_than_s = self._now_s()
+        async with self._recheck_lock:
+            # The recheck of an earlier request may have failed meanwhile.
+            return not self._operators.is_store_unavailable and await self._operators.confirm(
+                newer_than_s
+            )
+
+    async def _wait_for_rechecks(self) -> bool:
+        """Wait for the rechecks of earlier requests, and return whether the store answered.
+
+        The earlier requests may be answered on a newer configuration, and no later request may be
+        answered on an older one.
+        """
+        if self._recheck_lock.locked():
+            async with self._recheck_lock:
+                return not self._operators.is_store_unavailable
+        return True
+
     async def _authorize(
         self, request: _Request, configuration: ClusterConfiguration
     ) -> tuple[Reply | None, Route | None]:
@@ -163,7 +183,7 @@
             return None, route
         waited_s = self._now_s() - request.arrived_s
         if self._operators.evidence_age_s > waited_s + UNKNOWN_RECHECK_AGE_S:
-            if not await self._operators.confirm(self._now_s()):
+            if not await self._recheck():
                 return _refuse(
                     request,
                     503,
--- a/tests/test_instance_api.py
+++ b/tests/test_instance_api.py
@@ -158,6 +158,45 @@
     assert store.calls == calls + 1
 
 
+async def test_request_is_not_answered_on_an_older_configuration_than_an_earlier_one(
+    store, instance
+):
+    """Guards against a dropped route that is in use after a request for a new one was sent."""
+    assert (await instance.call("GET", "/q/"))[0] == 200
+    configure(store, 2, prefixes=("/new/", "/kept/"))
+    instance.faults.write_delay_s = 0.3
+    instance.skew_s = 0.2
+    replies = {}
+
+    async def send(path):
+        replies[path] = (await instance.call("GET", path))[0]
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(send, "/new/")
+        await anyio.sleep(0.1)
+        group.start_soon(send, "/q/")
+        group.start_soon(send, "/kept/")
+    assert replies == {"/new/": 200, "/q/": 404, "/kept/": 200}
+
+
+async def test_requests_do_not_wait_for_each_other_while_the_store_is_silent(instance):
+    """Guards against requests that wait for one failing recheck after the other."""
+    assert (await instance.call("GET", "/q/"))[0] == 200
+    instance.skew_s = 0.2
+    instance.faults.silence_s = 0.3
+    statuses = []
+
+    async def send(path):
+        statuses.append((await instance.call("GET", path))[0])
+
+    with anyio.fail_after(0.6):
+        async with anyio.create_task_group() as group:
+            for path in ("/a/", "/b/", "/c/", "/q/", "/q/"):
+                group.start_soon(send, path)
+                await anyio.sleep(0.01)
+    assert statuses == [503] * 5
+
+
 async def test_submission_on_an_outdated_configuration_is_checked_again(store, instance):
     """Guards against a job that is stored under a key that was just removed."""
     await instance.operators.confirm(instance._now_s())
