--- a/src/foxtailwell/adapters/peers.capnp
+++ b/src/foxtailwell/adapters/peers.capnp
@@ -20,6 +20,13 @@
   inFlight @1 :UInt16;
 }
 
+struct RequestLoss {
+  digest @0 :Text;
+  minion @1 :Text;
+  weight @2 :UInt8;
+  ageMs @3 :UInt32;
+}
+
 struct Load {
   queueLength @0 :UInt32;
   inFlight @1 :UInt32;
@@ -32,6 +39,7 @@
   zone @2 :Text;
   revision @3 :UInt64;
   load @4 :Load;
+  losses @5 :List(RequestLoss);
 }
 
 struct HeartbeatReply {
--- a/src/foxtailwell/adapters/peers.py
+++ b/src/foxtailwell/adapters/peers.py
@@ -13,6 +13,7 @@
 from anyio.abc import ByteStream
 from anyio.streams.buffered import BufferedByteReceiveStream
 
+from foxtailwell.core import RequestLoss
 from foxtailwell.core.errors import FrameError
 
 __all__ = [
@@ -47,13 +48,23 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """State of the sender; sent to each peer once per second."""
+    """State of the sender; sent to each peer once per second.
+
+    Attributes:
+        instance: Identifier of the sender.
+        role: Role of the sender.
+        zone: Availability zone of the sender.
+        revision: Configuration revision in force there.
+        load: Load of an entry; sent to entries only.
+        losses: Newest evidence of an entry against requests; sent to entries only.
+    """
 
     instance: str
     role: str
     zone: str
     revision: int
     load: Load = Load()
+    losses: tuple[RequestLoss, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -183,6 +194,7 @@
                 "zone": message.zone,
                 "revision": message.revision,
                 "load": _encode_load(message.load),
+                "losses": [_encode_loss(loss) for loss in message.losses],
             }
         case HeartbeatReply():
             return "heartbeatReply", {
@@ -214,6 +226,15 @@
     }
 
 
+def _encode_loss(loss: RequestLoss) -> dict[str, Any]:
+    return {
+        "digest": loss.digest,
+        "minion": loss.minion,
+        "weight": loss.weight,
+        "ageMs": round(loss.age_s * 1000),
+    }
+
+
 def _decode_load(struct: Any) -> Load:
     minions = tuple((str(m.minion), int(m.inFlight)) for m in struct.minions)
     return Load(struct.queueLength, struct.inFlight, minions)
@@ -221,7 +242,15 @@
 
 def _decode_heartbeat(struct: Any) -> Heartbeat:
     return Heartbeat(
-        struct.instance, struct.role, struct.zone, struct.revision, _decode_load(struct.load)
+        struct.instance,
+        struct.role,
+        struct.zone,
+        struct.revision,
+        _decode_load(struct.load),
+        tuple(
+            RequestLoss(str(loss.digest), str(loss.minion), loss.weight, loss.ageMs / 1000)
+            for loss in struct.losses
+        ),
     )
 
 
--- a/src/foxtailwell/core/__init__.py
+++ b/src/foxtailwell/core/__init__.py
@@ -213,7 +213,7 @@
     largest_member_count,
     members_per_worker,
 )
-from foxtailwell.core._suspect_requests import SuspectRequests
+from foxtailwell.core._suspect_requests import RequestLoss, SuspectRequests
 
 __all__ = [
     "CLAIM_SHARD_COUNT",
@@ -283,6 +283,7 @@
     "QuarantineWorker",
     "RecordJobState",
     "RefusalCause",
+    "RequestLoss",
     "RetryBudget",
     "ReturnInstance",
     "ReturnZone",
--- a/src/foxtailwell/core/_suspect_requests.py
+++ b/src/foxtailwell/core/_suspect_requests.py
@@ -1,17 +1,20 @@
 """Requests that break the connection to each minion that runs them.
 
-Callers send such a request again, and each attempt may crash one more minion. An entry remembers by
-their content which requests have lost their connections early, and refuses them for a while.
+Callers send such a request again, also to other entries, and each attempt may crash one more
+minion. An entry remembers by their content which requests have lost their connections early, and
+refuses them for a while. Entries exchange this evidence, so that all of them refuse the request,
+also one that has just started.
 """
 
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass, field
+from itertools import islice
 
 from foxtailwell.core._crashes import (
     CERTAIN_WEIGHT,
-    GIVE_UP_WEIGHT,
     POSSIBLE_WEIGHT,
     PROBATION_S,
     is_given_up,
@@ -29,22 +32,49 @@
 MAX_SUSPECTS = 1024
 """Most requests with evidence; the oldest is dropped first."""
 
+MAX_SHARED_SUSPECTS = 8
+"""Most requests whose evidence is sent to another entry, to bound the size of the message."""
 
-@dataclass(slots=True)
-class _Evidence:
-    minions: set[str] = field(default_factory=set)
-    weight: int = 0
-    last_s: float = 0.0
-    refused_until_s: float = 0.0
+MAX_SHARED_LOSSES = 4
+"""Most losses by one request that are sent; so many losses are enough to refuse it."""
 
 
 @dataclass(frozen=True, slots=True)
-class _Loss:
+class RequestLoss:
+    """A loss of the connection to a minion that ran a request, as another entry reports it.
+
+    Attributes:
+        digest: Digest of the request.
+        minion: Minion that ran it.
+        weight: Weight of the evidence.
+        age_s: Time since the loss.
+    """
+
     digest: str
     minion: str
+    weight: int
+    age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Loss:
+    weight: int
     at_s: float
 
 
+@dataclass(slots=True)
+class _Evidence:
+    losses: dict[str, _Loss] = field(default_factory=dict)
+
+    @property
+    def is_given_up(self) -> bool:
+        return is_given_up(sum(loss.weight for loss in self.losses.values()))
+
+    @property
+    def last_s(self) -> float:
+        return max(loss.at_s for loss in self.losses.values())
+
+
 class SuspectRequests:
     """Evidence of one entry against requests, by the digest of their content.
 
@@ -53,7 +83,9 @@
 
     def __init__(self) -> None:
         self._evidence: dict[str, _Evidence] = {}
-        self._recent_losses: deque[_Loss] = deque()
+        self._cleared_s: dict[str, float] = {}
+        # Digest, minion and time of each recent loss.
+        self._recent_losses: deque[tuple[str, str, float]] = deque()
 
     @property
     def is_empty(self) -> bool:
@@ -63,7 +95,9 @@
     def refusal_s(self, digest: str, now_s: float) -> float:
         """Return for how long a request is refused; 0 if it may be sent."""
         evidence = self._evidence.get(digest)
-        return max(0.0, evidence.refused_until_s - now_s) if evidence is not None else 0.0
+        if evidence is None or not evidence.is_given_up:
+            return 0.0
+        return max(0.0, evidence.last_s + REFUSAL_S - now_s)
 
     def drop_expired(self, now_s: float) -> None:
         """Drop the evidence against requests that have lost no connection for a long time."""
@@ -71,8 +105,13 @@
             # Every loss moves its request to the end.
             oldest = next(iter(self._evidence))
             if now_s - self._evidence[oldest].last_s <= EVIDENCE_TTL_S:
-                return
+                break
             del self._evidence[oldest]
+        while self._cleared_s:
+            oldest = next(iter(self._cleared_s))
+            if now_s - self._cleared_s[oldest] <= EVIDENCE_TTL_S:
+                break
+            del self._cleared_s[oldest]
 
     def record_loss(self, digest: str, minion: str, *, ran_s: float, now_s: float) -> None:
         """Record that the connection of a running request was lost.
@@ -85,27 +124,51 @@
             now_s: Time of the loss.
         """
         is_isolated = self._is_isolated(digest, minion, now_s)
-        self._recent_losses.append(_Loss(digest, minion, now_s))
-        if ran_s >= PROBATION_S:
-            return
+        self._recent_losses.append((digest, minion, now_s))
+        if ran_s < PROBATION_S:
+            weight = CERTAIN_WEIGHT if is_isolated else POSSIBLE_WEIGHT
+            self._add(digest, minion, _Loss(weight, now_s))
+
+    def _add(self, digest: str, minion: str, loss: _Loss) -> None:
         evidence = self._evidence.pop(digest, None) or _Evidence()
         self._evidence[digest] = evidence
-        if minion not in evidence.minions or evidence.weight >= GIVE_UP_WEIGHT:
-            evidence.minions.add(minion)
-            evidence.weight += CERTAIN_WEIGHT if is_isolated else POSSIBLE_WEIGHT
-        evidence.last_s = now_s
-        if is_given_up(evidence.weight):
-            evidence.refused_until_s = now_s + REFUSAL_S
+        known = evidence.losses.get(minion)
+        weight = known.weight if known is not None else loss.weight
+        evidence.losses[minion] = _Loss(weight, loss.at_s)
         if len(self._evidence) > MAX_SUSPECTS:
             del self._evidence[next(iter(self._evidence))]
 
     def _is_isolated(self, digest: str, minion: str, now_s: float) -> bool:
-        while self._recent_losses and now_s - self._recent_losses[0].at_s > COMMON_CAUSE_S:
+        while self._recent_losses and now_s - self._recent_losses[0][2] > COMMON_CAUSE_S:
             self._recent_losses.popleft()
-        return not any(
-            loss.digest != digest and loss.minion != minion for loss in self._recent_losses
+        return not any(other != digest and lost != minion for other, lost, _ in self._recent_losses)
+
+    def record_success(self, digest: str, now_s: float) -> None:
+        """Clear a request that got a response; earlier losses at other entries do not count."""
+        if self._evidence.pop(digest, None) is not None:
+            self._cleared_s.pop(digest, None)
+            self._cleared_s[digest] = now_s
+
+    def shared_losses(self, now_s: float) -> tuple[RequestLoss, ...]:
+        """Return the newest evidence, for other entries."""
+        return tuple(
+            RequestLoss(digest, minion, loss.weight, max(0.0, now_s - loss.at_s))
+            for digest, evidence in islice(reversed(self._evidence.items()), MAX_SHARED_SUSPECTS)
+            for minion, loss in islice(reversed(evidence.losses.items()), MAX_SHARED_LOSSES)
         )
 
-    def record_success(self, digest: str) -> None:
-        """Clear a request that got a response."""
-        self._evidence.pop(digest, None)
+    def merge(self, losses: Iterable[RequestLoss], now_s: float) -> None:
+        """Add the evidence of another entry.
+
+        A loss that is known already is not renewed: entries also return what they have learnt, and
+        each exchange makes it look younger by its latency.
+        """
+        for loss in losses:
+            evidence = self._evidence.get(loss.digest)
+            at_s = now_s - loss.age_s
+            is_known = evidence is not None and loss.minion in evidence.losses
+            is_expired = loss.age_s > EVIDENCE_TTL_S
+            is_cleared = at_s <= self._cleared_s.get(loss.digest, float("-inf"))
+            if not (is_known or is_expired or is_cleared):
+                weight = min(loss.weight, CERTAIN_WEIGHT)
+                self._add(loss.digest, loss.minion, _Loss(weight, at_s))
--- a/src/foxtailwell/entry/_requests.py
+++ b/src/foxtailwell/entry/_requests.py
@@ -27,7 +27,6 @@
     Claim,
     ClaimRequest,
     RetryBudget,
-    SuspectRequests,
     Ticket,
     WorkClass,
     claim_key,
@@ -107,7 +106,7 @@
     """Runs requests with the queue, the minions and the claims of this entry.
 
     Args:
-        view: Fleet view, for claim queries to other entries.
+        view: Fleet view, for claim queries to other entries and the evidence against requests.
         own_id: Identifier of this entry, stored as the owner of its claims.
         dispatcher: Assigns slots.
         pool: Chooses minions.
@@ -134,7 +133,7 @@
         self._results = results
         self._clock = clock
         self._retry_budget = RetryBudget()
-        self._suspects = SuspectRequests()
+        self._suspects = view.suspects
 
     async def run(self, request: Request, respond: Respond) -> None:
         """Run a request and respond to its caller.
@@ -223,7 +222,7 @@
                 response = None
             else:
                 if not self._suspects.is_empty:
-                    self._suspects.record_success(_digest(request))
+                    self._suspects.record_success(_digest(request), self._clock())
                 if response is None or response.status < MIN_SERVER_ERROR_STATUS:
                     return response
                 failure = MinionCallError(f"status {response.status}", may_have_run=True)
--- a/src/foxtailwell/fleet/_peer_client.py
+++ b/src/foxtailwell/fleet/_peer_client.py
@@ -137,11 +137,16 @@
         TimeoutError: The reply did not arrive in time, or another daemon replied at this address.
     """
     view = state.view
-    load = _reported_load(view.own_load) if record.role == "entry" else Load()
+    sent_at_s = time.monotonic()
+    is_entry = record.role == "entry"
     heartbeat = Heartbeat(
-        identity.instance, identity.role, identity.zone, view.configuration.revision, load
+        identity.instance,
+        identity.role,
+        identity.zone,
+        view.configuration.revision,
+        _reported_load(view.own_load) if is_entry else Load(),
+        view.suspects.shared_losses(sent_at_s) if is_entry else (),
     )
-    sent_at_s = time.monotonic()
     await peer.send(Frame(sequence, heartbeat), timeout_s=REPLY_TIMEOUT_S)
     reply = await _receive_reply(state, peer, sequence)
     if reply.instance == identity.instance:
--- a/src/foxtailwell/fleet/_peer_server.py
+++ b/src/foxtailwell/fleet/_peer_server.py
@@ -23,7 +23,7 @@
 )
 from foxtailwell.adapters.settings import Endpoint
 from foxtailwell.core.errors import FrameError
-from foxtailwell.fleet._state import FleetState, adopt_document, handle_peer_load, make_reply
+from foxtailwell.fleet._state import FleetState, adopt_document, handle_peer_heartbeat, make_reply
 
 ClaimHandler = Callable[[ClaimQuery], Awaitable[ClaimReply]]
 
@@ -99,7 +99,7 @@
 ) -> None:
     match frame.message:
         case Heartbeat() as heartbeat:
-            handle_peer_load(state, heartbeat.instance, heartbeat.load)
+            handle_peer_heartbeat(state, heartbeat, time.monotonic())
             # The peer reads until the reply arrives, so the configuration must precede it.
             await push(heartbeat.revision)
             reply = make_reply(state.view, time.monotonic())
--- a/src/foxtailwell/fleet/_run.py
+++ b/src/foxtailwell/fleet/_run.py
@@ -32,7 +32,7 @@
         settings: Settings of the instance.
         role: Role of this daemon.
         store: Client of the store.
-        view: View to maintain. The caller may set only `own_load`.
+        view: View to maintain. The caller may set only `own_load`, and use `suspects`.
         claim_handler: Responds to the claim queries of peers; without it they receive `unknown`.
         task_status: Reports the bound peer port once the server listens. The configuration may
             arrive later; `view.changed` is set when it does.
--- a/src/foxtailwell/fleet/_state.py
+++ b/src/foxtailwell/fleet/_state.py
@@ -14,7 +14,7 @@
 from foxtailwell.adapters import events
 from foxtailwell.adapters.documents import decode_document, encode_document
 from foxtailwell.adapters.logs import log_event
-from foxtailwell.adapters.peers import HeartbeatReply, Load
+from foxtailwell.adapters.peers import Heartbeat, HeartbeatReply, Load
 from foxtailwell.core import (
     EVIDENCE_LIMIT_S,
     Configuration,
@@ -179,13 +179,20 @@
         view.notify()
 
 
-def handle_peer_load(state: FleetState, instance: str, load: Load) -> None:
-    """Store the load that a peer's heartbeat reports; a listed peer need not have replied yet."""
-    if instance in state.view.instances:
+def handle_peer_heartbeat(state: FleetState, heartbeat: Heartbeat, now_s: float) -> None:
+    """Store the load and the evidence against requests that a peer's heartbeat reports.
+
+    A listed peer need not have replied yet; the heartbeats of others are ignored.
+    """
+    instance, load = heartbeat.instance, heartbeat.load
+    is_listed = instance in state.view.instances
+    if is_listed:
         state.loads[instance] = load
     peer = state.view.peers.get(instance)
     if peer is not None:
         state.view.peers[instance] = replace(peer, load=load)
+    if is_listed or peer is not None:
+        state.view.suspects.merge(heartbeat.losses, now_s)
 
 
 def remove_unresponsive_peers(state: FleetState, now_s: float) -> None:
--- a/src/foxtailwell/fleet/_view.py
+++ b/src/foxtailwell/fleet/_view.py
@@ -12,7 +12,7 @@
 import anyio
 
 from foxtailwell.adapters.peers import ClaimQuery, ClaimReply, Load
-from foxtailwell.core import Configuration, Evidence, InstanceRecord
+from foxtailwell.core import Configuration, Evidence, InstanceRecord, SuspectRequests
 
 ISOLATION_TIMEOUT_S = 5.0
 """Time without a reply from the store or from another instance until a daemon is isolated."""
@@ -37,7 +37,9 @@
 
 @dataclass(slots=True)
 class FleetView:
-    """What a daemon knows of the fleet. Only the fleet tasks write it, except for `own_load`.
+    """What a daemon knows of the fleet.
+
+    Only the fleet tasks write it, except for `own_load` and `suspects`.
 
     Attributes:
         configuration: Configuration in force; its revision never decreases.
@@ -50,6 +52,7 @@
         instance_list_bytes_sent: Bytes sent to the instance list since the start.
         frames_refused: Messages of peers that were refused since the start.
         own_load: Load that heartbeats report; the entry's queue task sets it.
+        suspects: Evidence against requests; the entry records it, and heartbeats exchange it.
         query_claim: Sends a claim query to a peer and returns its response, or None if the peer is
             unknown or does not respond; None itself until the peer server listens.
         changed: Set and replaced by a new event whenever the view changes.
@@ -65,6 +68,7 @@
     instance_list_bytes_sent: int = 0
     frames_refused: int = 0
     own_load: Load = field(default_factory=Load)
+    suspects: SuspectRequests = field(default_factory=SuspectRequests)
     query_claim: Callable[[str, ClaimQuery], Awaitable[ClaimReply | None]] | None = None
     changed: anyio.Event = field(default_factory=anyio.Event)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -94,6 +94,22 @@
         yield Fleet(store_url, list_url, store_state, instances)
 
 
+async def test_evidence_against_requests_reaches_all_entries_and_survives_a_restart(fleet):
+    """Guards against a request that crashes more minions at each entry and after each restart."""
+
+    def refuses(view):
+        return view.suspects.refusal_s("d", time.monotonic()) > 0
+
+    async with fleet.daemon("i-2") as (second, _), fleet.daemon("i-3", "scheduler") as (third, _):
+        async with fleet.daemon("i-1") as (first, _):
+            for minion in ("m1", "m2"):
+                first.suspects.record_loss("d", minion, ran_s=0.1, now_s=time.monotonic())
+            await until(lambda: refuses(second))
+        async with fleet.daemon("i-1") as (restarted, _):
+            await until(lambda: refuses(restarted))
+        assert third.suspects.is_empty
+
+
 async def test_configuration_is_in_force_on_all_daemons_within_7_s(fleet):
     """Guards against a change that some daemons apply late or never."""
     async with (
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -21,14 +21,16 @@
     decode_frame,
     encode_frame,
 )
+from foxtailwell.core import RequestLoss
 from foxtailwell.core.errors import FrameError
 
 TEXT = st.text(st.characters(codec="utf-8", exclude_characters="\0"), max_size=20)
 U16, U32, U64 = (st.integers(0, 2**bits - 1) for bits in (16, 32, 64))
 PAIRS = st.lists(st.tuples(TEXT, TEXT), max_size=4).map(tuple)
 LOAD = st.builds(Load, U32, U32, st.lists(st.tuples(TEXT, U16), max_size=4).map(tuple))
+LOSS = st.builds(RequestLoss, TEXT, TEXT, st.integers(0, 255), st.integers(0, 9).map(float))
 MESSAGES = st.one_of(
-    st.builds(Heartbeat, TEXT, TEXT, TEXT, U64, LOAD),
+    st.builds(Heartbeat, TEXT, TEXT, TEXT, U64, LOAD, st.lists(LOSS, max_size=3).map(tuple)),
     st.builds(HeartbeatReply, TEXT, U64, st.booleans(), U64, U64, LOAD),
     st.builds(ConfigurationPush, U64, st.binary(max_size=64)),
     st.builds(ClaimQuery, TEXT, TEXT),
--- a/tests/test_request_core.py
+++ b/tests/test_request_core.py
@@ -14,6 +14,7 @@
     ClaimRequest,
     ClaimShard,
     MinionHealth,
+    RequestLoss,
     RetryBudget,
     ServiceTimes,
     SlotLimits,
@@ -238,7 +239,7 @@
     assert not suspects.refusal_s("d", 35.0)
     suspects.record_loss("d", "m2", ran_s=0.1, now_s=36.0)
     assert suspects.refusal_s("d", 36.0)
-    suspects.record_success("d")
+    suspects.record_success("d", 37.0)
     assert suspects.is_empty
 
 
@@ -253,6 +254,56 @@
     assert not any(suspects.refusal_s(digest, 21.0) for digest in ("d", "late", "same"))
 
 
+def test_evidence_of_other_entries_counts():
+    """Guards against a request that crashes as many minions at each entry."""
+    first, second, third = (SuspectRequests() for _ in range(3))
+    first.record_loss("d", "m1", ran_s=0.1, now_s=1.0)
+    second.merge(first.shared_losses(2.0), 102.0)
+    assert not second.refusal_s("d", 102.0)
+    second.record_loss("d", "m1", ran_s=0.1, now_s=103.0)
+    assert not second.refusal_s("d", 103.0)
+    second.record_loss("d", "m2", ran_s=0.1, now_s=104.0)
+    third.merge(second.shared_losses(105.0), 205.0)
+    assert [s.refusal_s("d", t) for s, t in ((second, 105.0), (third, 205.0))] == [29.0, 29.0]
+
+
+def test_evidence_that_entries_return_to_each_other_expires():
+    """Guards against a refusal that never ends because each exchange takes some time."""
+    first, second = SuspectRequests(), SuspectRequests()
+    for minion in ("m1", "m2"):
+        first.record_loss("d", minion, ran_s=0.1, now_s=0.0)
+    for second_s in range(1, 40):
+        sent = first.shared_losses(float(second_s))
+        second.merge(sent, second_s + 0.4)
+        first.merge(second.shared_losses(second_s + 0.4), second_s + 0.8)
+    assert not first.refusal_s("d", 30.0)
+    assert not second.refusal_s("d", 31.0)
+
+
+def test_response_outweighs_earlier_losses_at_other_entries():
+    """Guards against refusals of a request that other entries have seen succeed."""
+    first, second = SuspectRequests(), SuspectRequests()
+    first.record_loss("d", "m1", ran_s=0.1, now_s=0.0)
+    second.merge(first.shared_losses(1.0), 1.0)
+    second.record_success("d", 2.0)
+    second.merge(first.shared_losses(3.0), 3.0)
+    assert second.is_empty
+    first.record_loss("d", "m2", ran_s=0.1, now_s=4.0)
+    second.merge(first.shared_losses(5.0), 5.0)
+    assert first.refusal_s("d", 5.0)
+    assert not second.refusal_s("d", 5.0)
+
+
+def test_evidence_that_is_sent_to_other_entries_is_bounded():
+    """Guards against heartbeats that grow with the number of suspects."""
+    suspects = SuspectRequests()
+    for number in range(400):
+        suspects.record_loss(f"d{number % 20}", f"m{number}", ran_s=0.1, now_s=2.0 * number)
+    shared = suspects.shared_losses(800.0)
+    assert len(shared) <= 32
+    assert shared[0] == RequestLoss("d19", "m399", 2, 2.0)
+
+
 def test_evidence_against_requests_is_bounded():
     """Guards against memory that grows with the number of different requests."""
     suspects = SuspectRequests()
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -434,6 +434,21 @@
     assert other.body == b"other"
 
 
+async def test_fatal_request_is_refused_on_the_evidence_of_another_entry(fleet):
+    """Guards against a request that crashes as many minions at each entry."""
+    await add_fatal_minions(fleet, 8)
+    ports = [await fleet.add_entry(name) for name in ("e1", "e2")]
+    first, second = (fleet.views[name].suspects for name in ("e1", "e2"))
+    async with open_caller(ports[0].callers) as http:
+        while outcome(await send(http, body=b"fatal")) != "not_run":
+            pass
+    second.merge(first.shared_losses(time.monotonic()), time.monotonic())
+    crashes = sum(len(m.executed) for m in fleet.minions.values())
+    async with open_caller(ports[1].callers) as http:
+        assert outcome(await send(http, body=b"fatal")) == "not_run"
+    assert sum(len(m.executed) for m in fleet.minions.values()) == crashes
+
+
 async def test_requests_beside_a_fatal_request_are_served(fleet):
     """Guards against requests that are refused because they shared a minion with its crash."""
     await add_fatal_minions(fleet, 6)
