--- a/src/foxtailwell/core/_suspect_requests.py
+++ b/src/foxtailwell/core/_suspect_requests.py
@@ -21,7 +21,7 @@
 )
 
 COMMON_CAUSE_S = 1.0
-"""Time within which losses of several minions by different requests may have a common cause."""
+"""Time within which losses by different requests may have a common cause."""
 
 REFUSAL_S = 30.0
 """Duration of a refusal; after that, one more loss is enough for the next one."""
@@ -62,6 +62,14 @@
     at_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class _RecentLoss:
+    digest: str
+    minion: str
+    at_s: float
+    had_just_started: bool
+
+
 @dataclass(slots=True)
 class _Evidence:
     losses: dict[str, _Loss] = field(default_factory=dict)
@@ -84,8 +92,7 @@
     def __init__(self) -> None:
         self._evidence: dict[str, _Evidence] = {}
         self._cleared_s: dict[str, float] = {}
-        # Digest, minion and time of each recent loss.
-        self._recent_losses: deque[tuple[str, str, float]] = deque()
+        self._recent_losses: deque[_RecentLoss] = deque()
 
     @property
     def is_empty(self) -> bool:
@@ -116,6 +123,9 @@
     def record_loss(self, digest: str, minion: str, *, ran_s: float, now_s: float) -> None:
         """Record that the connection of a running request was lost.
 
+        A minion that crashes loses all its requests, so that each of those that had just started
+        may be the cause. Losses of several minions may be due to the network.
+
         Args:
             digest: Digest of the request.
             minion: Minion that ran it; further losses there prove nothing new.
@@ -123,11 +133,14 @@
                 `PROBATION_S` is not blamed.
             now_s: Time of the loss.
         """
-        is_isolated = self._is_isolated(digest, minion, now_s)
-        self._recent_losses.append((digest, minion, now_s))
-        if ran_s < PROBATION_S:
-            weight = CERTAIN_WEIGHT if is_isolated else POSSIBLE_WEIGHT
+        loss = _RecentLoss(digest, minion, now_s, ran_s < PROBATION_S)
+        others = self._others_beside(loss)
+        self._recent_losses.append(loss)
+        if loss.had_just_started:
+            weight = POSSIBLE_WEIGHT if others else CERTAIN_WEIGHT
             self._add(digest, minion, _Loss(weight, now_s))
+            for other in others:
+                self._weaken(other)
 
     def _add(self, digest: str, minion: str, loss: _Loss) -> None:
         evidence = self._evidence.pop(digest, None) or _Evidence()
@@ -138,10 +151,21 @@
         if len(self._evidence) > MAX_SUSPECTS:
             del self._evidence[next(iter(self._evidence))]
 
-    def _is_isolated(self, digest: str, minion: str, now_s: float) -> bool:
-        while self._recent_losses and now_s - self._recent_losses[0][2] > COMMON_CAUSE_S:
+    def _others_beside(self, loss: _RecentLoss) -> list[_RecentLoss]:
+        while self._recent_losses and loss.at_s - self._recent_losses[0].at_s > COMMON_CAUSE_S:
             self._recent_losses.popleft()
-        return not any(other != digest and lost != minion for other, lost, _ in self._recent_losses)
+        return [
+            other
+            for other in self._recent_losses
+            if other.digest != loss.digest
+            and (other.minion != loss.minion or other.had_just_started)
+        ]
+
+    def _weaken(self, loss: _RecentLoss) -> None:
+        evidence = self._evidence.get(loss.digest)
+        known = evidence.losses.get(loss.minion) if evidence is not None else None
+        if evidence is not None and known is not None and known.at_s == loss.at_s:
+            evidence.losses[loss.minion] = _Loss(POSSIBLE_WEIGHT, known.at_s)
 
     def record_success(self, digest: str, now_s: float) -> None:
         """Clear a request that got a response; earlier losses at other entries do not count."""
--- a/tests/test_request_core.py
+++ b/tests/test_request_core.py
@@ -254,6 +254,22 @@
     assert not any(suspects.refusal_s(digest, 21.0) for digest in ("d", "late", "same"))
 
 
+def test_requests_that_a_minion_has_lost_together_share_the_blame():
+    """Guards against a refusal of a request that was beside the cause of two crashes."""
+    suspects = SuspectRequests()
+    for number, others in enumerate((("b", "c"), ("c",))):
+        for digest in ("a", *others):
+            suspects.record_loss(digest, f"m{number}", ran_s=0.1, now_s=5.0 * number)
+    assert not any(suspects.refusal_s(digest, 5.0) for digest in ("a", "b", "c"))
+    suspects.record_loss("late", "m2", ran_s=9.0, now_s=9.9)
+    suspects.record_loss("a", "m2", ran_s=0.1, now_s=10.0)
+    assert [suspects.refusal_s(digest, 10.0) > 0 for digest in ("a", "b", "c")] == [
+        True,
+        False,
+        False,
+    ]
+
+
 def test_evidence_of_other_entries_counts():
     """Guards against a request that crashes as many minions at each entry."""
     first, second, third = (SuspectRequests() for _ in range(3))
