--- a/src/foxtailwell/adapters/events.py
+++ b/src/foxtailwell/adapters/events.py
@@ -64,6 +64,7 @@
 REQUEST_REFUSED_AS_SUSPECT = _event(
     "FW1310", "WARNING", "a request is refused for a while because minions break under it"
 )
+RESPONSE_BROKEN = _event("FW1311", "WARNING", "a streamed response broke off")
 
 # 1400-1499: scheduler
 ZONE_ACQUIRED = _event("FW1401", "INFO", "zone acquired")
--- a/src/foxtailwell/entry/_requests.py
+++ b/src/foxtailwell/entry/_requests.py
@@ -14,7 +14,7 @@
 
 import anyio
 
-from foxtailwell.adapters.events import REQUEST_REFUSED_AS_SUSPECT
+from foxtailwell.adapters.events import REQUEST_REFUSED_AS_SUSPECT, RESPONSE_BROKEN
 from foxtailwell.adapters.logs import log_event
 from foxtailwell.adapters.minions import (
     MinionCall,
@@ -230,7 +230,16 @@
             if isinstance(failure, MinionCallError) and failure.is_connection_lost:
                 self._record_loss(request, minion, started_s)
             request.may_have_run = request.may_have_run or may_have_run
-            if request.has_response_begun or not self._may_retry(request, attempts, may_have_run):
+            if request.has_response_begun:
+                log_event(
+                    RESPONSE_BROKEN,
+                    request=request.id,
+                    work_class=request.work_class.name,
+                    minion=minion.record.id,
+                    cause=str(failure),
+                )
+                raise _to_error(request, failure)
+            if not self._may_retry(request, attempts, may_have_run):
                 if response is not None:
                     return response
                 raise _to_error(request, failure)
--- a/src/foxtailwell/entry/_requests_api.py
+++ b/src/foxtailwell/entry/_requests_api.py
@@ -173,7 +173,9 @@
             self._record_outcome(
                 request, "outcome_unknown" if is_unknown else "not_run", str(error)
             )
-            raise
+            if not request.has_response_begun:
+                raise
+            # The server closes the connection, because the response is not complete.
         else:
             self._record_outcome(request, "answer")
         finally:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import os
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from pathlib import Path
+from typing import Any
 
 import anyio
 import pytest
 from anyio.abc import TaskGroup
 from hypothesis import settings
+from loguru import logger
 
 from foxtailwell.adapters.http_server import serve_http
 from foxtailwell.adapters.store import StoreClient, open_store
@@ -52,6 +54,15 @@
     return "asyncio"
 
 
+@pytest.fixture
+def caplog_events() -> Iterator[list[dict[str, Any]]]:
+    """Return the fields of all events that are logged during the test."""
+    events: list[dict[str, Any]] = []
+    sink = logger.add(lambda message: events.append(message.record["extra"]))
+    yield events
+    logger.remove(sink)
+
+
 @pytest.fixture
 def serving() -> Callable[[object], AbstractAsyncContextManager[str]]:
     """Return a context manager that serves an application and yields its URL."""
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -6,7 +6,6 @@
 
 import anyio
 import pytest
-from loguru import logger
 
 from controller_harness import LATER, URGENT, make_deployment, step, until
 from foxtailwell.controller import _controller
@@ -26,15 +25,6 @@
 WHOLE = Resources(10_000, 10_000, 8)
 
 
-@pytest.fixture
-def caplog_events():
-    """Return the fields of all events that are logged during the test."""
-    events = []
-    sink = logger.add(lambda message: events.append(message.record["extra"]))
-    yield events
-    logger.remove(sink)
-
-
 async def test_job_runs_its_steps_in_order_and_completes(group):
     """Guards against a step that starts before the steps it depends on have completed."""
     deployment = make_deployment(group, task_duration_s=0.1)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -300,6 +300,22 @@
             await send(http)
 
 
+async def test_broken_stream_starts_no_second_response(fleet, caplog, caplog_events):
+    """Guards against an unexpected error, and a missing cause, when a streamed response breaks."""
+    minion = await fleet.add_minion("m1", answer_bytes=3_000_000)
+    ports = await fleet.add_entry("e1")
+    async with open_caller(ports.callers) as http:
+        minion.failures = replace(minion.failures, mode="short")
+        with pytest.raises(TRANSPORT_ERRORS):
+            await send(http)
+        minion.failures = replace(minion.failures, mode="")
+        assert outcome(await send(http)) == "answer"
+    assert "Exception in ASGI application" not in caplog.text
+    (event,) = [event for event in caplog_events if event["event"] == "FW1311"]
+    assert (event["work_class"], event["minion"]) == ("check", "m1")
+    assert event["cause"]
+
+
 async def test_long_class_leaves_slots_for_ordinary_requests(fleet):
     """Guards against a short request that waits behind requests of a long class."""
     await fleet.add_minion("m1", run_ms_by_class={"model": 60_000})
