--- a/src/foxtailwell/cli/_admin_changes.py
+++ b/src/foxtailwell/cli/_admin_changes.py
@@ -73,7 +73,7 @@
     ] = None
     patience_ms: Annotated[
         int | None,
-        cappa.Arg(long=True, help="Longest wait in milliseconds before refusal; 0 for no limit."),
+        cappa.Arg(long=True, help="Longest wait in milliseconds before refusal; 0 for the target."),
     ] = None
     idempotent: Annotated[
         bool | None,
--- a/tests/test_admin_command.py
+++ b/tests/test_admin_command.py
@@ -191,3 +191,10 @@
     assert f"examples/{file.name}" in page
     for name in Settings.__dataclass_fields__:
         assert f"`{name}" in page
+
+
+def test_help_tells_what_a_patience_of_0_means(capsys):
+    """Guards against a class without a limit in the help that the entry limits to the target."""
+    with pytest.raises(cappa.Exit):
+        cappa.invoke(Admin, argv=["class", "set", "--help"])
+    assert "0 for the target" in " ".join(capsys.readouterr().out.split())
