--- a/src/foxtailwell_soak/_fleet.py
+++ b/src/foxtailwell_soak/_fleet.py
@@ -102,7 +102,6 @@
     ports: tuple[int, ...]
     process: subprocess.Popen[bytes] | None = None
     termination_sent_s: float = 0.0
-    is_wanted: bool = True
 
     @property
     def address(self) -> str:
