--- a/src/foxtailwell/platform/settings.py
+++ b/src/foxtailwell/platform/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 
@@ -15,6 +16,16 @@
 """Environment variable that holds the path of the settings file."""
 
 
+MIN_MS = 100
+"""Shortest plausible duration of a field in milliseconds; a smaller one is likely in seconds."""
+
+MAX_S = 86_400
+"""Longest plausible duration of a field in seconds; a larger one is likely in milliseconds."""
+
+_Milliseconds = Annotated[int, msgspec.Meta(ge=MIN_MS)]
+_Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_S)]
+
+
 class _Addresses(msgspec.Struct):
     front: str
     ready: str
@@ -32,12 +43,12 @@
 
 
 class _Bounds(msgspec.Struct):
-    contact_ms: int = 3000
-    grace_s: float = 6
-    max_hold_ms: int = 10_000
-    revoke_ms: int = 5000
-    status_s: float = 120
-    maintenance_s: float = 2
+    contact_ms: _Milliseconds = 3000
+    grace_s: _Seconds = 6
+    max_hold_ms: _Milliseconds = 10_000
+    revoke_ms: _Milliseconds = 5000
+    status_s: _Seconds = 120
+    maintenance_s: _Seconds = 2
 
 
 class _SettingsFile(msgspec.Struct):
@@ -49,7 +60,7 @@
     platform: _Store
     recommendation: str | None = None
     cloud_api: _CloudApi | None = None
-    heartbeat_ms: int = 1500
+    heartbeat_ms: _Milliseconds = 1500
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
@@ -69,8 +80,7 @@
     try:
         file = msgspec.json.decode(Path(path).read_bytes(), type=_SettingsFile, strict=False)
     except (OSError, msgspec.DecodeError) as error:
-        issue = ValidationIssue("settings", str(error), "have the platform write the file again")
-        raise ValidationError(path, (issue,)) from error
+        raise ValidationError(path, (_issue(error),)) from error
     return InstanceSettings(
         name=file.node_name,
         zone=file.zone,
@@ -88,3 +98,11 @@
         heartbeat_s=file.heartbeat_ms / 1000,
         capacity_grace_s=(file.bounds.contact_ms + file.heartbeat_ms) / 1000,
     )
+
+
+def _issue(error: OSError | msgspec.DecodeError) -> ValidationIssue:
+    if not isinstance(error, msgspec.ValidationError):
+        return ValidationIssue("settings", str(error), "have the platform write the file again")
+    found, _, field = str(error).partition(" - at ")
+    remedy = "give each field, in the unit that its name ends with"
+    return ValidationIssue(field.strip("`") or "$", found, remedy)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -105,6 +105,27 @@
         load_instance_settings(str(tmp_path / "absent.json"))
 
 
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("max_hold_ms", 10),
+        ("contact_ms", 3),
+        ("revoke_ms", -1),
+        ("grace_s", 120_000),
+        ("status_s", -1),
+    ],
+)
+def test_setting_of_another_unit_is_refused(tmp_path, field, value):
+    """Guards against leases and limits that are a thousand times too short or too long."""
+    path = tmp_path / "local.json"
+    path.write_bytes(msgspec.json.encode(SETTINGS | {"bounds": {field: value}}))
+    with pytest.raises(ValidationError) as caught:
+        load_instance_settings(str(path))
+    (issue,) = caught.value.issues
+    assert issue.path == f"$.bounds.{field}"
+    assert "unit" in issue.remedy
+
+
 @pytest.mark.anyio
 async def test_connection_is_reused_and_replaced_when_closed(anyio_server):
     """Guards against a new connection for each call, and against calls on a closed connection."""
