--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -581,11 +581,12 @@
                 self._abandon(placement)
                 continue
             checkpoint = _common_checkpoint(job.tasks, unit.tasks) if unit.step.is_gang else ""
+            waiting_since_s = min(job.tasks[task].waiting_since_s for task in placement.workers)
             log_event(
                 JOB_PLACED,
                 job=unit.job_id,
                 step=unit.step_number,
-                waited_s=round(self._now_s() - unit.waiting_since_s, 3),
+                waited_s=round(self._now_s() - waiting_since_s, 3),
                 workers=sorted(set(placement.workers.values())),
             )
             for task_id, worker in placement.workers.items():
--- a/src/foxtailwell/workflows/_job_registry.py
+++ b/src/foxtailwell/workflows/_job_registry.py
@@ -373,6 +373,10 @@
                 for task in job.step_tasks(occurrence, earlier)
             ):
                 continue
+            for task in waiting:
+                # A value from before the last placement belongs to an earlier run.
+                if task.waiting_since_s <= task.started_s:
+                    task.waiting_since_s = now_s
             ready_since_s = job.ready_since_s.setdefault((occurrence, number), now_s)
             deadline_s = job.accepted_s + job.target_s()
             yield SchedulingUnit(
--- a/src/foxtailwell/workflows/_tasks.py
+++ b/src/foxtailwell/workflows/_tasks.py
@@ -65,6 +65,7 @@
         percent: Progress of the run as last listed by the worker, 0 to 100.
         progress_s: Local time at which the progress last changed.
         listed_s: Local time at which the worker last listed the run as running; 0 before.
+        waiting_since_s: Local time from which the run could have been placed; 0 before.
     """
 
     id: TaskId
@@ -82,6 +83,7 @@
     percent: int = 0
     progress_s: float = 0.0
     listed_s: float = 0.0
+    waiting_since_s: float = 0.0
 
     @property
     def lasted_s(self) -> float:
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -25,6 +25,19 @@
 WHOLE = Resources(10_000, 10_000, 8)
 
 
+async def test_logged_wait_of_a_task_counts_from_its_last_run(group, caplog_events):
+    """Guards against waits in the log that contain the runs before."""
+    deployment = make_deployment(group)
+    deployment.start("one")
+    _, task = await deployment.start_one_task()
+    await anyio.sleep(1.0)
+    deployment.holder_of(task).end(task, EndKind.FAILED)
+    assert await until(lambda: len(deployment.runs(task)) == 2)
+    waits = [event["waited_s"] for event in caplog_events if event["event"] == "FW1605"]
+    assert len(waits) == 2
+    assert max(waits) < 0.5
+
+
 async def test_job_runs_its_steps_in_order_and_completes(group):
     """Guards against a step that starts before the steps it depends on have completed."""
     deployment = make_deployment(group, task_duration_s=0.1)
