--- a/tests/controller_harness.py
+++ b/tests/controller_harness.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import inspect
 import math
 import time
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field, replace
+from typing import Any
 
 import anyio
 import msgspec
@@ -52,6 +54,60 @@
     return f"{number:016x}"
 
 
+@dataclass
+class Pause:
+    """Pause of the process of one instance: its clock stops, and no call leaves or returns.
+
+    Attributes:
+        at: Number of the passage, before or after a call, from which the pause lasts.
+    """
+
+    at: int
+    _passages: int = 0
+    _since_s: float | None = None
+    _resumed: anyio.Event = field(default_factory=anyio.Event)
+
+    @property
+    def is_active(self) -> bool:
+        """Whether the pause has begun and not ended."""
+        return self._since_s is not None
+
+    def now_s(self) -> float:
+        """Return the time of the last reading that the process can have made."""
+        return time.monotonic() if self._since_s is None else self._since_s
+
+    def end(self) -> None:
+        """Let the process go on."""
+        self._since_s = None
+        self._resumed.set()
+
+    async def _pass(self) -> None:
+        self._passages += 1
+        if self._passages == self.at:
+            self._since_s = time.monotonic()
+        if self.is_active:
+            await self._resumed.wait()
+
+    def wrap(self, calls: Any) -> Any:
+        """Return an object whose asynchronous methods wait while the process is paused."""
+
+        def find(_: object, name: str) -> Any:
+            method = getattr(calls, name)
+            if not inspect.iscoroutinefunction(method):
+                return method
+
+            async def call(*arguments: Any, **options: Any) -> Any:
+                await self._pass()
+                try:
+                    return await method(*arguments, **options)
+                finally:
+                    await self._pass()
+
+            return call
+
+        return type("Paused", (), {"__getattr__": find})()
+
+
 @dataclass
 class Instance:
     """An instance that takes part in the election; `faults` affect only its own store calls."""
@@ -118,24 +174,25 @@
         zones = "op/evacuate/"
         self.zones_out |= {key[len(zones) :] for key in items if key.startswith(zones)}
 
-    def start(self, name: str, *, lease_ms: int = LEASE_MS) -> Instance:
+    def start(self, name: str, *, lease_ms: int = LEASE_MS, pause: Pause | None = None) -> Instance:
         """Start an instance; one with an earlier name stands for its restarted process."""
         faults = StoreFaults()
+        pause = pause or Pause(at=0)
         access = FleetAccess(
             WORKERS,
             _decode_entry,
-            lambda worker, _: self.workers[worker],
+            lambda worker, _: pause.wrap(self.workers[worker]),
             self.advisor,
             self.maintenance,
             self.heartbeat_s,
             self.capacity_grace_s,
         )
         leadership = Leadership(
-            self.store.client(faults),
+            pause.wrap(self.store.client(faults)),
             access,
             self._view,
             LeadershipSettings(name, lease_ms, 120),
-            time.monotonic,
+            pause.now_s,
             lambda: int(time.time() * 1000),
             WorkMetrics(),
         )
