--- a/src/foxtailwell/adapters/documents.py
+++ b/src/foxtailwell/adapters/documents.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from foxtailwell.adapters.malformed import MALFORMED
 from foxtailwell.core.errors import DocumentError, UnsupportedSchemaError
 
 __all__ = ["decode_document", "encode_document"]
@@ -47,7 +48,7 @@
 def _decode(text: str | bytes, kind: type[T]) -> T:
     try:
         return msgspec.json.decode(text, type=kind)
-    except msgspec.DecodeError as error:
+    except MALFORMED as error:
         raise DocumentError(
             f"unreadable document: {error}",
             "compare the key with a backup of the store",
--- a/src/foxtailwell/adapters/instance_list.py
+++ b/src/foxtailwell/adapters/instance_list.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from foxtailwell.adapters.http_client import TRANSPORT_ERRORS, HttpClient, open_http_client
+from foxtailwell.adapters.malformed import MALFORMED
 from foxtailwell.core import InstanceRecord
 from foxtailwell.core.errors import UnavailableError
 
@@ -49,14 +50,18 @@
             return None
         if reply.status != 200:
             raise _unavailable(f"status {reply.status}")
-        try:
-            records = msgspec.json.decode(reply.body, type=tuple[InstanceRecord, ...])
-        except msgspec.DecodeError as error:
-            raise _unavailable(str(error)) from error
+        records = _decode(reply.body)
         self._etag = reply.headers.get("etag", "")
         return records
 
 
+def _decode(body: bytes) -> tuple[InstanceRecord, ...]:
+    try:
+        return msgspec.json.decode(body, type=tuple[InstanceRecord, ...])
+    except MALFORMED as error:
+        raise _unavailable(str(error)) from error
+
+
 def _unavailable(cause: str) -> UnavailableError:
     return UnavailableError(
         f"instance list: {cause}",
--- a/src/foxtailwell/adapters/store.py
+++ b/src/foxtailwell/adapters/store.py
@@ -21,6 +21,7 @@
     open_http_client,
     path_segment,
 )
+from foxtailwell.adapters.malformed import MALFORMED
 from foxtailwell.core.errors import (
     StoreConflictError,
     StoreOverloadedError,
@@ -242,7 +243,7 @@
 def _decode(reply: HttpReply, kind: type[T]) -> T:
     try:
         return msgspec.json.decode(reply.body, type=kind)
-    except msgspec.DecodeError as error:
+    except MALFORMED as error:
         raise StoreUnavailableError(f"unreadable response: {error}", _OUTAGE_REMEDY) from error
 
 
--- a/src/foxtailwell/adapters/workers.py
+++ b/src/foxtailwell/adapters/workers.py
@@ -13,7 +13,13 @@
 
 import msgspec
 
-from foxtailwell.adapters.http_client import TRANSPORT_ERRORS, HttpClient, open_http_client
+from foxtailwell.adapters.http_client import (
+    TRANSPORT_ERRORS,
+    HttpClient,
+    HttpReply,
+    open_http_client,
+)
+from foxtailwell.adapters.malformed import MALFORMED
 from foxtailwell.core import Operation, TaskState
 from foxtailwell.core.errors import StaleTermError, UnavailableError
 
@@ -162,15 +168,19 @@
             raise _unavailable(address, type(error).__name__) from error
         finally:
             self._totals.bytes_sent += self._http.bytes_sent - bytes_sent_before
-        try:
-            if reply.status == 409:
-                seen = msgspec.json.decode(reply.body, type=_StaleTerm)
-                raise StaleTermError(request.zone, request.term, seen.term)
-            if reply.status == 200:
-                return msgspec.json.decode(reply.body, type=SyncReply)
-        except msgspec.DecodeError as error:
-            raise _unavailable(address, str(error)) from error
-        raise _unavailable(address, f"status {reply.status}")
+        return _decode(address, request, reply)
+
+
+def _decode(address: str, request: SyncRequest, reply: HttpReply) -> SyncReply:
+    try:
+        if reply.status == 409:
+            seen = msgspec.json.decode(reply.body, type=_StaleTerm)
+            raise StaleTermError(request.zone, request.term, seen.term)
+        if reply.status == 200:
+            return msgspec.json.decode(reply.body, type=SyncReply)
+    except MALFORMED as error:
+        raise _unavailable(address, str(error)) from error
+    raise _unavailable(address, f"status {reply.status}")
 
 
 def _unavailable(address: str, cause: str) -> UnavailableError:
--- a/src/foxtailwell/cli/_client.py
+++ b/src/foxtailwell/cli/_client.py
@@ -15,6 +15,7 @@
 from rich.text import Text
 
 from foxtailwell.adapters.http_client import TRANSPORT_ERRORS, HttpReply, open_http_client
+from foxtailwell.adapters.malformed import MALFORMED
 from foxtailwell.cli import _exit_codes
 
 __all__ = ["call", "decode_reply", "exit_unless_ok", "print_json", "print_table"]
@@ -66,7 +67,7 @@
     """Return the decoded body; a body that is not JSON is returned as an object with its text."""
     try:
         return msgspec.json.decode(reply.body)
-    except msgspec.DecodeError:
+    except MALFORMED:
         return {"status": reply.status, "body": reply.body.decode("utf-8", "replace")}
 
 
--- a/src/foxtailwell/controller/_records.py
+++ b/src/foxtailwell/controller/_records.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from foxtailwell.adapters.malformed import MALFORMED
 from foxtailwell.workflows import CrashRecord, JobProgress, JobState, Submission, TaskProgress
 
 __all__ = [
@@ -97,7 +98,7 @@
     """
     try:
         return msgspec.json.decode(value, type=Submission)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except MALFORMED as error:
         raise RecordError(f"submission: {error}") from error
 
 
@@ -142,7 +143,7 @@
     """
     try:
         record = msgspec.json.decode(value, type=_ProgressRecord)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except MALFORMED as error:
         raise RecordError(f"progress: {error}") from error
     crashes = {
         (occurrence, step, index): tuple(CrashRecord(*crash) for crash in recorded)
@@ -170,5 +171,5 @@
     """
     try:
         return msgspec.json.decode(value, type=tuple[str, ...])
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except MALFORMED as error:
         raise RecordError(f"wave: {error}") from error
--- a/src/foxtailwell/fleet/_state.py
+++ b/src/foxtailwell/fleet/_state.py
@@ -74,7 +74,7 @@
     """
     try:
         configuration = decode_document(document, Configuration)
-    except (UnsupportedSchemaError, DocumentError, RecursionError) as error:
+    except (UnsupportedSchemaError, DocumentError) as error:
         return _refuse_document(state, document, source, error)
     if configuration.revision <= state.view.configuration.revision:
         return "not_newer", configuration.revision
--- a/src/foxtailwell/platform/advisor.py
+++ b/src/foxtailwell/platform/advisor.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from foxtailwell.adapters.http_connection import CallError, HttpEndpoint
-from foxtailwell.platform._malformed import MALFORMED
+from foxtailwell.adapters.malformed import MALFORMED
 from foxtailwell.workflows import AdviceCallError, Advisor
 
 __all__ = ["open_advisor"]
--- a/src/foxtailwell/platform/machines.py
+++ b/src/foxtailwell/platform/machines.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from foxtailwell.adapters.http_connection import CallError, CallReply, HttpEndpoint
-from foxtailwell.platform._malformed import MALFORMED
+from foxtailwell.adapters.malformed import MALFORMED
 from foxtailwell.workflows import (
     Machine,
     MachineCallError,
--- a/src/foxtailwell/platform/messages.py
+++ b/src/foxtailwell/platform/messages.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from foxtailwell.platform._malformed import MALFORMED
+from foxtailwell.adapters.malformed import MALFORMED
 from foxtailwell.workflows import (
     AdviceRules,
     ClientAccount,
--- a/src/foxtailwell/platform/store.py
+++ b/src/foxtailwell/platform/store.py
@@ -16,8 +16,8 @@
 import msgspec
 
 from foxtailwell.adapters.http_connection import CallError, CallReply, HttpEndpoint
+from foxtailwell.adapters.malformed import MALFORMED
 from foxtailwell.adapters.work_metrics import WorkMetrics
-from foxtailwell.platform._malformed import MALFORMED
 from foxtailwell.workflows import (
     Change,
     Committed,
--- a/src/foxtailwell/platform/workers.py
+++ b/src/foxtailwell/platform/workers.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from foxtailwell.adapters.http_connection import CallError, CallReply, HttpEndpoint
-from foxtailwell.platform._malformed import MALFORMED
+from foxtailwell.adapters.malformed import MALFORMED
 from foxtailwell.workflows import (
     CommandOutcome,
     EndedRun,
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -1,4 +1,4 @@
-"""Malformed messages of the platform: each decoder rejects them with its declared error only."""
+"""Malformed messages: each decoder of the platform and of the daemons has one declared error."""
 
 from __future__ import annotations
 
@@ -9,9 +9,23 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
+from foxtailwell.adapters import instance_list
+from foxtailwell.adapters import store as document_store
+from foxtailwell.adapters import workers as gang_workers
+from foxtailwell.adapters.documents import decode_document, encode_document
+from foxtailwell.adapters.http_client import HttpReply
 from foxtailwell.adapters.http_connection import CallReply
+from foxtailwell.controller import _records
+from foxtailwell.core import Configuration, JobShard
+from foxtailwell.core.errors import (
+    DocumentError,
+    StaleTermError,
+    StoreUnavailableError,
+    UnavailableError,
+    UnsupportedSchemaError,
+)
 from foxtailwell.platform import messages, store, workers
-from foxtailwell.workflows import StoreCallError, WorkerCallError
+from foxtailwell.workflows import JobProgress, JobState, StoreCallError, Submission, WorkerCallError
 
 DEEP = b"[" * 100_000 + b"]" * 100_000
 ENTRY = {"service": "s", "address": "10.0.0.1:80", "zone": "z", "state": "ready", "born": 1}
@@ -42,6 +56,27 @@
     return [store._item(item) for item in page.items]
 
 
+def _document(kind):
+    return msgspec.json.decode(encode_document(kind()))
+
+
+def _decode_document(kind):
+    return lambda body: decode_document(body, kind)
+
+
+def _sync_reply(status):
+    request = gang_workers.SyncRequest("z", 1)
+    return lambda body: gang_workers._decode("10.0.0.1:80", request, HttpReply(status, {}, body))
+
+
+PROGRESS = msgspec.json.decode(_records.encode_progress(JobProgress(JobState.QUEUED, False, 0, ())))
+SUBMISSION = msgspec.json.decode(
+    _records.encode_submission_record(Submission("0" * 16, "q", "a", "text", ()))
+)
+INSTANCE = {"id": "w-1", "role": "worker", "zone": "z", "address": "10.0.0.1:80"}
+DOCUMENTS = (Configuration, JobShard)
+DOCUMENT_ERRORS = (DocumentError, UnsupportedSchemaError)
+
 DECODERS = [
     (ENTRY, lambda body: workers.decode_worker_entry("w", body), ()),
     (LISTING, workers._decode_listing, (WorkerCallError,)),
@@ -54,6 +89,17 @@
     (CONFIGURATION, messages.decode_configuration, (messages.MessageError,)),
     (WAVE, messages.decode_wave, ()),
     (PAGE, _page, (StoreCallError,)),
+    (PROGRESS, _records.decode_progress, (_records.RecordError,)),
+    (SUBMISSION, _records.decode_submission_record, (_records.RecordError,)),
+    *((_document(kind), _decode_document(kind), DOCUMENT_ERRORS) for kind in DOCUMENTS),
+    (
+        {"revision": 1, "changes": [{"key": "k", "version": 1, "value": "{}", "write_id": "w"}]},
+        lambda body: document_store._decode(HttpReply(200, {}, body), document_store.WatchResult),
+        (StoreUnavailableError,),
+    ),
+    ({"clock_s": 1.0, "tasks": [], "refused": []}, _sync_reply(200), (UnavailableError,)),
+    ({"term": 1}, _sync_reply(409), (UnavailableError, StaleTermError)),
+    (INSTANCE, lambda body: instance_list._decode(b"[" + body + b"]"), (UnavailableError,)),
 ]
 
 
