--- a/src/foxtailwell/adapters/events.py
+++ b/src/foxtailwell/adapters/events.py
@@ -65,6 +65,7 @@
     "FW1310", "WARNING", "a request is refused for a while because minions break under it"
 )
 RESPONSE_BROKEN = _event("FW1311", "WARNING", "a streamed response broke off")
+INSTANCE_REFUSED = _event("FW1312", "WARNING", "a record of the instance list cannot be used")
 
 # 1400-1499: scheduler
 ZONE_ACQUIRED = _event("FW1401", "INFO", "zone acquired")
--- a/src/foxtailwell/adapters/instance_list.py
+++ b/src/foxtailwell/adapters/instance_list.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 
 import msgspec
 
+from foxtailwell.adapters.events import INSTANCE_REFUSED
 from foxtailwell.adapters.http_client import TRANSPORT_ERRORS, HttpClient, open_http_client
+from foxtailwell.adapters.logs import log_event
 from foxtailwell.adapters.malformed import MALFORMED
 from foxtailwell.core import InstanceRecord
 from foxtailwell.core.errors import UnavailableError
@@ -15,6 +18,22 @@
 __all__ = ["InstanceListClient", "open_instance_list"]
 
 
+_MAX_PORT = 65_535
+_PORT_DIGITS = 5
+
+
+@dataclass(frozen=True, slots=True)
+class _RefusedRecord:
+    """A record that cannot be used, with the cause."""
+
+    id: str
+    cause: str
+
+
+class _Identified(msgspec.Struct):
+    id: str
+
+
 class InstanceListClient:
     """Fetches the list of live and leaving instances, which may be out of date."""
 
@@ -22,6 +41,7 @@
         self._http = http
         self._timeout_s = timeout_s
         self._etag = ""
+        self._refused: set[_RefusedRecord] = set()
 
     @property
     def bytes_sent(self) -> int:
@@ -50,16 +70,55 @@
             return None
         if reply.status != 200:
             raise _unavailable(f"status {reply.status}")
-        records = _decode(reply.body)
+        records = self._accept(_decode(reply.body))
         self._etag = reply.headers.get("etag", "")
         return records
 
+    def _accept(
+        self, rows: Iterable[InstanceRecord | _RefusedRecord]
+    ) -> tuple[InstanceRecord, ...]:
+        """Return the usable records; each of the others is logged once."""
+        rows = tuple(rows)
+        refused = {row for row in rows if isinstance(row, _RefusedRecord)}
+        for row in refused - self._refused:
+            log_event(INSTANCE_REFUSED, record=row.id, cause=row.cause)
+        self._refused = refused
+        records = tuple(row for row in rows if isinstance(row, InstanceRecord))
+        if refused and not records:
+            # An empty list would end the use of all instances.
+            raise _unavailable("no record can be used")
+        return records
+
 
-def _decode(body: bytes) -> tuple[InstanceRecord, ...]:
+def _decode(body: bytes) -> list[InstanceRecord | _RefusedRecord]:
     try:
-        return msgspec.json.decode(body, type=tuple[InstanceRecord, ...])
+        rows = msgspec.json.decode(body, type=tuple[msgspec.Raw, ...])
     except MALFORMED as error:
         raise _unavailable(str(error)) from error
+    return [_decode_record(row) for row in rows]
+
+
+def _decode_record(row: msgspec.Raw) -> InstanceRecord | _RefusedRecord:
+    try:
+        record = msgspec.json.decode(row, type=InstanceRecord)
+    except MALFORMED as error:
+        return _RefusedRecord(_find_id(row), str(error))
+    if not _is_address(record.address):
+        return _RefusedRecord(record.id, f'address "{record.address}" is not host:port')
+    return record
+
+
+def _find_id(row: msgspec.Raw) -> str:
+    try:
+        return msgspec.json.decode(row, type=_Identified).id
+    except MALFORMED:
+        return ""
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    is_port = port.isdecimal() and len(port) <= _PORT_DIGITS and 0 < int(port) <= _MAX_PORT
+    return is_port and bool(host) and text.isascii() and text.isprintable() and " " not in text
 
 
 def _unavailable(cause: str) -> UnavailableError:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -110,6 +110,21 @@
         assert third.suspects.is_empty
 
 
+@pytest.mark.parametrize("change", [{"address": "host:port"}, {"address": ""}, {"role": "new"}])
+async def test_unusable_record_does_not_hide_the_other_instances(fleet, change, caplog_events):
+    """Guards against a daemon that ends, or keeps an old list for ever, because of one record."""
+    good = InstanceRecord("m-1", "minion", "z", "10.0.0.1:80", slots=4)
+    fleet.instances.put(replace(good, id="m-0", **change))
+    fleet.instances.put(good)
+    async with fleet.daemon("i-1") as (view, _):
+        await until(lambda: "m-1" in view.instances)
+        fleet.instances.put(replace(good, id="m-2"))
+        await until(lambda: "m-2" in view.instances)
+        assert "m-0" not in view.instances
+    refused = [event for event in caplog_events if event.get("event") == "FW1312"]
+    assert [event["record"] for event in refused] == ["m-0"]
+
+
 async def test_configuration_is_in_force_on_all_daemons_within_7_s(fleet):
     """Guards against a change that some daemons apply late or never."""
     async with (
