--- a/src/foxtailwell/adapters/instance_list.py
+++ b/src/foxtailwell/adapters/instance_list.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
@@ -17,7 +17,6 @@
 
 __all__ = ["InstanceListClient", "open_instance_list"]
 
-
 _MAX_PORT = 65_535
 _PORT_DIGITS = 5
 
@@ -75,10 +74,9 @@
         return records
 
     def _accept(
-        self, rows: Iterable[InstanceRecord | _RefusedRecord]
+        self, rows: Sequence[InstanceRecord | _RefusedRecord]
     ) -> tuple[InstanceRecord, ...]:
         """Return the usable records; each of the others is logged once."""
-        rows = tuple(rows)
         refused = {row for row in rows if isinstance(row, _RefusedRecord)}
         for row in refused - self._refused:
             log_event(INSTANCE_REFUSED, record=row.id, cause=row.cause)
--- a/src/foxtailwell/core/_suspect_requests.py
+++ b/src/foxtailwell/core/_suspect_requests.py
@@ -174,7 +174,8 @@
             self._cleared_s[digest] = now_s
 
     def shared_losses(self, now_s: float) -> tuple[RequestLoss, ...]:
-        """Return the newest evidence, for other entries."""
+        """Return the newest evidence that has not expired, for other entries."""
+        self.drop_expired(now_s)
         return tuple(
             RequestLoss(digest, minion, loss.weight, max(0.0, now_s - loss.at_s))
             for digest, evidence in islice(reversed(self._evidence.items()), MAX_SHARED_SUSPECTS)
--- a/tests/test_request_core.py
+++ b/tests/test_request_core.py
@@ -318,6 +318,7 @@
     shared = suspects.shared_losses(800.0)
     assert len(shared) <= 32
     assert shared[0] == RequestLoss("d19", "m399", 2, 2.0)
+    assert not suspects.shared_losses(5e6)
 
 
 def test_evidence_against_requests_is_bounded():
