--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -32,6 +32,7 @@
 pytestmark = pytest.mark.anyio
 
 WHOLE = Resources(10_000, 10_000, 8)
+FATAL_TASK = f"{job_id(1)}.0.0.0"
 
 
 @pytest.fixture
@@ -42,6 +43,15 @@
     return deployment
 
 
+@pytest.fixture
+async def small_fleet(group) -> Deployment:
+    """Return a deployment of one worker, which `FATAL_TASK` crashes."""
+    deployment = make_deployment(group, 1, task_duration_s=0.3)
+    group.start_soon(deployment.send_heartbeats)
+    make_fatal(deployment, FATAL_TASK)
+    return deployment
+
+
 def make_fatal(deployment: Deployment, *tasks: str) -> None:
     """Let the given tasks crash every worker that starts them."""
     for worker in deployment.workers.values():
@@ -187,39 +197,31 @@
     assert all(len(fleet.runs(task)) <= 4 for task in tasks)
 
 
-async def test_delayed_start_that_crashes_its_worker_counts(group):
+async def test_delayed_start_that_crashes_its_worker_counts(small_fleet):
     """Guards against crashes by starts that got no response and took effect later."""
-    fleet = make_deployment(group, 1, task_duration_s=0.3)
-    group.start_soon(fleet.send_heartbeats)
-    task = f"{job_id(1)}.0.0.0"
-    make_fatal(fleet, task)
-    worker = fleet.workers["w0"]
+    worker, task = small_fleet.workers["w0"], FATAL_TASK
     worker.faults.delayed_starts = 3
     worker.faults.is_losing_stops = True
-    fleet.start("one")
-    job = await fleet.submit(1, LATER, [step()])
+    small_fleet.start("one")
+    job = await small_fleet.submit(1, LATER, [step()])
     assert await until(lambda: not worker.faults.delayed_starts)
     worker.apply_delayed()
-    assert fleet.runs(task) == [("w0", 1)]
+    assert small_fleet.runs(task) == [("w0", 1)]
     worker.faults.is_losing_stops = False
-    assert await until(lambda: bool(evidence_against(fleet, job)))
-    assert await fleet.reaches(job, JobState.FAILED, 6.0)
-    assert len(fleet.runs(task)) <= 4
+    assert await until(lambda: bool(evidence_against(small_fleet, job)))
+    assert await small_fleet.reaches(job, JobState.FAILED, 6.0)
+    assert len(small_fleet.runs(task)) <= 4
 
 
-async def test_start_is_not_repeated_after_the_crash_that_it_caused(group):
+async def test_start_is_not_repeated_after_the_crash_that_it_caused(small_fleet):
     """Guards against a repeated start that crashes the next incarnation of its worker as well."""
-    fleet = make_deployment(group, 1, task_duration_s=0.3)
-    group.start_soon(fleet.send_heartbeats)
-    task = f"{job_id(1)}.0.0.0"
-    make_fatal(fleet, task)
-    worker = fleet.workers["w0"]
+    worker, task = small_fleet.workers["w0"], FATAL_TASK
     worker.faults.crash_s = 0.05
     worker.faults.lost_start_responses, worker.faults.response_timeout_s = 9, 0.5
-    fleet.start("one")
-    job = await fleet.submit(1, LATER, [step()])
-    assert await fleet.reaches(job, JobState.FAILED, 20.0)
-    started = [run for _, run in fleet.runs(task)]
+    small_fleet.start("one")
+    job = await small_fleet.submit(1, LATER, [step()])
+    assert await small_fleet.reaches(job, JobState.FAILED, 20.0)
+    started = [run for _, run in small_fleet.runs(task)]
     assert len(started) == len(set(started)) <= 4
 
 
