--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -149,7 +149,7 @@
 class _Pending:
     """Placements and worker listings to be completed once the changed jobs are stored."""
 
-    listings: list[tuple[WorkerLink, int, anyio.Event]] = field(default_factory=list)
+    listings: list[tuple[ListingReceived, int]] = field(default_factory=list)
     placements: list[Placement] = field(default_factory=list)
 
 
@@ -399,9 +399,7 @@
             case ChangeBatch():
                 self._workers.apply_entries(event)
             case ListingReceived():
-                highest_end = self._runs.apply_listing(event)
-                link = self._workers.links[event.worker]
-                self._pending.listings.append((link, highest_end, event.processed))
+                self._pending.listings.append((event, self._runs.apply_listing(event)))
             case StartFinished():
                 self._runs.apply_start(event)
             case StopConfirmed():
@@ -540,10 +538,11 @@
         blocked = {job_id for rejection in rejected for job_id in rejection.jobs}
         for rejection in rejected:
             self._roll_back(rejection, pending)
-        for link, highest_end, processed in pending.listings:
+        for event, highest_end in pending.listings:
             if not blocked:
-                link.durable_end = max(link.durable_end, highest_end)
-            processed.set()
+                link = self._workers.links[event.worker]
+                link.record_stored_ends(event.listing.boot_unix_ms, highest_end)
+            event.processed.set()
         self._send_starts(group, [p for p in pending.placements if p.unit.job_id not in blocked])
         stored = [c.job for c in changes if c.job.submission.job_id not in blocked]
         removed = self._jobs.remove_ended(stored)
--- a/src/foxtailwell/controller/_links.py
+++ b/src/foxtailwell/controller/_links.py
@@ -193,6 +193,14 @@
             self.clock_ms = clock_ms
             self.clock_read_s = self.now_s()
 
+    def record_stored_ends(self, boot_unix_ms: int, number: int) -> None:
+        """Record that the ends of an incarnation up to a number are stored.
+
+        Another incarnation, which counts its ends anew, may have responded while they were written.
+        """
+        if boot_unix_ms == self.boot_unix_ms:
+            self.durable_end = max(self.durable_end, number)
+
     def set_may_have_runs(self, may_have_runs: bool) -> None:
         """Set whether the worker may have runs; renewals resume when it may."""
         self.may_have_runs = may_have_runs
@@ -247,7 +255,8 @@
         self._mark_responsive()
         self._has_listed = True
         self.update_clock(response.clock_ms, response.boot_unix_ms)
-        self.acknowledged_end = max(self.acknowledged_end, acknowledged)
+        if response.boot_unix_ms == boot_unix_ms:
+            self.acknowledged_end = max(self.acknowledged_end, acknowledged)
         self.listed_end = max((end.number for end in response.ended), default=self.durable_end)
         processed = anyio.Event()
         await self.events.send(ListingReceived(self.entry.id, sent_s, response, processed))
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -25,6 +25,25 @@
 WHOLE = Resources(10_000, 10_000, 8)
 
 
+async def test_ends_of_an_incarnation_are_not_acknowledged_to_the_next(group):
+    """Guards against ends that a restarted worker discards unread, so that work runs again."""
+    deployment = make_deployment(group, 1)
+    instance = deployment.start("one")
+    await deployment.submit(1, LATER, [step(6)])
+    worker = deployment.workers["w0"]
+    assert await until(lambda: len(worker.running) == 6)
+    instance.faults.write_delay_s = 1.0
+    for task in list(worker.running)[:5]:
+        worker.end(task, EndKind.DONE)
+    await anyio.sleep(0.3)
+    worker.restart()
+    deployment.publish(worker)
+    await anyio.sleep(1.5)
+    instance.faults.write_delay_s = 0.0
+    assert await until(lambda: len(worker.running) == 1)
+    assert worker.acknowledged == 0
+
+
 async def test_logged_wait_of_a_task_counts_from_its_last_run(group, caplog_events):
     """Guards against waits in the log that contain the runs before."""
     deployment = make_deployment(group)
