--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -32,6 +32,7 @@
     1644043508: "a start was repeated after its run had ended, on a worker that had restarted",
     2930878800: "an acknowledgement discarded the ends of a restarted worker unread",
     3766518247: "a start that was carried out late took room on a restarted worker",
+    3982087650: "ends stored late were acknowledged to the next incarnation of their worker",
     125992539: "the checker confused the ends of two incarnations of a worker",
 }
 """Seeds of earlier failures, each with the cause."""
