--- a/src/foxtailwell/controller/_runs.py
+++ b/src/foxtailwell/controller/_runs.py
@@ -89,7 +89,7 @@
             task
             for task in unlisted
             if task.boot_unix_ms != listing.boot_unix_ms
-            and (task.is_confirmed or _is_stopped(task, event.sent_s))
+            and (_has_begun_before(task, event.sent_s) or _is_stopped(task, event.sent_s))
         ]
         self._apply_crash(event.worker, lost, "the worker restarted")
         for task in unlisted:
@@ -221,6 +221,11 @@
                     self._requeue_lost(task, "the lease lapsed without contact")
 
 
+def _has_begun_before(task: Task, sent_s: float) -> bool:
+    """Return whether a listing must contain a run: it was confirmed before the listing was sent."""
+    return task.is_confirmed and task.start_settled_s < sent_s
+
+
 def _is_stopped(task: Task, sent_s: float) -> bool:
     """Return whether a stop was confirmed before a listing was sent, so that no run can follow."""
     return task.state is TaskState.STOPPING and 0 < task.stopped_s < sent_s
--- a/src/foxtailwell_standins/platform_worker.py
+++ b/src/foxtailwell_standins/platform_worker.py
@@ -46,6 +46,7 @@
         delayed_starts: Number of coming starts that get no response and take effect when
             `apply_delayed` is called.
         is_losing_stops: Stops get no response and have no effect.
+        listing_delay_s: Time for which the response to a listing is on its way.
         is_unhealthy: Starts are refused with UNHEALTHY.
         is_failing_runs: Each run ends as failed as soon as it starts.
         is_stalled: Runs make no progress and do not complete.
@@ -60,6 +61,7 @@
     response_timeout_s: float = 0.0
     delayed_starts: int = 0
     is_losing_stops: bool = False
+    listing_delay_s: float = 0.0
     is_unhealthy: bool = False
     is_failing_runs: bool = False
     is_stalled: bool = False
@@ -414,7 +416,9 @@
             ListedRun(task, run.run, run.checkpoint, self._percent(run))
             for task, run in self.running.items()
         )
-        return WorkerListing(self.clock_ms(), self.boot_unix_ms, running, tuple(self.ended))
+        listing = WorkerListing(self.clock_ms(), self.boot_unix_ms, running, tuple(self.ended))
+        await anyio.sleep(self.faults.listing_delay_s)
+        return listing
 
     def _percent(self, run: _Run) -> int:
         if self.faults.is_stalled:
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -25,6 +25,21 @@
 WHOLE = Resources(10_000, 10_000, 8)
 
 
+async def test_listing_from_before_a_start_does_not_show_that_its_run_was_lost(group):
+    """Guards against a run on a restarted worker that is started again while it runs."""
+    deployment = make_deployment(group, 1)
+    deployment.start("one")
+    await deployment.start_one_task()
+    worker = deployment.workers["w0"]
+    worker.faults.listing_delay_s = 1.5
+    worker.restart()
+    await anyio.sleep(1.2)
+    job = await deployment.submit(2, LATER, [step()])
+    assert await until(lambda: bool(deployment.runs(f"{job}.0.0.0")))
+    await anyio.sleep(4.0)
+    assert deployment.runs(f"{job}.0.0.0") == [("w0", 1)]
+
+
 async def test_ends_of_an_incarnation_are_not_acknowledged_to_the_next(group):
     """Guards against ends that a restarted worker discards unread, so that work runs again."""
     deployment = make_deployment(group, 1)
