--- a/src/foxtailwell/adapters/instance_list.py
+++ b/src/foxtailwell/adapters/instance_list.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from foxtailwell.adapters.addresses import split_address
 from foxtailwell.adapters.events import INSTANCE_REFUSED
 from foxtailwell.adapters.http_client import TRANSPORT_ERRORS, HttpClient, open_http_client
 from foxtailwell.adapters.logs import log_event
@@ -17,9 +18,6 @@
 
 __all__ = ["InstanceListClient", "open_instance_list"]
 
-_MAX_PORT = 65_535
-_PORT_DIGITS = 5
-
 
 @dataclass(frozen=True, slots=True)
 class _RefusedRecord:
@@ -114,9 +112,8 @@
 
 
 def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    is_port = port.isdecimal() and len(port) <= _PORT_DIGITS and 0 < int(port) <= _MAX_PORT
-    return is_port and bool(host) and text.isascii() and text.isprintable() and " " not in text
+    host, _ = split_address(text) or ("", 0)
+    return bool(host) and host.isascii() and host.isprintable() and " " not in host
 
 
 def _unavailable(cause: str) -> UnavailableError:
--- a/src/foxtailwell/adapters/settings.py
+++ b/src/foxtailwell/adapters/settings.py
@@ -11,6 +11,7 @@
 
 import json5
 
+from foxtailwell.adapters.addresses import split_address
 from foxtailwell.adapters.validation import find_unsafe_value, structure_document
 from foxtailwell.core.errors import ValidationError, ValidationIssue
 
@@ -199,6 +200,5 @@
 
 
 def _is_host_port(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    is_port = port.isascii() and port.isdigit() and 0 < int(port) <= 65_535
-    return is_port and _is_ip_address(host.strip("[]"))
+    parts = split_address(text)
+    return parts is not None and _is_ip_address(parts[0].strip("[]"))
--- a/src/foxtailwell/platform/workers.py
+++ b/src/foxtailwell/platform/workers.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from foxtailwell.adapters.addresses import split_address
 from foxtailwell.adapters.http_connection import CallError, CallReply, HttpEndpoint
 from foxtailwell.adapters.malformed import MALFORMED
 from foxtailwell.workflows import (
@@ -30,9 +31,6 @@
 RENEWAL_MARGIN_S = 0.6
 """Added to the wait of a lease renewal to get the timeout of its call."""
 
-MAX_PORT = 65_535
-"""Highest TCP port."""
-
 _ADDRESS_PATTERN = re.compile(r"[0-9.]{7,15}:[0-9]{1,5}")
 
 _OUTCOMES_BY_REASON = {
@@ -107,8 +105,7 @@
 
 
 def _is_address(text: str) -> bool:
-    port = text.rpartition(":")[2]
-    return bool(_ADDRESS_PATTERN.fullmatch(text)) and 0 < int(port) <= MAX_PORT
+    return bool(_ADDRESS_PATTERN.fullmatch(text)) and split_address(text) is not None
 
 
 def connect_worker(worker: str, address: str) -> WorkerCalls:
