--- a/src/foxtailwell/platform/settings.py
+++ b/src/foxtailwell/platform/settings.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from foxtailwell.adapters.malformed import MALFORMED
 from foxtailwell.core.errors import ValidationError, ValidationIssue
 from foxtailwell.instance import InstanceSettings
 
@@ -79,7 +80,7 @@
     """
     try:
         file = msgspec.json.decode(Path(path).read_bytes(), type=_SettingsFile, strict=False)
-    except (OSError, msgspec.DecodeError) as error:
+    except (OSError, *MALFORMED) as error:
         raise ValidationError(path, (_issue(error),)) from error
     return InstanceSettings(
         name=file.node_name,
@@ -100,7 +101,7 @@
     )
 
 
-def _issue(error: OSError | msgspec.DecodeError) -> ValidationIssue:
+def _issue(error: Exception) -> ValidationIssue:
     if not isinstance(error, msgspec.ValidationError):
         return ValidationIssue("settings", str(error), "have the platform write the file again")
     found, _, field = str(error).partition(" - at ")
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -103,6 +103,9 @@
         load_instance_settings(str(path))
     with pytest.raises(ValidationError):
         load_instance_settings(str(tmp_path / "absent.json"))
+    path.write_bytes(b'{"unread":' + b"[" * 100_000 + b"]" * 100_000 + b"}")
+    with pytest.raises(ValidationError):
+        load_instance_settings(str(path))
 
 
 @pytest.mark.parametrize(
