--- a/src/foxtailwell/adapters/peers.py
+++ b/src/foxtailwell/adapters/peers.py
@@ -240,6 +240,10 @@
     return Load(struct.queueLength, struct.inFlight, minions)
 
 
+def _decode_loss(struct: Any) -> RequestLoss:
+    return RequestLoss(str(struct.digest), str(struct.minion), struct.weight, struct.ageMs / 1000)
+
+
 def _decode_heartbeat(struct: Any) -> Heartbeat:
     return Heartbeat(
         struct.instance,
@@ -247,10 +251,7 @@
         struct.zone,
         struct.revision,
         _decode_load(struct.load),
-        tuple(
-            RequestLoss(str(loss.digest), str(loss.minion), loss.weight, loss.ageMs / 1000)
-            for loss in struct.losses
-        ),
+        tuple(_decode_loss(loss) for loss in struct.losses),
     )
 
 
--- a/src/foxtailwell/entry/_requests.py
+++ b/src/foxtailwell/entry/_requests.py
@@ -340,7 +340,7 @@
         self, request: Request, ticket: Ticket, respond: Respond
     ) -> MinionResponse | None:
         key = claim_key(request.account, request.idempotency_key)
-        digest = request_digest(request.work_class.name, request.body)
+        digest = _digest(request)
         while True:
             if not self._results.begin(key, request.id, digest):
                 reply = await self._wait_for_local_request(request, key, digest)
