--- a/src/foxtailwell_soak/_checker.py
+++ b/src/foxtailwell_soak/_checker.py
@@ -152,6 +152,12 @@
                     f"{job.job_id} is reported as completed but has open tasks"
                 )
 
+    def check_logs(self) -> None:
+        """Report errors that instances did not handle; handled ones are logged as events."""
+        for instance in self._fleet.instances:
+            for error in instance.unhandled_errors():
+                self._history.add_violation(f"{instance.name} did not handle an error: {error}")
+
     def _is_done(self, job: JobRecord, runs: list[RunSpan]) -> bool:
         done = {span.task for span in runs if span.end_kind is EndKind.DONE}
         return bool(done) if job.is_gang else len(done) == job.count
--- a/src/foxtailwell_soak/_clients.py
+++ b/src/foxtailwell_soak/_clients.py
@@ -9,7 +9,7 @@
 import anyio
 import msgspec
 
-from foxtailwell.adapters.http_connection import CallError, HttpEndpoint
+from foxtailwell.adapters.http_connection import CallError, CallReply, HttpEndpoint
 from foxtailwell.workflows import Resources
 from foxtailwell_soak._fleet import BOUNDS, Fleet
 from foxtailwell_soak._history import History, JobRecord
@@ -31,6 +31,9 @@
 CANCEL_PROBABILITY = 0.2
 """Probability that a client cancels a job instead of reading its state."""
 
+STATUSES = frozenset({200, 401, 404, 410, 429, 503, 504})
+"""Statuses of responses to well-formed requests."""
+
 HOST = "jobs.example"
 URGENT_PREFIX, LATER_PREFIX = "/urgent/", "/later/"
 
@@ -165,4 +168,16 @@
         except CallError:
             # Status 0 records that there was no response; the outcome of the call is unknown.
             return 0, {}
-        return reply.status, msgspec.json.decode(reply.body or b"{}")
+        return reply.status, self._decode(f"{method} {path}", reply)
+
+    def _decode(self, call: str, reply: CallReply) -> dict[str, Any]:
+        if reply.status not in STATUSES:
+            self._history.add_violation(f"{call} got status {reply.status}: {reply.body[:80]!r}")
+        try:
+            return msgspec.json.decode(reply.body or b"{}", type=dict[str, Any])
+        except msgspec.DecodeError:
+            self._history.add_violation(
+                f"{call} got a response that is no JSON object, status {reply.status}: "
+                f"{reply.body[:80]!r}"
+            )
+            return {}
--- a/src/foxtailwell_soak/_fleet.py
+++ b/src/foxtailwell_soak/_fleet.py
@@ -108,6 +108,18 @@
         """`host:port` that clients connect to."""
         return f"127.0.0.1:{self.ports[0]}"
 
+    @property
+    def log_path(self) -> Path:
+        """File that takes the output of all processes of this instance."""
+        return self.directory / f"{self.name}.log"
+
+    def unhandled_errors(self) -> list[str]:
+        """Return the last line of each traceback in the log."""
+        lines = self.log_path.read_text(errors="replace").splitlines()
+        starts = [n for n, line in enumerate(lines) if line.startswith("Traceback")]
+        # The frames of a traceback are indented; the error itself is not.
+        return [next((x for x in lines[n + 1 :] if x[:1] != " "), "") for n in starts]
+
     def start(self) -> None:
         """Write the settings file and start the process; its output is appended to the log."""
         front, ready, metrics = self.ports
@@ -124,7 +136,7 @@
         path = self.directory / f"{self.name}.json"
         path.write_bytes(msgspec.json.encode(settings))
         program = Path(__file__).parents[1] / "instance.py"
-        with (self.directory / f"{self.name}.log").open("ab") as log:
+        with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, str(program)],
                 stdout=log,
--- a/src/foxtailwell_soak/_run.py
+++ b/src/foxtailwell_soak/_run.py
@@ -112,6 +112,7 @@
             await _until_cancelled_runs_end(fleet, history)
             checker.check_new()
             checker.check_responses()
+            checker.check_logs()
         finally:
             group.cancel_scope.cancel()
             for endpoint in fleet.clients:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,16 +7,18 @@
 
 import pytest
 
+from foxtailwell.adapters.http_connection import CallReply
 from foxtailwell.workflows import EndKind, Resources, StartCommand, TaskId
 from foxtailwell_soak import run_soak
 from foxtailwell_soak._checker import CAPACITY_GRACE_S, Checker
+from foxtailwell_soak._clients import Client
 from foxtailwell_soak._faults import (
     FAULT_KINDS,
     WORKLOAD_FAULT_KINDS,
     FaultInjector,
     draw_faults,
 )
-from foxtailwell_soak._fleet import BOUNDS, Fleet, WorkerHandle
+from foxtailwell_soak._fleet import BOUNDS, Fleet, InstanceProcess, WorkerHandle
 from foxtailwell_soak._history import History, JobRecord
 from foxtailwell_standins.platform_store import MemoryStore, StoreFaults
 from foxtailwell_standins.platform_worker import MemoryWorker, RunSpan
@@ -172,6 +174,35 @@
     assert "crashed 6 workers" in history.violations[0]
 
 
+@pytest.mark.parametrize(
+    ("reply", "text"),
+    [
+        (CallReply(200, b"Not Found"), "no JSON object"),
+        (CallReply(200, b"[]"), "no JSON object"),
+        (CallReply(500, b"{}"), "status 500"),
+    ],
+)
+def test_client_reports_a_response_that_no_instance_should_send(checked_worker, reply, text):
+    """Guards against a client that fails on such a response, or accepts it."""
+    checker, history, _ = checked_worker
+    client = Client(checker._fleet, history, random.Random(1))
+    assert client._decode("POST /urgent/1", reply) == {}
+    assert text in history.violations[0]
+
+
+def test_checker_reports_an_error_that_an_instance_did_not_handle(checked_worker, tmp_path):
+    """Guards against errors that only the log of a passing test shows."""
+    checker, history, _ = checked_worker
+    instance = InstanceProcess("i0", "a", tmp_path, RelayState(""), "", StoreFaults(), ())
+    checker._fleet.instances.append(instance)
+    instance.log_path.write_text('{"event":"FW1001"}\n')
+    checker.check_logs()
+    assert not history.violations
+    instance.log_path.write_text('Traceback (most recent call last):\n  File "x"\nKeyError: 1\n')
+    checker.check_logs()
+    assert "KeyError: 1" in history.violations[0]
+
+
 def test_fault_schedule_is_reproducible_and_faults_overlap():
     """Guards against a schedule that a seed does not reproduce, or without overlaps."""
     schedules = [draw_faults(random.Random(7), 12.0) for _ in range(2)]
