--- a/src/foxtailwell/adapters/http_server.py
+++ b/src/foxtailwell/adapters/http_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from contextlib import nullcontext
 from typing import Any
@@ -65,7 +66,7 @@
         lifespan="off",
         interface="asgi3",
         ws="none",
-        timeout_graceful_shutdown=int(grace_s),
+        timeout_graceful_shutdown=math.ceil(grace_s),
         server_header=False,
         timeout_keep_alive=30,
     )
--- a/src/foxtailwell/instance/_daemon.py
+++ b/src/foxtailwell/instance/_daemon.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import anyio
+from anyio.abc import TaskGroup
 
 from foxtailwell.adapters.events import (
     DAEMON_STARTED,
@@ -37,8 +38,14 @@
 The load balancer sends requests until two readiness probes have failed.
 """
 
-REQUEST_GRACE_S = 1.5
-"""Time for requests in progress after the servers stop accepting connections."""
+REQUEST_GRACE_S = 2.6
+"""Time for requests in progress after the servers stop accepting connections.
+
+A submission sends at most two calls to the store, which time out after 1.2 s each.
+"""
+
+RESPONSE_GRACE_S = 0.2
+"""Time in which the servers send the responses of requests that exceed `REQUEST_GRACE_S`."""
 
 RESTART_DELAY_S = 0.5
 """Delay before a failed background task is restarted."""
@@ -124,20 +131,24 @@
             group.start_soon(self._supervise, "clock", self._wall_clock.run)
             group.start_soon(self._supervise, "operators", self._operators.run)
             group.start_soon(self._supervise, "controller", self._leadership.run)
-            for app, address in (
-                (self._readiness_app, self._settings.readiness_address),
-                (self._client_app, self._settings.client_address),
-                (self._metrics_app, self._settings.metrics_address),
-            ):
-                host, port = _split_address(address)
-                await group.start(
-                    partial(
-                        serve_http, app, host, port, self._stop_serving, grace_s=REQUEST_GRACE_S
-                    )
-                )
-            await self._wait_for_stop(signals)
+            async with anyio.create_task_group() as servers:
+                await self._start_servers(servers)
+                await self._wait_for_stop(signals)
             group.cancel_scope.cancel()
 
+    async def _start_servers(self, group: TaskGroup) -> None:
+        """Start the HTTP servers in a group, which ends once they have stopped serving."""
+        grace_s = REQUEST_GRACE_S + RESPONSE_GRACE_S
+        for app, address in (
+            (self._readiness_app, self._settings.readiness_address),
+            (self._client_app, self._settings.client_address),
+            (self._metrics_app, self._settings.metrics_address),
+        ):
+            host, port = _split_address(address)
+            await group.start(
+                partial(serve_http, app, host, port, self._stop_serving, grace_s=grace_s)
+            )
+
     async def _supervise(self, name: str, task: Callable[[], Awaitable[None]]) -> None:
         while True:
             try:
@@ -158,8 +169,8 @@
             unready_period.deadline = anyio.current_time() + UNREADY_PERIOD_S
             await self._leadership.stop(UNREADY_PERIOD_S)
             await anyio.sleep(UNREADY_PERIOD_S)
+        self._api.finish_requests_by(anyio.current_time() + REQUEST_GRACE_S)
         self._stop_serving.set()
-        await anyio.sleep(REQUEST_GRACE_S)
 
     def _reload(self) -> None:
         """Reload the settings and apply those that need no restart; an invalid file is ignored."""
--- a/src/foxtailwell/instance/_jobs_api.py
+++ b/src/foxtailwell/instance/_jobs_api.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 import time
 from collections.abc import Awaitable, Callable
@@ -98,6 +99,18 @@
         self._now_s = now_s
         self._now_unix_ms = now_unix_ms
         self._recheck_lock = anyio.Lock()
+        self._in_progress: set[anyio.CancelScope] = set()
+        self._deadline_s = math.inf
+
+    def finish_requests_by(self, deadline_s: float) -> None:
+        """Limit requests in progress and later ones; status 504 answers those that exceed it.
+
+        Args:
+            deadline_s: Time on the clock of the event loop.
+        """
+        self._deadline_s = deadline_s
+        for scope in self._in_progress:
+            scope.deadline = deadline_s
 
     async def handle(
         self, method: str, host: str, path: str, key: str, body: Callable[[], Awaitable[bytes]]
@@ -113,7 +126,14 @@
         """
         start_s = self._now_s()
         request = _Request(method, path, host.lower(), key, start_s)
-        reply = await self._process(request, await body())
+        with anyio.CancelScope(deadline=self._deadline_s) as scope:
+            self._in_progress.add(scope)
+            try:
+                reply = await self._process(request, await body())
+            finally:
+                self._in_progress.discard(scope)
+        if scope.cancelled_caught:
+            reply = _refuse(request, 504, "the instance stops, and the store has not answered")
         self._metrics.count("requests", method=method, status=str(reply.status))
         self._metrics.observe_s("request", self._now_s() - start_s)
         return reply
--- a/tests/test_instance_process.py
+++ b/tests/test_instance_process.py
@@ -10,9 +10,15 @@
 import threading
 from pathlib import Path
 
+import anyio
 import pytest
 
-from foxtailwell_soak._fleet import is_signal_handled
+from foxtailwell.adapters.http_connection import CallError, HttpEndpoint
+from foxtailwell.instance._daemon import UNREADY_PERIOD_S
+from foxtailwell_soak._fleet import BOUNDS, is_signal_handled, open_fleet
+from foxtailwell_soak._history import History
+from foxtailwell_soak._operators import Operators
+from foxtailwell_standins.relay import LinkFailures
 
 PROGRAM = Path(__file__).parent.parent / "src/instance.py"
 SETTINGS = {
@@ -87,3 +93,48 @@
     instance.send_signal(signal.SIGHUP)
     assert "node_name" in next_line(instance, "FW1709")["reason"]
     assert instance.poll() is None
+
+
+SUBMISSION = (
+    b'{"spec":"0.5","phases":[{"count":1,"cpu":1000,"mem_mb":100,"gpu":1,"estimate_ms":500}]}'
+)
+
+
+@pytest.fixture
+async def deployment(group, tmp_path):
+    """Return a deployment of one instance and one worker that accepts jobs, and its client."""
+    fleet = await open_fleet(group, tmp_path, 1, 1)
+    Operators(fleet, History()).configure()
+    endpoint = HttpEndpoint(fleet.instances[0].address, host="jobs.example")
+    for _ in range(100):
+        if await submit(endpoint, 0) == 200:
+            break
+        await anyio.sleep(0.1)
+    yield fleet, endpoint
+    endpoint.close()
+    fleet.close()
+
+
+async def submit(endpoint, job_number):
+    """Submit a job and return the status of the response; 0 without a response."""
+    headers = {"Authorization": "Token key-1"}
+    try:
+        reply = await endpoint.call(
+            "POST", f"/urgent/{job_number:016x}", SUBMISSION, headers=headers, timeout_s=5.0
+        )
+    except CallError:
+        return 0
+    return reply.status
+
+
+@pytest.mark.anyio
+async def test_stop_while_the_store_is_silent_leaves_no_submission_with_an_error(deployment):
+    """Guards against status 500, or none, for a submission whose outcome is unknown."""
+    fleet, endpoint = deployment
+    instance = fleet.instances[0]
+    instance.signal(signal.SIGTERM)
+    await anyio.sleep(UNREADY_PERIOD_S - 1.0)
+    instance.store_link.set_failures(LinkFailures(drop=("to_target", "to_client")))
+    assert await submit(endpoint, 1) == 504
+    assert await anyio.to_thread.run_sync(instance.process.wait, BOUNDS.grace_s) == 0
+    assert not instance.unhandled_errors()
