--- a/src/foxtailwell/controller/_links.py
+++ b/src/foxtailwell/controller/_links.py
@@ -56,6 +56,9 @@
 EXPIRY_MARGIN_S = 0.4
 """Time added to a lease for the delivery of the command and the end of the run's processes."""
 
+_REFUSALS = frozenset({CommandOutcome.UNHEALTHY, CommandOutcome.INVALID})
+"""Outcomes of a command that the worker has not carried out, whatever it runs."""
+
 
 def max_lease_s(lease_ms: int) -> float:
     """Return the longest local time in seconds from sending a lease to the end of its runs."""
@@ -363,14 +366,15 @@
                     outcome = await self.calls.stop(task, run, self.token)
                 except WorkerCallError as failure:
                     self._mark_unresponsive(failure.reason)
-                    await anyio.sleep(RETRY_PAUSE_S)
-                    if self.now_s() > self.leases_expire_s:
+                else:
+                    if outcome is CommandOutcome.FENCED:
+                        self.on_fenced(self.entry.id)
+                        return
+                    if outcome not in _REFUSALS:
+                        await self.events.send(StopConfirmed(self.entry.id, task, run))
                         return
-                    continue
-                if outcome is CommandOutcome.FENCED:
-                    self.on_fenced(self.entry.id)
+                await anyio.sleep(RETRY_PAUSE_S)
+                if self.now_s() > self.leases_expire_s:
                     return
-                await self.events.send(StopConfirmed(self.entry.id, task, run))
-                return
         finally:
             self.stopping.discard((task, run))
--- a/src/foxtailwell_standins/platform_worker.py
+++ b/src/foxtailwell_standins/platform_worker.py
@@ -46,6 +46,7 @@
         delayed_starts: Number of coming starts that get no response and take effect when
             `apply_delayed` is called.
         is_losing_stops: Stops get no response and have no effect.
+        is_refusing_stops: Stops are refused with UNHEALTHY and have no effect.
         listing_delay_s: Time for which the response to a listing is on its way.
         is_unhealthy: Starts are refused with UNHEALTHY.
         is_failing_runs: Each run ends as failed as soon as it starts.
@@ -61,6 +62,7 @@
     response_timeout_s: float = 0.0
     delayed_starts: int = 0
     is_losing_stops: bool = False
+    is_refusing_stops: bool = False
     listing_delay_s: float = 0.0
     is_unhealthy: bool = False
     is_failing_runs: bool = False
@@ -381,6 +383,8 @@
         await self._begin_call()
         if self.faults.is_losing_stops:
             raise WorkerCallError("no response")
+        if self.faults.is_refusing_stops:
+            return CommandOutcome.UNHEALTHY
         if self.faults.is_replaced:
             return CommandOutcome.OTHER_INCARNATION
         if token < self.token:
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -168,6 +168,38 @@
     assert task not in late.running
 
 
+async def test_refused_stop_does_not_let_a_delayed_start_run_beside_the_next_run(group):
+    """Guards against a stop that counts as confirmed although its worker has refused it."""
+    deployment = make_deployment(group, 2)
+    late, other = deployment.workers["w0"], deployment.workers["w1"]
+    late.faults.delayed_starts, late.faults.is_refusing_stops = 3, True
+    deployment.start("one")
+    job = await deployment.submit(1, LATER, [step()])
+    task = f"{job}.0.0.0"
+    assert await until(lambda: not late.faults.delayed_starts)
+    deployment.publish(late, is_ready=False)
+    await anyio.sleep(3.0)
+    late.apply_delayed()
+    assert task not in other.running
+    late.faults.is_refusing_stops = False
+    assert await until(lambda: task in other.running)
+    assert task not in late.running
+
+
+async def test_refused_stop_is_repeated(group):
+    """Guards against a run of a cancelled job that goes on after its worker refused to stop it."""
+    deployment = make_deployment(group, 1)
+    worker = deployment.workers["w0"]
+    deployment.start("one")
+    job = await deployment.submit(1, LATER, [step()])
+    assert await until(lambda: bool(worker.running))
+    worker.faults.is_refusing_stops = True
+    await deployment.intake.cancel(job)
+    await anyio.sleep(1.0)
+    worker.faults.is_refusing_stops = False
+    assert await until(lambda: not worker.running)
+
+
 async def test_gang_with_a_rejected_member_restarts_as_a_whole(group):
     """Guards against members of a gang that run without the other members."""
     deployment = make_deployment(group, 3)
