--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -151,6 +151,10 @@
         self._reported_s: dict[str, float] = {}
         self._revisions: dict[str, int] = {}
         self._written_s: dict[str, float] = {}
+        # Revisions in the first listing of the term, of workers without a report since, and the
+        # highest revision of a worker that has reported since.
+        self._first_revisions: dict[str, int] = {}
+        self._followed_revision = 0
         self._last_update_s = 0.0
         self._removal_candidates: set[str] = set()
         self._unanswered_starts: dict[str, list[StartFinished]] = {}
@@ -168,6 +172,7 @@
         seen: set[str] = set()
         now_s = self._now_s()
         is_continuous = now_s - self._last_update_s < MAX_UPDATE_GAP_S
+        is_first = not self._last_update_s
         written_s = self._earliest_write_s(now_s, store_failed_s)
         self._last_update_s = now_s
         for change in event.changes:
@@ -186,7 +191,12 @@
             self.entries[worker] = entry
             self._removal_candidates.discard(worker)
             self._reported_s[worker] = now_s
+            if is_first:
+                self._first_revisions[worker] = change.revision
             if self._revisions.get(worker) != change.revision:
+                if not is_first:
+                    first = self._first_revisions.pop(worker, 0)
+                    self._followed_revision = max(self._followed_revision, first)
                 self._revisions[worker] = change.revision
                 self._written_s[worker] = written_s
             self._update_link(entry)
@@ -208,7 +218,13 @@
         return now_s if is_usual else self._last_update_s
 
     def start_until_s(self, worker: str) -> float:
-        """Return the local time until which a start may rely on the reported capacity."""
+        """Return the local time until which a start may rely on the reported capacity.
+
+        All workers report at the same interval. If one whose entry was newer in the first listing
+        has reported since and this one has not, its entry was older than that interval.
+        """
+        if self._first_revisions.get(worker, math.inf) < self._followed_revision:
+            return -math.inf
         limit_s = max(
             self._access.capacity_grace_s - MAX_UPDATE_GAP_S,
             MIN_USABLE_REPORT_HEARTBEATS * self._access.heartbeat_s + START_ALLOWANCE_S,
--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -155,6 +155,26 @@
     assert await until(lambda: run_count(fleet) == 1)
 
 
+async def test_new_controller_does_not_rely_on_the_last_report_of_a_silent_worker(reporting_fleet):
+    """Guards against a start on a worker that has shrunk and whose entry has yet to expire."""
+    reporting_fleet.heartbeat_s, reporting_fleet.capacity_grace_s = 0.8, 2.4
+    first = reporting_fleet.start("one")
+    await reporting_fleet.submit(1, LATER, [step(1)])
+    assert await until(lambda: run_count(reporting_fleet) == 1)
+    reporting_fleet.workers["w1"].capacity = SHRUNKEN
+    reporting_fleet.withdrawn.add("w0")
+    shrink(reporting_fleet, "w0")
+    first.kill()
+    # The store keeps the entry of a silent worker for three heartbeats.
+    await anyio.sleep(2.2)
+    second = reporting_fleet.start("two")
+    assert await until(lambda: second.leadership.is_controller)
+    await anyio.sleep(0.3)
+    await reporting_fleet.submit(2, LATER, [step(request=HALF)])
+    await anyio.sleep(1.0)
+    assert run_count(reporting_fleet) == 1
+
+
 def test_reservation_ends_when_its_worker_shrinks():
     """Guards against a unit that waits for room which its worker no longer has."""
     queue = Queue("urgent", "pool", priority=0)
