--- a/src/foxtailwell/fleet/_peer_client.py
+++ b/src/foxtailwell/fleet/_peer_client.py
@@ -8,6 +8,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, replace
 from ipaddress import ip_address
+from itertools import count
 
 import anyio
 from anyio.abc import TaskGroup
@@ -24,7 +25,7 @@
     Load,
     PeerStream,
 )
-from foxtailwell.core import InstanceRecord, Role
+from foxtailwell.core import InstanceRecord, RequestLoss, Role
 from foxtailwell.core.errors import FrameError
 from foxtailwell.fleet._peer_server import (
     make_byte_counter,
@@ -115,11 +116,16 @@
     try:
         async with _connect(state, record.address) as peer:
             push = make_configuration_pusher(state, peer)
-            sequence = 0
-            while True:
-                sequence += 1
+            # Another daemon may have the address by now, so the first heartbeat on a connection
+            # carries no evidence; the reply tells who has answered.
+            revision = await _exchange_heartbeat(state, identity, record, peer, 1)
+            await push(revision)
+            for sequence in count(2):
                 due_s = time.monotonic() + HEARTBEAT_INTERVAL_S
-                revision = await _exchange_heartbeat(state, identity, record, peer, sequence)
+                losses = _shared_losses(state, record)
+                revision = await _exchange_heartbeat(
+                    state, identity, record, peer, sequence, losses
+                )
                 await push(revision)
                 await anyio.sleep(max(0.0, due_s - time.monotonic()))
     except FrameError as error:
@@ -128,8 +134,19 @@
         return  # The peer is logged as lost when its last reply is too old.
 
 
+def _shared_losses(state: FleetState, record: InstanceRecord) -> tuple[RequestLoss, ...]:
+    if record.role != "entry":
+        return ()
+    return state.view.suspects.shared_losses(time.monotonic())
+
+
 async def _exchange_heartbeat(
-    state: FleetState, identity: Identity, record: InstanceRecord, peer: PeerStream, sequence: int
+    state: FleetState,
+    identity: Identity,
+    record: InstanceRecord,
+    peer: PeerStream,
+    sequence: int,
+    losses: tuple[RequestLoss, ...] = (),
 ) -> int:
     """Send one heartbeat, process the reply and return the configuration revision of the peer.
 
@@ -138,14 +155,13 @@
     """
     view = state.view
     sent_at_s = time.monotonic()
-    is_entry = record.role == "entry"
     heartbeat = Heartbeat(
         identity.instance,
         identity.role,
         identity.zone,
         view.configuration.revision,
-        _reported_load(view.own_load) if is_entry else Load(),
-        view.suspects.shared_losses(sent_at_s) if is_entry else (),
+        _reported_load(view.own_load) if record.role == "entry" else Load(),
+        losses,
     )
     await peer.send(Frame(sequence, heartbeat), timeout_s=REPLY_TIMEOUT_S)
     reply = await _receive_reply(state, peer, sequence)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -110,6 +110,20 @@
         assert third.suspects.is_empty
 
 
+async def test_evidence_is_not_sent_to_another_daemon_at_the_address_of_an_entry(fleet):
+    """Guards against requests that are refused on evidence of which their minions know nothing."""
+    async with (
+        fleet.daemon("i-1") as (view, _),
+        fleet.daemon("i-2", listed=False) as (other, address),
+    ):
+        view.suspects.record_loss("d", "m1", ran_s=0.1, now_s=time.monotonic())
+        await until(lambda: "i-1/entry" in other.instances)
+        fleet.instances.put(InstanceRecord("i-3/entry", "entry", "zone-a", address))
+        await until(lambda: "i-3/entry" in view.instances)
+        await anyio.sleep(2.5)
+        assert other.suspects.is_empty
+
+
 @pytest.mark.parametrize("change", [{"address": "host:port"}, {"address": ""}, {"role": "new"}])
 async def test_unusable_record_does_not_hide_the_other_instances(fleet, change, caplog_events):
     """Guards against a daemon that ends, or keeps an old list for ever, because of one record."""
