--- a/src/foxtailwell_soak/_faults.py
+++ b/src/foxtailwell_soak/_faults.py
@@ -288,12 +288,12 @@
             handle.worker.restart()
             self._fleet.publish(handle)
 
-    async def refuse_starts(self, fault: Fault) -> None:
-        """Make a worker refuse start commands."""
+    async def refuse_commands(self, fault: Fault) -> None:
+        """Make a worker refuse start and stop commands."""
         faults = self._fleet.workers[fault.target % len(self._fleet.workers)].worker.faults
-        faults.is_unhealthy = True
+        faults.is_unhealthy = faults.is_refusing_stops = True
         await anyio.sleep(fault.for_s)
-        faults.is_unhealthy = False
+        faults.is_unhealthy = faults.is_refusing_stops = False
 
     async def delay_starts(self, fault: Fault) -> None:
         """Execute the next start commands of a worker after the fault, without a response."""
@@ -371,7 +371,7 @@
     "delay_store_writes",
     "drop_store_history",
     "restart_worker",
-    "refuse_starts",
+    "refuse_commands",
     "delay_starts",
     "lose_start_responses",
     "stall_runs",
