--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -191,20 +191,27 @@
             self.entries[worker] = entry
             self._removal_candidates.discard(worker)
             self._reported_s[worker] = now_s
-            if is_first:
-                self._first_revisions[worker] = change.revision
-            if self._revisions.get(worker) != change.revision:
-                if not is_first:
-                    first = self._first_revisions.pop(worker, 0)
-                    self._followed_revision = max(self._followed_revision, first)
-                self._revisions[worker] = change.revision
-                self._written_s[worker] = written_s
+            self._note_revision(worker, change.revision, written_s, is_first=is_first)
             self._update_link(entry)
         if event.is_snapshot:
             for worker in self.entries.keys() - seen:
                 self._delist(worker)
             self._health.remove_delisted(self.entries)
 
+    def _note_revision(
+        self, worker: str, revision: int, written_s: float, *, is_first: bool
+    ) -> None:
+        """Record when a new entry of a worker was written at the earliest."""
+        if self._revisions.get(worker) == revision:
+            return
+        if is_first:
+            self._first_revisions[worker] = revision
+        else:
+            first = self._first_revisions.pop(worker, 0)
+            self._followed_revision = max(self._followed_revision, first)
+        self._revisions[worker] = revision
+        self._written_s[worker] = written_s
+
     def _earliest_write_s(self, now_s: float, store_failed_s: float) -> float:
         """Return the local time since which new entries of an update were written.
 
