--- a/src/foxtailwell/controller/_crashes.py
+++ b/src/foxtailwell/controller/_crashes.py
@@ -61,13 +61,15 @@
     def apply(self, worker: str, lost: Sequence[Task]) -> None:
         """Record that an incarnation of a worker has ended together with its runs.
 
+        The end of an incarnation that has announced it is no crash.
+
         Args:
             worker: Identifier of the worker.
             lost: Tasks whose runs were on it.
         """
-        link = self._workers.links[worker]
+        link = self._workers.links.get(worker)
         lost = [t for t in lost if not self._workers.has_announced_end(worker, t.boot_unix_ms)]
-        if not lost:
+        if link is None or not lost:
             return
         runs = [_to_lost_run(task, link) for task in lost]
         is_isolated = self._is_isolated(link)
--- a/src/foxtailwell/controller/_runs.py
+++ b/src/foxtailwell/controller/_runs.py
@@ -207,8 +207,8 @@
     def requeue_from_removed(self) -> None:
         """Queue the tasks of removed workers again."""
         for worker in self._workers.take_removed():
-            for task in self._registry.placed_on(worker):
-                self._requeue_lost(task, "the worker has left")
+            placed = list(self._registry.placed_on(worker))
+            self._apply_crash(worker, placed, "the worker has left")
 
     def requeue_expired(self) -> None:
         """Queue the tasks again of workers whose leases have all expired without contact."""
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -139,6 +139,25 @@
     assert len(fleet.runs(task)) == 2
 
 
+async def test_worker_that_leaves_after_its_crash_counts_as_crashed(fleet):
+    """Guards against the removal of the next incarnation that excuses the crash of the former."""
+    task = f"{job_id(1)}.0.0.0"
+    make_fatal(fleet, task)
+    for worker in fleet.workers.values():
+        worker.faults.crash_s = 1.0
+    fleet.start("one")
+    job = await fleet.submit(1, LATER, [step()])
+    for number in range(2):
+        assert await until(lambda count=number + 1: len(fleet.runs(task)) == count)
+        crashed = fleet.workers[max(fleet.runs(task), key=lambda started: started[1])[0]]
+        fleet.withdrawn.add(crashed.id)
+        fleet.publish(crashed, is_ready=False)
+        await anyio.sleep(0.3)
+        fleet.store.delete(f"servers/{crashed.id}")
+    assert await fleet.reaches(job, JobState.FAILED)
+    assert len(fleet.runs(task)) == 2
+
+
 async def test_crashes_count_across_a_change_of_the_controller(fleet):
     """Guards against evidence that is lost with the controller that collected it."""
     task = f"{job_id(1)}.0.0.0"
