--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -124,6 +124,13 @@
     assert len(fleet.runs(task)) == 2
 
 
+async def crashed_worker(fleet, task, run_count):
+    """Wait until a fatal task has started so often, and return the worker of its newest run."""
+    assert await until(lambda: len(fleet.runs(task)) == run_count)
+    worker, _ = max(fleet.runs(task), key=lambda started: started[1])
+    return fleet.workers[worker]
+
+
 async def test_worker_that_drains_after_its_crash_counts_as_crashed(fleet):
     """Guards against the departure of the next incarnation that excuses the crash of the former."""
     task = f"{job_id(1)}.0.0.0"
@@ -131,8 +138,7 @@
     fleet.start("one")
     job = await fleet.submit(1, LATER, [step()])
     for number in range(2):
-        assert await until(lambda count=number + 1: len(fleet.runs(task)) == count)
-        crashed = fleet.workers[max(fleet.runs(task), key=lambda started: started[1])[0]]
+        crashed = await crashed_worker(fleet, task, number + 1)
         fleet.withdrawn.add(crashed.id)
         fleet.publish(crashed, is_ready=False)
     assert await fleet.reaches(job, JobState.FAILED)
@@ -148,8 +154,7 @@
     fleet.start("one")
     job = await fleet.submit(1, LATER, [step()])
     for number in range(2):
-        assert await until(lambda count=number + 1: len(fleet.runs(task)) == count)
-        crashed = fleet.workers[max(fleet.runs(task), key=lambda started: started[1])[0]]
+        crashed = await crashed_worker(fleet, task, number + 1)
         fleet.withdrawn.add(crashed.id)
         fleet.publish(crashed, is_ready=False)
         await anyio.sleep(0.3)
