Log why a step waits for placement

FW1604 and FW1605 tell when a step begins to wait and when it is placed; nothing tells why, so the hypotheses (room, a reservation, suspects, an old report, a missing ticket) cannot be distinguished.

The planner explains units on request: the number of workers of the pool by the first obstacle, and the tasks that fit on the others. The controller asks for units that have waited for 2 s, for each of them every 2 s, at most 20 in a plan. WorkerView names the obstacle in place of a flag.

--- a/src/foxtailwell/adapters/events.py
+++ b/src/foxtailwell/adapters/events.py
@@ -125,6 +125,7 @@
 WORKER_CRASHED = _event("FW1631", "WARNING", "a worker has crashed")
 TASK_GIVEN_UP = _event("FW1632", "WARNING", "a task is given up because workers crash under it")
 STARTS_OUTDATED = _event("FW1633", "INFO", "starts abandoned because storing them took too long")
+STEP_WAITS = _event("FW1634", "INFO", "a step cannot be placed yet")
 TASK_UNREADABLE = _event("FW1621", "WARNING", "a worker reports a task with a malformed identifier")
 
 # 1700-1799: instances
--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -49,6 +49,7 @@
 from foxtailwell.controller._runs import RunReports
 from foxtailwell.controller._stored_jobs import StoredJobs
 from foxtailwell.controller._tickets import AdviceReceived, Tickets
+from foxtailwell.controller._waits import WaitLog
 from foxtailwell.controller._watch import ChangeBatch, follow_prefix
 from foxtailwell.controller._workers import FleetAccess, Workers
 from foxtailwell.workflows import (
@@ -207,6 +208,7 @@
             metrics=metrics,
         )
         self._reservations: tuple[Reservation, ...] = ()
+        self._wait_log = WaitLog()
         self._planned_version = -1
         self._planned_s = 0.0
         self._pending = _Pending()
@@ -441,8 +443,8 @@
         units = self._tickets.with_allowed_workers(units, self._workers.entries)
         cordoned = self._maintenance.cordoned() if self._maintenance else frozenset()
         workers = self._workers.views(view.zones_out, cordoned, now_s, within_guarantee)
-        fleet = FleetView(now_s, workers, units, self._reservations)
-        decided = plan(fleet)
+        explained = self._wait_log.select(units, now_s)
+        decided = plan(FleetView(now_s, workers, units, self._reservations, explained))
         self._reservations = decided.reservations
         self._planned_version, self._planned_s = self._registry.version, now_s
         for victim in decided.stops:
@@ -450,6 +452,7 @@
         for placement in decided.placements:
             self._assign(placement, now_s)
         placed = {placement.unit.key for placement in decided.placements}
+        self._wait_log.record(placed, decided.waits, now_s)
         self._tickets.request_advice(
             (u for u in units if u.key not in placed), self._workers.entries
         )
--- /dev/null
+++ b/src/foxtailwell/controller/_waits.py
@@ -0,0 +1,67 @@
+"""Logs why steps wait for placement, at a limited rate."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable
+
+from foxtailwell.adapters.events import STEP_WAITS
+from foxtailwell.adapters.logs import log_event
+from foxtailwell.workflows import SchedulingUnit, Wait
+
+__all__ = ["WaitLog"]
+
+EXPLAINED_AFTER_S = 2.0
+"""Wait after which a step is explained; most waits for capacity or local workers are shorter."""
+
+EXPLANATION_INTERVAL_S = 2.0
+"""Pause between two explanations of one step."""
+
+MAX_EXPLANATIONS = 20
+"""Limit of steps that one plan explains, because each one looks at all workers."""
+
+UnitKey = tuple[str, int, int]
+
+
+class WaitLog:
+    """Selects the waiting steps that a plan explains, and logs the explanations."""
+
+    def __init__(self) -> None:
+        self._waiting_since_s: dict[UnitKey, float] = {}
+        self._explained_s: dict[UnitKey, float] = {}
+
+    def select(self, units: Iterable[SchedulingUnit], now_s: float) -> frozenset[UnitKey]:
+        """Return the keys of the units to explain if the next plan does not place them."""
+        since_s = {unit.key: self._waiting_since_s.get(unit.key, now_s) for unit in units}
+        self._waiting_since_s = since_s
+        self._explained_s = {key: at for key, at in self._explained_s.items() if key in since_s}
+        due = [
+            key
+            for key, since in since_s.items()
+            if now_s - max(since, self._explained_s.get(key, 0.0)) >= EXPLANATION_INTERVAL_S
+            and now_s - since >= EXPLAINED_AFTER_S
+        ]
+        due.sort(key=lambda key: self._explained_s.get(key, since_s[key]))
+        return frozenset(due[:MAX_EXPLANATIONS])
+
+    def record(self, placed: Collection[UnitKey], waits: Iterable[Wait], now_s: float) -> None:
+        """Log the explanations of a plan.
+
+        Args:
+            placed: Keys of the units that the plan places; their wait begins anew.
+            waits: Explanations from the plan.
+            now_s: Local time.
+        """
+        for wait in waits:
+            key = wait.unit.key
+            log_event(
+                STEP_WAITS,
+                job=wait.unit.job_id,
+                step=wait.unit.step_number,
+                tasks=len(wait.unit.tasks),
+                waited_s=round(now_s - self._waiting_since_s.get(key, now_s), 2),
+                fitting=wait.fitting_tasks,
+                obstacles={obstacle.value: count for obstacle, count in wait.obstacles.items()},
+            )
+            self._explained_s[key] = now_s
+        for key in placed:
+            self._waiting_since_s.pop(key, None)
--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from anyio.abc import TaskGroup
@@ -25,6 +25,7 @@
 from foxtailwell.workflows import (
     Advisor,
     JobRegistry,
+    Obstacle,
     Resources,
     RunningTask,
     Task,
@@ -110,7 +111,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _CachedView:
-    key: tuple[int, bool, bool, int, Resources]
+    key: tuple[int, Obstacle | None, bool, int, Resources]
     until_s: float
     view: WorkerView
 
@@ -411,22 +412,18 @@
         views: dict[str, WorkerView] = {}
         failures = self._health.failures()
         for worker, entry in self.entries.items():
-            link = self.links.get(worker)
             placed = self._registry.placed_on(worker)
-            is_usable = (
-                entry.is_ready
-                and entry.zone not in zones_out
-                and worker not in cordoned
-                and not any(task.is_kept_alone for task in placed)
-                and now_s + START_ALLOWANCE_S < self.start_until_s(worker)
-                and not (link and link.is_unresponsive)
-                and self._quarantined_until_ms.get(worker, 0) <= now_unix_ms
-                and self._backoff_until_s.get(worker, 0.0) <= now_s
+            obstacle = (
+                Obstacle.ZONE_OUT
+                if entry.zone in zones_out
+                else Obstacle.CORDONED
+                if worker in cordoned
+                else self._obstacle(entry, placed, now_s, now_unix_ms)
             )
             version = self._registry.version_of(worker)
             has_suspect = any(task.is_on_probation for task in placed)
             capacity = self._capacity(entry, now_s)
-            key = (version, is_usable, has_suspect, entry.boot_unix_ms, capacity)
+            key = (version, obstacle, has_suspect, entry.boot_unix_ms, capacity)
             cached = self._views.get(worker)
             if cached is not None and cached.key == key and now_s < cached.until_s:
                 views[worker] = cached.view
@@ -440,13 +437,33 @@
                 entry.labels,
                 capacity,
                 tuple(self._running(task, now_s, within_guarantee) for task in placed),
-                is_usable,
+                obstacle,
                 float(len(failed.job_ids)) if failed else 0.0,
                 has_suspect,
             )
             self._views[worker] = _CachedView(key, now_s + VIEW_CACHE_S, views[worker])
         return views
 
+    def _obstacle(
+        self, entry: WorkerEntry, placed: Sequence[Task], now_s: float, now_unix_ms: int
+    ) -> Obstacle | None:
+        """Return why no task may start on a worker; None if tasks may."""
+        worker = entry.id
+        link = self.links.get(worker)
+        if not entry.is_ready:
+            return Obstacle.DRAINING
+        if any(task.is_kept_alone for task in placed):
+            return Obstacle.KEPT_ALONE
+        if now_s + START_ALLOWANCE_S >= self.start_until_s(worker):
+            return Obstacle.OLD_REPORT
+        if link and link.is_unresponsive:
+            return Obstacle.UNRESPONSIVE
+        if self._quarantined_until_ms.get(worker, 0) > now_unix_ms:
+            return Obstacle.QUARANTINED
+        if self._backoff_until_s.get(worker, 0.0) > now_s:
+            return Obstacle.BACKING_OFF
+        return None
+
     def _running(self, task: Task, now_s: float, within_guarantee: frozenset[str]) -> RunningTask:
         job = self._registry.jobs[task.id.job_id]
         step = job.step(task.id)
--- a/src/foxtailwell/workflows/__init__.py
+++ b/src/foxtailwell/workflows/__init__.py
@@ -22,10 +22,12 @@
 from foxtailwell.workflows._draining import runs_to_stop
 from foxtailwell.workflows._fleet_view import (
     FleetView,
+    Obstacle,
     Placement,
     Plan,
     Reservation,
     RunningTask,
+    Wait,
     WorkerView,
 )
 from foxtailwell.workflows._interfaces import (
@@ -105,6 +107,7 @@
     "MachineState",
     "MaintenanceOutcome",
     "MaintenanceWave",
+    "Obstacle",
     "Placement",
     "Plan",
     "Put",
@@ -123,6 +126,7 @@
     "TaskId",
     "TaskProgress",
     "TaskState",
+    "Wait",
     "WorkerCallError",
     "WorkerCalls",
     "WorkerEntry",
--- a/src/foxtailwell/workflows/_fleet_view.py
+++ b/src/foxtailwell/workflows/_fleet_view.py
@@ -7,8 +7,9 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from foxtailwell.workflows._jobs import Resources, TaskId
 from foxtailwell.workflows._tasks import SchedulingUnit
@@ -17,10 +18,12 @@
     "EligibleWorkers",
     "FleetView",
     "FreeCapacity",
+    "Obstacle",
     "Placement",
     "Plan",
     "Reservation",
     "RunningTask",
+    "Wait",
     "WorkerView",
     "by_rack",
     "can_ever_fit",
@@ -43,6 +46,41 @@
 """Time that every stop loses: stopping, placing again, and the work since the last checkpoint."""
 
 
+class Obstacle(StrEnum):
+    """What keeps a unit off a worker.
+
+    Attributes:
+        ZONE_OUT: Its availability zone is out of service.
+        CORDONED: Its machine is about to go down for maintenance.
+        KEPT_ALONE: A suspect that is kept alone runs there.
+        OLD_REPORT: Its last report is too old to rely on the capacity in it.
+        BACKING_OFF: It has just failed to accept a start.
+        LABEL: It lacks the label that the unit requires.
+        TICKET: There is no valid ticket for the unit.
+        RESERVED: It is reserved for another gang before the unit would end.
+        SUSPECT: The unit and a unit there must not share a worker, because of earlier crashes.
+        INTERFERENCE: Filling tasks and serving tasks must not share a worker.
+        LIMIT: It has as many tasks of the step as it may have.
+        ROOM: Its free resources do not suffice for a task.
+    """
+
+    ZONE_OUT = "zone out"
+    DRAINING = "draining"
+    CORDONED = "cordoned"
+    KEPT_ALONE = "kept alone"
+    OLD_REPORT = "old report"
+    UNRESPONSIVE = "unresponsive"
+    QUARANTINED = "quarantined"
+    BACKING_OFF = "backing off"
+    LABEL = "label"
+    TICKET = "ticket"
+    RESERVED = "reserved"
+    SUSPECT = "suspect"
+    INTERFERENCE = "interference"
+    LIMIT = "limit"
+    ROOM = "room"
+
+
 @dataclass(frozen=True, slots=True)
 class RunningTask:
     """A run that occupies capacity of a worker.
@@ -80,7 +118,7 @@
     """State of a worker as input of the planner.
 
     Attributes:
-        is_usable: New tasks may start here.
+        obstacle: Why no new task may start here; None if tasks may.
         fault_score: Evidence that the worker is faulty or slow; lower scores are preferred.
         has_suspect: A suspect on probation runs there, so no other suspect may start.
     """
@@ -92,10 +130,15 @@
     labels: frozenset[str]
     capacity: Resources
     running: tuple[RunningTask, ...] = ()
-    is_usable: bool = True
+    obstacle: Obstacle | None = None
     fault_score: float = 0.0
     has_suspect: bool = False
 
+    @property
+    def is_usable(self) -> bool:
+        """Whether new tasks may start here."""
+        return self.obstacle is None
+
     def free(self) -> Resources:
         """Return the capacity that no run occupies; negative where the worker is overcommitted."""
         available = self.capacity
@@ -132,12 +175,29 @@
         now_s: Local monotonic time.
         workers: Workers by identifier.
         reservations: Reservations that the previous plan returned.
+        explained: Keys of the units whose wait is to be explained if they are not placed.
     """
 
     now_s: float
     workers: Mapping[str, WorkerView]
     units: Sequence[SchedulingUnit]
     reservations: Sequence[Reservation] = ()
+    explained: Collection[tuple[str, int, int]] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """Why a unit was not placed, or only in part.
+
+    Attributes:
+        obstacles: Number of workers of its pool by the first obstacle found.
+        fitting_tasks: Tasks of the unit that fit on the workers without an obstacle. If they are
+            all tasks, the unit waits for workers near its data or in one rack.
+    """
+
+    unit: SchedulingUnit
+    obstacles: Mapping[Obstacle, int]
+    fitting_tasks: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,11 +207,13 @@
     Attributes:
         stops: Tasks whose runs are preempted.
         reservations: Reservations that the next round has to be given.
+        waits: Explanations of the waits that the view asks for.
     """
 
     placements: tuple[Placement, ...] = ()
     stops: tuple[TaskId, ...] = ()
     reservations: tuple[Reservation, ...] = ()
+    waits: tuple[Wait, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -229,21 +291,59 @@
             unit: Unit to be placed.
             free: Resources to assume free; None for the currently free ones.
         """
-        if self.reserved_after_s.get(worker, math.inf) < unit.step.estimate_ms / 1e3:
-            return 0
-        if not self._may_share(worker, unit):
-            return 0
-        if (unit.step.is_filling and worker in self.serving_workers) or (
-            unit.step.is_serving and worker in self.filling_workers
-        ):
+        if self._obstacle_beside(worker, unit) is not None:
             return 0
         available = self.free[worker] if free is None else free
         count = unit.step.request.max_copies(available)
         if unit.step.max_per_worker:
-            taken = self.step_counts.get((worker, unit.key), 0)
-            count = min(count, unit.step.max_per_worker - taken)
+            count = min(count, unit.step.max_per_worker - self._step_count(worker, unit))
         return max(0, count)
 
+    def explain(self, unit: SchedulingUnit) -> Wait:
+        """Return why the unit cannot be placed on the workers of its pool now."""
+        obstacles: dict[Obstacle, int] = {}
+        fitting = 0
+        for worker in self.workers.values():
+            if worker.pool != unit.queue.pool:
+                continue
+            obstacle = self._obstacle(worker, unit)
+            if obstacle is None:
+                fitting += self.max_copies(worker.id, unit)
+            else:
+                obstacles[obstacle] = obstacles.get(obstacle, 0) + 1
+        return Wait(unit, obstacles, min(fitting, len(unit.tasks)))
+
+    def _obstacle(self, worker: WorkerView, unit: SchedulingUnit) -> Obstacle | None:
+        """Return the first reason why no task of the unit can be placed on a worker."""
+        step = unit.step
+        if worker.obstacle is not None:
+            return worker.obstacle
+        if step.required_label and step.required_label not in worker.labels:
+            return Obstacle.LABEL
+        if unit.allowed is not None and worker.id not in unit.allowed:
+            return Obstacle.TICKET
+        beside = self._obstacle_beside(worker.id, unit)
+        if beside is not None:
+            return beside
+        if step.max_per_worker and self._step_count(worker.id, unit) >= step.max_per_worker:
+            return Obstacle.LIMIT
+        return None if step.request.fits(self.free[worker.id]) else Obstacle.ROOM
+
+    def _obstacle_beside(self, worker: str, unit: SchedulingUnit) -> Obstacle | None:
+        """Return why other units keep the unit off a usable worker; None if they do not."""
+        if self.reserved_after_s.get(worker, math.inf) < unit.step.estimate_ms / 1e3:
+            return Obstacle.RESERVED
+        if not self._may_share(worker, unit):
+            return Obstacle.SUSPECT
+        if (unit.step.is_filling and worker in self.serving_workers) or (
+            unit.step.is_serving and worker in self.filling_workers
+        ):
+            return Obstacle.INTERFERENCE
+        return None
+
+    def _step_count(self, worker: str, unit: SchedulingUnit) -> int:
+        return self.step_counts.get((worker, unit.key), 0)
+
     def _may_share(self, worker: str, unit: SchedulingUnit) -> bool:
         """Return whether a unit may start beside the suspects on a worker, or as one of them."""
         if unit.is_suspect and self.workers[worker].has_suspect:
--- a/src/foxtailwell/workflows/_placement.py
+++ b/src/foxtailwell/workflows/_placement.py
@@ -14,6 +14,7 @@
     Placement,
     Plan,
     Reservation,
+    Wait,
     WorkerView,
     can_ever_fit,
     free_capacity,
@@ -63,11 +64,17 @@
             reservations.append(outcome)
     stops: list[TaskId] = []
     stopping: set[TaskId] = set()
+    waits: list[Wait] = []
     reserved_count = 0
     for unit in sorted(units.values(), key=lambda unit: _sort_key(unit, view.now_s)):
         placed = _place(capacity, unit, view.now_s)
         if placed:
             placements.append(Placement(unit, placed))
+            if len(placed) == len(unit.tasks):
+                continue
+        if unit.key in view.explained:
+            waits.append(capacity.explain(unit))
+        if placed:
             continue
         preemption = (
             preempt(capacity, unit, stopping, view.now_s) if unit.queue.priority == 0 else None
@@ -78,7 +85,7 @@
             reservations.append(reservation)
         elif unit.step.is_gang and reserved_count < MAX_GANG_RESERVATIONS:
             reserved_count += _reserve_rack(capacity, unit)
-    return Plan(tuple(placements), tuple(stops), tuple(reservations))
+    return Plan(tuple(placements), tuple(stops), tuple(reservations), tuple(waits))
 
 
 def _sort_key(unit: SchedulingUnit, now_s: float) -> tuple[int, bool, int, float, str]:
--- a/tests/test_workflow_placement.py
+++ b/tests/test_workflow_placement.py
@@ -6,14 +6,17 @@
 
 import pytest
 
+from foxtailwell.controller._waits import WaitLog
 from foxtailwell.workflows import (
     FleetView,
+    Obstacle,
     Queue,
     Resources,
     RunningTask,
     SchedulingUnit,
     Step,
     TaskId,
+    Wait,
     WorkerView,
     plan,
 )
@@ -30,9 +33,9 @@
     return SchedulingUnit(job, 0, 0, step, queue, "acme", tasks, 10.0 - waited_s, deadline_s, 0.0)
 
 
-def _worker(name, rack="r1", running=(), **fields):
+def _worker(name, rack="r1", running=(), pool="pool", **fields):
     labels = frozenset({"a", rack})
-    return WorkerView(name, "pool", "z", rack, labels, CAPACITY, tuple(running), **fields)
+    return WorkerView(name, pool, "z", rack, labels, CAPACITY, tuple(running), **fields)
 
 
 def _running(job, request, *, priority=2, elapsed_s=5.0, remaining_s=5.0, **fields):
@@ -124,7 +127,7 @@
 
 def test_unusable_and_unlabelled_workers_get_no_tasks():
     """Guards against placement on draining workers or on workers without the required label."""
-    workers = [_worker("w0", is_usable=False), _worker("w1")]
+    workers = [_worker("w0", obstacle=Obstacle.DRAINING), _worker("w1")]
     step = Step(1, Resources(1, 1, 1), required_label="b")
     assert not _plan([_unit("j", BATCH, step)], workers).placements
 
@@ -164,3 +167,39 @@
     assert not _plan([replace(unit, allowed=frozenset())], workers).placements
     placed = _plan([replace(unit, allowed=frozenset({"w1"}))], workers).placements[0]
     assert set(placed.workers.values()) == {"w1"}
+
+
+def test_wait_of_a_step_is_explained_by_what_keeps_it_off_each_worker():
+    """Guards against a wait of which nobody can tell whether room or another reason causes it."""
+    workers = [
+        _worker("w0", obstacle=Obstacle.OLD_REPORT),
+        _worker("w1", running=[_running("x", WHOLE, priority=1)]),
+        _worker("w2", running=[_running("g", Resources(1, 1, 1))], has_suspect=True),
+        replace(_worker("w3"), labels=frozenset({"b"})),
+        _worker("w4"),
+        _worker("w5", pool="other"),
+    ]
+    step = Step(2, WHOLE, 3000, is_gang=True, required_label="a")
+    unit = replace(_unit("g", MODEL, step), is_suspect=True)
+    view = FleetView(10.0, {w.id: w for w in workers}, [unit], explained={unit.key})
+    wait = plan(view).waits[0]
+    assert (wait.unit, wait.fitting_tasks) == (unit, 1)
+    assert wait.obstacles == {
+        Obstacle.OLD_REPORT: 1,
+        Obstacle.ROOM: 1,
+        Obstacle.SUSPECT: 1,
+        Obstacle.LABEL: 1,
+    }
+
+
+def test_explanations_of_a_wait_are_rare():
+    """Guards against a line in each of the plans, of which several are made in a second."""
+    waits, unit = WaitLog(), _unit("j", MODEL, Step(1, WHOLE))
+    due = []
+    for tenth in range(70):
+        if tenth == 45:
+            waits.record([unit.key], [], 4.5)
+        selected = waits.select([unit], tenth / 10)
+        waits.record([], [Wait(unit, {}, 0)] if selected else [], tenth / 10)
+        due += [tenth] * len(selected)
+    assert due == [20, 40, 65]
