Probe unresponsive workers that have no runs left

Cause: a link calls its worker only while the worker may have runs. One that falls silent is marked unresponsive; when its leases have expired, its tasks are queued again, the link has no reason for another call, and nothing clears the mark. The worker is listed, healthy and empty, and gets no task for the rest of the term. Every cut that outlasts a lease takes its workers away for good.

Evidence: the new test, one worker that is silent for 2.5 s with leases of 1 s.

A link now also probes while its worker is listed and unresponsive, once a second if it has no runs. Ruled out: taking a new entry for a sign of life. A worker that reaches the store need not be within reach of the controller.

--- a/src/foxtailwell/controller/_links.py
+++ b/src/foxtailwell/controller/_links.py
@@ -47,6 +47,9 @@
 RETRY_PAUSE_S = 0.25
 """Pause after a failed call."""
 
+IDLE_PROBE_PAUSE_S = 1.0
+"""Pause between probes of an unresponsive worker without runs."""
+
 START_ATTEMPTS = 3
 """Attempts to send a start command; an incarnation starts each run at most once."""
 
@@ -143,6 +146,7 @@
         acknowledged_end: Ends up to this number are acknowledged to the worker.
         listed_end: Highest number of an end in the last listing.
         may_have_runs: The worker may have runs, so that their lease must be renewed.
+        is_listed: The store lists the worker, so that it may get runs.
         is_unresponsive: A call failed, or a renewal was rejected, since the last response.
         unresponsive_since_s: Local time at which it last became unresponsive.
         responsive_since_s: Local time at which it last ceased to be unresponsive.
@@ -166,6 +170,7 @@
     acknowledged_end: int = 0
     listed_end: int = 0
     may_have_runs: bool = False
+    is_listed: bool = False
     is_unresponsive: bool = False
     unresponsive_since_s: float = 0.0
     responsive_since_s: float = 0.0
@@ -207,13 +212,23 @@
     def set_may_have_runs(self, may_have_runs: bool) -> None:
         """Set whether the worker may have runs; renewals resume when it may."""
         self.may_have_runs = may_have_runs
-        if may_have_runs or self.durable_end > self.acknowledged_end:
+        if self._is_needed:
             self.wake.set()
 
+    @property
+    def _is_needed(self) -> bool:
+        """Whether calls are due; an unresponsive worker gets no tasks until a call succeeds."""
+        is_probed = self.is_listed and self.is_unresponsive
+        return self.may_have_runs or self.durable_end > self.acknowledged_end or is_probed
+
+    @property
+    def _retry_pause_s(self) -> float:
+        return RETRY_PAUSE_S if self.may_have_runs else IDLE_PROBE_PAUSE_S
+
     async def run(self) -> None:
-        """Renew the lease and list ends while the worker may have runs; runs until cancelled."""
+        """Renew the lease, list ends or probe the worker while needed; runs until cancelled."""
         while True:
-            if not self.may_have_runs and self.durable_end <= self.acknowledged_end:
+            if not self._is_needed:
                 self.wake = anyio.Event()
                 await self.wake.wait()
                 self._has_listed = False
@@ -239,7 +254,7 @@
             response = await self.calls.renew_lease(until, self.token, acknowledged, wait_ms)
         except WorkerCallError as failure:
             self._mark_unresponsive(failure.reason)
-            await anyio.sleep(RETRY_PAUSE_S)
+            await anyio.sleep(self._retry_pause_s)
             return
         if isinstance(response, CommandOutcome):
             if response is CommandOutcome.FENCED:
@@ -253,7 +268,7 @@
                 and self.entry.address == address
             ):
                 await self.events.send(IncarnationReplaced(self.entry.id, boot_unix_ms))
-            await anyio.sleep(RETRY_PAUSE_S)
+            await anyio.sleep(self._retry_pause_s)
             return
         self._mark_responsive()
         self._has_listed = True
--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -307,11 +307,15 @@
         return link
 
     def update_links(self, group: TaskGroup) -> None:
-        """Open a link to every worker that may have runs, and renew leases only on these."""
+        """Open a link to every worker that may have runs, and renew leases only on these.
+
+        Other listed workers are probed while they are unresponsive.
+        """
         occupied = set(self._registry.workers_with_tasks())
         for worker in occupied:
             self.link(group, worker)
         for worker, link in self.links.items():
+            link.is_listed = worker in self.entries
             link.set_may_have_runs(worker in occupied)
 
     def close(self) -> None:
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -25,6 +25,19 @@
 WHOLE = Resources(10_000, 10_000, 8)
 
 
+async def test_worker_that_was_silent_beyond_its_leases_gets_tasks_again(group):
+    """Guards against a worker that stays empty for the rest of the term after a cut."""
+    deployment = make_deployment(group, 1)
+    deployment.start("one", lease_ms=1000)
+    group.start_soon(deployment.send_heartbeats)
+    _, task = await deployment.start_one_task()
+    worker = deployment.workers["w0"]
+    worker.faults.is_unreachable = True
+    await anyio.sleep(2.5)
+    worker.faults.is_unreachable = False
+    assert await until(lambda: len(deployment.runs(task)) == 2)
+
+
 async def test_listing_from_before_a_start_does_not_show_that_its_run_was_lost(group):
     """Guards against a run on a restarted worker that is started again while it runs."""
     deployment = make_deployment(group, 1)
