Queue tasks again at once whose starts were never sent

Callers waited: in a trial with one listed worker that nobody answers, two of three jobs of four tasks waited for over 4 s beside two idle workers; on the platform, with leases of 10 s, it would be over 10 s. Cause: each failed start counted as possibly delivered, also one for which no connection could be made. Its run had to be stopped, which nobody confirms, until the lease ended.

A worker call now tells whether it may have been sent, which the HTTP client knows. A start of which no attempt was sent is certain not to take effect, and its task is placed elsewhere.

Ruled out: fewer attempts. A lost packet of a gang's member would restart the gang.

--- a/src/foxtailwell/controller/_links.py
+++ b/src/foxtailwell/controller/_links.py
@@ -92,7 +92,8 @@
         boot_unix_ms: Start time of the worker's incarnation at the first attempt.
         settled_s: Local time at which the last attempt returned or failed.
         outcome: None if no attempt got a response.
-        is_certain: Every attempt got a response, so that none may take effect later.
+        is_certain: Every attempt got a response or was not sent, so that none may take effect
+            later.
     """
 
     worker: str
@@ -332,13 +333,12 @@
             # The start may have crashed the worker, and would crash its next incarnation as well.
             has_restarted = self.boot_unix_ms != boot_unix_ms
             if has_restarted or not self.may_act() or not is_wanted():
-                is_certain = False
                 break
             try:
                 outcome, clock_ms = await self.calls.start(command, self.begin_lease(), self.token)
             except WorkerCallError as failure:
-                is_certain = False
                 self._mark_unresponsive(failure.reason)
+                is_certain = is_certain and not failure.may_have_been_sent
                 continue
             self.update_clock(clock_ms)
             if outcome is CommandOutcome.FENCED:
--- a/src/foxtailwell/controller/_runs.py
+++ b/src/foxtailwell/controller/_runs.py
@@ -179,7 +179,7 @@
             self._tickets.discard((task.id.job_id, task.id.occurrence, task.id.step), event.worker)
         else:
             self._workers.back_off(event.worker)
-        if event.outcome is not None and event.is_certain:
+        if event.is_certain:
             self._registry.requeue(task)
         else:
             self._registry.mark_stopping(task)
--- a/src/foxtailwell/platform/workers.py
+++ b/src/foxtailwell/platform/workers.py
@@ -169,7 +169,9 @@
                 timeout_s=timeout_s,
             )
         except CallError as error:
-            raise WorkerCallError(error.reason) from error
+            raise WorkerCallError(
+                error.reason, may_have_been_sent=error.may_have_been_sent
+            ) from error
 
 
 def _outcome(reply: CallReply) -> tuple[CommandOutcome, int | None]:
--- a/src/foxtailwell/workflows/_interfaces.py
+++ b/src/foxtailwell/workflows/_interfaces.py
@@ -155,7 +155,16 @@
 
 
 class WorkerCallError(CallFailedError):
-    """A worker gave no usable response; the command may still take effect."""
+    """A worker gave no usable response.
+
+    Args:
+        reason: Cause for the log.
+        may_have_been_sent: The command may have reached the worker and may still take effect.
+    """
+
+    def __init__(self, reason: str, *, may_have_been_sent: bool = True) -> None:
+        super().__init__(reason)
+        self.may_have_been_sent = may_have_been_sent
 
 
 class AdviceCallError(CallFailedError):
--- a/src/foxtailwell_standins/platform_worker.py
+++ b/src/foxtailwell_standins/platform_worker.py
@@ -41,6 +41,7 @@
 
     Attributes:
         is_unreachable: No call reaches the worker; its runs continue.
+        is_refusing_connections: No call is sent to the worker; its runs continue.
         lost_start_responses: Number of coming starts that take effect but get no response.
         response_timeout_s: Time after which the caller gives up a start without a response.
         delayed_starts: Number of coming starts that get no response and take effect when
@@ -58,6 +59,7 @@
     """
 
     is_unreachable: bool = False
+    is_refusing_connections: bool = False
     lost_start_responses: int = 0
     response_timeout_s: float = 0.0
     delayed_starts: int = 0
@@ -265,7 +267,8 @@
     @property
     def is_silent(self) -> bool:
         """Whether calls get no response: the worker is unreachable or has just crashed."""
-        return self.faults.is_unreachable or time.monotonic() < self._silent_until_s
+        is_cut = self.faults.is_unreachable or self.faults.is_refusing_connections
+        return is_cut or time.monotonic() < self._silent_until_s
 
     def crash(self) -> None:
         """Restart after a silence of `WorkerFaults.crash_s`; all runs end at once."""
@@ -321,7 +324,8 @@
         await anyio.sleep(0.001)
         if self.is_silent:
             await anyio.sleep(0.02)
-            raise WorkerCallError("no response")
+            may_have_been_sent = not self.faults.is_refusing_connections
+            raise WorkerCallError("no response", may_have_been_sent=may_have_been_sent)
         self.end_due_runs()
 
     def _begin_run(
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -38,6 +38,17 @@
     assert await until(lambda: len(deployment.runs(task)) == 2)
 
 
+async def test_starts_that_were_never_sent_go_to_another_worker_at_once(group):
+    """Guards against tasks that wait for a lease of a listed worker that nobody can reach."""
+    deployment = make_deployment(group, 2)
+    deployment.start("one")
+    deployment.workers["w0"].faults.is_refusing_connections = True
+    jobs = [await deployment.submit(n, LATER, [step(4)]) for n in (1, 2)]
+    tasks = [f"{job}.0.0.{index}" for job in jobs for index in range(4)]
+    other = deployment.workers["w1"]
+    assert await until(lambda: other.running.keys() == set(tasks), 1.5)
+
+
 async def test_listing_from_before_a_start_does_not_show_that_its_run_was_lost(group):
     """Guards against a run on a restarted worker that is started again while it runs."""
     deployment = make_deployment(group, 1)
