Reserve only the workers that a waiting gang needs, and only for room

Cause: a reservation covered the whole group of workers that a gang may use, for a gang without a rack the whole pool, and its duration was estimated from free resources alone. A gang held back by its limit per worker, by suspects or by serving tasks got an estimate of 0 s: nothing longer could start anywhere.

The estimate now asks the same question as placement, with the same limits, so a gang that the end of runs does not help gets no reservation, and the reservation covers the fewest workers that hold the gang by then. Gangs of one rack that no rack will hold fall back to the pool, as placement does.

Five new cases fail without the change.

--- a/src/foxtailwell/workflows/_placement.py
+++ b/src/foxtailwell/workflows/_placement.py
@@ -7,6 +7,7 @@
 
 import math
 from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
 
 from foxtailwell.workflows._fleet_view import (
     FleetView,
@@ -84,7 +85,7 @@
             stops += victims
             reservations.append(reservation)
         elif unit.step.is_gang and reserved_count < MAX_GANG_RESERVATIONS:
-            reserved_count += _reserve_rack(capacity, unit)
+            reserved_count += _reserve(capacity, unit)
     return Plan(tuple(placements), tuple(stops), tuple(reservations), tuple(waits))
 
 
@@ -128,57 +129,86 @@
     if not capacity.is_highly_utilized:
         return waited_s < LOCALITY_WAIT_S
     extra_s = (REMOTE_SLOWDOWN_FACTOR - 1) * unit.step.estimate_ms / 1e3
-    return waited_s < extra_s and _expected_wait_s(capacity, unit, workers) < extra_s - waited_s
+    if waited_s >= extra_s:
+        return False
+    fit = _expected_fit(capacity, unit, workers)
+    return fit is not None and fit.after_s < extra_s - waited_s
+
+
+@dataclass(frozen=True, slots=True)
+class _ExpectedFit:
+    """Workers on which a unit is expected to fit once some of their runs have ended.
+
+    Attributes:
+        after_s: Expected seconds until then.
+        copies: Tasks of the unit that fit by then, by worker.
+    """
+
+    after_s: float
+    copies: Mapping[str, int]
 
+    def fewest_workers(self, count: int) -> list[str]:
+        """Return the fewest workers that hold `count` tasks."""
+        chosen: list[str] = []
+        for worker in sorted(self.copies, key=lambda w: (-self.copies[w], w)):
+            if count <= 0:
+                break
+            chosen.append(worker)
+            count -= self.copies[worker]
+        return chosen
 
-def _expected_wait_s(
+
+def _expected_fit(
     capacity: FreeCapacity, unit: SchedulingUnit, workers: Iterable[WorkerView]
-) -> float:
-    """Return the expected seconds until the whole unit fits on the workers; inf for never."""
-    gains: list[tuple[float, int]] = []
+) -> _ExpectedFit | None:
+    """Return when and where the whole unit is expected to fit; None if the end of runs won't do."""
+    gains: list[tuple[float, int, str]] = []
     for worker in workers:
         available = capacity.free[worker.id]
-        count = unit.step.request.max_copies(available)
-        gains.append((0.0, count))
+        count = capacity.max_copies(worker.id, unit, available)
+        gains.append((0.0, count, worker.id))
         for task in sorted(worker.running, key=lambda t: t.remaining_s):
             available = available.plus(task.request)
-            more = unit.step.request.max_copies(available)
+            more = capacity.max_copies(worker.id, unit, available)
             if more > count:
-                gains.append((task.remaining_s, more - count))
+                gains.append((task.remaining_s, more - count, worker.id))
                 count = more
     missing = len(unit.tasks)
-    for after_s, count in sorted(gains):
+    copies: dict[str, int] = {}
+    for after_s, count, worker_id in sorted(gains):
         missing -= count
+        copies[worker_id] = copies.get(worker_id, 0) + count
         if missing <= 0:
-            return after_s
-    return math.inf
+            return _ExpectedFit(after_s, copies)
+    return None
 
 
-def _reserve_rack(capacity: FreeCapacity, unit: SchedulingUnit) -> bool:
-    """Reserve the workers on which a waiting gang is expected to fit first.
+def _reserve(capacity: FreeCapacity, unit: SchedulingUnit) -> bool:
+    """Reserve as many workers as a waiting gang needs, where it is expected to fit first.
 
     Shorter tasks may still backfill them, so the gang is not starved by a stream of small tasks.
+    A gang that does not wait for runs to end gets no reservation, as nobody knows until when.
 
     Returns:
         Whether a reservation was made.
     """
-    by_rack = capacity.eligible_workers(unit).by_rack
-    groups = list(by_rack.values())
-    if unit.step.data_rack in by_rack:
-        groups = [by_rack[unit.step.data_rack]]
-    elif not unit.step.is_same_rack:
-        groups.append([worker for workers in groups for worker in workers])
-    after_s, workers = min(
-        ((_expected_wait_s(capacity, unit, group), group) for group in groups),
-        key=lambda option: option[0],
-        default=(math.inf, []),
-    )
-    if math.isinf(after_s):
-        return False
-    for worker in workers:
-        earlier_s = capacity.reserved_after_s.get(worker.id, math.inf)
-        capacity.reserved_after_s[worker.id] = min(earlier_s, after_s)
-    return True
+    eligible = capacity.eligible_workers(unit)
+    racks = list(eligible.by_rack.values())
+    if unit.step.data_rack in eligible.by_rack:
+        preferences = [[eligible.by_rack[unit.step.data_rack]], racks, [eligible.workers]]
+    elif unit.step.is_same_rack:
+        preferences = [racks, [eligible.workers]]
+    else:
+        preferences = [[*racks, eligible.workers]]
+    for groups in preferences:
+        fits = [_expected_fit(capacity, unit, workers) for workers in groups]
+        earliest = min((f for f in fits if f is not None), key=lambda f: f.after_s, default=None)
+        if earliest is not None:
+            for worker in earliest.fewest_workers(len(unit.tasks)):
+                earlier_s = capacity.reserved_after_s.get(worker, math.inf)
+                capacity.reserved_after_s[worker] = min(earlier_s, earliest.after_s)
+            return True
+    return False
 
 
 def _place(capacity: FreeCapacity, unit: SchedulingUnit, now_s: float) -> dict[TaskId, str]:
--- a/tests/test_workflow_placement.py
+++ b/tests/test_workflow_placement.py
@@ -23,6 +23,7 @@
 
 CAPACITY = Resources(128_000, 262_144, 8)
 WHOLE = Resources(10_000, 10_000, 8)
+SMALL = Resources(1, 1, 1)
 URGENT = Queue("urgent", "pool", priority=0)
 MODEL = Queue("model", "pool", priority=1)
 BATCH = Queue("batch", "pool", priority=2)
@@ -80,6 +81,39 @@
     assert started == {"s"}
 
 
+@pytest.mark.parametrize(
+    ("gang", "gang_flags", "beside", "has_suspect"),
+    [
+        (Step(6, SMALL, 3000, is_gang=True, max_per_worker=1), {}, {}, False),
+        (Step(2, SMALL, 3000, is_gang=True), {"is_suspect": True}, {}, True),
+        (Step(2, SMALL, 3000, is_gang=True, is_filling=True), {}, {"is_serving": True}, False),
+    ],
+    ids=["limit per worker", "suspect", "filling beside serving"],
+)
+def test_gang_that_does_not_wait_for_room_reserves_no_worker(gang, gang_flags, beside, has_suspect):
+    """Guards against empty workers that start nothing, reserved for a gang that cannot use them."""
+    workers = [
+        _worker(f"w{n}", running=[_running(f"x{n}", SMALL, **beside)], has_suspect=has_suspect)
+        for n in range(4)
+    ]
+    units = [
+        replace(_unit("g", MODEL, gang), **gang_flags),
+        _unit("o", BATCH, Step(1, SMALL, 3000)),
+    ]
+    assert [p.unit.job_id for p in _plan(units, workers).placements] == ["o"]
+
+
+@pytest.mark.parametrize("is_same_rack", [False, True])
+def test_waiting_gang_reserves_no_more_workers_than_it_needs(is_same_rack):
+    """Guards against a whole fleet that starts nothing longer than the wait of one gang."""
+    busy = [_worker("w0", running=[_running("x", WHOLE, remaining_s=2.0)])]
+    workers = busy + [_worker(f"w{n}", running=[_running(f"x{n}", SMALL)]) for n in range(1, 9)]
+    gang = _unit("g", MODEL, Step(2, WHOLE, 9000, is_gang=True, is_same_rack=is_same_rack))
+    others = _unit("o", BATCH, Step(99, Resources(10_000, 10_000, 1), 9000))
+    placed = _plan([gang, others], workers).placements[0]
+    assert set(placed.workers.values()) == {f"w{n}" for n in range(2, 9)}
+
+
 def test_preemption_stops_the_run_that_loses_least_work():
     """Guards against preempting a run that loses more work than another candidate."""
     costly = _worker("w0", running=[_running("long", WHOLE, elapsed_s=9.0)])
