--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -38,6 +38,23 @@
     assert await until(lambda: len(deployment.runs(task)) == 2)
 
 
+async def test_worker_that_was_silent_as_its_gang_ended_elsewhere_gets_tasks_again(group):
+    """Guards against a worker that stays empty although even its leases have not expired."""
+    deployment = make_deployment(group, 2)
+    deployment.start("one")
+    job = await deployment.submit(1, LATER, [step(2, request=WHOLE, is_gang=True)])
+    silent, other = deployment.workers.values()
+    assert await until(lambda: silent.running and other.running)
+    silent.faults.is_unreachable = True
+    await anyio.sleep(0.2)
+    other.end(next(iter(other.running)), EndKind.DONE)
+    assert await deployment.reaches(job, JobState.COMPLETED)
+    silent.faults.is_unreachable = False
+    silent.running.clear()
+    await deployment.submit(2, LATER, [step(16)])
+    assert await until(lambda: len(silent.running) == len(other.running) == 8)
+
+
 async def test_starts_that_were_never_sent_go_to_another_worker_at_once(group):
     """Guards against tasks that wait for a lease of a listed worker that nobody can reach."""
     deployment = make_deployment(group, 2)
