Expect no end of lasting tasks when a gang reserves workers

Cause: the expected end of a run comes from its progress or its estimate, for tasks that run until their job is cancelled as well. At 100 percent, which means at work, they are expected to end at once. A gang that lasting tasks leave no room for was given a reservation for "soon", renewed with each plan, and nothing longer started on its workers.

Evidence: the new test, two workers with one small lasting task each, a gang of two whole workers and another job. Without the change the other job has not started after 1.5 s; with it, it has.

A lasting run now has no expected end, so a gang that only its end would help gets no reservation, and does not wait for a rack that lasting tasks fill.

Ruled out: drains. Runs that leave a draining worker are selected by this time only if they neither last nor have checkpoints.

--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -28,6 +28,7 @@
     Obstacle,
     Resources,
     RunningTask,
+    Step,
     Task,
     TaskState,
     WorkerCalls,
@@ -479,7 +480,7 @@
             step.is_checkpointing,
             task.state is TaskState.STOPPING,
             step.count if step.is_gang else 1,
-            _remaining_s(task, step.estimate_ms / 1000, now_s - task.started_s),
+            _remaining_s(task, step, now_s - task.started_s),
             job.submission.account not in within_guarantee,
             step.is_lasting and step.max_unavailable is not None,
             step.is_serving,
@@ -487,8 +488,11 @@
         )
 
 
-def _remaining_s(task: Task, estimate_s: float, elapsed_s: float) -> float:
+def _remaining_s(task: Task, step: Step, elapsed_s: float) -> float:
     """Return the expected seconds until a run ends, from its progress if that is large enough."""
+    if step.is_lasting:
+        return math.inf
+    estimate_s = step.estimate_ms / 1000
     if task.percent >= MIN_PACE_PERCENT:
         return elapsed_s * (100 - task.percent) / task.percent
     return max(estimate_s - elapsed_s, estimate_s * MIN_REMAINING_SHARE)
--- a/src/foxtailwell/workflows/_fleet_view.py
+++ b/src/foxtailwell/workflows/_fleet_view.py
@@ -87,6 +87,7 @@
 
     Attributes:
         member_count: Tasks of its gang, which all lose their work if one is stopped; 1 for none.
+        remaining_s: Expected time until it ends; infinite if it runs until its job is cancelled.
         is_borrowing: Urgent jobs of its account need more than the account's guarantee.
         is_protected: It must not be preempted.
     """
--- a/src/foxtailwell/workflows/_placement.py
+++ b/src/foxtailwell/workflows/_placement.py
@@ -167,7 +167,8 @@
         available = capacity.free[worker.id]
         count = capacity.max_copies(worker.id, unit, available)
         gains.append((0.0, count, worker.id))
-        for task in sorted(worker.running, key=lambda t: t.remaining_s):
+        ending = [task for task in worker.running if math.isfinite(task.remaining_s)]
+        for task in sorted(ending, key=lambda t: t.remaining_s):
             available = available.plus(task.request)
             more = capacity.max_copies(worker.id, unit, available)
             if more > count:
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -66,6 +66,19 @@
     assert await until(lambda: other.running.keys() == set(tasks), 1.5)
 
 
+async def test_gang_that_waits_beside_lasting_tasks_keeps_no_worker_empty(group):
+    """Guards against workers reserved for a gang until the end of tasks that do not end."""
+    deployment = make_deployment(group, 2)
+    for worker in deployment.workers.values():
+        worker.faults.is_stalled = True
+    deployment.start("one")
+    lasting = await deployment.submit(1, LATER, [step(2, is_lasting=True, max_per_worker=1)])
+    assert await until(lambda: bool(deployment.runs(f"{lasting}.0.0.1")))
+    await deployment.submit(2, LATER, [step(2, request=WHOLE, is_gang=True, estimate_ms=3000)])
+    job = await deployment.submit(3, LATER, [step(estimate_ms=9000)])
+    assert await until(lambda: bool(deployment.runs(f"{job}.0.0.0")), 1.5)
+
+
 async def test_listing_from_before_a_start_does_not_show_that_its_run_was_lost(group):
     """Guards against a run on a restarted worker that is started again while it runs."""
     deployment = make_deployment(group, 1)
