Refuse worker entries with numbers out of range

Operators of a similar system saw one odd entry among those of the workers end every process that read the list. Here an entry with a capacity, or with a remaining time while draining, of 10^400 was decoded. The first conversion to a float raised OverflowError, which ended the controller's task group, and that of its successor; no job was placed anywhere until the entry was gone. Entries with negative capacities, a `born` or `clock_ms` above 64 bits, an identifier that cannot be sent in a header (a line break, non-Latin letters) or a host such as `........`, whose look-up raises UnicodeError, were used as well.

The decoder now declares ranges. Every integer is exact as a float, so that arithmetic with times cannot overflow; capacities are not negative; identifiers are printable ASCII, and zones are short enough for the keys that name them. Ruled out: catching errors around the application of an entry, which leaves the number in the state of the term, where the next plan meets it.

Evidence: test_entry_out_of_range_affects_no_other_worker has all four cases fail without the change (two end the term, two start tasks on the odd worker), also after a change of the controller; so do 16 cases of test_malformed_messages.py.

--- a/src/foxtailwell/platform/workers.py
+++ b/src/foxtailwell/platform/workers.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import re
+from ipaddress import AddressValueError, IPv4Address
 
 import msgspec
 
 from foxtailwell.adapters.addresses import split_address
 from foxtailwell.adapters.http_connection import CallError, CallReply, HttpEndpoint
 from foxtailwell.adapters.malformed import MALFORMED
+from foxtailwell.adapters.ranges import Integer, NaturalNumber
 from foxtailwell.workflows import (
     CommandOutcome,
     EndedRun,
@@ -31,7 +33,11 @@
 RENEWAL_MARGIN_S = 0.6
 """Added to the wait of a lease renewal to get the timeout of its call."""
 
-_ADDRESS_PATTERN = re.compile(r"[0-9.]{7,15}:[0-9]{1,5}")
+_IDENTIFIER_PATTERN = re.compile(r"[!-~]{1,128}")
+"""Printable ASCII, because the identifier is sent in a header."""
+
+MAX_ZONE_BYTES = 128
+"""Starts name the zone in a key of the store, whose keys are limited to 200 bytes."""
 
 _OUTCOMES_BY_REASON = {
     "fence": CommandOutcome.FENCED,
@@ -43,9 +49,9 @@
 
 
 class _Capacity(msgspec.Struct):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: NaturalNumber = 0
+    mem_mb: NaturalNumber = 0
+    gpu: NaturalNumber = 0
 
 
 class _Entry(msgspec.Struct):
@@ -53,12 +59,12 @@
     address: str
     zone: str
     state: str
-    born: int
-    clock_ms: int = 0
+    born: NaturalNumber
+    clock_ms: Integer = 0
     capacity: _Capacity = msgspec.field(default_factory=_Capacity)
     # The first label is the kind of the worker, the second its rack.
     labels: list[str] = []
-    remaining_ms: int | None = None
+    remaining_ms: Integer | None = None
 
 
 class _Response(msgspec.Struct):
@@ -81,13 +87,20 @@
         value: JSON from the store.
 
     Returns:
-        The entry; None if the value is not a valid entry, as other programs may write such keys.
+        The entry; None if the value or the identifier is not valid, as other programs may write
+        such keys.
     """
     try:
         entry = msgspec.json.decode(value, type=_Entry)
     except MALFORMED:
         return None
-    if entry.state not in ("ready", "draining") or not _is_address(entry.address):
+    is_usable = (
+        entry.state in ("ready", "draining")
+        and _IDENTIFIER_PATTERN.fullmatch(worker)
+        and _is_address(entry.address)
+        and len(entry.zone.encode()) <= MAX_ZONE_BYTES
+    )
+    if not is_usable:
         return None
     return WorkerEntry(
         id=worker,
@@ -105,7 +118,11 @@
 
 
 def _is_address(text: str) -> bool:
-    return bool(_ADDRESS_PATTERN.fullmatch(text)) and split_address(text) is not None
+    parts = split_address(text)
+    try:
+        return parts is not None and bool(IPv4Address(parts[0]))
+    except AddressValueError:
+        return False
 
 
 def connect_worker(worker: str, address: str) -> WorkerCalls:
--- a/tests/controller_harness.py
+++ b/tests/controller_harness.py
@@ -23,6 +23,7 @@
     OperatorView,
     SubmitOutcome,
 )
+from foxtailwell.platform.workers import decode_worker_entry
 from foxtailwell.workflows import (
     ClusterConfiguration,
     Item,
@@ -245,7 +246,7 @@
     try:
         return msgspec.json.decode(value, type=WorkerEntry)
     except msgspec.DecodeError:
-        return None
+        return decode_worker_entry(worker, value)
 
 
 def make_deployment(group: TaskGroup, count: int = 3, **fields) -> Deployment:
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import time
 
 import anyio
@@ -354,6 +355,33 @@
     assert await deployment.reaches(job, JobState.COMPLETED)
 
 
+ENTRY = {"service": "pool", "address": "10.0.0.9:80", "zone": "a", "state": "ready", "born": 1}
+ROOM = {"cpu": 99_000, "mem_mb": 99_000, "gpu": 9}
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "draining", "remaining_ms": 10**400},
+        {"capacity": ROOM | {"gpu": 10**400}},
+        {"capacity": ROOM, "born": 2**64},
+        {"capacity": ROOM, "clock_ms": 2**64},
+    ],
+)
+async def test_entry_out_of_range_affects_no_other_worker(group, change):
+    """Guards against an entry of another writer that ends the term of each controller in turn."""
+    deployment = make_deployment(group, 2, task_duration_s=0.1)
+    deployment.store.write("servers/w1", json.dumps(ENTRY | change).encode())
+    first = deployment.start("one")
+    job = await deployment.submit(1, LATER, [step(2, max_per_worker=1)])
+    assert await deployment.reaches(job, JobState.COMPLETED)
+    first.kill()
+    deployment.start("two")
+    job = await deployment.submit(2, LATER, [step(2, max_per_worker=1)])
+    assert await deployment.reaches(job, JobState.COMPLETED, 5.0)
+    assert not deployment.workers["w1"].log
+
+
 async def test_lost_transaction_responses_neither_lose_nor_repeat_a_start(group):
     """Guards against a lost response of the store that duplicates or drops an assignment."""
     deployment = make_deployment(group, 1, task_duration_s=0.2)
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import contextlib
+import json
+import math
+from ipaddress import IPv4Address
 
 import msgspec
 import pytest
@@ -25,10 +28,27 @@
     UnsupportedSchemaError,
 )
 from foxtailwell.platform import messages, store, workers
-from foxtailwell.workflows import JobProgress, JobState, StoreCallError, Submission, WorkerCallError
+from foxtailwell.workflows import (
+    JobProgress,
+    JobState,
+    StoreCallError,
+    Submission,
+    TaskProgress,
+    WorkerCallError,
+)
 
 DEEP = b"[" * 100_000 + b"]" * 100_000
-ENTRY = {"service": "s", "address": "10.0.0.1:80", "zone": "z", "state": "ready", "born": 1}
+ENTRY = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "state": "draining",
+    "born": 1,
+    "clock_ms": 1,
+    "capacity": {"cpu": 1, "mem_mb": 1, "gpu": 1},
+    "labels": ["k", "r"],
+    "remaining_ms": 1,
+}
 LISTING = {
     "clock_ms": 1,
     "born": 1,
@@ -44,8 +64,14 @@
 PAGE = {"items": [{"key": "k", "value": "eA==", "revision": 1}], "at_rev": 1}
 WAVE = {"wave": 1, "machines": ["m"], "within_s": 1, "max_count": 1}
 
+EXTREMES = (10**400, 2**64, 2**63, -1, -(10**400), 1e308, 1e400, math.nan)
 VALUES = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.sampled_from(EXTREMES)
+    | st.text(max_size=8),
     lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner),
     max_leaves=6,
 )
@@ -114,7 +140,7 @@
     """Guards against one message of another writer that ends a whole process, again and again."""
     valid, decode, errors = DECODERS[number]
     changed = valid | {data.draw(st.sampled_from(sorted(valid))): data.draw(VALUES)}
-    encoded = msgspec.json.encode(changed)
+    encoded = json.dumps(changed).encode()
     cut = data.draw(st.integers(0, len(encoded)))
     for body in (encoded, encoded[:cut], encoded[:cut] + data.draw(st.binary(max_size=20))):
         with contextlib.suppress(*errors):
@@ -133,7 +159,30 @@
         assert decode(body) is None
 
 
+@pytest.mark.parametrize("extreme", EXTREMES, ids=lambda number: str(number)[:20])
+@pytest.mark.parametrize("field", ["born", "clock_ms", "remaining_ms", "cpu", "mem_mb", "gpu"])
+def test_accepted_worker_entry_can_be_used(field, extreme):
+    """Guards against numbers that end the term when they are converted or stored."""
+    change = {field: extreme} if field in ENTRY else {"capacity": {field: extreme}}
+    entry = workers.decode_worker_entry("w", json.dumps(ENTRY | change).encode())
+    if entry is None:
+        return
+    assert entry.capacity.fits(entry.capacity.plus(entry.capacity))
+    assert all(math.isfinite(n / 1000) for n in (entry.clock_ms, entry.remaining_ms))
+    task = TaskProgress(0, 0, 0, 1, 1, entry.id, entry.boot_unix_ms, (), "", ())
+    progress = JobProgress(JobState.RUNNING, True, 0, (task,))
+    assert _records.decode_progress(_records.encode_progress(progress)) == progress
+
+
+@pytest.mark.parametrize("worker", ["", "w\r\nX: 1", "w 1", "wé", "w" * 129])
+def test_entry_under_an_unusable_key_names_no_worker(worker):
+    """Guards against an identifier that cannot be sent in a header, which ends the term."""
+    assert workers.decode_worker_entry(worker, msgspec.json.encode(ENTRY)) is None
+
+
 @given(st.text(max_size=12))
+@example("999.1.1.1:80")
+@example("........:80")
 @example("host:port")
 @example(":")
 @example("10.0.0.1:")
@@ -141,4 +190,7 @@
 def test_entry_with_an_unusable_address_names_no_worker(address):
     """Guards against a connection to an address that cannot be parsed, which ends the term."""
     entry = workers.decode_worker_entry("w", msgspec.json.encode(ENTRY | {"address": address}))
-    assert entry is None or 0 < int(entry.address.rpartition(":")[2]) < 65536
+    if entry is not None:
+        host, _, port = entry.address.rpartition(":")
+        assert IPv4Address(host)
+        assert 0 < int(port) < 65536
