Refuse jobs whose numbers are out of range, also stored ones

What clients saw: a job with a count of 10^9 was accepted with 200, and then filled the memory of every controller that loaded it with its tasks. So was one with an estimate of 10^400 or a start at 10^400 ms, which ended the term of each controller in turn, and one with negative resources, which makes room on a full worker. Records of another writer did the same: a step that waits for a later one, or a task state that does not exist.

Cause: only the count and the order of the steps were checked, and only for requests. One function of the model now says why a job cannot be scheduled. The decoder of requests turns it into status 400, the decoder of records into FW1616, which leaves out that job only. A job may have 10,000 tasks over all occurrences: a controller keeps them all in memory and their progress in one value of the store. The decoder of progress declares its ranges, and a record must name the job of its key.

--- a/src/foxtailwell/controller/_records.py
+++ b/src/foxtailwell/controller/_records.py
@@ -10,7 +10,16 @@
 import msgspec
 
 from foxtailwell.adapters.malformed import MALFORMED
-from foxtailwell.workflows import CrashRecord, JobProgress, JobState, Submission, TaskProgress
+from foxtailwell.adapters.ranges import NaturalNumber
+from foxtailwell.workflows import (
+    CrashRecord,
+    JobProgress,
+    JobState,
+    Submission,
+    TaskProgress,
+    TaskState,
+    find_submission_fault,
+)
 
 __all__ = [
     "CANCEL_PREFIX",
@@ -51,13 +60,20 @@
     """A stored value cannot be decoded; it is left unchanged."""
 
 
+_Number = NaturalNumber
+_TaskRow = tuple[
+    _Number, _Number, _Number, TaskState, _Number, str, _Number, tuple[_Number, ...], str
+]
+_CrashRow = tuple[_Number, _Number, _Number, bool]
+
+
 class _ProgressRecord(msgspec.Struct):
     state: JobState
     begun: bool
-    ended_unix_ms: int = 0
-    tasks: list[tuple[int, int, int, int, int, str, int, tuple[int, ...], str]] = []
+    ended_unix_ms: _Number = 0
+    tasks: list[_TaskRow] = []
     # Occurrence, step and index of a task; then the crash records of its runs.
-    crashes: list[tuple[int, int, int, list[tuple[int, int, int, bool]]]] = []
+    crashes: list[tuple[_Number, _Number, _Number, list[_CrashRow]]] = []
 
 
 def job_key(job_id: str) -> str:
@@ -94,12 +110,16 @@
     """Decode a submission.
 
     Raises:
-        RecordError: The value is malformed.
+        RecordError: The value is malformed, or the job cannot be scheduled.
     """
     try:
-        return msgspec.json.decode(value, type=Submission)
+        submission = msgspec.json.decode(value, type=Submission)
     except MALFORMED as error:
         raise RecordError(f"submission: {error}") from error
+    fault = find_submission_fault(submission)
+    if fault:
+        raise RecordError(f"submission: {fault}")
+    return submission
 
 
 def encode_progress(progress: JobProgress) -> bytes:
@@ -109,7 +129,7 @@
             task.occurrence,
             task.step,
             task.index,
-            task.state,
+            TaskState(task.state),
             task.run,
             task.worker,
             task.boot_unix_ms,
--- a/src/foxtailwell/controller/_stored_jobs.py
+++ b/src/foxtailwell/controller/_stored_jobs.py
@@ -157,6 +157,8 @@
             return
         try:
             submission = decode_submission_record(change.value or b"")
+            if submission.job_id != job_id:
+                raise RecordError(f"submission: names job {submission.job_id}")
         except RecordError as error:
             log_event(RECORD_UNREADABLE, key=change.key, reason=str(error))
             return
--- a/src/foxtailwell/platform/messages.py
+++ b/src/foxtailwell/platform/messages.py
@@ -18,6 +18,7 @@
     Route,
     Step,
     Submission,
+    find_submission_fault,
 )
 
 __all__ = [
@@ -190,33 +191,30 @@
         body: Request body.
 
     Raises:
-        MessageError: The body is not a valid job; for example, it has no steps.
+        MessageError: The body is not a valid job; for example, it has no steps or too many tasks.
     """
     try:
         wire = msgspec.json.decode(body, type=_Job)
     except MALFORMED as error:
         raise MessageError(f"job: {error}") from error
-    if not wire.phases:
-        raise MessageError("job: no steps; name at least one")
-    steps = tuple(_step(number, phase) for number, phase in enumerate(wire.phases))
-    return Submission(
+    submission = Submission(
         job_id,
         queue,
         account,
         wire.spec,
-        steps,
+        tuple(_step(phase) for phase in wire.phases),
         wire.start_at_ms,
         wire.interval_ms,
         wire.repeat_count,
         now_unix_ms,
     )
+    fault = find_submission_fault(submission)
+    if fault:
+        raise MessageError(f"job: {fault}")
+    return submission
 
 
-def _step(number: int, phase: _Phase) -> Step:
-    if phase.count < 1:
-        raise MessageError(f"job: step {number} has no tasks; use a count of 1 or more")
-    if any(not 0 <= earlier < number for earlier in phase.after):
-        raise MessageError(f"job: step {number} must name earlier steps only")
+def _step(phase: _Phase) -> Step:
     # Filling tasks run on processors that others leave idle, so they request none.
     cpu_millicores = 0 if phase.fills else phase.cpu
     return Step(
--- a/src/foxtailwell/workflows/__init__.py
+++ b/src/foxtailwell/workflows/__init__.py
@@ -58,6 +58,7 @@
     Step,
     Submission,
     TaskId,
+    find_submission_fault,
 )
 from foxtailwell.workflows._machines import (
     Machine,
@@ -132,6 +133,7 @@
     "WorkerEntry",
     "WorkerListing",
     "WorkerView",
+    "find_submission_fault",
     "is_given_up",
     "is_kept_alone",
     "plan",
--- a/src/foxtailwell/workflows/_jobs.py
+++ b/src/foxtailwell/workflows/_jobs.py
@@ -6,16 +6,31 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from enum import StrEnum
 
-__all__ = ["AdviceRules", "JobState", "Queue", "Resources", "Step", "Submission", "TaskId"]
+__all__ = [
+    "AdviceRules",
+    "JobState",
+    "Queue",
+    "Resources",
+    "Step",
+    "Submission",
+    "TaskId",
+    "find_submission_fault",
+]
 
 
 UNLIMITED_COPIES = 1_000_000
 """Result of `Resources.max_copies` for a request without any demand."""
 
+MAX_TASKS = 10_000
+"""Limit of the tasks of a job over all occurrences; their progress is one value of the store."""
+
+MAX_NUMBER = 2**53
+"""Largest number in a submission; every integer up to it is exact as a float."""
+
 
 class JobState(StrEnum):
     """State of a job as reported to its client."""
@@ -174,6 +189,50 @@
                     yield TaskId(self.job_id, occurrence, number, index)
 
 
+def find_submission_fault(submission: Submission) -> str:
+    """Return why a job cannot be scheduled, and the remedy; empty if it can."""
+    if not submission.steps:
+        return "no steps; name at least one"
+    times = (
+        submission.start_at_unix_ms,
+        submission.interval_ms,
+        submission.repeat_count,
+        submission.accepted_unix_ms,
+    )
+    if not _are_in_range(times):
+        return f"a time or count is out of range; use 0 to {MAX_NUMBER}"
+    for number, step in enumerate(submission.steps):
+        fault = _find_step_fault(number, step)
+        if fault:
+            return f"step {number} {fault}"
+    tasks = submission.occurrences * sum(step.count for step in submission.steps)
+    if tasks > MAX_TASKS:
+        return f"{tasks} tasks over all occurrences; use at most {MAX_TASKS}"
+    return ""
+
+
+def _find_step_fault(number: int, step: Step) -> str:
+    if step.count < 1:
+        return "has no tasks; use a count of 1 or more"
+    if any(not 0 <= earlier < number for earlier in step.after):
+        return "must name earlier steps only"
+    request = step.request
+    numbers = (
+        step.count,
+        request.cpu_millicores,
+        request.memory_mb,
+        request.accelerators,
+        step.estimate_ms,
+        step.max_unavailable or 0,
+        step.max_per_worker,
+    )
+    return "" if _are_in_range(numbers) else f"has a number out of range; use 0 to {MAX_NUMBER}"
+
+
+def _are_in_range(numbers: Iterable[int]) -> bool:
+    return all(0 <= number <= MAX_NUMBER for number in numbers)
+
+
 @dataclass(frozen=True, slots=True)
 class AdviceRules:
     """Policy of a queue whose steps run only on workers that the platform's advisor allows.
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -8,7 +8,7 @@
 import anyio
 import pytest
 
-from controller_harness import LATER, URGENT, make_deployment, step, until
+from controller_harness import LATER, URGENT, job_id, make_deployment, step, until
 from foxtailwell.controller import _controller
 from foxtailwell.workflows import (
     EndKind,
@@ -382,6 +382,35 @@
     assert not deployment.workers["w1"].log
 
 
+RECORD = {"job_id": job_id(7), "queue": "later", "account": "a", "payload": "x"}
+STEP = {"count": 1, "request": {"cpu_millicores": 1}}
+
+
+@pytest.mark.parametrize(
+    ("change", "progress"),
+    [
+        ({"steps": []}, None),
+        ({"steps": [STEP | {"estimate_ms": 10**400}]}, None),
+        ({"steps": [STEP | {"after": [3]}]}, None),
+        ({"start_at_unix_ms": 10**400}, None),
+        ({"accepted_unix_ms": -(10**400)}, None),
+        ({"job_id": job_id(8)}, None),
+        ({}, [[0, 0, 0, 7, 1, "w1", 1, [], ""]]),
+    ],
+)
+async def test_odd_record_of_a_job_affects_no_other_job(group, change, progress):
+    """Guards against a stored value that ends the term of each controller in turn."""
+    deployment = make_deployment(group, 2, task_duration_s=0.1)
+    record = RECORD | {"steps": [STEP]} | change
+    deployment.store.write(f"foxtailwell/in/job/{job_id(7)}", json.dumps(record).encode())
+    if progress is not None:
+        value = {"state": "running", "begun": True, "tasks": progress}
+        deployment.store.write(f"foxtailwell/run/{job_id(7)}", json.dumps(value).encode())
+    deployment.start("one")
+    job = await deployment.submit(1, LATER, [step(2)])
+    assert await deployment.reaches(job, JobState.COMPLETED)
+
+
 async def test_lost_transaction_responses_neither_lose_nor_repeat_a_start(group):
     """Guards against a lost response of the store that duplicates or drops an assignment."""
     deployment = make_deployment(group, 1, task_duration_s=0.2)
--- a/tests/test_instance_api.py
+++ b/tests/test_instance_api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import time
 
 import anyio
@@ -287,3 +288,27 @@
         await anyio.sleep(3.0)
         assert not instance.operators.is_store_unavailable
         group.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"phases": [{"count": 10**9}]},
+        {"phases": [{"count": 2}], "repeat_count": 10**9},
+        {"phases": [{"count": 10**400}]},
+        {"phases": [{"count": 1, "cpu": -1}]},
+        {"phases": [{"count": 1, "estimate_ms": 10**400}]},
+        {"phases": [{"count": 1, "max_per_server": -1}]},
+        {"phases": [{"count": 1}], "start_at_ms": 10**400},
+        {"phases": [{"count": 1}], "interval_ms": -1},
+        {"phases": [{"count": 1}], "repeat_count": -1},
+    ],
+)
+async def test_job_out_of_range_is_refused_and_not_stored(change):
+    """Guards against a job whose tasks fill the memory of every controller, or end its term."""
+    store = MemoryStore()
+    configure(store, 1)
+    instance = Instance(store)
+    body = json.dumps({"spec": "text"} | change).encode()
+    assert (await instance.call("POST", JOB, body=body))[0] == 400
+    assert not any(key.startswith("foxtailwell/") for key in store.items)
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import math
+from dataclasses import replace
 from ipaddress import IPv4Address
 
 import msgspec
@@ -29,8 +30,11 @@
 )
 from foxtailwell.platform import messages, store, workers
 from foxtailwell.workflows import (
+    CrashRecord,
     JobProgress,
     JobState,
+    Resources,
+    Step,
     StoreCallError,
     Submission,
     TaskProgress,
@@ -100,9 +104,13 @@
     return lambda body: gang_workers._decode("10.0.0.1:80", request, HttpReply(status, {}, body))
 
 
-PROGRESS = msgspec.json.decode(_records.encode_progress(JobProgress(JobState.QUEUED, False, 0, ())))
+TASK = TaskProgress(0, 0, 0, 1, 1, "w", 1, (1,), "", (CrashRecord(1, 1, 1, False),))
+STEP = Step(1, Resources(1, 1, 1))
+PROGRESS = msgspec.json.decode(
+    _records.encode_progress(JobProgress(JobState.QUEUED, False, 0, (TASK,)))
+)
 SUBMISSION = msgspec.json.decode(
-    _records.encode_submission_record(Submission("0" * 16, "q", "a", "text", ()))
+    _records.encode_submission_record(Submission("0" * 16, "q", "a", "text", (STEP,)))
 )
 INSTANCE = {"id": "w-1", "role": "worker", "zone": "z", "address": "10.0.0.1:80"}
 DOCUMENTS = (Configuration, JobShard)
@@ -169,7 +177,7 @@
         return
     assert entry.capacity.fits(entry.capacity.plus(entry.capacity))
     assert all(math.isfinite(n / 1000) for n in (entry.clock_ms, entry.remaining_ms))
-    task = TaskProgress(0, 0, 0, 1, 1, entry.id, entry.boot_unix_ms, (), "", ())
+    task = replace(TASK, boot_unix_ms=entry.boot_unix_ms)
     progress = JobProgress(JobState.RUNNING, True, 0, (task,))
     assert _records.decode_progress(_records.encode_progress(progress)) == progress
 
