Refuse listings of workers with numbers out of range

Callers would see jobs wait: one worker that lists a run with a progress of 10^400 ended the term of each controller in turn (OverflowError when the remaining time is extrapolated), as did a task identifier with a number of over 4300 digits (ValueError). The same ValueError ended the election of an instance again and again if the controller key held its name and such a lease.

The decoder of listings declares its ranges; a listing outside of them counts as a failed call to that worker, which affects no other. Progress is limited to 0 to 100 percent. Task identifiers and leases are parsed up to a length that the conversion accepts; others are reported with FW1621 or left to their owner.

Evidence: without the change 12 cases of test_accepted_listing_can_be_used, the first case of test_listed_task_with_a_malformed_identifier_is_left_out and one of test_key_that_another_writer_holds_delays_the_election_only fail; all pass with it, with the rest of test_malformed_messages.py, test_controller.py and test_crashing_tasks.py.

--- a/src/foxtailwell/controller/_election.py
+++ b/src/foxtailwell/controller/_election.py
@@ -26,6 +26,9 @@
 RETRY_PAUSE_S = 0.2
 """Pause after a failed store call."""
 
+MAX_LEASE_DIGITS = 20
+"""Digits of the largest lease identifier, which has 64 bits."""
+
 
 @dataclass(slots=True)
 class Term:
@@ -87,7 +90,8 @@
             Whether a lease was revoked.
         """
         name, _, lease = value.decode(errors="replace").rpartition(" ")
-        if name != self._name or not lease.isdecimal() or int(lease) in self._own_leases:
+        is_readable = lease.isdecimal() and len(lease) <= MAX_LEASE_DIGITS
+        if name != self._name or not is_readable or int(lease) in self._own_leases:
             return False
         await self._store.revoke_lease(int(lease))
         return True
--- a/src/foxtailwell/controller/_runs.py
+++ b/src/foxtailwell/controller/_runs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 
 from foxtailwell.adapters.events import RUN_ENDED, RUN_LOST, TASK_UNREADABLE
@@ -28,6 +29,11 @@
 
 __all__ = ["RunReports"]
 
+_TASK_PATTERN = re.compile(r"([^.]+)\.([0-9]{1,9})\.([0-9]{1,9})\.([0-9]{1,9})")
+
+MAX_LOGGED_CHARACTERS = 100
+"""Limit of a malformed identifier in the log."""
+
 
 class RunReports:
     """Applies worker reports to the job registry; used only by the controller's main task.
@@ -232,8 +238,8 @@
 
 
 def _parse_task(text: str) -> TaskId | None:
-    parts = text.split(".")
-    if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
-        log_event(TASK_UNREADABLE, task=text)
+    found = _TASK_PATTERN.fullmatch(text)
+    if found is None:
+        log_event(TASK_UNREADABLE, task=text[:MAX_LOGGED_CHARACTERS])
         return None
-    return TaskId(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
+    return TaskId(found[1], int(found[2]), int(found[3]), int(found[4]))
--- a/src/foxtailwell/platform/workers.py
+++ b/src/foxtailwell/platform/workers.py
@@ -68,15 +68,22 @@
 
 
 class _Response(msgspec.Struct):
-    clock_ms: int | None = None
+    clock_ms: Integer | None = None
     reason: str = ""
 
 
+class _Running(msgspec.Struct, array_like=True):
+    task: str
+    run: NaturalNumber
+    checkpoint: str
+    percent: float
+
+
 class _Listing(msgspec.Struct):
-    clock_ms: int
-    born: int
-    running: list[list[int | float | str]] = []
-    ended: list[tuple[int, str, int, str, str]] = []
+    clock_ms: Integer
+    born: NaturalNumber
+    running: list[_Running] = []
+    ended: list[tuple[NaturalNumber, str, NaturalNumber, str, str]] = []
 
 
 def decode_worker_entry(worker: str, value: bytes) -> WorkerEntry | None:
@@ -213,12 +220,17 @@
     try:
         listing = msgspec.json.decode(body, type=_Listing)
         running = tuple(
-            ListedRun(str(row[0]), int(row[1]), str(row[2]), int(row[3])) for row in listing.running
+            ListedRun(row.task, row.run, row.checkpoint, _percent(row.percent))
+            for row in listing.running
         )
         ended = tuple(
             EndedRun(number, task, run, EndKind(how), saved)
             for number, task, run, how, saved in listing.ended
         )
-    except (*MALFORMED, ValueError, IndexError) as error:
+    except (*MALFORMED, ValueError) as error:
         raise WorkerCallError(f"listing cannot be decoded: {error}") from error
     return WorkerListing(listing.clock_ms, listing.born, running, ended)
+
+
+def _percent(progress: float) -> int:
+    return int(min(100.0, max(0.0, progress)))
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -615,6 +615,17 @@
     assert await until(lambda: second.leadership.is_controller, 0.5)
 
 
+@pytest.mark.parametrize("lease", ["x", "9" * 5000])
+async def test_key_that_another_writer_holds_delays_the_election_only(group, lease):
+    """Guards against a lease number that is too long to convert and ends the election for good."""
+    deployment = make_deployment(group, 1)
+    deployment.store.write("foxtailwell/controller", f"one {lease}".encode())
+    instance = deployment.start("one")
+    await anyio.sleep(0.2)
+    deployment.store.delete("foxtailwell/controller")
+    assert await until(lambda: instance.leadership.is_controller)
+
+
 async def test_new_controller_starts_nothing_on_a_worker_that_has_left(group):
     """Guards against a departed worker that is in use again after a change of the controller."""
     deployment = make_deployment(group, 2)
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -19,7 +19,9 @@
 from foxtailwell.adapters.documents import decode_document, encode_document
 from foxtailwell.adapters.http_client import HttpReply
 from foxtailwell.adapters.http_connection import CallReply
+from foxtailwell.adapters.ranges import MAX_INTEGER
 from foxtailwell.controller import _records
+from foxtailwell.controller._runs import _parse_task
 from foxtailwell.core import Configuration, InstanceRecord, JobShard
 from foxtailwell.core.errors import (
     DocumentError,
@@ -182,6 +184,26 @@
     assert _records.decode_progress(_records.encode_progress(progress)) == progress
 
 
+@pytest.mark.parametrize("extreme", EXTREMES, ids=lambda number: str(number)[:20])
+@pytest.mark.parametrize("column", [1, 3])
+def test_accepted_listing_can_be_used(column, extreme):
+    """Guards against a listed run whose number or progress ends the term of the controller."""
+    row = ["t", 1, "", 5, 0]
+    row[column] = extreme
+    try:
+        listing = workers._decode_listing(json.dumps(LISTING | {"running": [row]}).encode())
+    except WorkerCallError:
+        return
+    assert 0 <= listing.running[0].percent <= 100
+    assert 0 <= listing.running[0].run <= MAX_INTEGER
+
+
+@pytest.mark.parametrize("text", ["a.0.0." + "9" * 5000, "a.0.0", "a.0.0.x", "a.0.0.-1", "", "é"])
+def test_listed_task_with_a_malformed_identifier_is_left_out(text):
+    """Guards against an identifier whose number is too long to convert, which ends the term."""
+    assert _parse_task(text) is None
+
+
 @pytest.mark.parametrize("worker", ["", "w\r\nX: 1", "w 1", "wé", "w" * 129])
 def test_entry_under_an_unusable_key_names_no_worker(worker):
     """Guards against an identifier that cannot be sent in a header, which ends the term."""
