Refuse configurations and waves with numbers out of range

Callers would see an instance without a configuration, and jobs that wait: a validity of advice of 10^400 raised OverflowError in the decoder, outside of the declared error, and ended the watch on the operators' keys each time it was restarted; a target time of that size ended the term when it was added, a wave with such a number or limit when it was encoded or its rounds were counted.

Cause: the decoders declared types, but no ranges. They declare them now with the types of adapters.ranges, so that such a configuration is reported with FW1202 and the previous one stays in force, and such a wave is left out with FW1616. Ruled out: applying the routes of a configuration that are in range, since a configuration is applied as a whole or not at all.

Evidence: 12 cases of test_accepted_configuration_can_be_used and test_accepted_wave_can_be_used fail without the change and pass with it, with the rest of test_malformed_messages.py, test_platform_adapter.py, test_maintenance.py, test_instance_api.py and test_advice.py.

--- a/src/foxtailwell/platform/messages.py
+++ b/src/foxtailwell/platform/messages.py
@@ -5,9 +5,12 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from foxtailwell.adapters.malformed import MALFORMED
+from foxtailwell.adapters.ranges import Integer, NaturalNumber, Seconds
 from foxtailwell.workflows import (
     AdviceRules,
     ClientAccount,
@@ -41,6 +44,9 @@
 WAVES_PREFIX = "op/wave/"
 WAVE_STATUS_PREFIX = "status/wave/"
 
+MAX_STRETCH = 1e6
+"""Highest ratio of a target time to the length of the job."""
+
 _AUTHORIZATION_SCHEME = "Token "
 
 
@@ -49,7 +55,7 @@
 
 
 class _Guaranteed(msgspec.Struct):
-    gpu: int = 0
+    gpu: NaturalNumber = 0
 
 
 class _Tenant(msgspec.Struct):
@@ -59,7 +65,7 @@
 
 
 class _Recommendation(msgspec.Struct):
-    valid_for_ms: int = 0
+    valid_for_ms: NaturalNumber = 0
 
 
 class _Route(msgspec.Struct):
@@ -67,25 +73,25 @@
     host: str
     prefix: str
     service: str
-    priority: int = 1
-    max_attempts: int = 3
-    stretch: float = 3.0
-    target_latency_ms: int = 1000
+    priority: Integer = 1
+    max_attempts: NaturalNumber = 3
+    stretch: Annotated[float, msgspec.Meta(ge=0, le=MAX_STRETCH)] = 3.0
+    target_latency_ms: NaturalNumber = 1000
     no_auth: bool = False
     recommendation: _Recommendation | None = None
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: Integer
     routes: list[_Route]
     tenants: list[_Tenant] = []
 
 
 class _Wave(msgspec.Struct):
-    wave: int
+    wave: NaturalNumber
     machines: list[str]
-    within_s: float
-    max_count: int
+    within_s: Seconds
+    max_count: Integer
 
 
 class _Phase(msgspec.Struct):
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -33,6 +33,7 @@
 from foxtailwell.platform import messages, store, workers
 from foxtailwell.workflows import (
     CrashRecord,
+    Job,
     JobProgress,
     JobState,
     Resources,
@@ -198,6 +199,31 @@
     assert 0 <= listing.running[0].run <= MAX_INTEGER
 
 
+@pytest.mark.parametrize("extreme", EXTREMES, ids=lambda number: str(number)[:20])
+@pytest.mark.parametrize("field", ["priority", "stretch", "target_latency_ms", "recommendation"])
+def test_accepted_configuration_can_be_used(field, extreme):
+    """Guards against a queue whose target or validity of advice ends each process that reads it."""
+    value = {"valid_for_ms": extreme} if field == "recommendation" else extreme
+    route = CONFIGURATION["routes"][0] | {field: value}
+    body = json.dumps(CONFIGURATION | {"routes": [route]}).encode()
+    with contextlib.suppress(messages.MessageError):
+        queue = messages.decode_configuration(body).queues["r"]
+        submission = Submission("0" * 16, "r", "a", "text", (replace(STEP, estimate_ms=2**53),))
+        assert math.isfinite(Job(submission, queue, 0.0).target_s())
+        assert queue.advice is None or queue.advice.valid_s >= 0
+
+
+@pytest.mark.parametrize("extreme", EXTREMES, ids=lambda number: str(number)[:20])
+@pytest.mark.parametrize("field", ["wave", "within_s", "max_count"])
+def test_accepted_wave_can_be_used(field, extreme):
+    """Guards against a wave whose number or time limit ends the term of the controller."""
+    wave = messages.decode_wave(json.dumps(WAVE | {field: extreme}).encode())
+    if wave is not None:
+        assert wave.within_s / wave.max_count < math.inf
+        assert msgspec.json.decode(messages.encode_wave_status(wave.number, True))
+        assert 0 <= wave.number <= MAX_INTEGER
+
+
 @pytest.mark.parametrize("text", ["a.0.0." + "9" * 5000, "a.0.0", "a.0.0.x", "a.0.0.-1", "", "é"])
 def test_listed_task_with_a_malformed_identifier_is_left_out(text):
     """Guards against an identifier whose number is too long to convert, which ends the term."""
