Leave out single rows of advice that cannot be decoded

Callers would see all jobs of a queue with advice wait: one odd row among the allowed workers, such as a ticket that is a number, made the whole response count as failed. The step asked again and again and got the same response.

Rows are decoded one by one; those that cannot be decoded are left out with FW1635, and their workers count as not allowed. The listing of machines stays strict on purpose: a machine that is not listed counts as removed, and its wave as settled.

Evidence: test_advisor_client_decodes_tickets_and_reports_refusals, whose response has two odd rows now, fails without the change and passes with it, with the rest of test_advice.py.

--- a/src/foxtailwell/adapters/events.py
+++ b/src/foxtailwell/adapters/events.py
@@ -128,6 +128,8 @@
 STEP_WAITS = _event("FW1634", "INFO", "a step cannot be placed yet")
 TASK_UNREADABLE = _event("FW1621", "WARNING", "a worker reports a task with a malformed identifier")
 
+ROWS_REFUSED = _event("FW1635", "WARNING", "rows of a list cannot be decoded and are left out")
+
 # 1700-1799: instances
 SUBMISSION_STORED = _event("FW1701", "INFO", "a job is stored")
 SUBMISSION_REFUSED = _event("FW1702", "INFO", "a job was not accepted")
--- a/src/foxtailwell/platform/advisor.py
+++ b/src/foxtailwell/platform/advisor.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from foxtailwell.adapters.http_connection import CallError, HttpEndpoint
-from foxtailwell.adapters.malformed import MALFORMED
+from foxtailwell.adapters.malformed import MALFORMED, decode_rows
 from foxtailwell.workflows import AdviceCallError, Advisor
 
 __all__ = ["open_advisor"]
@@ -18,7 +18,7 @@
 
 class _Advice(msgspec.Struct):
     # Pairs of worker identifier and ticket; workers that are not listed are not allowed.
-    allowed: list[tuple[str, str]]
+    allowed: list[msgspec.Raw]
 
 
 def open_advisor(address: str) -> Advisor:
@@ -39,6 +39,7 @@
         if reply.status != 200:
             raise AdviceCallError(f"status {reply.status}")
         try:
-            return dict(msgspec.json.decode(reply.body, type=_Advice).allowed)
+            rows = msgspec.json.decode(reply.body, type=_Advice).allowed
         except MALFORMED as error:
             raise AdviceCallError(f"response cannot be decoded: {error}") from error
+        return dict(decode_rows(rows, tuple[str, str], "advice"))
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -72,8 +72,8 @@
 
 
 async def test_advisor_client_decodes_tickets_and_reports_refusals(anyio_server):
-    """Guards against an adapter that misreads the tickets or treats a refusal as advice."""
-    body = msgspec.json.encode({"allowed": [["i-1", "t"]], "valid_for_ms": 300})
+    """Guards against a refusal that counts as advice, and an odd row that hides the others."""
+    body = msgspec.json.encode({"allowed": [["i-2", 7], ["i-1", "t"], None], "valid_for_ms": 300})
     answers = [
         b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body),
         b"HTTP/1.1 429 Busy\r\nContent-Length: 2\r\n\r\n{}",
