Leave out single items of the store that cannot be read

Callers would see an instance that stops following a list: one item of a page or of a watch with a revision out of range, without a key, or with a value that is not base64 made the whole response count as failed, and the same response came again and again. A page with `has_more` and no items raised IndexError, which ended the term.

Items are decoded one by one and left out with FW1635 if they cannot be decoded. A value that cannot be read counts as empty (FW1636): its key stays known, so that a zone out of service remains so and the decoder of the value refuses it like other malformed values.

Evidence: the four cases of test_item_that_cannot_be_read_hides_no_other_item fail without the change and pass with it, with test_malformed_messages.py, test_advice.py, test_events.py and test_instance_process.py.

--- a/src/foxtailwell/adapters/events.py
+++ b/src/foxtailwell/adapters/events.py
@@ -129,6 +129,7 @@
 TASK_UNREADABLE = _event("FW1621", "WARNING", "a worker reports a task with a malformed identifier")
 
 ROWS_REFUSED = _event("FW1635", "WARNING", "rows of a list cannot be decoded and are left out")
+VALUE_UNREADABLE = _event("FW1636", "ERROR", "a value of the store cannot be read")
 
 # 1700-1799: instances
 SUBMISSION_STORED = _event("FW1701", "INFO", "a job is stored")
--- a/src/foxtailwell/adapters/malformed.py
+++ b/src/foxtailwell/adapters/malformed.py
@@ -27,10 +27,11 @@
         kind: Type of a row.
         name: Name of the list in the log.
     """
+    decoder = msgspec.json.Decoder(kind)
     decoded: list[T] = []
     for row in rows:
         try:
-            decoded.append(msgspec.json.decode(row, type=kind))
+            decoded.append(decoder.decode(row))
         except MALFORMED:
             continue
     if len(decoded) < len(rows):
--- a/src/foxtailwell/platform/store.py
+++ b/src/foxtailwell/platform/store.py
@@ -15,8 +15,11 @@
 
 import msgspec
 
+from foxtailwell.adapters.events import VALUE_UNREADABLE
 from foxtailwell.adapters.http_connection import CallError, CallReply, HttpEndpoint
-from foxtailwell.adapters.malformed import MALFORMED
+from foxtailwell.adapters.logs import log_event
+from foxtailwell.adapters.malformed import MALFORMED, decode_rows
+from foxtailwell.adapters.ranges import NaturalNumber
 from foxtailwell.adapters.work_metrics import WorkMetrics
 from foxtailwell.workflows import (
     Change,
@@ -51,25 +54,25 @@
 class _WireItem(msgspec.Struct):
     key: str
     value: str = ""
-    revision: int = 0
+    revision: NaturalNumber = 0
 
 
 class _WireChange(msgspec.Struct):
     key: str
-    revision: int = 0
+    revision: NaturalNumber = 0
     value: str = ""
     deleted: bool = False
 
 
 class _Page(msgspec.Struct):
-    items: list[_WireItem]
-    at_rev: int
+    items: list[msgspec.Raw]
+    at_rev: NaturalNumber
     has_more: bool = False
 
 
 class _Events(msgspec.Struct):
-    at_rev: int
-    events: list[_WireChange] = []
+    at_rev: NaturalNumber
+    events: list[msgspec.Raw] = []
 
 
 class _ConflictItems(msgspec.Struct):
@@ -77,11 +80,11 @@
 
 
 class _Revision(msgspec.Struct):
-    revision: int
+    revision: NaturalNumber
 
 
 class _Lease(msgspec.Struct):
-    lease_id: int
+    lease_id: NaturalNumber
 
 
 def open_store(address: str, metrics: WorkMetrics) -> KeyValueStore:
@@ -105,12 +108,15 @@
         # The pages are not a consistent snapshot. The watch starts at the revision of the first
         # page, so it may repeat later changes but misses none.
         revision = page.at_rev
-        items += [_item(i) for i in page.items]
+        found = _items(page)
         while page.has_more:
-            after = quote(page.items[-1].key, safe="")
+            if not found:
+                raise StoreCallError("no readable item in a page", is_outcome_unknown=True)
+            items += found
+            after = quote(found[-1].key, safe="")
             page = _decode(await self._read(f"{path}&after={after}", (200,)), _Page)
-            items += [_item(i) for i in page.items]
-        return items, revision
+            found = _items(page)
+        return items + found, revision
 
     async def watch(self, prefix: str, after: int, wait_ms: int) -> tuple[list[Change], int]:
         path = f"/-/kv-watch?prefix={quote(prefix, safe='')}&after={after}&wait_ms={wait_ms}"
@@ -122,7 +128,8 @@
         if reply.status == 410:
             raise HistoryLostError(prefix)
         events = _decode(reply, _Events)
-        return [_change(event) for event in events.events], events.at_rev
+        changes = decode_rows(events.events, _WireChange, "changes")
+        return [_change(change) for change in changes], events.at_rev
 
     async def transact(
         self,
@@ -194,19 +201,25 @@
         raise StoreCallError(f"unreadable answer: {error}", is_outcome_unknown=True) from error
 
 
-def _value(text: str) -> bytes:
+def _value(key: str, text: str) -> bytes:
+    """Decode a value; an unreadable one counts as empty, so that only its own key is affected."""
     try:
         return b64decode(text)
     except ValueError as error:
-        raise StoreCallError(f"unreadable value: {error}", is_outcome_unknown=True) from error
+        log_event(VALUE_UNREADABLE, key=key, reason=str(error))
+        return b""
+
+
+def _items(page: _Page) -> list[Item]:
+    return [_item(item) for item in decode_rows(page.items, _WireItem, "items")]
 
 
 def _item(item: _WireItem) -> Item:
-    return Item(item.key, _value(item.value), item.revision)
+    return Item(item.key, _value(item.key, item.value), item.revision)
 
 
 def _change(event: _WireChange) -> Change:
-    value = None if event.deleted else _value(event.value)
+    value = None if event.deleted else _value(event.key, event.value)
     return Change(event.key, value, event.revision)
 
 
--- a/tests/test_follow_prefix.py
+++ b/tests/test_follow_prefix.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import json
+
 import anyio
 import anyio.lowlevel
 import pytest
 
+from foxtailwell.adapters.work_metrics import WorkMetrics
 from foxtailwell.controller import follow_prefix
-from foxtailwell.workflows import HistoryLostError, StoreCallError
+from foxtailwell.platform.store import open_store
+from foxtailwell.workflows import Change, HistoryLostError, Item, StoreCallError
 from foxtailwell_standins.platform_store import MemoryStore
 
 pytestmark = pytest.mark.anyio
@@ -67,3 +71,33 @@
         group.cancel_scope.cancel()
     assert seen[0] == (True, ["p/a"])
     assert (True, ["p/b"]) in seen
+
+
+GOOD = {"key": "p/a", "value": "eA==", "revision": 3}
+ODD = ({"key": "p/b", "revision": "x"}, {"key": "p/b", "revision": 10**400}, None, {"value": "x"})
+
+
+@pytest.mark.parametrize("odd", ODD)
+async def test_item_that_cannot_be_read_hides_no_other_item(anyio_server, odd):
+    """Guards against a watch that fails again and again because of one item among many."""
+    unreadable = {"key": "p/u", "value": "x", "revision": 4}
+    bodies = [
+        {"items": [GOOD, odd], "at_rev": 9, "has_more": True},
+        {"items": [odd, unreadable], "at_rev": 9},
+        {"events": [odd, GOOD, unreadable], "at_rev": 10},
+    ]
+
+    async def handle(stream):
+        async with stream:
+            for body in map(json.dumps, bodies):
+                await stream.receive()
+                head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+                await stream.send((head + body).encode())
+
+    async with anyio.create_task_group() as group:
+        store = open_store(await anyio_server(group, handle), WorkMetrics())
+        items = [Item("p/a", b"x", 3), Item("p/u", b"", 4)]
+        assert await store.list_items("p/") == (items, 9)
+        changes, _ = await store.watch("p/", 9, 100)
+        assert changes == [Change(item.key, item.value, item.revision) for item in items]
+        group.cancel_scope.cancel()
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -85,8 +85,7 @@
 
 
 def _page(body):
-    page = store._decode(CallReply(200, body), store._Page)
-    return [store._item(item) for item in page.items]
+    return store._items(store._decode(CallReply(200, body), store._Page))
 
 
 def _document(kind):
