--- a/src/foxtailwell/platform/messages.py
+++ b/src/foxtailwell/platform/messages.py
@@ -5,9 +5,12 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from foxtailwell.adapters.malformed import MALFORMED
+from foxtailwell.adapters.ranges import Integer, NaturalNumber, Seconds
 from foxtailwell.workflows import (
     AdviceRules,
     ClientAccount,
@@ -18,6 +21,7 @@
     Route,
     Step,
     Submission,
+    find_submission_fault,
 )
 
 __all__ = [
@@ -40,6 +44,9 @@
 WAVES_PREFIX = "op/wave/"
 WAVE_STATUS_PREFIX = "status/wave/"
 
+MAX_STRETCH = 1e6
+"""Highest ratio of a target time to the length of the job."""
+
 _AUTHORIZATION_SCHEME = "Token "
 
 
@@ -48,7 +55,7 @@
 
 
 class _Guaranteed(msgspec.Struct):
-    gpu: int = 0
+    gpu: NaturalNumber = 0
 
 
 class _Tenant(msgspec.Struct):
@@ -58,7 +65,7 @@
 
 
 class _Recommendation(msgspec.Struct):
-    valid_for_ms: int = 0
+    valid_for_ms: NaturalNumber = 0
 
 
 class _Route(msgspec.Struct):
@@ -66,25 +73,25 @@
     host: str
     prefix: str
     service: str
-    priority: int = 1
-    max_attempts: int = 3
-    stretch: float = 3.0
-    target_latency_ms: int = 1000
+    priority: Integer = 1
+    max_attempts: NaturalNumber = 3
+    stretch: Annotated[float, msgspec.Meta(ge=0, le=MAX_STRETCH)] = 3.0
+    target_latency_ms: NaturalNumber = 1000
     no_auth: bool = False
     recommendation: _Recommendation | None = None
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: Integer
     routes: list[_Route]
     tenants: list[_Tenant] = []
 
 
 class _Wave(msgspec.Struct):
-    wave: int
+    wave: NaturalNumber
     machines: list[str]
-    within_s: float
-    max_count: int
+    within_s: Seconds
+    max_count: Integer
 
 
 class _Phase(msgspec.Struct):
@@ -190,33 +197,30 @@
         body: Request body.
 
     Raises:
-        MessageError: The body is not a valid job; for example, it has no steps.
+        MessageError: The body is not a valid job; for example, it has no steps or too many tasks.
     """
     try:
         wire = msgspec.json.decode(body, type=_Job)
     except MALFORMED as error:
         raise MessageError(f"job: {error}") from error
-    if not wire.phases:
-        raise MessageError("job: no steps; name at least one")
-    steps = tuple(_step(number, phase) for number, phase in enumerate(wire.phases))
-    return Submission(
+    submission = Submission(
         job_id,
         queue,
         account,
         wire.spec,
-        steps,
+        tuple(_step(phase) for phase in wire.phases),
         wire.start_at_ms,
         wire.interval_ms,
         wire.repeat_count,
         now_unix_ms,
     )
+    fault = find_submission_fault(submission)
+    if fault:
+        raise MessageError(f"job: {fault}")
+    return submission
 
 
-def _step(number: int, phase: _Phase) -> Step:
-    if phase.count < 1:
-        raise MessageError(f"job: step {number} has no tasks; use a count of 1 or more")
-    if any(not 0 <= earlier < number for earlier in phase.after):
-        raise MessageError(f"job: step {number} must name earlier steps only")
+def _step(phase: _Phase) -> Step:
     # Filling tasks run on processors that others leave idle, so they request none.
     cpu_millicores = 0 if phase.fills else phase.cpu
     return Step(
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import json
 import time
 
 import anyio
 import pytest
 
-from controller_harness import LATER, URGENT, make_deployment, step, until
+from controller_harness import LATER, URGENT, job_id, make_deployment, step, until
 from foxtailwell.controller import _controller
 from foxtailwell.workflows import (
     EndKind,
@@ -384,6 +385,62 @@
     assert await deployment.reaches(job, JobState.COMPLETED)
 
 
+ENTRY = {"service": "pool", "address": "10.0.0.9:80", "zone": "a", "state": "ready", "born": 1}
+ROOM = {"cpu": 99_000, "mem_mb": 99_000, "gpu": 9}
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "draining", "remaining_ms": 10**400},
+        {"capacity": ROOM | {"gpu": 10**400}},
+        {"capacity": ROOM, "born": 2**64},
+        {"capacity": ROOM, "clock_ms": 2**64},
+    ],
+)
+async def test_entry_out_of_range_affects_no_other_worker(group, change):
+    """Guards against an entry of another writer that ends the term of each controller in turn."""
+    deployment = make_deployment(group, 2, task_duration_s=0.1)
+    deployment.store.write("servers/w1", json.dumps(ENTRY | change).encode())
+    first = deployment.start("one")
+    job = await deployment.submit(1, LATER, [step(2, max_per_worker=1)])
+    assert await deployment.reaches(job, JobState.COMPLETED)
+    first.kill()
+    deployment.start("two")
+    job = await deployment.submit(2, LATER, [step(2, max_per_worker=1)])
+    assert await deployment.reaches(job, JobState.COMPLETED, 5.0)
+    assert not deployment.workers["w1"].log
+
+
+RECORD = {"job_id": job_id(7), "queue": "later", "account": "a", "payload": "x"}
+STEP = {"count": 1, "request": {"cpu_millicores": 1}}
+
+
+@pytest.mark.parametrize(
+    ("change", "progress"),
+    [
+        ({"steps": []}, None),
+        ({"steps": [STEP | {"estimate_ms": 10**400}]}, None),
+        ({"steps": [STEP | {"after": [3]}]}, None),
+        ({"start_at_unix_ms": 10**400}, None),
+        ({"accepted_unix_ms": -(10**400)}, None),
+        ({"job_id": job_id(8)}, None),
+        ({}, [[0, 0, 0, 7, 1, "w1", 1, [], ""]]),
+    ],
+)
+async def test_odd_record_of_a_job_affects_no_other_job(group, change, progress):
+    """Guards against a stored value that ends the term of each controller in turn."""
+    deployment = make_deployment(group, 2, task_duration_s=0.1)
+    record = RECORD | {"steps": [STEP]} | change
+    deployment.store.write(f"foxtailwell/in/job/{job_id(7)}", json.dumps(record).encode())
+    if progress is not None:
+        value = {"state": "running", "begun": True, "tasks": progress}
+        deployment.store.write(f"foxtailwell/run/{job_id(7)}", json.dumps(value).encode())
+    deployment.start("one")
+    job = await deployment.submit(1, LATER, [step(2)])
+    assert await deployment.reaches(job, JobState.COMPLETED)
+
+
 async def test_lost_transaction_responses_neither_lose_nor_repeat_a_start(group):
     """Guards against a lost response of the store that duplicates or drops an assignment."""
     deployment = make_deployment(group, 1, task_duration_s=0.2)
@@ -588,6 +645,17 @@
     assert await until(lambda: second.leadership.is_controller, 0.5)
 
 
+@pytest.mark.parametrize("lease", ["x", "9" * 5000])
+async def test_key_that_another_writer_holds_delays_the_election_only(group, lease):
+    """Guards against a lease number that is too long to convert and ends the election for good."""
+    deployment = make_deployment(group, 1)
+    deployment.store.write("foxtailwell/controller", f"one {lease}".encode())
+    instance = deployment.start("one")
+    await anyio.sleep(0.2)
+    deployment.store.delete("foxtailwell/controller")
+    assert await until(lambda: instance.leadership.is_controller)
+
+
 async def test_new_controller_starts_nothing_on_a_worker_that_has_left(group):
     """Guards against a departed worker that is in use again after a change of the controller."""
     deployment = make_deployment(group, 2)
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import contextlib
+import json
+import math
+from dataclasses import replace
+from ipaddress import IPv4Address
 
 import msgspec
 import pytest
@@ -15,7 +19,9 @@
 from foxtailwell.adapters.documents import decode_document, encode_document
 from foxtailwell.adapters.http_client import HttpReply
 from foxtailwell.adapters.http_connection import CallReply
+from foxtailwell.adapters.ranges import MAX_INTEGER
 from foxtailwell.controller import _records
+from foxtailwell.controller._runs import _parse_task
 from foxtailwell.core import Configuration, InstanceRecord, JobShard
 from foxtailwell.core.errors import (
     DocumentError,
@@ -25,10 +31,31 @@
     UnsupportedSchemaError,
 )
 from foxtailwell.platform import messages, store, workers
-from foxtailwell.workflows import JobProgress, JobState, StoreCallError, Submission, WorkerCallError
+from foxtailwell.workflows import (
+    CrashRecord,
+    Job,
+    JobProgress,
+    JobState,
+    Resources,
+    Step,
+    StoreCallError,
+    Submission,
+    TaskProgress,
+    WorkerCallError,
+)
 
 DEEP = b"[" * 100_000 + b"]" * 100_000
-ENTRY = {"service": "s", "address": "10.0.0.1:80", "zone": "z", "state": "ready", "born": 1}
+ENTRY = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "state": "draining",
+    "born": 1,
+    "clock_ms": 1,
+    "capacity": {"cpu": 1, "mem_mb": 1, "gpu": 1},
+    "labels": ["k", "r"],
+    "remaining_ms": 1,
+}
 LISTING = {
     "clock_ms": 1,
     "born": 1,
@@ -44,16 +71,21 @@
 PAGE = {"items": [{"key": "k", "value": "eA==", "revision": 1}], "at_rev": 1}
 WAVE = {"wave": 1, "machines": ["m"], "within_s": 1, "max_count": 1}
 
+EXTREMES = (10**400, 2**64, 2**63, -1, -(10**400), 1e308, 1e400, math.nan)
 VALUES = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.sampled_from(EXTREMES)
+    | st.text(max_size=8),
     lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner),
     max_leaves=6,
 )
 
 
 def _page(body):
-    page = store._decode(CallReply(200, body), store._Page)
-    return [store._item(item) for item in page.items]
+    return store._items(store._decode(CallReply(200, body), store._Page))
 
 
 def _document(kind):
@@ -74,9 +106,13 @@
     return lambda body: gang_workers._decode("10.0.0.1:80", request, HttpReply(status, {}, body))
 
 
-PROGRESS = msgspec.json.decode(_records.encode_progress(JobProgress(JobState.QUEUED, False, 0, ())))
+TASK = TaskProgress(0, 0, 0, 1, 1, "w", 1, (1,), "", (CrashRecord(1, 1, 1, False),))
+STEP = Step(1, Resources(1, 1, 1))
+PROGRESS = msgspec.json.decode(
+    _records.encode_progress(JobProgress(JobState.QUEUED, False, 0, (TASK,)))
+)
 SUBMISSION = msgspec.json.decode(
-    _records.encode_submission_record(Submission("0" * 16, "q", "a", "text", ()))
+    _records.encode_submission_record(Submission("0" * 16, "q", "a", "text", (STEP,)))
 )
 INSTANCE = {"id": "w-1", "role": "worker", "zone": "z", "address": "10.0.0.1:80"}
 DOCUMENTS = (Configuration, JobShard)
@@ -114,7 +150,7 @@
     """Guards against one message of another writer that ends a whole process, again and again."""
     valid, decode, errors = DECODERS[number]
     changed = valid | {data.draw(st.sampled_from(sorted(valid))): data.draw(VALUES)}
-    encoded = msgspec.json.encode(changed)
+    encoded = json.dumps(changed).encode()
     cut = data.draw(st.integers(0, len(encoded)))
     for body in (encoded, encoded[:cut], encoded[:cut] + data.draw(st.binary(max_size=20))):
         with contextlib.suppress(*errors):
@@ -133,7 +169,75 @@
         assert decode(body) is None
 
 
+@pytest.mark.parametrize("extreme", EXTREMES, ids=lambda number: str(number)[:20])
+@pytest.mark.parametrize("field", ["born", "clock_ms", "remaining_ms", "cpu", "mem_mb", "gpu"])
+def test_accepted_worker_entry_can_be_used(field, extreme):
+    """Guards against numbers that end the term when they are converted or stored."""
+    change = {field: extreme} if field in ENTRY else {"capacity": {field: extreme}}
+    entry = workers.decode_worker_entry("w", json.dumps(ENTRY | change).encode())
+    if entry is None:
+        return
+    assert entry.capacity.fits(entry.capacity.plus(entry.capacity))
+    assert all(math.isfinite(n / 1000) for n in (entry.clock_ms, entry.remaining_ms))
+    task = replace(TASK, boot_unix_ms=entry.boot_unix_ms)
+    progress = JobProgress(JobState.RUNNING, True, 0, (task,))
+    assert _records.decode_progress(_records.encode_progress(progress)) == progress
+
+
+@pytest.mark.parametrize("extreme", EXTREMES, ids=lambda number: str(number)[:20])
+@pytest.mark.parametrize("column", [1, 3])
+def test_accepted_listing_can_be_used(column, extreme):
+    """Guards against a listed run whose number or progress ends the term of the controller."""
+    row = ["t", 1, "", 5, 0]
+    row[column] = extreme
+    try:
+        listing = workers._decode_listing(json.dumps(LISTING | {"running": [row]}).encode())
+    except WorkerCallError:
+        return
+    assert 0 <= listing.running[0].percent <= 100
+    assert 0 <= listing.running[0].run <= MAX_INTEGER
+
+
+@pytest.mark.parametrize("extreme", EXTREMES, ids=lambda number: str(number)[:20])
+@pytest.mark.parametrize("field", ["priority", "stretch", "target_latency_ms", "recommendation"])
+def test_accepted_configuration_can_be_used(field, extreme):
+    """Guards against a queue whose target or validity of advice ends each process that reads it."""
+    value = {"valid_for_ms": extreme} if field == "recommendation" else extreme
+    route = CONFIGURATION["routes"][0] | {field: value}
+    body = json.dumps(CONFIGURATION | {"routes": [route]}).encode()
+    with contextlib.suppress(messages.MessageError):
+        queue = messages.decode_configuration(body).queues["r"]
+        submission = Submission("0" * 16, "r", "a", "text", (replace(STEP, estimate_ms=2**53),))
+        assert math.isfinite(Job(submission, queue, 0.0).target_s())
+        assert queue.advice is None or queue.advice.valid_s >= 0
+
+
+@pytest.mark.parametrize("extreme", EXTREMES, ids=lambda number: str(number)[:20])
+@pytest.mark.parametrize("field", ["wave", "within_s", "max_count"])
+def test_accepted_wave_can_be_used(field, extreme):
+    """Guards against a wave whose number or time limit ends the term of the controller."""
+    wave = messages.decode_wave(json.dumps(WAVE | {field: extreme}).encode())
+    if wave is not None:
+        assert wave.within_s / wave.max_count < math.inf
+        assert msgspec.json.decode(messages.encode_wave_status(wave.number, True))
+        assert 0 <= wave.number <= MAX_INTEGER
+
+
+@pytest.mark.parametrize("text", ["a.0.0." + "9" * 5000, "a.0.0", "a.0.0.x", "a.0.0.-1", "", "é"])
+def test_listed_task_with_a_malformed_identifier_is_left_out(text):
+    """Guards against an identifier whose number is too long to convert, which ends the term."""
+    assert _parse_task(text) is None
+
+
+@pytest.mark.parametrize("worker", ["", "w\r\nX: 1", "w 1", "wé", "w" * 129])
+def test_entry_under_an_unusable_key_names_no_worker(worker):
+    """Guards against an identifier that cannot be sent in a header, which ends the term."""
+    assert workers.decode_worker_entry(worker, msgspec.json.encode(ENTRY)) is None
+
+
 @given(st.text(max_size=12))
+@example("999.1.1.1:80")
+@example("........:80")
 @example("host:port")
 @example(":")
 @example("10.0.0.1:")
@@ -141,4 +245,7 @@
 def test_entry_with_an_unusable_address_names_no_worker(address):
     """Guards against a connection to an address that cannot be parsed, which ends the term."""
     entry = workers.decode_worker_entry("w", msgspec.json.encode(ENTRY | {"address": address}))
-    assert entry is None or 0 < int(entry.address.rpartition(":")[2]) < 65536
+    if entry is not None:
+        host, _, port = entry.address.rpartition(":")
+        assert IPv4Address(host)
+        assert 0 < int(port) < 65536
