Queue a member of a stopped gang again whose start was never sent

Callers saw a gang wait 4 to 5 s for the lease of a worker that nobody could reach. A start that is certain not to take effect was applied only while its task was assigned. When another member of the gang failed first, the task was being stopped by then, so its outcome was dropped and the task waited for the confirmation of its stop.

--- a/src/foxtailwell/controller/_runs.py
+++ b/src/foxtailwell/controller/_runs.py
@@ -166,7 +166,12 @@
         if not event.is_certain:
             self._workers.record_unanswered_start(event)
         task = self._registry.find(event.task)
-        if task is None or task.run != event.run or task.state is not TaskState.ASSIGNED:
+        if task is None or task.run != event.run or not task.is_placed:
+            return
+        if task.state is TaskState.STOPPING:
+            # A run that cannot exist needs no stop, which its worker may be unable to confirm.
+            if event.is_certain and event.outcome is not CommandOutcome.DONE:
+                self._registry.requeue(task)
             return
         task.start_settled_s = event.settled_s
         outcome = event.outcome.value if event.outcome else "no answer"
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -49,6 +49,18 @@
     assert await until(lambda: other.running.keys() == set(tasks), 1.5)
 
 
+async def test_gang_with_a_start_that_was_never_sent_moves_at_once(group):
+    """Guards against a gang that waits for a lease although its last member never started."""
+    deployment = make_deployment(group, 4)
+    deployment.workers["w0"].faults.is_unhealthy = True
+    deployment.workers["w1"].faults.is_refusing_connections = True
+    deployment.start("one")
+    job = await deployment.submit(1, LATER, [step(2, request=WHOLE, is_gang=True)])
+    tasks = {f"{job}.0.0.{index}" for index in range(2)}
+    others = [deployment.workers[name] for name in ("w2", "w3")]
+    assert await until(lambda: {task for w in others for task in w.running} == tasks, 1.5)
+
+
 async def test_listing_from_before_a_start_does_not_show_that_its_run_was_lost(group):
     """Guards against a run on a restarted worker that is started again while it runs."""
     deployment = make_deployment(group, 1)
