Let all waiting steps have their turn at the advisor

A step of a queue with advice that could run did not start, for as long as more urgent steps waited. Every plan replaces the pending requests, most urgent first, and one call is sent at a time. Steps that lack capacity renew their tickets whenever they expire, and a step whose calls fail is requested again by the next plan, so that two such steps were enough for others never to be requested. Every second call now goes to the step whose last call was longest ago.

--- a/src/foxtailwell/controller/_tickets.py
+++ b/src/foxtailwell/controller/_tickets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
@@ -58,8 +59,16 @@
 
 @dataclass(slots=True)
 class _StepTickets:
+    """Tickets of a step.
+
+    Attributes:
+        refused: Workers, with their incarnation, on which the step is not allowed.
+        asked_s: Local time of the last call for the step.
+    """
+
     tickets: dict[str, _Ticket] = field(default_factory=dict)
     refused: set[tuple[str, int]] = field(default_factory=set)
+    asked_s: float = -math.inf
 
 
 class Tickets:
@@ -82,6 +91,7 @@
         self._events = events
         self._steps: dict[StepKey, _StepTickets] = {}
         self._requests: list[_AdviceRequest] = []
+        self._is_urgent_turn = False
         self._wake = anyio.Event()
 
     def with_allowed_workers(
@@ -118,7 +128,7 @@
     def _request(
         self, unit: SchedulingUnit, entries: Mapping[str, WorkerEntry]
     ) -> _AdviceRequest | None:
-        step = self._steps.setdefault(unit.key, _StepTickets())
+        step = self._step(unit.key)
         candidates = [
             entry
             for entry in entries.values()
@@ -138,7 +148,7 @@
 
         Workers without a ticket are not requested again in the same incarnation.
         """
-        step = self._steps.setdefault(event.key, _StepTickets())
+        step = self._step(event.key)
         for worker, boot_unix_ms in event.incarnations.items():
             if worker in event.tickets:
                 step.tickets[worker] = _Ticket(
@@ -165,6 +175,22 @@
         if ended:
             self._steps = {k: step for k, step in self._steps.items() if k[0] not in ended}
 
+    def _take_request(self) -> _AdviceRequest:
+        """Remove the most urgent request and the least recently called one in turn.
+
+        Urgent steps that lack capacity, or whose calls fail, would otherwise take all calls.
+        """
+        self._is_urgent_turn = not self._is_urgent_turn
+        chosen = self._requests[0]
+        if not self._is_urgent_turn:
+            chosen = min(self._requests, key=lambda request: self._step(request.key).asked_s)
+        self._requests.remove(chosen)
+        self._step(chosen.key).asked_s = self._now_s()
+        return chosen
+
+    def _step(self, key: StepKey) -> _StepTickets:
+        return self._steps.setdefault(key, _StepTickets())
+
     async def run(self) -> None:
         """Send the pending requests, one call at a time, until cancelled."""
         if self._advisor is None:
@@ -174,7 +200,7 @@
             if not self._requests:
                 self._wake = anyio.Event()
                 continue
-            request = self._requests.pop(0)
+            request = self._take_request()
             job_id, occurrence, number = request.key
             sent_s = self._now_s()
             try:
--- a/src/foxtailwell_standins/platform_worker.py
+++ b/src/foxtailwell_standins/platform_worker.py
@@ -166,24 +166,30 @@
     Attributes:
         tickets: Ticket by allowed worker.
         refusals: Number of coming calls that are refused with status 429.
+        failing_steps: Steps whose calls fail.
+        decision_s: Duration of each call.
         calls: Step and workers of each call, refused calls included.
     """
 
     tickets: dict[str, str]
     refusals: int = 0
+    failing_steps: frozenset[str] = frozenset()
+    decision_s: float = 0.005
     calls: list[tuple[str, tuple[str, ...]]] = field(default_factory=list)
 
     async def advise(self, step: str, workers: Sequence[str]) -> Mapping[str, str]:
         """Return tickets for those of the workers that are allowed.
 
         Raises:
-            AdviceCallError: The call is refused.
+            AdviceCallError: The call is refused or fails.
         """
-        await anyio.sleep(0.005)
+        await anyio.sleep(self.decision_s)
         self.calls.append((step, tuple(workers)))
         if self.refusals:
             self.refusals -= 1
             raise AdviceCallError("status 429")
+        if step in self.failing_steps:
+            raise AdviceCallError("status 500")
         return {worker: self.tickets[worker] for worker in workers if worker in self.tickets}
 
 
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -8,10 +8,10 @@
 import msgspec
 import pytest
 
-from controller_harness import LATER, make_deployment, step, until
+from controller_harness import LATER, job_id, make_deployment, step, until
 from foxtailwell.platform import messages
 from foxtailwell.platform.advisor import open_advisor
-from foxtailwell.workflows import AdviceCallError, AdviceRules, JobState
+from foxtailwell.workflows import AdviceCallError, AdviceRules, JobState, Resources
 from foxtailwell_standins.platform_worker import MemoryAdvisor
 
 pytestmark = pytest.mark.anyio
@@ -49,6 +49,28 @@
     assert await deployment.reaches(job, JobState.COMPLETED)
 
 
+async def test_steps_that_cannot_be_placed_do_not_take_all_calls(group):
+    """Guards against a step that never gets a ticket because others renew theirs in vain."""
+    deployment = advised_deployment(group, {"w1"}, valid_s=1.2, decision_s=0.3)
+    deployment.start("one")
+    too_large = Resources(500_000, 1, 1)
+    for number in range(4):
+        await deployment.submit(number, ADVISED, [step(request=too_large)])
+    assert await until(lambda: bool(deployment.advisor.calls))
+    job = await deployment.submit(4, ADVISED, [step()])
+    assert await deployment.reaches(job, JobState.COMPLETED, 5.0)
+
+
+async def test_failing_calls_for_one_step_do_not_delay_the_others(group):
+    """Guards against steps that wait forever behind one that the advisor cannot handle."""
+    deployment = advised_deployment(group, {"w1"}, failing_steps=frozenset({f"{job_id(1)}.0.0"}))
+    deployment.start("one")
+    await deployment.submit(1, ADVISED, [step()])
+    assert await until(lambda: bool(deployment.advisor.calls))
+    job = await deployment.submit(2, ADVISED, [step()])
+    assert await deployment.reaches(job, JobState.COMPLETED)
+
+
 async def test_ticket_that_its_worker_rejects_is_replaced(group):
     """Guards against a rejected ticket that is sent to its worker again and again."""
     deployment = advised_deployment(group, {"w1"})
