--- a/src/foxtailwell/controller/_maintenance.py
+++ b/src/foxtailwell/controller/_maintenance.py
@@ -175,7 +175,14 @@
         return self._access.waves_prefix
 
     async def on_waves(self, batch: ChangeBatch) -> None:
-        """Open the waves that operators request and drop those whose keys are deleted."""
+        """Open the waves that operators request and drop those whose keys are deleted.
+
+        A snapshot replaces changes that were missed, deletions among them.
+        """
+        if batch.is_snapshot:
+            listed = {change.key for change in batch.changes}
+            prefix = self._access.waves_prefix
+            self._waves = {n: w for n, w in self._waves.items() if f"{prefix}{n}" in listed}
         for change in batch.changes:
             number = change.key[len(self._access.waves_prefix) :]
             if change.value is None:
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -85,6 +85,19 @@
     assert len(machines.log) == 2
 
 
+async def test_wave_that_is_withdrawn_while_the_history_is_lost_blocks_no_worker(group):
+    """Guards against workers that stay empty for a wave whose deletion no watch reports."""
+    deployment, _ = maintained_deployment(group, 1)
+    deployment.start("one")
+    await deployment.start_one_task()
+    request_wave(deployment, ["m-w0"], within_s=60.0)
+    assert await until(lambda: state_of(deployment) == "running")
+    deployment.store.delete("op/wave/3")
+    deployment.store.drop_history()
+    job = await deployment.submit(2, LATER, [step()])
+    assert await until(lambda: bool(deployment.runs(f"{job}.0.0.0")), 2.0)
+
+
 async def test_machines_are_listed_by_page_and_commands_are_fenced(anyio_server):
     """Guards against an adapter that reads only one page or omits the fencing token."""
     pages = [
