Do not repeat a quarantine that was lifted without a probe

A worker of the scheduler daemon on which three jobs had failed stayed empty for ever if only jobs waited that cannot probe it, such as gangs of several members. The executor lifts such a quarantine after five minutes, but the record of failures, which only a success clears, made the next plan quarantine the worker again at once.

--- a/src/foxtailwell/core/_quarantine.py
+++ b/src/foxtailwell/core/_quarantine.py
@@ -54,9 +54,11 @@
     """Return the end of a new quarantine, or None if the worker is not to be quarantined.
 
     After a quarantine expires, only a failure later than its end starts another one, until a
-    successful probe clears the record.
+    successful probe clears the record. A record that is older than a quarantine starts none: the
+    quarantine that it had started was lifted without a probe.
     """
-    if len(failures.job_ids) < failed_jobs:
+    is_outdated = now_unix_ms - failures.last_unix_ms > probe_after_ms
+    if len(failures.job_ids) < failed_jobs or is_outdated:
         return None
     if quarantined_until_ms is not None and failures.last_unix_ms <= quarantined_until_ms:
         return None
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -286,6 +286,14 @@
     assert len(on_worker) == 1
 
 
+def test_quarantine_that_was_lifted_without_a_probe_does_not_return():
+    """Guards against a worker that stays empty for ever because no job is fit to probe it."""
+    failing = {"a0": WorkerFailures(("x", "y", "z"), NOW_MS - 400_000)}
+    assert not decisions_of(make_view(failing_workers=failing), QuarantineWorker)
+    failing_again = {"a0": WorkerFailures(("x", "y", "z"), NOW_MS - 100)}
+    assert decisions_of(make_view(failing_workers=failing_again), QuarantineWorker)
+
+
 def test_run_times_are_learned_and_bounded():
     """Guards against trusting declared run times and against state that grows with jobs."""
     times = RunTimes()
