Predict when cores and memory are free for a gang with a reservation

In the scheduler daemon, a large gang that waited for cores or memory kept its accelerators empty. The predicted start of a gang counted accelerators only, so such a gang was expected to fit at once: its accelerators were reserved and not backfilled until other gangs had returned their cores, and for ever if no worker had enough of them any more.

--- a/src/foxtailwell/core/_placement.py
+++ b/src/foxtailwell/core/_placement.py
@@ -150,7 +150,8 @@
     return sum(length // size for length, _ in runs_of(mask))
 
 
-def _members_on(worker: WorkerCapacity, spec: GangSpec, *, adjacent: bool) -> int:
+def members_on(worker: WorkerCapacity, spec: GangSpec, *, adjacent: bool = True) -> int:
+    """Return how many members of a gang fit on a worker."""
     size = spec.accelerators_per_member
     count = places_in(worker.free, size) if adjacent else worker.free.bit_count() // size
     if spec.cores_per_member:
@@ -210,7 +211,7 @@
     count = 0
     for rack in sorted(racks, key=lambda r: (-r.free_count, r.rack)):
         workers += rack.workers
-        count += sum(_members_on(w, spec, adjacent=adjacent) for w in rack.workers)
+        count += sum(members_on(w, spec, adjacent=adjacent) for w in rack.workers)
         if count >= spec.members:
             found = fill_workers(workers, spec, adjacent=adjacent)
             return found[1] if found else None
@@ -233,7 +234,7 @@
     for order, worker in enumerate(workers):
         if worker.free.bit_count() < size:
             continue
-        places = _members_on(worker, spec, adjacent=adjacent)
+        places = members_on(worker, spec, adjacent=adjacent)
         if places:
             total += places
             heap.append(_entry(worker.free, size, order, places, adjacent=adjacent))
--- a/src/foxtailwell/core/_reservations.py
+++ b/src/foxtailwell/core/_reservations.py
@@ -16,7 +16,7 @@
     Capacity,
     WorkerCapacity,
     fill_workers,
-    places_in,
+    members_on,
 )
 
 
@@ -39,8 +39,9 @@
     free: dict[str, int]
 
 
-# Remaining seconds, worker and accelerator mask. Plain tuples: a plan creates one per member.
-_End = tuple[float, str, int]
+# Remaining seconds, worker, accelerator mask, cores and memory. Plain tuples: a plan creates one
+# per member.
+_End = tuple[float, str, int, int, int]
 
 
 class EndTimes:
@@ -68,7 +69,7 @@
         ends = self._ends.get(key)
         if ends is None:
             ends = [
-                (self._remaining_s.get(a.job_id, 0.0), w.id, a.mask)
+                (self._remaining_s.get(a.job_id, 0.0), w.id, a.mask, a.cores, a.memory_gb)
                 for w in workers
                 for a in self._worker_allocations.get(w.id, ())
             ]
@@ -115,20 +116,20 @@
         size = spec.accelerators_per_member
         if sum(w.accelerators // size for w in workers) < spec.members:
             return None
-        free = {w.id: w.free & ~reserved.get(w.id, 0) for w in workers}
-        places = sum(places_in(mask, size) for mask in free.values())
+        later = {w.id: replace(w, free=w.free & ~reserved.get(w.id, 0)) for w in workers}
+        places = sum(members_on(worker, spec) for worker in later.values())
         free_in_s = 0.0
-        for ends_in_s, worker, mask in self._ends_of(key, workers):
+        for ends_in_s, worker_id, mask, cores, memory_gb in self._ends_of(key, workers):
             if places >= spec.members or ends_in_s >= limit_s:
                 break
-            before = free[worker]
-            after = before | (mask & ~reserved.get(worker, 0))
-            free[worker] = after
-            places += places_in(after, size) - places_in(before, size)
+            worker = later[worker_id]
+            before = members_on(worker, spec)
+            worker.free |= mask & ~reserved.get(worker_id, 0)
+            worker.cores += cores
+            worker.memory_gb += memory_gb
+            places += members_on(worker, spec) - before
             free_in_s = ends_in_s
         if places < spec.members or free_in_s >= limit_s:
             return None
-        later = [replace(w, free=free[w.id]) for w in workers]
-        # Cores and memory of ending gangs are not tracked; placement checks them at the start.
-        filled = fill_workers(later, GangSpec(spec.members, size), adjacent=True)
+        filled = fill_workers(list(later.values()), spec, adjacent=True)
         return (free_in_s, filled[1]) if filled else None
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -262,6 +262,22 @@
     assert not decisions_of(make_view(jobs, workers=make_workers(("a", "b"))), FailJob)
 
 
+@pytest.mark.parametrize(("cores", "due_text"), [(16, "in 600 s"), (64, "")])
+def test_gang_that_waits_for_cores_is_backfilled_until_they_are_free(cores, due_text):
+    """Guards against accelerators that stay idle for a gang that lacks cores."""
+    workers = tuple(replace(w, cores=32) for w in make_workers(("a",), 2))
+    gangs = [make_running(f"r{w.id}", "x", "a", [Member(w.id, (0,))], NOW_MS) for w in workers]
+    spec = GangSpec(1, 1, cores_per_member=24)
+    gangs = [(replace(job, spec=spec), gang) for job, gang in gangs]
+    large = make_job("large", "x", submitted_unix_ms=NOW_MS - 9_000_000, attempt=1)
+    large = replace(large, spec=GangSpec(2, 4, cores_per_member=cores))
+    small = make_job("small", "x", size=4)
+    times = {"ra0": 600.0, "ra1": 600.0, "small": 400.0}
+    view = make_view([large, small], gangs, workers=workers, run_time_s=times)
+    assert [d.job_id for d in decisions_of(view, StartGang)] == ["small"]
+    assert due_text in plan(view).waiting["large"].detail
+
+
 def test_failing_worker_is_quarantined_and_failing_job_ends():
     """Guards against a worker that fails every job and a job that fails on every worker."""
     health = WorkerHealth()
