Preempt other runs if the first victims do not stop in time

An urgent job waited without end for a worker that lists its runs but never confirms their stop. After the expiry of its reservation the next plan chose the same victims again, because runs that are being stopped cost nothing. The plan in which a reservation expires now ignores the runs there that have not stopped.

--- a/src/foxtailwell/workflows/_fleet_view.py
+++ b/src/foxtailwell/workflows/_fleet_view.py
@@ -239,6 +239,8 @@
         suspects: Units with suspects that this plan places, by worker. Other suspects are kept off
             these workers, and all units if the suspects are kept alone.
         starting: Keys of the units that this plan places, by worker.
+        overdue_workers: Workers on which preempted runs did not stop before their reservation
+            expired; other runs are preempted rather than waiting for these.
     """
 
     workers: Mapping[str, WorkerView]
@@ -250,6 +252,7 @@
     filling_workers: set[str] = field(default_factory=set)
     suspects: dict[str, SchedulingUnit] = field(default_factory=dict)
     starting: dict[str, set[tuple[str, int, int]]] = field(default_factory=dict)
+    overdue_workers: set[str] = field(default_factory=set)
     _eligible: dict[tuple[str, str], EligibleWorkers] = field(default_factory=dict)
 
     def eligible_workers(self, unit: SchedulingUnit) -> EligibleWorkers:
--- a/src/foxtailwell/workflows/_placement.py
+++ b/src/foxtailwell/workflows/_placement.py
@@ -59,6 +59,8 @@
         outcome = _use_reservation(capacity, reservation, view.now_s)
         if outcome is None:
             units[unit.key] = unit
+            if view.now_s > reservation.until_s:
+                capacity.overdue_workers.update(reservation.placement.workers.values())
         elif isinstance(outcome, Placement):
             placements.append(outcome)
         else:
--- a/src/foxtailwell/workflows/_preemption.py
+++ b/src/foxtailwell/workflows/_preemption.py
@@ -131,8 +131,13 @@
     available = capacity.free[worker.id]
     count = capacity.max_copies(worker.id, unit, available)
     options = [_Option(count, 0.0)] if count else []
+    is_overdue = worker.id in capacity.overdue_workers
     preemptible = [
-        task for task in worker.running if _is_preemptible(task, unit) and task.id not in stopping
+        task
+        for task in worker.running
+        if _is_preemptible(task, unit)
+        and task.id not in stopping
+        and not (task.is_stopping and is_overdue)
     ]
     victims: list[RunningTask] = []
     for task in sorted(preemptible, key=lambda t: (not t.is_stopping, t.loss)):
--- a/tests/test_workflow_placement.py
+++ b/tests/test_workflow_placement.py
@@ -10,7 +10,9 @@
 from foxtailwell.workflows import (
     FleetView,
     Obstacle,
+    Placement,
     Queue,
+    Reservation,
     Resources,
     RunningTask,
     SchedulingUnit,
@@ -159,6 +161,17 @@
     assert [p.unit.job_id for p in plan(free).placements] == ["u"]
 
 
+def test_unit_does_not_wait_for_ever_for_victims_that_do_not_stop():
+    """Guards against an urgent job that waits for one worker that never confirms a stop."""
+    stuck = _running("stuck", WHOLE, elapsed_s=60.0, is_stopping=True)
+    workers = [_worker("w0", running=[stuck]), _worker("w1", running=[_running("other", WHOLE)])]
+    unit = _unit("j", URGENT, Step(1, WHOLE, 1000))
+    for until_s, stops in ((11.0, ()), (9.0, (TaskId("other", 0, 0, 0),))):
+        reserved = Reservation(Placement(unit, {unit.tasks[0]: "w0"}), until_s)
+        fleet = FleetView(10.0, {w.id: w for w in workers}, [unit], [reserved])
+        assert plan(fleet).stops == stops
+
+
 def test_unusable_and_unlabelled_workers_get_no_tasks():
     """Guards against placement on draining workers or on workers without the required label."""
     workers = [_worker("w0", obstacle=Obstacle.DRAINING), _worker("w1")]
