Probe ejected minions with any request once none is safe to repeat

An entry of which all requests change something never used an ejected minion again: only a success ends an ejection, and only requests that are safe to repeat served as probes. A probe that has been due for 10 s is now carried out by any request.

--- a/src/foxtailwell/entry/_minion_pool.py
+++ b/src/foxtailwell/entry/_minion_pool.py
@@ -37,6 +37,11 @@
 would keep away the very requests whose responses would update it."""
 
 
+IDEMPOTENT_PROBE_WAIT_S = 10.0
+"""Time for which a due probe waits for a request that is safe to repeat; then any request serves,
+because an entry may get no other requests."""
+
+
 @dataclass(slots=True)
 class Minion:
     """State of one minion.
@@ -153,7 +158,8 @@
         The caller reports the end of the attempt to one of the `on_` methods.
 
         Args:
-            is_idempotent: Whether the request may serve as a probe of an ejected minion.
+            is_idempotent: Whether the request is safe to repeat, so that it may serve as a probe of
+                an ejected minion at once.
             avoid: Minions on which the request already failed.
             avoid_zone: Zone in which the request already failed, used only if no other has a free
                 slot.
@@ -163,8 +169,9 @@
         """
         now_s = self._clock()
         minion = None
-        if is_idempotent and self._ejected_count:
-            minion = self._find_probe_target(now_s, avoid)
+        if self._ejected_count:
+            due_s = now_s if is_idempotent else now_s - IDEMPOTENT_PROBE_WAIT_S
+            minion = self._find_probe_target(now_s, due_s, avoid)
         if minion is not None:
             minion.health = begin_probe(minion.health)
         elif not avoid:
@@ -252,11 +259,14 @@
         if minion.health.ejected_until_s or minion.record.state == "leaving" or self._removed:
             self.update_limits()
 
-    def _find_probe_target(self, now_s: float, avoid: frozenset[str]) -> Minion | None:
+    def _find_probe_target(
+        self, now_s: float, due_s: float, avoid: frozenset[str]
+    ) -> Minion | None:
+        """Return a minion whose probe was due at `due_s`; None if there is none."""
         for minion in self._minions.values():
             if (
                 minion.health.ejected_until_s
-                and may_probe(minion.health, now_s)
+                and may_probe(minion.health, due_s)
                 and minion.record.id not in avoid
                 and self._is_in_service(minion, now_s)
             ):
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -4,14 +4,16 @@
 
 import time
 from dataclasses import replace
+from random import Random
 
 import anyio
 import pytest
 
 from foxtailwell.adapters.http_client import TRANSPORT_ERRORS
 from foxtailwell.adapters.peers import Load
-from foxtailwell.core import InstanceRecord, ZoneOut
-from foxtailwell.fleet import PeerState
+from foxtailwell.core import InstanceRecord, ZoneOut, is_ejected
+from foxtailwell.entry._minion_pool import MinionPool
+from foxtailwell.fleet import FleetView, PeerState
 from foxtailwell_standins.store import StoreFailures, make_store_app
 from request_fleet import (
     CONFIGURATION,
@@ -249,6 +251,31 @@
                 await anyio.sleep(0.02)
 
 
+async def test_ejected_minion_returns_without_idempotent_requests():
+    """Guards against an ejection without end where no request is safe to repeat."""
+    now_s = 100.0
+    view = FleetView()
+    for name in ("m1", "m2"):
+        view.instances[name] = InstanceRecord(name, "minion", "a", "127.0.0.1:1", slots=4)
+    pool = MinionPool(view, "e1/entry", "a", lambda: now_s, Random(1))
+    pool.refresh()
+
+    def pick(avoid=()):
+        minion = pool.pick(is_idempotent=False, avoid=frozenset(avoid), avoid_zone="")
+        assert minion is not None
+        return minion
+
+    bad = pick(avoid=("m2",))
+    pool.on_failure(bad)
+    while not is_ejected(bad.health):
+        pool.on_failure(pick(avoid=("m2",)))
+    for _ in range(20):
+        now_s += 1.0
+        pool.refresh()
+        pool.on_success(pick(), None)
+    assert not is_ejected(bad.health)
+
+
 async def test_graceful_shutdown_completes_requests_in_progress(fleet, tmp_path):
     """Guards against a graceful shutdown that interrupts requests."""
     minion = await fleet.add_minion("m1", run_ms=300)
