End quarantines of workers by the local clock

A worker that was in quarantine when the time of day was set back got no tasks until the time of day was where it had been. The clock of an instance ignores errors of the system time for some seconds only. The end of a quarantine is not stored, so the local clock serves.

--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -196,7 +196,7 @@
         self._renewed_s = renewed_s
         self._registry = JobRegistry()
         self._commits = Commits(store, token, self._check_term)
-        self._workers = Workers(fleet, self._registry, self._make_link, now_s, now_unix_ms)
+        self._workers = Workers(fleet, self._registry, self._make_link, now_s)
         self._jobs = StoredJobs(
             store,
             self._registry,
--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -124,7 +124,6 @@
         registry: Unfinished jobs, for the runs of each worker.
         make_link: Creates the link to a worker.
         now_s: Local clock that also advances while the machine is suspended.
-        now_unix_ms: Time of day.
 
     Attributes:
         entries: Last reported entries of the listed workers, by identifier.
@@ -137,13 +136,11 @@
         registry: JobRegistry,
         make_link: Callable[[WorkerEntry, WorkerCalls], WorkerLink],
         now_s: Callable[[], float],
-        now_unix_ms: Callable[[], int],
     ) -> None:
         self._access = access
         self._registry = registry
         self._make_link = make_link
         self._now_s = now_s
-        self._now_unix_ms = now_unix_ms
         self.entries: dict[str, WorkerEntry] = {}
         self.links: dict[str, WorkerLink] = {}
         self._health = WorkerHealth()
@@ -357,9 +354,8 @@
 
     def record_failure(self, worker: str, job_id: str) -> None:
         """Record a failed or stalled run, and quarantine the worker after too many of them."""
-        now_unix_ms = self._now_unix_ms()
-        self._health.record_failure(worker, job_id, now_unix_ms)
-        self._quarantine(worker, now_unix_ms)
+        self._health.record_failure(worker, job_id, self._now_ms())
+        self._quarantine(worker)
 
     def draining(self) -> dict[str, float]:
         """Return the seconds until each draining worker may shut down, if it announces its end."""
@@ -382,14 +378,18 @@
             if not step.is_lasting or step.is_checkpointing
         ]
 
-    def _quarantine(self, worker: str, now_unix_ms: int) -> None:
+    def _now_ms(self) -> int:
+        # Quarantines end by the local clock: the time of day may be set back.
+        return int(self._now_s() * 1000)
+
+    def _quarantine(self, worker: str) -> None:
         failures = self._health.failures().get(worker)
         if failures is None:
             return
         until = quarantine_until_ms(
             failures,
             self._quarantined_until_ms.get(worker),
-            now_unix_ms,
+            self._now_ms(),
             failed_jobs=FAILED_JOBS_BEFORE_QUARANTINE,
             probe_after_ms=QUARANTINE_MS,
         )
@@ -412,7 +412,6 @@
             now_s: Local time.
             within_guarantee: Accounts whose urgent jobs fit into their guarantee.
         """
-        now_unix_ms = self._now_unix_ms()
         views: dict[str, WorkerView] = {}
         failures = self._health.failures()
         for worker, entry in self.entries.items():
@@ -422,7 +421,7 @@
                 if entry.zone in zones_out
                 else Obstacle.CORDONED
                 if worker in cordoned
-                else self._obstacle(entry, placed, now_s, now_unix_ms)
+                else self._obstacle(entry, placed, now_s)
             )
             version = self._registry.version_of(worker)
             has_suspect = any(task.is_on_probation for task in placed)
@@ -449,7 +448,7 @@
         return views
 
     def _obstacle(
-        self, entry: WorkerEntry, placed: Sequence[Task], now_s: float, now_unix_ms: int
+        self, entry: WorkerEntry, placed: Sequence[Task], now_s: float
     ) -> Obstacle | None:
         """Return why no task may start on a worker; None if tasks may."""
         worker = entry.id
@@ -462,7 +461,7 @@
             return Obstacle.OLD_REPORT
         if link and link.is_unresponsive:
             return Obstacle.UNRESPONSIVE
-        if self._quarantined_until_ms.get(worker, 0) > now_unix_ms:
+        if self._quarantined_until_ms.get(worker, 0) > now_s * 1000:
             return Obstacle.QUARANTINED
         if self._backoff_until_s.get(worker, 0.0) > now_s:
             return Obstacle.BACKING_OFF
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -8,7 +8,7 @@
 import pytest
 
 from controller_harness import LATER, URGENT, make_deployment, step, until
-from foxtailwell.controller import _controller
+from foxtailwell.controller import _controller, _workers
 from foxtailwell.workflows import (
     EndKind,
     JobRegistry,
@@ -495,6 +495,25 @@
     assert len(deployment.workers["w0"].log) < 10
 
 
+async def test_quarantine_ends_although_the_time_of_day_is_set_back(
+    group, monkeypatch, caplog_events
+):
+    """Guards against a worker that stays empty until the time of day is where it was."""
+    monkeypatch.setattr(_workers, "QUARANTINE_MS", 500)
+    deployment = make_deployment(group, 1)
+    worker = deployment.workers["w0"]
+    worker.faults.is_failing_runs = True
+    deployment.start("one")
+    for number in (1, 2):
+        await deployment.submit(number, LATER, [step()])
+    assert await until(lambda: any(e["event"] == "FW1417" for e in caplog_events))
+    worker.faults.is_failing_runs = False
+    now_unix_s = time.time
+    monkeypatch.setattr(time, "time", lambda: now_unix_s() - 3600)
+    job = await deployment.submit(3, LATER, [step()])
+    assert await until(lambda: bool(deployment.runs(f"{job}.0.0.0")))
+
+
 async def test_tasks_of_a_worker_removed_after_draining_are_requeued_immediately(group):
     """Guards against waiting for the lease of a worker that drained and then shut down."""
     deployment = make_deployment(group, 2)
