Start nothing on the report of an earlier incarnation of a worker

A worker that restarts may come back with less room. Its listings, and now its responses to probes, make it known sooner than its next report, and until then starts were checked against the report of the incarnation before. A worker gets no starts from the response that shows another incarnation until it has reported since.

--- a/src/foxtailwell/controller/_links.py
+++ b/src/foxtailwell/controller/_links.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -142,6 +143,7 @@
             those of earlier controllers.
         own_leases_expire_s: The same for the leases of this term only.
         boot_unix_ms: Start time of the worker's incarnation.
+        restarted_s: Local time at which a response has shown another incarnation.
         clock_ms: Last known reading of the worker's clock, taken at the local time `clock_read_s`.
         durable_end: Ends up to this number are stored.
         acknowledged_end: Ends up to this number are acknowledged to the worker.
@@ -165,6 +167,7 @@
     leases_expire_s: float
     own_leases_expire_s: float = 0.0
     boot_unix_ms: int = 0
+    restarted_s: float = -math.inf
     clock_ms: int = 0
     clock_read_s: float = 0.0
     durable_end: int = 0
@@ -273,6 +276,8 @@
             return
         self._mark_responsive()
         self._has_listed = True
+        if response.boot_unix_ms != self.boot_unix_ms:
+            self.restarted_s = self.now_s()
         self.update_clock(response.clock_ms, response.boot_unix_ms)
         if response.boot_unix_ms == boot_unix_ms:
             self.acknowledged_end = max(self.acknowledged_end, acknowledged)
--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -457,7 +457,8 @@
             return Obstacle.DRAINING
         if any(task.is_kept_alone for task in placed):
             return Obstacle.KEPT_ALONE
-        if now_s + START_ALLOWANCE_S >= self.start_until_s(worker):
+        is_outdated = now_s + START_ALLOWANCE_S >= self.start_until_s(worker)
+        if is_outdated or (link and self._is_of_earlier_incarnation(entry, link)):
             return Obstacle.OLD_REPORT
         if link and link.is_unresponsive:
             return Obstacle.UNRESPONSIVE
@@ -467,6 +468,14 @@
             return Obstacle.BACKING_OFF
         return None
 
+    def _is_of_earlier_incarnation(self, entry: WorkerEntry, link: WorkerLink) -> bool:
+        """Return whether a worker has restarted since it wrote its entry, and may have shrunk.
+
+        The start times of incarnations do not tell which one is newer, as clocks may be set back.
+        """
+        is_other = entry.boot_unix_ms != link.boot_unix_ms
+        return is_other and self._written_s.get(entry.id, -math.inf) < link.restarted_s
+
     def _running(self, task: Task, now_s: float, within_guarantee: frozenset[str]) -> RunningTask:
         job = self._registry.jobs[task.id.job_id]
         step = job.step(task.id)
--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -123,6 +123,29 @@
     assert list(worker.running) == [f"{first}.0.0.0"]
 
 
+@pytest.mark.parametrize("boot_step", [1, -1])
+async def test_start_does_not_rely_on_the_report_of_an_earlier_incarnation(group, boot_step):
+    """Guards against starts that a restarted worker has no room for, and clocks that are set back.
+
+    The next incarnation may start at an earlier time of day.
+    """
+    deployment = make_deployment(group, 1)
+    deployment.capacity_grace_s = GRACE_S
+    group.start_soon(deployment.send_heartbeats)
+    deployment.start("one")
+    _, task = await deployment.start_one_task()
+    await anyio.sleep(1.2)
+    worker = deployment.workers["w0"]
+    deployment.withdrawn.add("w0")
+    worker.restart()
+    worker.boot_unix_ms += boot_step - 1
+    worker.capacity = SHRUNKEN
+    await anyio.sleep(1.5)
+    assert run_count(deployment) == 1
+    deployment.withdrawn.clear()
+    assert await until(lambda: len(deployment.runs(task)) == 2)
+
+
 async def test_gang_waits_as_a_whole_while_one_worker_has_shrunk(reporting_fleet):
     """Guards against members that start while there is no room for the others."""
     shrink(reporting_fleet, "w0")
