--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -9,7 +9,7 @@
 import pytest
 
 from controller_harness import LATER, URGENT, job_id, make_deployment, step, until
-from foxtailwell.controller import _controller
+from foxtailwell.controller import _controller, _workers
 from foxtailwell.workflows import (
     EndKind,
     JobRegistry,
@@ -80,6 +80,18 @@
     assert await until(lambda: bool(deployment.runs(f"{job}.0.0.0")), 1.5)
 
 
+async def test_gang_with_a_start_that_was_never_sent_moves_at_once(group):
+    """Guards against a gang that waits for a lease although its last member never started."""
+    deployment = make_deployment(group, 4)
+    deployment.workers["w0"].faults.is_unhealthy = True
+    deployment.workers["w1"].faults.is_refusing_connections = True
+    deployment.start("one")
+    job = await deployment.submit(1, LATER, [step(2, request=WHOLE, is_gang=True)])
+    tasks = {f"{job}.0.0.{index}" for index in range(2)}
+    others = [deployment.workers[name] for name in ("w2", "w3")]
+    assert await until(lambda: {task for w in others for task in w.running} == tasks, 1.5)
+
+
 async def test_listing_from_before_a_start_does_not_show_that_its_run_was_lost(group):
     """Guards against a run on a restarted worker that is started again while it runs."""
     deployment = make_deployment(group, 1)
@@ -570,6 +582,25 @@
     assert len(deployment.workers["w0"].log) < 10
 
 
+async def test_quarantine_ends_although_the_time_of_day_is_set_back(
+    group, monkeypatch, caplog_events
+):
+    """Guards against a worker that stays empty until the time of day is where it was."""
+    monkeypatch.setattr(_workers, "QUARANTINE_MS", 500)
+    deployment = make_deployment(group, 1)
+    worker = deployment.workers["w0"]
+    worker.faults.is_failing_runs = True
+    deployment.start("one")
+    for number in (1, 2):
+        await deployment.submit(number, LATER, [step()])
+    assert await until(lambda: any(e["event"] == "FW1417" for e in caplog_events))
+    worker.faults.is_failing_runs = False
+    now_unix_s = time.time
+    monkeypatch.setattr(time, "time", lambda: now_unix_s() - 3600)
+    job = await deployment.submit(3, LATER, [step()])
+    assert await until(lambda: bool(deployment.runs(f"{job}.0.0.0")))
+
+
 async def test_tasks_of_a_worker_removed_after_draining_are_requeued_immediately(group):
     """Guards against waiting for the lease of a worker that drained and then shut down."""
     deployment = make_deployment(group, 2)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -262,6 +262,22 @@
     assert not decisions_of(make_view(jobs, workers=make_workers(("a", "b"))), FailJob)
 
 
+@pytest.mark.parametrize(("cores", "due_text"), [(16, "in 600 s"), (64, "")])
+def test_gang_that_waits_for_cores_is_backfilled_until_they_are_free(cores, due_text):
+    """Guards against accelerators that stay idle for a gang that lacks cores."""
+    workers = tuple(replace(w, cores=32) for w in make_workers(("a",), 2))
+    gangs = [make_running(f"r{w.id}", "x", "a", [Member(w.id, (0,))], NOW_MS) for w in workers]
+    spec = GangSpec(1, 1, cores_per_member=24)
+    gangs = [(replace(job, spec=spec), gang) for job, gang in gangs]
+    large = make_job("large", "x", submitted_unix_ms=NOW_MS - 9_000_000, attempt=1)
+    large = replace(large, spec=GangSpec(2, 4, cores_per_member=cores))
+    small = make_job("small", "x", size=4)
+    times = {"ra0": 600.0, "ra1": 600.0, "small": 400.0}
+    view = make_view([large, small], gangs, workers=workers, run_time_s=times)
+    assert [d.job_id for d in decisions_of(view, StartGang)] == ["small"]
+    assert due_text in plan(view).waiting["large"].detail
+
+
 def test_failing_worker_is_quarantined_and_failing_job_ends():
     """Guards against a worker that fails every job and a job that fails on every worker."""
     health = WorkerHealth()
@@ -286,6 +302,14 @@
     assert len(on_worker) == 1
 
 
+def test_quarantine_that_was_lifted_without_a_probe_does_not_return():
+    """Guards against a worker that stays empty for ever because no job is fit to probe it."""
+    failing = {"a0": WorkerFailures(("x", "y", "z"), NOW_MS - 400_000)}
+    assert not decisions_of(make_view(failing_workers=failing), QuarantineWorker)
+    failing_again = {"a0": WorkerFailures(("x", "y", "z"), NOW_MS - 100)}
+    assert decisions_of(make_view(failing_workers=failing_again), QuarantineWorker)
+
+
 def test_run_times_are_learned_and_bounded():
     """Guards against trusting declared run times and against state that grows with jobs."""
     times = RunTimes()
