Let the soak silence workers beyond their leases, and ask for every worker

The soak could not show it. Its longest fault lasted 4.0 s, and a controller with its settings counts on a lease for 4.52 s, so no run of a silent worker was ever given up; the end of another fault of the same link ended a silence early; one worker was silent at a time; and the check after the last fault asked whether jobs complete, which the other workers see to, not which workers are used.

A third schedule, which earlier seeds run without, silences several workers at once for 6.5 s or more while their entries stay fresh, and lists ready entries of another writer that nobody answers at. Once all jobs have ended, a job with more tasks of one accelerator than all workers but one hold must get a task onto every worker within 6 s.

Ruled out: shorter leases in the settings, which would change what earlier seeds do. The tests run two seeds at a time, as there are more of them. The lower bound of accepted jobs grows by the two that the check submits itself.

--- a/src/foxtailwell_soak/_clients.py
+++ b/src/foxtailwell_soak/_clients.py
@@ -11,7 +11,7 @@
 
 from foxtailwell.adapters.http_connection import CallError, CallReply, HttpEndpoint
 from foxtailwell.workflows import Resources
-from foxtailwell_soak._fleet import BOUNDS, Fleet
+from foxtailwell_soak._fleet import BOUNDS, WORKER_CAPACITY, Fleet
 from foxtailwell_soak._history import History, JobRecord
 
 __all__ = ["API_KEYS", "Client"]
@@ -89,25 +89,59 @@
             count,
             is_gang,
         )
-        phase = {
-            "count": count,
-            "cpu": accelerators * 1000,
-            "mem_mb": 100,
-            "gpu": accelerators,
-            "estimate_ms": int(work_s * 1000),
-            "gang": is_gang,
-            "checkpointing": rng.random() < 0.5,
-        }
-        body = msgspec.json.encode({"spec": job.payload, "phases": [phase]})
+        is_checkpointing = rng.random() < 0.5
         prefix = rng.choice((URGENT_PREFIX, LATER_PREFIX))
         if self._fleet.fatal_jobs_due:
             self._fleet.fatal_jobs_due -= 1
             self._fleet.fatal_tasks.add(f"{job.job_id}.0.0.0")
             job.is_fatal = True
-        self._history.jobs[job.job_id] = job
-        if is_gang:
-            self._gangs.sizes[f"{job.job_id}.0.0"] = count
         self._jobs.append((prefix, job))
+        await self._submit(prefix, job, is_checkpointing=is_checkpointing)
+
+    async def submit_until_accepted(self, count: int, work_s: float, limit_s: float) -> JobRecord:
+        """Submit a job whose tasks use one accelerator each, and try again for `limit_s`."""
+        end_s = time.monotonic() + limit_s
+        job_id = f"{self._rng.getrandbits(64):016x}"
+        job = JobRecord(job_id, f"{work_s}", Resources(1000, 100, 1), count, False)
+        self._jobs.append((URGENT_PREFIX, job))
+        while not job.accepted_s and time.monotonic() < end_s:
+            await self._submit(URGENT_PREFIX, job, is_checkpointing=False)
+        if not job.accepted_s:
+            self._history.add_violation(f"{job_id} was not accepted within {limit_s} s")
+        return job
+
+    async def occupy_all_workers(self, accept_s: float, limit_s: float) -> None:
+        """Submit more tasks than all workers but one can run, and check that each gets one.
+
+        Args:
+            accept_s: Time limit for the acceptance of the job.
+            limit_s: Time for the first start on each worker; the job is cancelled afterwards.
+        """
+        count = (len(self._fleet.workers) - 1) * WORKER_CAPACITY.accelerators + 1
+        job = await self.submit_until_accepted(count, 2 * limit_s, accept_s)
+        while unused := self._fleet.workers_without(job.job_id):
+            if time.monotonic() > job.accepted_s + limit_s:
+                for worker in unused:
+                    self._history.add_violation(f"{worker} got no task within {limit_s} s")
+                break
+            await anyio.sleep(0.05)
+        await self._cancel(URGENT_PREFIX, job)
+
+    async def _submit(self, prefix: str, job: JobRecord, *, is_checkpointing: bool) -> None:
+        rng = self._rng
+        phase = {
+            "count": job.count,
+            "cpu": job.request.cpu_millicores,
+            "mem_mb": job.request.memory_mb,
+            "gpu": job.request.accelerators,
+            "estimate_ms": int(float(job.payload) * 1000),
+            "gang": job.is_gang,
+            "checkpointing": is_checkpointing,
+        }
+        body = msgspec.json.encode({"spec": job.payload, "phases": [phase]})
+        self._history.jobs[job.job_id] = job
+        if job.is_gang:
+            self._gangs.sizes[f"{job.job_id}.0.0"] = job.count
         for _ in range(SUBMIT_ATTEMPTS):
             sent_s = time.monotonic()
             key = rng.choice(API_KEYS)
@@ -133,10 +167,7 @@
         if not job.accepted_s:
             return
         if may_cancel and not job.cancel_sent_s and self._rng.random() < CANCEL_PROBABILITY:
-            job.cancel_sent_s = time.monotonic()
-            status, _ = await self._call("DELETE", prefix + job.job_id, API_KEYS[0])
-            if status in (200, 410):
-                job.cancelled_s = time.monotonic()
+            await self._cancel(prefix, job)
             return
         sent_s = time.monotonic()
         status, body = await self._call("GET", prefix + job.job_id, API_KEYS[0])
@@ -145,6 +176,12 @@
         elif status == 410 and sent_s > job.accepted_s + BOUNDS.visible_ms / 1000:
             self._history.add_violation(f"{job.job_id} was accepted but reads return 410")
 
+    async def _cancel(self, prefix: str, job: JobRecord) -> None:
+        job.cancel_sent_s = time.monotonic()
+        status, _ = await self._call("DELETE", prefix + job.job_id, API_KEYS[0])
+        if status in (200, 410):
+            job.cancelled_s = time.monotonic()
+
     def _check_state(self, job: JobRecord, state: str) -> None:
         if job.cancel_sent_s:
             return
--- a/src/foxtailwell_soak/_faults.py
+++ b/src/foxtailwell_soak/_faults.py
@@ -4,6 +4,7 @@
 
 import random
 import signal
+import socket
 import time
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, fields, replace
@@ -12,18 +13,22 @@
 from anyio.abc import TaskGroup
 
 from foxtailwell_soak._fleet import (
+    BOUNDS,
+    HEARTBEAT_S,
     WORKER_CAPACITY,
     ZONES,
     Fleet,
     InstanceProcess,
+    WorkerHandle,
     is_signal_handled,
     restore_links,
 )
 from foxtailwell_soak._operators import Operators
 from foxtailwell_standins.platform_store import StoreFaults
+from foxtailwell_standins.platform_worker import MemoryWorker
 from foxtailwell_standins.relay import LinkFailures, RelayState
 
-__all__ = ["Fault", "FaultInjector", "draw_faults", "draw_workload_faults"]
+__all__ = ["Fault", "FaultInjector", "draw_faults", "draw_lasting_faults", "draw_workload_faults"]
 
 FIRST_FAULT_S = 1.5
 """Time before the first fault, in which the instances start and accept jobs."""
@@ -32,7 +37,10 @@
 """Range of the time between the starts of two faults; faults last longer, so they overlap."""
 
 DURATION_S = (0.3, 4.0)
-"""Range of the duration of a fault; the longest outlasts the controller's lease and run leases."""
+"""Range of the duration of a fault; the longest outlasts the controller's lease."""
+
+OUTLASTING_S = 1.1 * BOUNDS.max_hold_ms / 1000 + 2.0
+"""Time after which a silent worker is unresponsive and the leases of its runs have ended."""
 
 RESTART_DELAY_S = (0.05, 1.5)
 """Range of the delay before a killed instance is started again."""
@@ -88,6 +96,16 @@
     return draw_faults(rng, length_s, WORKLOAD_FAULT_KINDS, WORKLOAD_INTERVAL_S)
 
 
+def draw_lasting_faults(rng: random.Random, length_s: float) -> list[Fault]:
+    """Return a random schedule of workers that stay silent and entries that nobody answers for.
+
+    Args:
+        rng: Random source; the order of draws determines the schedule of a seed.
+        length_s: Time in which faults start.
+    """
+    return draw_faults(rng, length_s, LASTING_FAULT_KINDS, LASTING_INTERVAL_S)
+
+
 class FaultInjector:
     """Injects faults into a deployment and removes them.
 
@@ -109,6 +127,7 @@
         self._operators = operators
         self._rng = rng
         self._report = report
+        self._silenced: set[str] = set()
 
     async def run(self, faults: list[Fault], start_s: float) -> None:
         """Inject scheduled faults, wait for their ends and then remove all remaining effects.
@@ -210,13 +229,18 @@
 
     async def _set_link_faults(self, fault: Fault, failures: LinkFailures) -> None:
         link = self._link(fault)
+        if link.target in self._silenced:
+            return
         link.set_failures(failures)
         await anyio.sleep(fault.for_s)
-        link.set_failures(LinkFailures())
+        if link.target not in self._silenced:
+            link.set_failures(LinkFailures())
 
     async def reset_link(self, fault: Fault) -> None:
         """Close the present connections of a link; new ones work."""
         link = self._link(fault)
+        if link.target in self._silenced:
+            return
         link.set_failures(LinkFailures(cut=True))
         link.set_failures(LinkFailures())
 
@@ -240,6 +264,22 @@
         """Drop the requests on a link: calls have no effect and get no response."""
         await self._set_link_faults(fault, LinkFailures(drop=("to_target",)))
 
+    async def silence_workers(self, fault: Fault) -> None:
+        """Silence the links of several listed workers until the leases of their runs have ended.
+
+        Other faults of these links have no effect meanwhile.
+        """
+        workers = self._fleet.workers
+        count = 2 + fault.target % max(1, len(workers) // 2)
+        chosen = [workers[(fault.target + n) % len(workers)].link for n in range(count)]
+        links = [link for link in chosen if link.target not in self._silenced]
+        self._silenced |= {link.target for link in links}
+        for link in links:
+            link.set_failures(LinkFailures(drop=("to_target", "to_client")))
+        await anyio.sleep(OUTLASTING_S + fault.for_s / 2)
+        self._silenced -= {link.target for link in links}
+        restore_links(links)
+
     # Store
 
     def _set_shared_store_faults(self, faults: StoreFaults) -> None:
@@ -326,6 +366,29 @@
         await anyio.sleep(2 * fault.for_s)
         handle.resize(WORKER_CAPACITY)
 
+    # Other writers
+
+    async def add_foreign_entries(self, fault: Fault) -> None:
+        """List two ready workers that nobody answers at: one refuses connections, one is silent."""
+        with (
+            socket.create_server(("127.0.0.1", 0)) as silent,
+            socket.socket() as refusing,
+        ):
+            refusing.bind(("127.0.0.1", 0))
+            handles = []
+            for number, sock in enumerate((silent, refusing)):
+                address = f"127.0.0.1:{sock.getsockname()[1]}"
+                worker = MemoryWorker(f"foreign-{fault.target}-{number}", capacity=WORKER_CAPACITY)
+                handles.append(WorkerHandle(worker, RelayState(address), address))
+            end_s = time.monotonic() + 2 * fault.for_s
+            while time.monotonic() < end_s:
+                for handle in handles:
+                    if not self._fleet.shared_store_faults.is_down:
+                        self._fleet.publish(handle)
+                await anyio.sleep(HEARTBEAT_S)
+            for handle in handles:
+                self._fleet.store.delete(f"servers/{handle.worker.id}")
+
     # Operators
 
     async def remove_worker(self, fault: Fault) -> None:
@@ -387,3 +450,9 @@
 
 WORKLOAD_INTERVAL_S = (0.5, 3.0)
 """Range of the time between the starts of two faults of `WORKLOAD_FAULT_KINDS`."""
+
+LASTING_FAULT_KINDS = ("silence_workers", "silence_workers", "add_foreign_entries")
+"""Kinds of longer faults with a schedule of their own, so that earlier seeds keep their faults."""
+
+LASTING_INTERVAL_S = (2.0, 4.0)
+"""Range of the time between the starts of two faults of `LASTING_FAULT_KINDS`."""
--- a/src/foxtailwell_soak/_fleet.py
+++ b/src/foxtailwell_soak/_fleet.py
@@ -225,6 +225,14 @@
             if instance.process is not None:
                 instance.process.wait()
 
+    def workers_without(self, job_id: str) -> list[str]:
+        """Return the workers on which no run of a job has started."""
+        return [
+            handle.worker.id
+            for handle in self.workers
+            if not any(span.task.startswith(f"{job_id}.") for span in handle.worker.spans)
+        ]
+
     def publish(self, handle: WorkerHandle) -> None:
         """Write the entry of a worker to the store, which counts as its heartbeat."""
         entry = replace(handle.worker.entry(is_ready=not handle.draining_s), address=handle.address)
--- a/src/foxtailwell_soak/_run.py
+++ b/src/foxtailwell_soak/_run.py
@@ -13,7 +13,13 @@
 
 from foxtailwell_soak._checker import Checker
 from foxtailwell_soak._clients import Client
-from foxtailwell_soak._faults import FaultInjector, draw_faults, draw_workload_faults
+from foxtailwell_soak._faults import (
+    Fault,
+    FaultInjector,
+    draw_faults,
+    draw_lasting_faults,
+    draw_workload_faults,
+)
 from foxtailwell_soak._fleet import Fleet, open_fleet
 from foxtailwell_soak._history import History
 from foxtailwell_soak._operators import Operators
@@ -27,6 +33,9 @@
 settings. A task may be assigned to several such workers in turn; stalled runs are moved after 4 s.
 """
 
+USE_S = 6.0
+"""Time within which each worker must get a task again, after the accepted jobs have ended."""
+
 CHECK_INTERVAL_S = 0.1
 """Interval at which the runs of cancelled jobs are checked."""
 
@@ -58,6 +67,7 @@
     length_s: float = 12.0,
     instance_count: int = 3,
     worker_count: int = 8,
+    has_lasting_faults: bool = True,
 ) -> SoakResult:
     """Run one soak test.
 
@@ -67,14 +77,19 @@
         length_s: Time after the start in which faults begin and clients submit jobs.
         instance_count: Number of instances.
         worker_count: Number of workers.
+        has_lasting_faults: Whether to add the faults of `draw_lasting_faults`.
 
     Returns:
         The result; `violations` is empty if the test passed.
     """
     logging.getLogger("uvicorn.error").addFilter(_is_not_cancellation)
-    return anyio.run(
-        _run, seed, directory, length_s, (instance_count, worker_count), backend="asyncio"
-    )
+    faults = draw_faults(random.Random(seed), length_s)
+    faults += draw_workload_faults(random.Random(seed + 2), length_s)
+    if has_lasting_faults:
+        faults += draw_lasting_faults(random.Random(seed + 3), length_s)
+    faults.sort(key=lambda fault: fault.at_s)
+    size = (instance_count, worker_count)
+    return anyio.run(_run, seed, faults, directory, length_s, size, backend="asyncio")
 
 
 def _is_not_cancellation(record: logging.LogRecord) -> bool:
@@ -82,10 +97,9 @@
     return record.exc_info is None or not isinstance(record.exc_info[1], asyncio.CancelledError)
 
 
-async def _run(seed: int, directory: Path, length_s: float, size: tuple[int, int]) -> SoakResult:
-    rng = random.Random(seed)
-    faults = draw_faults(rng, length_s) + draw_workload_faults(random.Random(seed + 2), length_s)
-    faults.sort(key=lambda fault: fault.at_s)
+async def _run(
+    seed: int, faults: list[Fault], directory: Path, length_s: float, size: tuple[int, int]
+) -> SoakResult:
     descriptions: list[str] = []
     history = History()
     async with anyio.create_task_group() as group:
@@ -106,9 +120,12 @@
                 running.start_soon(injector.run, faults, start_s)
                 for client in clients:
                     running.start_soon(client.run, start_s + length_s)
+            # Its end shows that a controller is at work again.
+            await clients[0].submit_until_accepted(1, 0.2, SETTLE_S)
             async with anyio.create_task_group() as ending:
                 for client in clients:
                     ending.start_soon(client.wait_until_ended, SETTLE_S)
+            await clients[0].occupy_all_workers(SETTLE_S, USE_S)
             await _until_cancelled_runs_end(fleet, history)
             checker.check_new()
             checker.check_responses()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,25 +4,32 @@
 
 import random
 import time
+from concurrent.futures import ProcessPoolExecutor
 
+import anyio
 import pytest
 
 from foxtailwell.adapters.http_connection import CallReply
+from foxtailwell.controller._links import max_lease_s
 from foxtailwell.workflows import EndKind, Resources, StartCommand, TaskId
 from foxtailwell_soak import run_soak
 from foxtailwell_soak._checker import CAPACITY_GRACE_S, Checker
 from foxtailwell_soak._clients import Client
 from foxtailwell_soak._faults import (
     FAULT_KINDS,
+    LASTING_FAULT_KINDS,
+    OUTLASTING_S,
     WORKLOAD_FAULT_KINDS,
+    Fault,
     FaultInjector,
     draw_faults,
 )
 from foxtailwell_soak._fleet import BOUNDS, Fleet, InstanceProcess, WorkerHandle
 from foxtailwell_soak._history import History, JobRecord
+from foxtailwell_soak._operators import Operators
 from foxtailwell_standins.platform_store import MemoryStore, StoreFaults
 from foxtailwell_standins.platform_worker import MemoryWorker, RunSpan
-from foxtailwell_standins.relay import RelayState
+from foxtailwell_standins.relay import LinkFailures, RelayState
 
 SEED = 20261204
 REGRESSION_SEEDS = {
@@ -38,20 +45,46 @@
     125992539: "the checker confused the ends of two incarnations of a worker",
     1908340578: "a worker that drained after its crash did not count as crashed",
 }
-"""Seeds of earlier failures, each with the cause."""
+"""Seeds of earlier failures without lasting faults, each with the cause."""
 
-LENGTHS_S = {1908340578: 12.0}
+LASTING_SEEDS = dict.fromkeys(
+    (1472786121, 1637806489, 700877905),
+    "workers that were silent until their leases had ended got no tasks any more",
+)
+"""Seeds of failures with lasting faults, each with the cause."""
+
+LENGTHS_S = dict.fromkeys((1908340578, *LASTING_SEEDS), 12.0)
 """Lengths of soak tests whose failure needed faults after the usual 8 s."""
 
 JOB = "00000000000000aa"
 
 
-@pytest.mark.parametrize("seed", [SEED, *REGRESSION_SEEDS])
-def test_guarantees_hold_under_overlapping_faults(seed, tmp_path):
+@pytest.fixture(scope="module")
+def soak_results(request, tmp_path_factory):
+    """Run the soak tests of the selected seeds, two at a time; return their futures by seed."""
+    params = [getattr(item, "callspec", None) for item in request.session.items]
+    seeds = [p.params["seed"] for p in params if p is not None and "seed" in p.params]
+    pool = ProcessPoolExecutor(2)
+    yield {
+        seed: pool.submit(
+            run_soak,
+            seed,
+            tmp_path_factory.mktemp(f"soak-{seed}"),
+            length_s=LENGTHS_S.get(seed, 8.0),
+            has_lasting_faults=seed in LASTING_SEEDS,
+        )
+        for seed in seeds
+        if seed in (SEED, *REGRESSION_SEEDS, *LASTING_SEEDS)
+    }
+    pool.shutdown(cancel_futures=True)
+
+
+@pytest.mark.parametrize("seed", [SEED, *REGRESSION_SEEDS, *LASTING_SEEDS])
+def test_guarantees_hold_under_overlapping_faults(seed, soak_results):
     """Guards against lost, repeated or misreported work when faults of real processes overlap."""
-    result = run_soak(seed, tmp_path, length_s=LENGTHS_S.get(seed, 8.0))
+    result = soak_results[seed].result()
     assert result.violations == (), "\n".join((*result.faults, *result.violations))
-    assert result.accepted > 5
+    assert result.accepted > 5 + 2  # The last two are submitted after the faults.
     assert result.runs > 5
 
 
@@ -194,6 +227,23 @@
     assert text in history.violations[0]
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("is_used", [False, True])
+async def test_client_reports_a_worker_that_gets_no_task(checked_worker, monkeypatch, is_used):
+    """Guards against a listed and healthy worker that is never used again."""
+    checker, history, handle = checked_worker
+    client = Client(checker._fleet, history, random.Random(1))
+
+    async def accept(method, path, *_):
+        if method == "POST" and is_used:
+            handle.worker.spans.append(span(1.0, task=f"{path.rpartition('/')[2]}.0.0.0"))
+        return 200, {}
+
+    monkeypatch.setattr(client, "_call", accept)
+    await client.occupy_all_workers(1.0, 0.1)
+    assert history.violations == ([] if is_used else ["w0 got no task within 0.1 s"])
+
+
 def test_checker_reports_an_error_that_an_instance_did_not_handle(checked_worker, tmp_path):
     """Guards against errors that only the log of a passing test shows."""
     checker, history, _ = checked_worker
@@ -207,10 +257,34 @@
     assert "KeyError: 1" in history.violations[0]
 
 
+def test_silences_outlast_the_leases_of_runs():
+    """Guards against faults that all end before the controller gives up a silent worker."""
+    detection_s = 1.6
+    assert max_lease_s(BOUNDS.max_hold_ms) + detection_s < OUTLASTING_S
+
+
+@pytest.mark.anyio
+async def test_silence_is_not_ended_by_other_faults_of_its_link(checked_worker, monkeypatch):
+    """Guards against overlapping faults that cut a silence short."""
+    checker, history, handle = checked_worker
+    monkeypatch.setattr("foxtailwell_soak._faults.OUTLASTING_S", 0.2)
+    operators = Operators(checker._fleet, history)
+    injector = FaultInjector(checker._fleet, operators, random.Random(1), print)
+    async with anyio.create_task_group() as group:
+        group.start_soon(injector.refuse_link, Fault(0.0, "refuse_link", 0, 0.05))
+        await anyio.sleep(0.02)
+        group.start_soon(injector.silence_workers, Fault(0.0, "silence_workers", 0, 0.1))
+        await anyio.sleep(0.1)
+        await injector.reset_link(Fault(0.0, "reset_link", 0, 0.0))
+        assert handle.link.failures.drop
+    assert handle.link.failures == LinkFailures()
+
+
 def test_fault_schedule_is_reproducible_and_faults_overlap():
     """Guards against a schedule that a seed does not reproduce, or without overlaps."""
     schedules = [draw_faults(random.Random(7), 12.0) for _ in range(2)]
     assert schedules[0] == schedules[1]
     pairs = zip(schedules[0], schedules[0][1:], strict=False)
     assert any(one.at_s + one.for_s > two.at_s for one, two in pairs)
-    assert all(hasattr(FaultInjector, kind) for kind in (*FAULT_KINDS, *WORKLOAD_FAULT_KINDS))
+    assert all(hasattr(FaultInjector, k) for k in (*FAULT_KINDS, *WORKLOAD_FAULT_KINDS))
+    assert all(hasattr(FaultInjector, kind) for kind in LASTING_FAULT_KINDS)
