Show that work is started again whose end was acknowledged late

What callers would see: a task that a worker had completed and reported is run again.

Trace: run 1 on w6, which falls silent; its lease lapses at 49:02.4 and run 2 starts on w1. At 49:03.7 w6 responds again and lists that run 1 is done. JobRegistry.end_run discards the end, as run 1 is not the newest; the next renewal acknowledges it all the same, so that the worker forgets it. At 49:05.1 w1 crashes, and run 4 starts. docs/platform.md says that an end is acknowledged after the record with its outcome is stored, and the model checks that no start follows an acknowledged end; here the outcome is stored nowhere. Ends that failed count after a replacement, ends that are done do not.

--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -49,6 +49,23 @@
     assert await until(lambda: other.running.keys() == set(tasks), 1.5)
 
 
+async def test_work_whose_end_was_acknowledged_late_is_not_started_again(group):
+    """Guards against the repetition of work that a silent worker completed under its lease."""
+    deployment = make_deployment(group, 2)
+    deployment.start("one", lease_ms=1000)
+    group.start_soon(deployment.send_heartbeats)
+    _, task = await deployment.start_one_task()
+    first = deployment.holder_of(task)
+    first.faults.is_unreachable = True
+    first.end(task, EndKind.DONE)
+    assert await until(lambda: len(deployment.runs(task)) == 2)
+    second = deployment.holder_of(task)
+    first.faults.is_unreachable = False
+    assert await until(lambda: first.acknowledged == 1)
+    second.restart()
+    assert not await until(lambda: len(deployment.runs(task)) > 2, 2.0)
+
+
 async def test_listing_from_before_a_start_does_not_show_that_its_run_was_lost(group):
     """Guards against a run on a restarted worker that is started again while it runs."""
     deployment = make_deployment(group, 1)
