Complete a task by the end of an earlier run as well

Callers could see work run again after it had completed (TWICE). When the worker responds, it lists the end. JobRegistry.end_run discarded it, as a newer run had replaced the run, but the end was acknowledged all the same; when the second worker crashed, the task was started a third time.

An end that is done now completes the task, or its gang, whichever run it belongs to, and is stored as such before it is acknowledged. The newest run is stopped and keeps its room until it has ended; its end, or its loss, leaves the task completed. Failed ends counted after a replacement already; they no longer fail a job whose task has completed.

Ruled out: to withhold the acknowledgement until the newest run has ended. The end would be lost with its worker.

--- a/src/foxtailwell/workflows/_job_registry.py
+++ b/src/foxtailwell/workflows/_job_registry.py
@@ -196,7 +196,8 @@
     ) -> bool:
         """Apply the end of a run as listed by its worker.
 
-        A failure counts against the attempts even if a newer run has replaced the failed one.
+        A failure counts against the attempts, and a completion completes the task, even if a newer
+        run has replaced the run.
 
         Args:
             task: Task of the run.
@@ -206,20 +207,35 @@
             now_unix_ms: Time of day.
 
         Returns:
-            Whether the run was the newest of a task that had not completed.
+            Whether the run was the newest of a task that had not completed, or has completed it.
         """
         job = self.jobs[task.id.job_id]
         if kind is EndKind.FAILED and run not in task.failed_runs:
             task.failed_runs = (*task.failed_runs, run)
             self.changed.add(task.id.job_id)
-        is_newest = run == task.run and task.state is not TaskState.DONE
+        is_newest = run == task.run and not task.is_done
+        is_late_completion = kind is EndKind.DONE and not is_newest and not task.is_done
         if is_newest:
             # A controller that takes over may see the end before it has seen the run.
             self.confirm(task)
             self._apply_end(job, task, kind, checkpoint)
             self.changed.add(task.id.job_id)
+        elif is_late_completion and not job.step(task.id).is_lasting:
+            self._complete_earlier(job, task)
         self._update_job_state(job, now_unix_ms)
-        return is_newest
+        return is_newest or is_late_completion
+
+    def _complete_earlier(self, job: Job, task: Task) -> None:
+        """Complete a task, or its gang, by the end of an earlier run than the newest one."""
+        key = (task.id.occurrence, task.id.step)
+        for member in job.step_tasks(*key) if job.step(task.id).is_gang else (task,):
+            if member.is_placed:
+                member.is_completed_earlier = True
+                self.mark_stopping(member)
+            else:
+                member.state = TaskState.DONE
+        self.version += 1
+        self.changed.add(task.id.job_id)
 
     def _apply_end(self, job: Job, task: Task, kind: EndKind, checkpoint: str) -> None:
         step = job.step(task.id)
@@ -233,7 +249,7 @@
                     self._unplace(member)
                     member.state = TaskState.DONE
         else:
-            task.state = TaskState.WAITING
+            task.state = _state_without_run(task)
 
     def _unplace(self, task: Task) -> None:
         placed = self._placed.get(task.worker)
@@ -264,16 +280,16 @@
     def requeue(self, task: Task) -> None:
         """Return a task to the waiting state after its run was lost or will never start."""
         self._unplace(task)
-        task.state = TaskState.WAITING
+        task.state = _state_without_run(task)
         self.changed.add(task.id.job_id)
 
     def _update_job_state(self, job: Job, now_unix_ms: int) -> None:
         if job.state.is_final:
             return
-        if all(task.state is TaskState.DONE for task in job.tasks.values()):
+        if all(task.is_done for task in job.tasks.values()):
             self._finish(job, JobState.COMPLETED, now_unix_ms)
         elif self._has_exhausted_attempts(job) or any(
-            is_given_up(task.crashes) for task in job.tasks.values()
+            is_given_up(task.crashes) for task in job.tasks.values() if not task.is_done
         ):
             self._finish(job, JobState.FAILED, now_unix_ms)
 
@@ -282,7 +298,7 @@
         gang_failures: dict[tuple[int, int], set[int]] = {}
         for task in job.tasks.values():
             step = job.step(task.id)
-            if step.is_lasting or not task.failed_runs:
+            if step.is_lasting or task.is_done or not task.failed_runs:
                 continue
             if len(task.failed_runs) >= limit:
                 return True
@@ -368,7 +384,7 @@
             if unsuspected and not step.is_gang:
                 waiting = unsuspected
             if not all(
-                task.state is TaskState.DONE
+                task.is_done
                 for earlier in step.after
                 for task in job.step_tasks(occurrence, earlier)
             ):
@@ -396,6 +412,10 @@
             )
 
 
+def _state_without_run(task: Task) -> TaskState:
+    return TaskState.DONE if task.is_completed_earlier else TaskState.WAITING
+
+
 def _partial_gang(members: tuple[Task, ...]) -> list[Task]:
     assigned = [task for task in members if task.state is TaskState.ASSIGNED]
     return assigned if len(assigned) < len(members) else []
--- a/src/foxtailwell/workflows/_tasks.py
+++ b/src/foxtailwell/workflows/_tasks.py
@@ -66,6 +66,8 @@
         progress_s: Local time at which the progress last changed.
         listed_s: Local time at which the worker last listed the run as running; 0 before.
         waiting_since_s: Local time from which the run could have been placed; 0 before.
+        is_completed_earlier: An earlier run has completed the task, and the newest one is being
+            stopped.
     """
 
     id: TaskId
@@ -84,6 +86,12 @@
     progress_s: float = 0.0
     listed_s: float = 0.0
     waiting_since_s: float = 0.0
+    is_completed_earlier: bool = False
+
+    @property
+    def is_done(self) -> bool:
+        """Whether a run has completed the task."""
+        return self.state is TaskState.DONE or self.is_completed_earlier
 
     @property
     def lasted_s(self) -> float:
@@ -223,7 +231,7 @@
                 task.id.occurrence,
                 task.id.step,
                 task.id.index,
-                int(TaskState.ASSIGNED if task.is_placed else task.state),
+                int(_stored_state(task)),
                 task.run,
                 task.worker,
                 task.boot_unix_ms,
@@ -232,7 +240,7 @@
                 task.crashes,
             )
             for task in self.tasks.values()
-            if task.is_placed or (keep_all and (task.run or task.state is TaskState.DONE))
+            if task.is_placed or (keep_all and (task.run or task.is_done))
         )
         return JobProgress(self.state, self.has_started, self.ended_unix_ms, tasks)
 
@@ -251,3 +259,9 @@
             before = max((longest[i] for i in step.after if i < len(longest)), default=0.0)
             longest.append(before + step.estimate_ms)
         return max(longest, default=0.0)
+
+
+def _stored_state(task: Task) -> TaskState:
+    if task.is_done:
+        return TaskState.DONE
+    return TaskState.ASSIGNED if task.is_placed else task.state
