Wait for reserved workers only briefly while the pool is not busy

Cause: a reservation held back whatever would outlast it, without a limit in time, and whether waiting may be better was judged by the accelerators of all pools together, of usable workers only.

While it is not high, a step that has been queued for 2 s may use reserved workers; it takes others first.

--- a/src/foxtailwell/workflows/_fleet_view.py
+++ b/src/foxtailwell/workflows/_fleet_view.py
@@ -21,6 +21,7 @@
     "Obstacle",
     "Placement",
     "Plan",
+    "PoolUse",
     "Reservation",
     "RunningTask",
     "Wait",
@@ -31,9 +32,15 @@
 ]
 
 HIGH_UTILIZATION = 0.55
-"""Share of accelerators in use above which a unit may wait longer for local workers.
+"""Share of a pool in use above which a unit may wait for better workers.
 
-Below it, free capacity elsewhere is used after `LOCALITY_WAIT_S`.
+Below it, a unit takes free capacity after `AVOIDABLE_WAIT_S`.
+"""
+
+AVOIDABLE_WAIT_S = 2.0
+"""Longest wait for local workers, or behind a gang's reservation, beside free capacity.
+
+Ready work must not wait 3 s while capacity is free elsewhere.
 """
 
 ACCELERATOR_CORES = 8
@@ -186,6 +193,37 @@
     explained: Collection[tuple[str, int, int]] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class PoolUse:
+    """Capacity and free resources of a pool, including workers that take no tasks now."""
+
+    capacity: Resources
+    free: Resources
+
+    @property
+    def cpu_share(self) -> float:
+        """Share of the processors in use."""
+        return _used_share(self.capacity.cpu_millicores, self.free.cpu_millicores)
+
+    @property
+    def accelerator_share(self) -> float:
+        """Share of the accelerators in use."""
+        return _used_share(self.capacity.accelerators, self.free.accelerators)
+
+    @property
+    def is_high(self) -> bool:
+        """Whether the share of its accelerators, or of processors without any, is high."""
+        share = self.accelerator_share if self.capacity.accelerators else self.cpu_share
+        return share > HIGH_UTILIZATION
+
+
+def _used_share(capacity: int, free: int) -> float:
+    return 1 - free / capacity if capacity > 0 else 0.0
+
+
+_EMPTY_POOL = PoolUse(Resources(), Resources())
+
+
 @dataclass(frozen=True, slots=True)
 class Wait:
     """Why a unit was not placed, or only in part.
@@ -194,11 +232,13 @@
         obstacles: Number of workers of its pool by the first obstacle found.
         fitting_tasks: Tasks of the unit that fit on the workers without an obstacle. If they are
             all tasks, the unit waits for workers near its data or in one rack.
+        pool_use: Use of its pool before the plan.
     """
 
     unit: SchedulingUnit
     obstacles: Mapping[Obstacle, int]
     fitting_tasks: int
+    pool_use: PoolUse
 
 
 @dataclass(frozen=True, slots=True)
@@ -234,7 +274,8 @@
         step_counts: Tasks of a step on a worker, by worker and unit key.
         reserved_after_s: Seconds from now after which a worker is reserved for a gang; tasks with
             a longer estimate are not placed there.
-        is_highly_utilized: The share of used accelerators exceeds `HIGH_UTILIZATION`.
+        now_s: Local time of the plan.
+        pool_use: Use of each pool before the plan.
         serving_workers: Workers with latency-sensitive tasks; filling tasks are kept off them.
         filling_workers: Workers with filling tasks; serving tasks are kept off them.
         suspects: Units with suspects that this plan places, by worker. Other suspects are kept off
@@ -248,7 +289,8 @@
     free: dict[str, Resources]
     step_counts: dict[tuple[str, tuple[str, int, int]], int] = field(default_factory=dict)
     reserved_after_s: dict[str, float] = field(default_factory=dict)
-    is_highly_utilized: bool = False
+    now_s: float = 0.0
+    pool_use: Mapping[str, PoolUse] = field(default_factory=dict)
     serving_workers: set[str] = field(default_factory=set)
     filling_workers: set[str] = field(default_factory=set)
     suspects: dict[str, SchedulingUnit] = field(default_factory=dict)
@@ -315,7 +357,8 @@
                 fitting += self.max_copies(worker.id, unit)
             else:
                 obstacles[obstacle] = obstacles.get(obstacle, 0) + 1
-        return Wait(unit, obstacles, min(fitting, len(unit.tasks)))
+        pool_use = self.pool_use.get(unit.queue.pool, _EMPTY_POOL)
+        return Wait(unit, obstacles, min(fitting, len(unit.tasks)), pool_use)
 
     def _obstacle(self, worker: WorkerView, unit: SchedulingUnit) -> Obstacle | None:
         """Return the first reason why no task of the unit can be placed on a worker."""
@@ -335,7 +378,7 @@
 
     def _obstacle_beside(self, worker: str, unit: SchedulingUnit) -> Obstacle | None:
         """Return why other units keep the unit off a usable worker; None if they do not."""
-        if self.reserved_after_s.get(worker, math.inf) < unit.step.estimate_ms / 1e3:
+        if self.is_reserved(worker, unit) and not self._may_use_reserved(unit):
             return Obstacle.RESERVED
         if not self._may_share(worker, unit):
             return Obstacle.SUSPECT
@@ -345,6 +388,18 @@
             return Obstacle.INTERFERENCE
         return None
 
+    def is_reserved(self, worker: str, unit: SchedulingUnit) -> bool:
+        """Return whether a worker is reserved for another gang before the unit would end."""
+        return self.reserved_after_s.get(worker, math.inf) < unit.step.estimate_ms / 1e3
+
+    def _may_use_reserved(self, unit: SchedulingUnit) -> bool:
+        waited_s = self.now_s - unit.queued_since_s
+        return waited_s >= AVOIDABLE_WAIT_S and not self.is_highly_utilized(unit)
+
+    def is_highly_utilized(self, unit: SchedulingUnit) -> bool:
+        """Return whether the unit may wait longer, as little of its pool is free."""
+        return self.pool_use.get(unit.queue.pool, _EMPTY_POOL).is_high
+
     def _step_count(self, worker: str, unit: SchedulingUnit) -> int:
         return self.step_counts.get((worker, unit.key), 0)
 
@@ -362,10 +417,10 @@
 
 def free_capacity(view: FleetView) -> FreeCapacity:
     """Return the capacity that is not occupied by the runs of a view."""
-    capacity = FreeCapacity(view.workers, {w.id: w.free() for w in view.workers.values()})
-    total = sum(w.capacity.accelerators for w in view.workers.values() if w.is_usable)
-    unused = sum(capacity.free[w.id].accelerators for w in view.workers.values() if w.is_usable)
-    capacity.is_highly_utilized = total > 0 and unused < (1 - HIGH_UTILIZATION) * total
+    free = {w.id: w.free() for w in view.workers.values()}
+    capacity = FreeCapacity(
+        view.workers, free, now_s=view.now_s, pool_use=_pool_use(view.workers.values(), free)
+    )
     for worker in view.workers.values():
         for task in worker.running:
             key = (worker.id, (task.id.job_id, task.id.occurrence, task.id.step))
@@ -377,6 +432,16 @@
     return capacity
 
 
+def _pool_use(workers: Iterable[WorkerView], free: Mapping[str, Resources]) -> dict[str, PoolUse]:
+    use: dict[str, PoolUse] = {}
+    for worker in workers:
+        known = use.get(worker.pool, _EMPTY_POOL)
+        use[worker.pool] = PoolUse(
+            known.capacity.plus(worker.capacity), known.free.plus(free[worker.id])
+        )
+    return use
+
+
 def by_rack(workers: Iterable[WorkerView]) -> dict[str, list[WorkerView]]:
     """Group workers by rack."""
     racks: dict[str, list[WorkerView]] = {}
--- a/src/foxtailwell/workflows/_job_registry.py
+++ b/src/foxtailwell/workflows/_job_registry.py
@@ -409,6 +409,7 @@
                 job.queue.priority == 0 and job.submission.account in within_guarantee,
                 any(task.crashes for task in waiting),
                 any(is_kept_alone(task.crashes) for task in waiting),
+                min(task.waiting_since_s for task in waiting),
             )
 
 
--- a/src/foxtailwell/workflows/_placement.py
+++ b/src/foxtailwell/workflows/_placement.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from foxtailwell.workflows._fleet_view import (
+    AVOIDABLE_WAIT_S,
     FleetView,
     FreeCapacity,
     Placement,
@@ -21,7 +22,7 @@
     free_capacity,
 )
 from foxtailwell.workflows._jobs import Resources, TaskId
-from foxtailwell.workflows._preemption import LOCALITY_WAIT_S, preempt
+from foxtailwell.workflows._preemption import preempt
 from foxtailwell.workflows._tasks import SchedulingUnit
 
 __all__ = ["plan"]
@@ -128,8 +129,8 @@
 ) -> bool:
     """Return whether to wait for these workers rather than run slower elsewhere now."""
     waited_s = now_s - unit.waiting_since_s
-    if not capacity.is_highly_utilized:
-        return waited_s < LOCALITY_WAIT_S
+    if not capacity.is_highly_utilized(unit):
+        return waited_s < AVOIDABLE_WAIT_S
     extra_s = (REMOTE_SLOWDOWN_FACTOR - 1) * unit.step.estimate_ms / 1e3
     if waited_s >= extra_s:
         return False
@@ -288,16 +289,19 @@
     """Assign tasks by best fit: the fullest workers first, so that whole workers stay free.
 
     Suspects go where their worker's crash would lose the least work. Workers with a lower fault
-    score precede all others. Without `is_partial_allowed` the result is empty unless every task
-    fits.
+    score precede all others but those that are reserved for another gang. Without
+    `is_partial_allowed` the result is empty unless every task fits.
     """
     remaining = list(unit.tasks if tasks is None else tasks)
     chosen: dict[TaskId, str] = {}
 
-    def preference(worker: WorkerView) -> tuple[float, float, str]:
+    def preference(worker: WorkerView) -> tuple[bool, float, float, str]:
+        is_reserved = capacity.is_reserved(worker.id, unit)
         if unit.is_suspect:
-            return (worker.fault_score, sum(task.loss for task in worker.running), worker.id)
-        return (worker.fault_score, capacity.free[worker.id].accelerators, worker.id)
+            loss = sum(task.loss for task in worker.running)
+            return (is_reserved, worker.fault_score, loss, worker.id)
+        free_accelerators = capacity.free[worker.id].accelerators
+        return (is_reserved, worker.fault_score, free_accelerators, worker.id)
 
     ordered = sorted(workers, key=preference)
     for worker in ordered:
--- a/src/foxtailwell/workflows/_preemption.py
+++ b/src/foxtailwell/workflows/_preemption.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from foxtailwell.workflows._fleet_view import (
+    AVOIDABLE_WAIT_S,
     FreeCapacity,
     Placement,
     Reservation,
@@ -17,13 +18,7 @@
 from foxtailwell.workflows._jobs import TaskId
 from foxtailwell.workflows._tasks import SchedulingUnit
 
-__all__ = ["LOCALITY_WAIT_S", "preempt"]
-
-LOCALITY_WAIT_S = 2.0
-"""Longest wait for workers near the data or in one rack while others are free.
-
-Ready work must not wait 3 s while capacity is free elsewhere.
-"""
+__all__ = ["preempt"]
 
 RESERVATION_TIMEOUT_S = 3.0
 """Time after which a reservation expires if its victims have not stopped."""
@@ -44,7 +39,7 @@
     by_rack = dict(capacity.eligible_workers(unit).by_rack)
     local = by_rack.pop(unit.step.data_rack, []) if unit.step.data_rack else []
     best = _cheapest(capacity, unit, [local], stopping)
-    is_late = now_s - unit.waiting_since_s > LOCALITY_WAIT_S
+    is_late = now_s - unit.waiting_since_s > AVOIDABLE_WAIT_S
     if best is None and (is_late or not local):
         best = _cheapest(capacity, unit, list(by_rack.values()), stopping)
         if best is None and (
--- a/src/foxtailwell/workflows/_tasks.py
+++ b/src/foxtailwell/workflows/_tasks.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from enum import IntEnum, StrEnum
 
@@ -149,12 +150,14 @@
     """Tasks of one step that are planned together: a whole gang, or all waiting tasks of a step.
 
     Attributes:
-        waiting_since_s: Local time from which the unit could have been placed.
+        waiting_since_s: Local time from which the unit could first have been placed.
         deadline_s: Local time by which its job has to complete to meet the target of its queue.
         accepted_s: Local time at which its job was accepted.
         is_guaranteed: It is urgent, and its account's urgent jobs together fit into the guarantee.
         is_suspect: Earlier crashes speak against its tasks.
         is_kept_alone: They speak against them so much that nothing else starts beside its tasks.
+        queued_since_s: Local time from which the longest waiting of its tasks has been queued since
+            its last run; infinite if none is known.
         allowed: Workers for which the unit has a valid ticket; None if its queue needs no tickets.
     """
 
@@ -171,6 +174,7 @@
     is_guaranteed: bool = False
     is_suspect: bool = False
     is_kept_alone: bool = False
+    queued_since_s: float = math.inf
     allowed: frozenset[str] | None = None
 
     @property
--- a/tests/test_workflow_placement.py
+++ b/tests/test_workflow_placement.py
@@ -11,6 +11,7 @@
     FleetView,
     Obstacle,
     Placement,
+    PoolUse,
     Queue,
     Reservation,
     Resources,
@@ -26,6 +27,7 @@
 CAPACITY = Resources(128_000, 262_144, 8)
 WHOLE = Resources(10_000, 10_000, 8)
 SMALL = Resources(1, 1, 1)
+WHOLE_WORKER = Resources(120_000, 10_000, 8)
 URGENT = Queue("urgent", "pool", priority=0)
 MODEL = Queue("model", "pool", priority=1)
 BATCH = Queue("batch", "pool", priority=2)
@@ -33,7 +35,9 @@
 
 def _unit(job, queue, step, *, waited_s=0.0, deadline_s=100.0):
     tasks = tuple(TaskId(job, 0, 0, index) for index in range(step.count))
-    return SchedulingUnit(job, 0, 0, step, queue, "acme", tasks, 10.0 - waited_s, deadline_s, 0.0)
+    since_s = 10.0 - waited_s
+    unit = SchedulingUnit(job, 0, 0, step, queue, "acme", tasks, since_s, deadline_s, 0.0)
+    return replace(unit, queued_since_s=since_s)
 
 
 def _worker(name, rack="r1", running=(), pool="pool", **fields):
@@ -116,6 +120,28 @@
     assert set(placed.workers.values()) == {f"w{n}" for n in range(2, 9)}
 
 
+@pytest.mark.parametrize(
+    ("waited_s", "busy_count", "is_placed"), [(2.5, 1, True), (0.5, 1, False), (2.5, 4, False)]
+)
+def test_reserved_workers_stay_empty_only_for_a_while_unless_most_are_in_use(
+    waited_s, busy_count, is_placed
+):
+    """Guards against work that waits for longer than 3 s while half of its pool is empty."""
+    busy = [_worker(f"b{n}", running=[_running(f"b{n}", WHOLE_WORKER)]) for n in range(busy_count)]
+    workers = [*busy, _worker("w0"), _worker("w1")]
+    gang = _unit("g", MODEL, Step(3, WHOLE_WORKER, 9000, is_gang=True))
+    other = _unit("o", BATCH, Step(1, WHOLE_WORKER, 9000), waited_s=waited_s)
+    assert bool(_plan([gang, other], workers).placements) == is_placed
+
+
+def test_wait_for_local_workers_ignores_the_load_of_other_pools():
+    """Guards against work that waits for its rack in an empty pool because another pool is full."""
+    full = [_worker(f"x{n}", pool="x", running=[_running("x", WHOLE_WORKER)]) for n in range(9)]
+    pool = [_worker("w0", "r0", [_running("w", WHOLE_WORKER, remaining_s=3.0)]), _worker("w1")]
+    step = Step(1, WHOLE_WORKER, 9000, is_gang=True, data_rack="r0")
+    assert _plan([_unit("j", MODEL, step, waited_s=2.5)], [*full, *pool]).placements
+
+
 def test_preemption_stops_the_run_that_loses_least_work():
     """Guards against preempting a run that loses more work than another candidate."""
     costly = _worker("w0", running=[_running("long", WHOLE, elapsed_s=9.0)])
@@ -242,11 +268,12 @@
 def test_explanations_of_a_wait_are_rare():
     """Guards against a line in each of the plans, of which several are made in a second."""
     waits, unit = WaitLog(), _unit("j", MODEL, Step(1, WHOLE))
+    use = PoolUse(CAPACITY, CAPACITY)
     due = []
     for tenth in range(70):
         if tenth == 45:
             waits.record([unit.key], [], 4.5)
         selected = waits.select([unit], tenth / 10)
-        waits.record([], [Wait(unit, {}, 0)] if selected else [], tenth / 10)
+        waits.record([], [Wait(unit, {}, 0, use)] if selected else [], tenth / 10)
         due += [tenth] * len(selected)
     assert due == [20, 40, 65]
