End the probation of a gang with its last unproven member

Nothing started on the workers of a suspect gang of the scheduler daemon until the gang had ended, if one of its members ended within 2 s of its start: its run time, which no longer grows, counted as not yet proven. The planner does not know of probations and chose these workers again and again. Members that have ended no longer count.

--- a/src/foxtailwell/scheduler/_zone.py
+++ b/src/foxtailwell/scheduler/_zone.py
@@ -153,9 +153,12 @@
 
     @property
     def is_on_probation(self) -> bool:
-        """Whether the job may have crashed workers and has not outlasted its present start."""
+        """Whether the job may have crashed workers and has not outlasted its present start.
+
+        Members that have ended crash no worker any more.
+        """
         return self.job.crash_weight > 0 and any(
-            member.lasted_s < PROBATION_S for member in self.run.members
+            member.lasted_s < PROBATION_S and not member.has_ended for member in self.run.members
         )
 
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -8,7 +8,18 @@
 import anyio
 import pytest
 
-from foxtailwell.core import JobState, plan
+from foxtailwell.core import (
+    Gang,
+    GangSpec,
+    Job,
+    JobState,
+    Member,
+    MemberRun,
+    TaskState,
+    plan,
+    resume_gang,
+)
+from foxtailwell.scheduler._zone import _ActiveGang
 from foxtailwell_standins.store import StoreFailures
 from scheduler_harness import open_platform, running_scheduler
 
@@ -336,6 +347,19 @@
         assert not platform.job(identifier).crash_weight
 
 
+def test_member_that_has_ended_keeps_no_gang_on_probation():
+    """Guards against workers that stay empty because a member of a suspect ended early."""
+    gang = Gang("j", 2, "zout", (Member("w0", (0,)), Member("w1", (0,))))
+    job = Job("j", "zout", "model", GangSpec(2, 1), 60.0, True, "", 1, JobState.RUNNING)
+    job = replace(job, attempt=2, crash_weight=2)
+    run = resume_gang(job, gang, 100.0)
+    members = (MemberRun("w0", 100.0, TaskState.DONE, lasted_s=1.0), run.members[1])
+    for lasted_s, is_on_probation in ((1.0, True), (3.0, False)):
+        members = (members[0], replace(members[1], task=TaskState.RUNNING, lasted_s=lasted_s))
+        active = _ActiveGang(job, gang, replace(run, members=members))
+        assert active.is_on_probation is is_on_probation
+
+
 async def test_run_that_went_on_is_not_blamed_for_a_restart(platform):
     """Guards against long-running work that is given up after restarts of its workers."""
     async with running_scheduler(platform):
