Bound the wait for workers apart from suspects

Callers waited: after the crash of a full worker all its tasks are suspects, and each of them needs a worker without another suspect. With more suspects than workers they ran one after the other, each for the time of the earlier run and 2 s, while the pool was nearly empty: no bound but the length of earlier runs, hours for tasks that last. Work beside workers whose suspects are kept alone waited as long.

Cause: the exclusion had no limit in time. Now a unit that has been queued for 2 s, while the use of its pool is not high, starts beside suspects if no other worker has room. Suspects that are kept alone neither do so nor are joined by other suspects: this is what keeps a joint crash from being evidence up to the limit. A task that always crashes still gets a point per crash, so it is given up after four. Workers without suspects are taken first, and a busy pool is as before, since there the exclusion costs nobody capacity that is free.

Ruled out: a shorter probation, which would lift the exclusion for tasks that crash late, and joining suspects that are kept alone: with it, innocent jobs fail together with the crashing one (test_crashing_task_among_joint_suspects).

The use of a pool is now high if that of its processors or that of its accelerators is, as either can be what binds.

What remains: suspects that are kept alone still wait for one another, as long as the probations of those before them.

--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -456,8 +456,6 @@
         link = self.links.get(worker)
         if not entry.is_ready:
             return Obstacle.DRAINING
-        if any(task.is_kept_alone for task in placed):
-            return Obstacle.KEPT_ALONE
         is_outdated = now_s + START_ALLOWANCE_S >= self.start_until_s(worker)
         if is_outdated or (link and self._is_of_earlier_incarnation(entry, link)):
             return Obstacle.OLD_REPORT
@@ -467,6 +465,8 @@
             return Obstacle.QUARANTINED
         if self._backoff_until_s.get(worker, 0.0) > now_s:
             return Obstacle.BACKING_OFF
+        if any(task.is_kept_alone for task in placed):
+            return Obstacle.KEPT_ALONE
         return None
 
     def _is_of_earlier_incarnation(self, entry: WorkerEntry, link: WorkerLink) -> bool:
--- a/src/foxtailwell/workflows/_crashes.py
+++ b/src/foxtailwell/workflows/_crashes.py
@@ -4,7 +4,8 @@
 jobs that only happened to run there. A crash is evidence against a task, of a weight that depends
 on what else could have caused it. A task with any evidence is a suspect: while it is on probation,
 no other suspect starts on its worker, and with more evidence, or after a crash right after its
-start, nothing does, so that the next crash leaves no doubt.
+start, nothing does, so that the next crash leaves no doubt. While much of the pool is free, other
+units keep off for a short time only, except suspects from those that are kept alone.
 """
 
 from __future__ import annotations
--- a/src/foxtailwell/workflows/_fleet_view.py
+++ b/src/foxtailwell/workflows/_fleet_view.py
@@ -38,9 +38,11 @@
 """
 
 AVOIDABLE_WAIT_S = 2.0
-"""Longest wait for local workers, or behind a gang's reservation, beside free capacity.
+"""Longest wait for local workers, behind a gang's reservation, or apart from suspects, beside free
+capacity.
 
-Ready work must not wait 3 s while capacity is free elsewhere.
+Ready work must not wait 3 s while capacity is free elsewhere. Suspects that are kept alone wait
+longer: each joint crash would be further evidence against all of them, up to the limit.
 """
 
 ACCELERATOR_CORES = 8
@@ -126,9 +128,10 @@
     """State of a worker as input of the planner.
 
     Attributes:
-        obstacle: Why no new task may start here; None if tasks may.
+        obstacle: Why no new task may start here; None if tasks may. `KEPT_ALONE` is only given if
+            there is no other obstacle.
         fault_score: Evidence that the worker is faulty or slow; lower scores are preferred.
-        has_suspect: A suspect on probation runs there, so no other suspect may start.
+        has_suspect: A suspect on probation runs there, so other suspects are kept off.
     """
 
     id: str
@@ -212,9 +215,8 @@
 
     @property
     def is_high(self) -> bool:
-        """Whether the share of its accelerators, or of processors without any, is high."""
-        share = self.accelerator_share if self.capacity.accelerators else self.cpu_share
-        return share > HIGH_UTILIZATION
+        """Whether the larger of both shares exceeds `HIGH_UTILIZATION`."""
+        return max(self.cpu_share, self.accelerator_share) > HIGH_UTILIZATION
 
 
 def _used_share(capacity: int, free: int) -> float:
@@ -296,17 +298,17 @@
     suspects: dict[str, SchedulingUnit] = field(default_factory=dict)
     starting: dict[str, set[tuple[str, int, int]]] = field(default_factory=dict)
     overdue_workers: set[str] = field(default_factory=set)
-    _eligible: dict[tuple[str, str], EligibleWorkers] = field(default_factory=dict)
+    _eligible: dict[tuple[str, str, bool], EligibleWorkers] = field(default_factory=dict)
 
     def eligible_workers(self, unit: SchedulingUnit) -> EligibleWorkers:
         """Return the usable workers with the unit's pool and label that its advice allows."""
-        key = (unit.queue.pool, unit.step.required_label)
+        key = (unit.queue.pool, unit.step.required_label, self._joins_all(unit))
         if key not in self._eligible:
-            pool, label = key
+            pool, label, _ = key
             found = [
                 worker
                 for worker in self.workers.values()
-                if worker.is_usable
+                if self.is_usable(worker, unit)
                 and worker.pool == pool
                 and (not label or label in worker.labels)
             ]
@@ -316,6 +318,15 @@
         allowed = [worker for worker in self._eligible[key].workers if worker.id in unit.allowed]
         return EligibleWorkers(allowed, by_rack(allowed))
 
+    def is_usable(self, worker: WorkerView, unit: SchedulingUnit) -> bool:
+        """Return whether tasks of the unit may start on a worker, whatever runs there."""
+        is_kept_alone = worker.obstacle is Obstacle.KEPT_ALONE
+        return worker.is_usable or (is_kept_alone and self._joins_all(unit))
+
+    def _joins_all(self, unit: SchedulingUnit) -> bool:
+        """Return whether the unit may start even beside suspects that are kept alone."""
+        return not unit.is_suspect and self._is_overdue(unit)
+
     def allocate(self, worker: str, unit: SchedulingUnit) -> None:
         """Subtract the request of one task of the unit from a worker's free capacity."""
         self.free[worker] = self.free[worker].minus(unit.step.request)
@@ -326,7 +337,8 @@
             self.serving_workers.add(worker)
         if unit.step.is_filling:
             self.filling_workers.add(worker)
-        if unit.is_suspect:
+        known = self.suspects.get(worker)
+        if unit.is_suspect and (known is None or not known.is_kept_alone):
             self.suspects[worker] = unit
 
     def max_copies(self, worker: str, unit: SchedulingUnit, free: Resources | None = None) -> int:
@@ -363,7 +375,7 @@
     def _obstacle(self, worker: WorkerView, unit: SchedulingUnit) -> Obstacle | None:
         """Return the first reason why no task of the unit can be placed on a worker."""
         step = unit.step
-        if worker.obstacle is not None:
+        if not self.is_usable(worker, unit):
             return worker.obstacle
         if step.required_label and step.required_label not in worker.labels:
             return Obstacle.LABEL
@@ -378,7 +390,7 @@
 
     def _obstacle_beside(self, worker: str, unit: SchedulingUnit) -> Obstacle | None:
         """Return why other units keep the unit off a usable worker; None if they do not."""
-        if self.is_reserved(worker, unit) and not self._may_use_reserved(unit):
+        if self.is_reserved(worker, unit) and not self._is_overdue(unit):
             return Obstacle.RESERVED
         if not self._may_share(worker, unit):
             return Obstacle.SUSPECT
@@ -392,7 +404,8 @@
         """Return whether a worker is reserved for another gang before the unit would end."""
         return self.reserved_after_s.get(worker, math.inf) < unit.step.estimate_ms / 1e3
 
-    def _may_use_reserved(self, unit: SchedulingUnit) -> bool:
+    def _is_overdue(self, unit: SchedulingUnit) -> bool:
+        """Return whether the unit has waited too long for better workers than those with room."""
         waited_s = self.now_s - unit.queued_since_s
         return waited_s >= AVOIDABLE_WAIT_S and not self.is_highly_utilized(unit)
 
@@ -405,6 +418,15 @@
 
     def _may_share(self, worker: str, unit: SchedulingUnit) -> bool:
         """Return whether a unit may start beside the suspects on a worker, or as one of them."""
+        if unit.is_kept_alone or not self._is_overdue(unit):
+            return self.is_apart(worker, unit)
+        suspect = self.suspects.get(worker)
+        return not (unit.is_suspect and suspect is not None and suspect.is_kept_alone)
+
+    def is_apart(self, worker: str, unit: SchedulingUnit) -> bool:
+        """Return whether nothing on a worker is to be kept apart from the unit."""
+        if self.workers[worker].obstacle is Obstacle.KEPT_ALONE:
+            return False
         if unit.is_suspect and self.workers[worker].has_suspect:
             return False
         if unit.is_kept_alone and self.starting.get(worker, set()) - {unit.key}:
--- a/src/foxtailwell/workflows/_placement.py
+++ b/src/foxtailwell/workflows/_placement.py
@@ -111,7 +111,7 @@
     workers = reservation.placement.workers
     if now_s > reservation.until_s or not all(
         w in capacity.workers
-        and capacity.workers[w].is_usable
+        and capacity.is_usable(capacity.workers[w], unit)
         and unit.step.request.fits(capacity.workers[w].capacity)
         for w in workers.values()
     ):
@@ -288,20 +288,23 @@
 ) -> dict[TaskId, str]:
     """Assign tasks by best fit: the fullest workers first, so that whole workers stay free.
 
-    Suspects go where their worker's crash would lose the least work. Workers with a lower fault
-    score precede all others but those that are reserved for another gang. Without
+    Suspects go where their worker's crash would lose the least work. Workers that are reserved for
+    another gang come last, before them those that the unit would share with suspects; among the
+    others, those with a lower fault score come first. Without
     `is_partial_allowed` the result is empty unless every task fits.
     """
     remaining = list(unit.tasks if tasks is None else tasks)
     chosen: dict[TaskId, str] = {}
 
-    def preference(worker: WorkerView) -> tuple[bool, float, float, str]:
+    def preference(worker: WorkerView) -> tuple[bool, bool, float, float, str]:
+        rank = (
+            sum(task.loss for task in worker.running)
+            if unit.is_suspect
+            else capacity.free[worker.id].accelerators
+        )
         is_reserved = capacity.is_reserved(worker.id, unit)
-        if unit.is_suspect:
-            loss = sum(task.loss for task in worker.running)
-            return (is_reserved, worker.fault_score, loss, worker.id)
-        free_accelerators = capacity.free[worker.id].accelerators
-        return (is_reserved, worker.fault_score, free_accelerators, worker.id)
+        is_shared = not capacity.is_apart(worker.id, unit)
+        return (is_reserved, is_shared, worker.fault_score, rank, worker.id)
 
     ordered = sorted(workers, key=preference)
     for worker in ordered:
