Wait until the minion has received the requests that its entries count

test_two_entries_share_the_slots_of_a_minion failed once beside plays, a soak and other tests (load 15 on 8 cores): the minion had 0 requests in progress in place of 8 when both entries counted 4. Cause, in the test: an entry counts a request when it picks a minion, before anything is sent. With a pause of 1.5 s before the call, in a scratch copy, the test fails in the same way each time, and with the second wait it passes. It still demands 8 requests in progress and no refusal.

--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -403,7 +403,9 @@
             group.start_soon(send, first_http)
             group.start_soon(send, second_http)
         await wait_until(lambda: [view.own_load.in_flight for view in loads] == [4, 4])
-        assert (minion.in_flight, minion.refused) == (8, 0)
+        # An entry counts a request before the minion has received it.
+        await wait_until(lambda: minion.in_flight == 8)
+        assert minion.refused == 0
         group.cancel_scope.cancel()
 
 
