Let the soak list odd worker entries, and report failed background tasks

What callers of similar systems saw: one odd entry of another writer ends the machines that read the list, again and again. The soak had no such entry, and would have passed: the controller that fails is restarted, which is logged as FW1708, and the check of the logs looked for tracebacks only.

Beside the entries that nobody answers at, the soak now lists one that is deeply nested, has a remaining time or a capacity of 10^400, or a port out of range. It is a part of that fault, so the seeds keep their schedules. A background task that failed counts as an error that was not handled.

Seen to fail: with the product of seeds 5 and 10, both with a remaining time of 10^400, OverflowError in the controller, FW1708; before the check of FW1708 the same product passed seeds 2, 5, 9 and 10.

The trace agrees with an end that is discarded because a newer run is about to be assigned, but the log of that controller does not show the assignment.

--- a/src/foxtailwell_soak/_faults.py
+++ b/src/foxtailwell_soak/_faults.py
@@ -46,6 +46,26 @@
 """Range of the delay before a killed instance is started again."""
 
 
+def _entry(state: str, port: int, cpu: str, remaining_ms: str, extra: str) -> bytes:
+    # Written as text, because encoders refuse such values.
+    return (
+        f'{{"service":"pool","address":"127.0.0.1:{port}","zone":"a","state":"{state}","born":1,'
+        f'"capacity":{{"cpu":{cpu},"mem_mb":8000,"gpu":8}},"remaining_ms":{remaining_ms},'
+        f'"extra":{extra}}}'
+    ).encode()
+
+
+_HUGE = f"{10**400}"
+
+ODD_ENTRIES = (
+    _entry("ready", 9, "8000", "null", "[" * 100_000 + "]" * 100_000),
+    _entry("draining", 9, "8000", _HUGE, "0"),
+    _entry("ready", 9, _HUGE, "null", "0"),
+    _entry("ready", 99_999, "8000", "null", "0"),
+)
+"""Worker entries of another writer: deep nesting, numbers too large, a port out of range."""
+
+
 @dataclass(frozen=True, slots=True)
 class Fault:
     """One scheduled fault.
@@ -369,7 +389,10 @@
     # Other writers
 
     async def add_foreign_entries(self, fault: Fault) -> None:
-        """List two ready workers that nobody answers at: one refuses connections, one is silent."""
+        """List two ready workers that nobody answers at, and an entry with an odd value.
+
+        The address of one refuses connections, that of the other accepts them and stays silent.
+        """
         with (
             socket.create_server(("127.0.0.1", 0)) as silent,
             socket.socket() as refusing,
@@ -380,14 +403,16 @@
                 address = f"127.0.0.1:{sock.getsockname()[1]}"
                 worker = MemoryWorker(f"foreign-{fault.target}-{number}", capacity=WORKER_CAPACITY)
                 handles.append(WorkerHandle(worker, RelayState(address), address))
+            odd_key = f"servers/odd-{fault.target}"
             end_s = time.monotonic() + 2 * fault.for_s
             while time.monotonic() < end_s:
-                for handle in handles:
-                    if not self._fleet.shared_store_faults.is_down:
+                if not self._fleet.shared_store_faults.is_down:
+                    for handle in handles:
                         self._fleet.publish(handle)
+                    self._fleet.store.write(odd_key, ODD_ENTRIES[fault.target % len(ODD_ENTRIES)])
                 await anyio.sleep(HEARTBEAT_S)
-            for handle in handles:
-                self._fleet.store.delete(f"servers/{handle.worker.id}")
+            for key in (odd_key, *(f"servers/{handle.worker.id}" for handle in handles)):
+                self._fleet.store.delete(key)
 
     # Operators
 
--- a/src/foxtailwell_soak/_fleet.py
+++ b/src/foxtailwell_soak/_fleet.py
@@ -16,6 +16,7 @@
 import msgspec
 from anyio.abc import TaskGroup
 
+from foxtailwell.adapters.events import TASK_FAILED
 from foxtailwell.adapters.http_connection import HttpEndpoint
 from foxtailwell.workflows import Resources
 from foxtailwell_standins.platform_server import (
@@ -114,11 +115,12 @@
         return self.directory / f"{self.name}.log"
 
     def unhandled_errors(self) -> list[str]:
-        """Return the last line of each traceback in the log."""
+        """Return the last line of each traceback in the log, and each failed background task."""
         lines = self.log_path.read_text(errors="replace").splitlines()
         starts = [n for n, line in enumerate(lines) if line.startswith("Traceback")]
         # The frames of a traceback are indented; the error itself is not.
-        return [next((x for x in lines[n + 1 :] if x[:1] != " "), "") for n in starts]
+        errors = [next((x for x in lines[n + 1 :] if x[:1] != " "), "") for n in starts]
+        return errors + [x for x in lines if f'"event":"{TASK_FAILED.number}"' in x]
 
     def start(self) -> None:
         """Write the settings file and start the process; its output is appended to the log."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -47,10 +47,13 @@
 }
 """Seeds of earlier failures without lasting faults, each with the cause."""
 
-LASTING_SEEDS = dict.fromkeys(
-    (1472786121, 1637806489, 700877905),
-    "workers that were silent until their leases had ended got no tasks any more",
-)
+LASTING_SEEDS = {
+    **dict.fromkeys(
+        (1472786121, 1637806489, 700877905),
+        "workers that were silent until their leases had ended got no tasks any more",
+    ),
+    2793576451: "the end of a run that a newer one had replaced was acknowledged and discarded",
+}
 """Seeds of failures with lasting faults, each with the cause."""
 
 LENGTHS_S = dict.fromkeys((1908340578, *LASTING_SEEDS), 12.0)
@@ -255,6 +258,9 @@
     instance.log_path.write_text('Traceback (most recent call last):\n  File "x"\nKeyError: 1\n')
     checker.check_logs()
     assert "KeyError: 1" in history.violations[0]
+    instance.log_path.write_text('{"event":"FW1708","task":"controller"}\n')
+    checker.check_logs()
+    assert "FW1708" in history.violations[1]
 
 
 def test_silences_outlast_the_leases_of_runs():
