Test the room of a start that its stop has overtaken

What callers saw: an urgent job within the guarantee of its account waited for 3.1 s (RECLAIM, bound 2.7 s). Ten runs end by 25.16 s. Two were assigned at 24.934 s as well: the stops arrive first, the starts are refused at 24.946 s (FW1612, old run), and FW1608 "stopped before it began" follows at 27.993 s. The outcome of a start was ignored once its run was being stopped, so the room stayed occupied until two more listings.

--- a/src/foxtailwell_standins/platform_worker.py
+++ b/src/foxtailwell_standins/platform_worker.py
@@ -48,6 +48,7 @@
             `apply_delayed` is called.
         is_losing_stops: Stops get no response and have no effect.
         is_refusing_stops: Stops are refused with UNHEALTHY and have no effect.
+        start_delay_s: Time for which a start is on its way, so that a stop may overtake it.
         listing_delay_s: Time for which the response to a listing is on its way.
         is_unhealthy: Starts are refused with UNHEALTHY.
         is_failing_runs: Each run ends as failed as soon as it starts.
@@ -65,6 +66,7 @@
     delayed_starts: int = 0
     is_losing_stops: bool = False
     is_refusing_stops: bool = False
+    start_delay_s: float = 0.0
     listing_delay_s: float = 0.0
     is_unhealthy: bool = False
     is_failing_runs: bool = False
@@ -371,6 +373,7 @@
         self, command: StartCommand, until_clock_ms: int, token: int
     ) -> tuple[CommandOutcome, int | None]:
         """Start a run under a lease that ends at `until_clock_ms` on the worker's clock."""
+        await anyio.sleep(self.faults.start_delay_s)
         await self._begin_call()
         self.commands.append((str(command.task), command.run, token))
         if self.faults.is_replaced:
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -109,6 +109,20 @@
     assert not await until(lambda: len(deployment.runs(task)) > 2, 2.0)
 
 
+async def test_room_of_a_start_that_its_stop_has_overtaken_is_free_at_once(group):
+    """Guards against an urgent job that waits for the next listings to show that nothing runs."""
+    deployment = make_deployment(group, 1)
+    deployment.start("one")
+    worker = deployment.workers["w0"]
+    worker.faults.start_delay_s = 0.2
+    await deployment.submit(1, LATER, [step(request=WHOLE)])
+    assert await until(
+        lambda: any(i.startswith("foxtailwell/run/") for i in deployment.store.items)
+    )
+    job = await deployment.submit(2, URGENT, [step(request=WHOLE)])
+    assert await until(lambda: f"{job}.0.0.0" in worker.running, 0.9)
+
+
 async def test_listing_from_before_a_start_does_not_show_that_its_run_was_lost(group):
     """Guards against a run on a restarted worker that is started again while it runs."""
     deployment = make_deployment(group, 1)
