Show that a machine that rejects its maintenance blocks its wave

A cordon ends only with the maintenance of its machine or with its wave, and counts towards the limit of machines that are down. Whether the machine should be skipped, and its worker get tasks meanwhile, is open.

--- a/src/foxtailwell_standins/platform_machines.py
+++ b/src/foxtailwell_standins/platform_machines.py
@@ -21,6 +21,7 @@
     Attributes:
         down_s: Time for which maintenance takes a machine down.
         lost_responses: Number of coming maintenance commands that take effect but get no response.
+        busy: Machines that are up and reject each command.
         log: Machine, start time and number of ended runs of each maintenance.
         max_down_count: Highest number of machines that were down at the same time.
     """
@@ -28,6 +29,7 @@
     workers: dict[str, MemoryWorker]
     down_s: float = 0.2
     lost_responses: int = 0
+    busy: frozenset[str] = frozenset()
     log: list[tuple[str, float, int]] = field(default_factory=list)
     max_down_count: int = 0
     _begun: set[tuple[str, int]] = field(default_factory=set)
@@ -56,7 +58,7 @@
             return MaintenanceOutcome.ABSENT
         if (machine, wave) in self._begun:
             return MaintenanceOutcome.BEGUN
-        if self._is_down(machine):
+        if self._is_down(machine) or machine in self.busy:
             return MaintenanceOutcome.BUSY
         self._begun.add((machine, wave))
         self._down_until_s[machine] = time.monotonic() + self.down_s
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -98,6 +98,14 @@
     assert await until(lambda: bool(deployment.runs(f"{job}.0.0.0")), 2.0)
 
 
+async def test_machine_that_rejects_its_maintenance_does_not_block_the_wave(group):
+    """Guards against a wave that waits for one machine while the others could go on."""
+    deployment, machines = maintained_deployment(group, 2, busy=frozenset({"m-w0"}))
+    deployment.start("one")
+    request_wave(deployment, ["m-w0", "m-w1"])
+    assert await until(lambda: bool(machines.log), FIRST_COMMAND_DELAY_S + 3.0)
+
+
 async def test_machines_are_listed_by_page_and_commands_are_fenced(anyio_server):
     """Guards against an adapter that reads only one page or omits the fencing token."""
     pages = [
