Count memory in the use of a pool

The scarcest of cores, memory and accelerators counts now. Five cases of the test of the bound fail if only cores and accelerators count.

--- a/src/foxtailwell/controller/_waits.py
+++ b/src/foxtailwell/controller/_waits.py
@@ -61,6 +61,7 @@
                 waited_s=round(now_s - self._waiting_since_s.get(key, now_s), 2),
                 fitting=wait.fitting_tasks,
                 cpu_share=round(wait.pool_use.cpu_share, 2),
+                memory_share=round(wait.pool_use.memory_share, 2),
                 accelerator_share=round(wait.pool_use.accelerator_share, 2),
                 obstacles={obstacle.value: count for obstacle, count in wait.obstacles.items()},
             )
--- a/src/foxtailwell/workflows/_fleet_view.py
+++ b/src/foxtailwell/workflows/_fleet_view.py
@@ -208,6 +208,11 @@
         """Share of the processors in use."""
         return _used_share(self.capacity.cpu_millicores, self.free.cpu_millicores)
 
+    @property
+    def memory_share(self) -> float:
+        """Share of the memory in use."""
+        return _used_share(self.capacity.memory_mb, self.free.memory_mb)
+
     @property
     def accelerator_share(self) -> float:
         """Share of the accelerators in use."""
@@ -215,8 +220,9 @@
 
     @property
     def is_high(self) -> bool:
-        """Whether the larger of both shares exceeds `HIGH_UTILIZATION`."""
-        return max(self.cpu_share, self.accelerator_share) > HIGH_UTILIZATION
+        """Whether the share of the scarcest resource exceeds `HIGH_UTILIZATION`."""
+        shares = (self.cpu_share, self.memory_share, self.accelerator_share)
+        return max(shares) > HIGH_UTILIZATION
 
 
 def _used_share(capacity: int, free: int) -> float:
--- a/tests/test_waiting_suspects.py
+++ b/tests/test_waiting_suspects.py
@@ -63,9 +63,10 @@
 def test_wait_for_a_worker_without_a_suspect_is_bounded(waiting, flags, beside):
     """Guards against work that waits as long as a suspect is on probation in an idle pool."""
     idle = [worker_of(f"w{n}", **beside) for n in range(3)]
-    busy = [worker_of(f"w{n}", HALF.plus(Resources(100_000)), **beside) for n in range(3)]
     assert not placed_on(unit_of(1, waiting, 1.0, **flags), *idle)
-    assert not placed_on(unit_of(1, waiting, 3.0, **flags), *busy)
+    for used in (Resources(80_000), Resources(0, 150_000), Resources(0, 0, 5)):
+        busy = [worker_of(f"w{n}", used, **beside) for n in range(3)]
+        assert not placed_on(unit_of(1, waiting, 3.0, **flags), *busy)
     assert len(placed_on(unit_of(1, waiting, 3.0, **flags), *idle)) == waiting.count
 
 
