Refuse documents and instance records with numbers out of range

Operators would see a scheduler that fills its memory: the planner lists the accelerators of a worker one by one, and the instance list accepted 2^64 of them for one. A configuration with a revision beyond 64 bits was put into force and could not be sent to any peer, since each heartbeat names it; a worker's clock or a term of that size was taken over.

The core declares no ranges, as it has no decoder, so decode_in_range checks all numbers of a document or reply. Ruled out, as they hold already: peers (fixed widths, FrameError), submissions and changes over HTTP (bounds in the core; an integer too large for a float is reported as an issue).

Evidence: 25 cases of test_accepted_instance_record_can_be_used and 8 of test_message_with_a_number_out_of_range_is_refused fail without the change and pass with it (the others are not integers in JSON), with test_fleet.py, test_store.py, test_group_commit.py, test_configuration.py, test_scheduler.py, test_jobs_api.py and test_import_directions.py.

--- a/src/foxtailwell/adapters/documents.py
+++ b/src/foxtailwell/adapters/documents.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from foxtailwell.adapters.malformed import MALFORMED
+from foxtailwell.adapters.ranges import decode_in_range
 from foxtailwell.core.errors import DocumentError, UnsupportedSchemaError
 
 __all__ = ["decode_document", "encode_document"]
@@ -33,21 +34,19 @@
 
     Raises:
         UnsupportedSchemaError: The schema version is higher, so a newer release wrote the document.
-        DocumentError: The text is not JSON or does not match the fields of `kind`.
+        DocumentError: The text is not JSON, does not match the fields of `kind`, or has a number
+            out of range.
     """
-    header = _decode(text, _SchemaHeader)
-    if header.schema_version > supported_version:
-        raise UnsupportedSchemaError(
-            f"{kind.__name__} has schema version {header.schema_version}, "
-            f"this release reads up to {supported_version}",
-            "upgrade this instance; the document was left as it is",
-        )
-    return _decode(text, kind)
-
-
-def _decode(text: str | bytes, kind: type[T]) -> T:
+    body = text.encode() if isinstance(text, str) else text
     try:
-        return msgspec.json.decode(text, type=kind)
+        header = msgspec.json.decode(body, type=_SchemaHeader)
+        if header.schema_version > supported_version:
+            raise UnsupportedSchemaError(
+                f"{kind.__name__} has schema version {header.schema_version}, "
+                f"this release reads up to {supported_version}",
+                "upgrade this instance; the document was left as it is",
+            )
+        return decode_in_range(body, kind)
     except MALFORMED as error:
         raise DocumentError(
             f"unreadable document: {error}",
--- a/src/foxtailwell/adapters/instance_list.py
+++ b/src/foxtailwell/adapters/instance_list.py
@@ -19,6 +19,16 @@
 __all__ = ["InstanceListClient", "open_instance_list"]
 
 
+_LIMITS = {
+    "cores": 1_000_000,
+    "memory_gb": 1_000_000,
+    "accelerators": 1024,
+    "slots": 1_000_000,
+    "connections": 1_000_000,
+}
+"""Largest plausible sizes of an instance; the planner lists accelerators one by one."""
+
+
 @dataclass(frozen=True, slots=True)
 class _RefusedRecord:
     """A record that cannot be used, with the cause."""
@@ -101,6 +111,9 @@
         return _RefusedRecord(_find_id(row), str(error))
     if not _is_address(record.address):
         return _RefusedRecord(record.id, f'address "{record.address}" is not host:port')
+    for name, limit in _LIMITS.items():
+        if not 0 <= getattr(record, name) <= limit:
+            return _RefusedRecord(record.id, f"{name} is not from 0 to {limit}")
     return record
 
 
--- a/src/foxtailwell/adapters/workers.py
+++ b/src/foxtailwell/adapters/workers.py
@@ -20,6 +20,7 @@
     open_http_client,
 )
 from foxtailwell.adapters.malformed import MALFORMED
+from foxtailwell.adapters.ranges import decode_in_range
 from foxtailwell.core import Operation, TaskState
 from foxtailwell.core.errors import StaleTermError, UnavailableError
 
@@ -174,10 +175,10 @@
 def _decode(address: str, request: SyncRequest, reply: HttpReply) -> SyncReply:
     try:
         if reply.status == 409:
-            seen = msgspec.json.decode(reply.body, type=_StaleTerm)
+            seen = decode_in_range(reply.body, _StaleTerm)
             raise StaleTermError(request.zone, request.term, seen.term)
         if reply.status == 200:
-            return msgspec.json.decode(reply.body, type=SyncReply)
+            return decode_in_range(reply.body, SyncReply)
     except MALFORMED as error:
         raise _unavailable(address, str(error)) from error
     raise _unavailable(address, f"status {reply.status}")
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -84,6 +84,11 @@
 )
 
 
+def _encode(value):
+    """Return JSON in which an infinite number is written as one that overflows."""
+    return json.dumps(value).replace("Infinity", "1e400").encode()
+
+
 def _page(body):
     return store._items(store._decode(CallReply(200, body), store._Page))
 
@@ -150,7 +155,7 @@
     """Guards against one message of another writer that ends a whole process, again and again."""
     valid, decode, errors = DECODERS[number]
     changed = valid | {data.draw(st.sampled_from(sorted(valid))): data.draw(VALUES)}
-    encoded = json.dumps(changed).encode()
+    encoded = _encode(changed)
     cut = data.draw(st.integers(0, len(encoded)))
     for body in (encoded, encoded[:cut], encoded[:cut] + data.draw(st.binary(max_size=20))):
         with contextlib.suppress(*errors):
@@ -174,7 +179,7 @@
 def test_accepted_worker_entry_can_be_used(field, extreme):
     """Guards against numbers that end the term when they are converted or stored."""
     change = {field: extreme} if field in ENTRY else {"capacity": {field: extreme}}
-    entry = workers.decode_worker_entry("w", json.dumps(ENTRY | change).encode())
+    entry = workers.decode_worker_entry("w", _encode(ENTRY | change))
     if entry is None:
         return
     assert entry.capacity.fits(entry.capacity.plus(entry.capacity))
@@ -191,7 +196,7 @@
     row = ["t", 1, "", 5, 0]
     row[column] = extreme
     try:
-        listing = workers._decode_listing(json.dumps(LISTING | {"running": [row]}).encode())
+        listing = workers._decode_listing(_encode(LISTING | {"running": [row]}))
     except WorkerCallError:
         return
     assert 0 <= listing.running[0].percent <= 100
@@ -204,7 +209,7 @@
     """Guards against a queue whose target or validity of advice ends each process that reads it."""
     value = {"valid_for_ms": extreme} if field == "recommendation" else extreme
     route = CONFIGURATION["routes"][0] | {field: value}
-    body = json.dumps(CONFIGURATION | {"routes": [route]}).encode()
+    body = _encode(CONFIGURATION | {"routes": [route]})
     with contextlib.suppress(messages.MessageError):
         queue = messages.decode_configuration(body).queues["r"]
         submission = Submission("0" * 16, "r", "a", "text", (replace(STEP, estimate_ms=2**53),))
@@ -216,13 +221,37 @@
 @pytest.mark.parametrize("field", ["wave", "within_s", "max_count"])
 def test_accepted_wave_can_be_used(field, extreme):
     """Guards against a wave whose number or time limit ends the term of the controller."""
-    wave = messages.decode_wave(json.dumps(WAVE | {field: extreme}).encode())
+    wave = messages.decode_wave(_encode(WAVE | {field: extreme}))
     if wave is not None:
         assert wave.within_s / wave.max_count < math.inf
         assert msgspec.json.decode(messages.encode_wave_status(wave.number, True))
         assert 0 <= wave.number <= MAX_INTEGER
 
 
+@pytest.mark.parametrize("extreme", EXTREMES[:-1], ids=lambda number: str(number)[:20])
+@pytest.mark.parametrize("field", ["cores", "memory_gb", "accelerators", "slots", "connections"])
+def test_accepted_instance_record_can_be_used(field, extreme):
+    """Guards against a record whose accelerators, listed one by one, fill the memory."""
+    record = _encode(INSTANCE | {field: extreme})
+    (row,) = instance_list._decode(b"[" + record + b"]")
+    assert not isinstance(row, InstanceRecord)
+
+
+@pytest.mark.parametrize("extreme", [10**400, 2**64, -(10**400), 1e308])
+@pytest.mark.parametrize(
+    ("valid", "field", "decode", "error"),
+    [
+        (_document(Configuration), "revision", _decode_document(Configuration), DocumentError),
+        ({"clock_s": 1.0}, "clock_s", _sync_reply(200), UnavailableError),
+        ({"term": 1}, "term", _sync_reply(409), UnavailableError),
+    ],
+)
+def test_message_with_a_number_out_of_range_is_refused(valid, field, decode, error, extreme):
+    """Guards against a revision or time that cannot be sent on or converted."""
+    with pytest.raises(error):
+        decode(_encode(valid | {field: extreme}))
+
+
 @pytest.mark.parametrize("text", ["a.0.0." + "9" * 5000, "a.0.0", "a.0.0.x", "a.0.0.-1", "", "é"])
 def test_listed_task_with_a_malformed_identifier_is_left_out(text):
     """Guards against an identifier whose number is too long to convert, which ends the term."""
