Limit the size of a request body that an instance reads

A client could fill the memory of an instance with one request, since its body was read to the end before anything was checked. The store could not hold the job anyway, whose refusal by the store was answered with 503, so that the client would send it again.

Reading now ends with the part that exceeds 1 MB, and a submission of that size gets status 413, which tells the client not to repeat it.

Evidence: test_body_above_the_limit_is_refused_and_not_read_to_its_end fails without the change (status 400 instead of 413) and passes with it, with test_instance_api.py and test_instance_process.py.

--- a/src/foxtailwell/instance/_jobs_api.py
+++ b/src/foxtailwell/instance/_jobs_api.py
@@ -41,6 +41,9 @@
 MAX_CONFIGURATION_ATTEMPTS = 3
 """Limit of attempts to process a request while the configuration changes."""
 
+MAX_BODY_BYTES = 1_000_000
+"""Limit of a request body; a value of the store may have about 1 MB."""
+
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 
 
@@ -242,6 +245,8 @@
         configuration = self._operators.configuration
         account = configuration.accounts_by_key.get(request.key) if configuration else None
         start_s = time.monotonic()
+        if len(content) > MAX_BODY_BYTES:
+            return _refuse(request, 413, f"the body exceeds {MAX_BODY_BYTES} bytes")
         try:
             submission = self._decode(
                 job_id,
@@ -287,12 +292,12 @@
 
 
 async def read_body(receive: Callable[[], Awaitable[dict[str, Any]]]) -> bytes:
-    """Read the body of an ASGI request; a disconnect ends it early."""
-    chunks: list[bytes] = []
+    """Read the body of an ASGI request; a disconnect or `MAX_BODY_BYTES` ends it early."""
+    body = bytearray()
     while True:
         message = await receive()
         if message["type"] != "http.request":
-            return b"".join(chunks)
-        chunks.append(message.get("body", b""))
-        if not message.get("more_body", False):
-            return b"".join(chunks)
+            return bytes(body)
+        body += message.get("body", b"")
+        if not message.get("more_body", False) or len(body) > MAX_BODY_BYTES:
+            return bytes(body)
--- a/tests/test_instance_api.py
+++ b/tests/test_instance_api.py
@@ -12,6 +12,7 @@
 from foxtailwell.adapters.work_metrics import WorkMetrics
 from foxtailwell.controller import Intake
 from foxtailwell.instance import JobsApi, OperatorKeys, OperatorWatch
+from foxtailwell.instance._jobs_api import read_body
 from foxtailwell.platform import messages
 from foxtailwell_standins.platform_store import MemoryStore, StoreFaults
 
@@ -312,3 +313,19 @@
     body = json.dumps({"spec": "text"} | change).encode()
     assert (await instance.call("POST", JOB, body=body))[0] == 400
     assert not any(key.startswith("foxtailwell/") for key in store.items)
+
+
+async def test_body_above_the_limit_is_refused_and_not_read_to_its_end():
+    """Guards against a client that fills the memory of an instance with one request."""
+    parts = 0
+
+    async def receive():
+        nonlocal parts
+        parts += 1
+        return {"type": "http.request", "body": b" " * 300_000, "more_body": parts < 99}
+
+    body = await read_body(receive)
+    store = MemoryStore()
+    configure(store, 1)
+    assert (await Instance(store).call("POST", JOB, body=body))[0] == 413
+    assert parts == 4
