--- a/src/foxtailwell/workflows/_placement.py
+++ b/src/foxtailwell/workflows/_placement.py
@@ -9,17 +9,19 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
-from foxtailwell.workflows._fleet_view import (
+from foxtailwell.workflows._capacity import (
     AVOIDABLE_WAIT_S,
-    FleetView,
     FreeCapacity,
+    can_ever_fit,
+    free_capacity,
+)
+from foxtailwell.workflows._fleet_view import (
+    FleetView,
     Placement,
     Plan,
     Reservation,
     Wait,
     WorkerView,
-    can_ever_fit,
-    free_capacity,
 )
 from foxtailwell.workflows._jobs import Resources, TaskId
 from foxtailwell.workflows._preemption import preempt
--- a/src/foxtailwell/workflows/_preemption.py
+++ b/src/foxtailwell/workflows/_preemption.py
@@ -6,15 +6,8 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-from foxtailwell.workflows._fleet_view import (
-    AVOIDABLE_WAIT_S,
-    FreeCapacity,
-    Placement,
-    Reservation,
-    RunningTask,
-    WorkerView,
-    can_ever_fit,
-)
+from foxtailwell.workflows._capacity import AVOIDABLE_WAIT_S, FreeCapacity, can_ever_fit
+from foxtailwell.workflows._fleet_view import Placement, Reservation, RunningTask, WorkerView
 from foxtailwell.workflows._jobs import TaskId
 from foxtailwell.workflows._tasks import SchedulingUnit
 
