Start no job anew whose progress cannot be read

What callers would see: work that has completed runs again, if the record of its progress was damaged, or written by a newer release. Found by reading: the job was loaded as a new one, although FW1616 promises to leave the key as it is. The test's case with a state that does not exist fails without the change (a run starts).

Ruled out: to resume from what is readable, which nobody can vouch for.

--- a/src/foxtailwell/controller/_stored_jobs.py
+++ b/src/foxtailwell/controller/_stored_jobs.py
@@ -82,6 +82,8 @@
         self._now_unix_ms = now_unix_ms
         self._metrics = metrics
         self._ended_unix_ms: dict[str, int] = {}
+        # Jobs whose progress cannot be read; started anew, completed tasks would run again.
+        self._unreadable: set[str] = set()
 
     async def load(self, token: int) -> int:
         """Read all records at the start of a term.
@@ -104,6 +106,7 @@
                 progress[job_id] = decode_progress(item.value)
             except RecordError as error:
                 log_event(RECORD_UNREADABLE, key=item.key, reason=str(error))
+                self._unreadable.add(job_id)
         intake, revision = await self._store.list_items(INTAKE_PREFIX)
         jobs = {i.key[len(JOB_PREFIX) :] for i in intake if i.key.startswith(JOB_PREFIX)}
         for item in intake:
@@ -125,9 +128,7 @@
         """
         marks, _ = await self._store.list_items(WAITING_PREFIX)
         waiting = [mark.key.rpartition("/")[2] for mark in marks]
-        missed = [
-            j for j in waiting if j not in self._registry.jobs and j not in self._ended_unix_ms
-        ]
+        missed = [j for j in waiting if not self._is_known(j)]
         found = [await self._store.get(job_key(job_id)) for job_id in missed]
         return tuple(Change(i.key, i.value, i.revision) for i in found if i is not None)
 
@@ -149,11 +150,15 @@
         elif change.key.startswith(JOB_PREFIX) and change.value not in (None, REFUSED_MARK):
             self._apply_submission(change, progress, is_recovered)
 
+    def _is_known(self, job_id: str) -> bool:
+        is_ended = job_id in self._ended_unix_ms
+        return job_id in self._registry.jobs or is_ended or job_id in self._unreadable
+
     def _apply_submission(
         self, change: Change, progress: Mapping[str, JobProgress], is_recovered: bool
     ) -> None:
         job_id = change.key[len(JOB_PREFIX) :]
-        if job_id in self._registry.jobs or job_id in self._ended_unix_ms:
+        if self._is_known(job_id):
             return
         try:
             submission = decode_submission_record(change.value or b"")
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -482,6 +482,7 @@
     deployment.start("one")
     job = await deployment.submit(1, LATER, [step(2)])
     assert await deployment.reaches(job, JobState.COMPLETED)
+    assert not deployment.runs(f"{job_id(7)}.0.0.0")
 
 
 async def test_lost_transaction_responses_neither_lose_nor_repeat_a_start(group):
