Check room before the other reasons that keep a unit off a worker

One plan of a full fleet (176 workers, 60 waiting units) took 94 ms of processor time, on 38 ms: the explanation of obstacles is asked for each pair of unit and worker, and judged the use of the pool each time.

The decisions are the same for 300 random views of 30 workers and 15 units.

--- a/src/foxtailwell/workflows/_capacity.py
+++ b/src/foxtailwell/workflows/_capacity.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 
 from foxtailwell.workflows._fleet_view import FleetView, Obstacle, PoolUse, Wait, WorkerView
-from foxtailwell.workflows._jobs import Resources
+from foxtailwell.workflows._jobs import UNLIMITED_COPIES, Resources
 from foxtailwell.workflows._tasks import SchedulingUnit
 
 __all__ = [
@@ -53,6 +53,7 @@
             a longer estimate are not placed there.
         now_s: Local time of the plan.
         pool_use: Use of each pool before the plan.
+        busy_pools: Pools of which the use is high.
         serving_workers: Workers with latency-sensitive tasks; filling tasks are kept off them.
         filling_workers: Workers with filling tasks; serving tasks are kept off them.
         suspects: Units with suspects that this plan places, by worker. Other suspects are kept off
@@ -68,6 +69,7 @@
     reserved_after_s: dict[str, float] = field(default_factory=dict)
     now_s: float = 0.0
     pool_use: Mapping[str, PoolUse] = field(default_factory=dict)
+    busy_pools: frozenset[str] = frozenset()
     serving_workers: set[str] = field(default_factory=set)
     filling_workers: set[str] = field(default_factory=set)
     suspects: dict[str, SchedulingUnit] = field(default_factory=dict)
@@ -100,7 +102,7 @@
 
     def _joins_all(self, unit: SchedulingUnit) -> bool:
         """Return whether the unit may start even beside suspects that are kept alone."""
-        return not unit.is_suspect and self._is_overdue(unit)
+        return not unit.is_suspect and self.is_overdue(unit)
 
     def allocate(self, worker: str, unit: SchedulingUnit) -> None:
         """Subtract the request of one task of the unit from a worker's free capacity."""
@@ -124,13 +126,17 @@
             unit: Unit to be placed.
             free: Resources to assume free; None for the currently free ones.
         """
+        # The cheapest check comes first: most workers of a busy fleet have no room.
+        count = unit.step.request.max_copies(self.free[worker] if free is None else free)
+        return min(count, self.max_allowed(worker, unit)) if count else 0
+
+    def max_allowed(self, worker: str, unit: SchedulingUnit) -> int:
+        """Return how many more tasks of the unit a worker may have, whatever its free resources."""
         if self._obstacle_beside(worker, unit) is not None:
             return 0
-        available = self.free[worker] if free is None else free
-        count = unit.step.request.max_copies(available)
-        if unit.step.max_per_worker:
-            count = min(count, unit.step.max_per_worker - self._step_count(worker, unit))
-        return max(0, count)
+        if not unit.step.max_per_worker:
+            return UNLIMITED_COPIES
+        return max(0, unit.step.max_per_worker - self._step_count(worker, unit))
 
     def explain(self, unit: SchedulingUnit) -> Wait:
         """Return why the unit cannot be placed on the workers of its pool now."""
@@ -165,7 +171,7 @@
 
     def _obstacle_beside(self, worker: str, unit: SchedulingUnit) -> Obstacle | None:
         """Return why other units keep the unit off a usable worker; None if they do not."""
-        if self.is_reserved(worker, unit) and not self._is_overdue(unit):
+        if self.is_reserved(worker, unit) and not self.is_overdue(unit):
             return Obstacle.RESERVED
         if not self._may_share(worker, unit):
             return Obstacle.SUSPECT
@@ -179,21 +185,21 @@
         """Return whether a worker is reserved for another gang before the unit would end."""
         return self.reserved_after_s.get(worker, math.inf) < unit.step.estimate_ms / 1e3
 
-    def _is_overdue(self, unit: SchedulingUnit) -> bool:
+    def is_overdue(self, unit: SchedulingUnit) -> bool:
         """Return whether the unit has waited too long for better workers than those with room."""
         waited_s = self.now_s - unit.queued_since_s
         return waited_s >= AVOIDABLE_WAIT_S and not self.is_highly_utilized(unit)
 
     def is_highly_utilized(self, unit: SchedulingUnit) -> bool:
         """Return whether the unit may wait longer, as little of its pool is free."""
-        return self.pool_use.get(unit.queue.pool, _EMPTY_POOL).is_high
+        return unit.queue.pool in self.busy_pools
 
     def _step_count(self, worker: str, unit: SchedulingUnit) -> int:
         return self.step_counts.get((worker, unit.key), 0)
 
     def _may_share(self, worker: str, unit: SchedulingUnit) -> bool:
         """Return whether a unit may start beside the suspects on a worker, or as one of them."""
-        if unit.is_kept_alone or not self._is_overdue(unit):
+        if unit.is_kept_alone or not self.is_overdue(unit):
             return self.is_apart(worker, unit)
         suspect = self.suspects.get(worker)
         return not (unit.is_suspect and suspect is not None and suspect.is_kept_alone)
@@ -215,8 +221,13 @@
 def free_capacity(view: FleetView) -> FreeCapacity:
     """Return the capacity that is not occupied by the runs of a view."""
     free = {w.id: w.free() for w in view.workers.values()}
+    pool_use = _pool_use(view.workers.values(), free)
     capacity = FreeCapacity(
-        view.workers, free, now_s=view.now_s, pool_use=_pool_use(view.workers.values(), free)
+        view.workers,
+        free,
+        now_s=view.now_s,
+        pool_use=pool_use,
+        busy_pools=frozenset(pool for pool, use in pool_use.items() if use.is_high),
     )
     for worker in view.workers.values():
         for task in worker.running:
--- a/src/foxtailwell/workflows/_jobs.py
+++ b/src/foxtailwell/workflows/_jobs.py
@@ -18,6 +18,7 @@
     "Step",
     "Submission",
     "TaskId",
+    "UNLIMITED_COPIES",
     "find_submission_fault",
 ]
 
--- a/src/foxtailwell/workflows/_placement.py
+++ b/src/foxtailwell/workflows/_placement.py
@@ -169,13 +169,16 @@
     """Return when and where the whole unit is expected to fit; None if the end of runs won't do."""
     gains: list[tuple[float, int, str]] = []
     for worker in workers:
+        allowed = capacity.max_allowed(worker.id, unit)
+        if not allowed:
+            continue
         available = capacity.free[worker.id]
-        count = capacity.max_copies(worker.id, unit, available)
+        count = min(unit.step.request.max_copies(available), allowed)
         gains.append((0.0, count, worker.id))
         ending = [task for task in worker.running if math.isfinite(task.remaining_s)]
         for task in sorted(ending, key=lambda t: t.remaining_s):
             available = available.plus(task.request)
-            more = capacity.max_copies(worker.id, unit, available)
+            more = min(unit.step.request.max_copies(available), allowed)
             if more > count:
                 gains.append((task.remaining_s, more - count, worker.id))
                 count = more
@@ -298,14 +301,17 @@
     remaining = list(unit.tasks if tasks is None else tasks)
     chosen: dict[TaskId, str] = {}
 
+    is_overdue = capacity.is_overdue(unit)
+
     def preference(worker: WorkerView) -> tuple[bool, bool, float, float, str]:
         rank = (
             sum(task.loss for task in worker.running)
             if unit.is_suspect
             else capacity.free[worker.id].accelerators
         )
-        is_reserved = capacity.is_reserved(worker.id, unit)
-        is_shared = not capacity.is_apart(worker.id, unit)
+        # Only an overdue unit may start on workers that are reserved or have suspects.
+        is_reserved = is_overdue and capacity.is_reserved(worker.id, unit)
+        is_shared = is_overdue and not capacity.is_apart(worker.id, unit)
         return (is_reserved, is_shared, worker.fault_score, rank, worker.id)
 
     ordered = sorted(workers, key=preference)
