Date reports of workers by the workers' own clocks

Cause: `Workers._written_s` took the moment at which an entry appeared in the store for the moment at which its worker had written it. A worker that is cut off sends its report again and again; once the cut heals, that report arrives before a newer one.

Ruled out: counting the first entry after an absence as old (a later one may be late as well, and a controller that has just taken over knows of no absence); taking the smallest difference between our clock and the worker's over earlier entries (all of them may be late, and a restart leaves none).

Change: an entry is dated by its clock and incarnation against those in a listing of the same incarnation, counted from the moment at which the listing was requested. The clock may be slow but not fast, so the result is never later than the truth. Without such a reading there is no start. The clock is read once for each listed worker, and again when an entry appears to be older than a third of a heartbeat, which also bounds the drift. The time that a draining worker has left counts from the same moment. This replaces four older ways to guess the age: gaps between updates, revisions in the first listing, outages that this instance has seen, restarts that it has seen.

--- /dev/null
+++ b/src/foxtailwell/controller/_clocks.py
@@ -0,0 +1,43 @@
+"""Readings of a worker's clock, which date what the worker says of itself."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["CLOCK_DRIFT_FACTOR", "ClockReading", "more_exact"]
+
+CLOCK_DRIFT_FACTOR = 1.03
+"""Longest local time per unit of a worker's clock, which may be 2 % slow."""
+
+
+@dataclass(frozen=True, slots=True)
+class ClockReading:
+    """Clock of a worker in a response.
+
+    Attributes:
+        boot_unix_ms: Start time of the incarnation that responded.
+        clock_ms: Its clock, read between the request and the response.
+        sent_s: Local time at which the request was sent.
+    """
+
+    boot_unix_ms: int
+    clock_ms: int
+    sent_s: float
+
+    def earliest_s(self, clock_ms: int) -> float:
+        """Return the earliest local time at which the clock can have shown the given value.
+
+        The worker's clock is never fast, so what follows the reading took at least its own time.
+        """
+        elapsed_s = (clock_ms - self.clock_ms) / 1000
+        return self.sent_s + (elapsed_s if elapsed_s > 0 else elapsed_s * CLOCK_DRIFT_FACTOR)
+
+
+def more_exact(known: ClockReading | None, reading: ClockReading) -> ClockReading:
+    """Return the reading that dates later events of an incarnation more exactly.
+
+    A response that the worker has held back may say less than an older reading.
+    """
+    if known is None or known.boot_unix_ms != reading.boot_unix_ms:
+        return reading
+    return known if known.earliest_s(reading.clock_ms) > reading.sent_s else reading
--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -123,14 +123,12 @@
         zones_out: Availability zones in which no task may start.
         guards: Returns the store conditions under which a start in the given zones is allowed.
         apply_conflict: Applies the operators' items that a failed condition returned, by key.
-        store_failed_s: Local time at which the store was last seen to be unavailable.
     """
 
     configuration: ClusterConfiguration
     zones_out: frozenset[str]
     guards: Callable[[frozenset[str]], Mapping[str, int]]
     apply_conflict: Callable[[Mapping[str, Item]], None]
-    store_failed_s: float = -math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -278,10 +276,7 @@
         workers_prefix = self._workers_prefix
         workers, revision = await self._store.list_items(workers_prefix)
         entries = tuple(Change(item.key, item.value, item.revision) for item in workers)
-        view = self._operators()
-        self._workers.apply_entries(
-            ChangeBatch(entries, is_snapshot=True), view.store_failed_s if view else self._now_s()
-        )
+        self._workers.apply_entries(ChangeBatch(entries, is_snapshot=True))
         async with anyio.create_task_group() as group:
             group.start_soon(
                 follow_prefix,
--- a/src/foxtailwell/controller/_links.py
+++ b/src/foxtailwell/controller/_links.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -15,6 +14,7 @@
 
 from foxtailwell.adapters.events import COMMAND_REFUSED, WORKER_REACHED, WORKER_UNRESPONSIVE
 from foxtailwell.adapters.logs import log_event
+from foxtailwell.controller._clocks import CLOCK_DRIFT_FACTOR, ClockReading, more_exact
 from foxtailwell.workflows import (
     CommandOutcome,
     Resources,
@@ -54,9 +54,6 @@
 START_ATTEMPTS = 3
 """Attempts to send a start command; an incarnation starts each run at most once."""
 
-CLOCK_DRIFT_FACTOR = 1.03
-"""Longest local time per unit of a worker's clock, which may be 2 % slow."""
-
 EXPIRY_MARGIN_S = 0.4
 """Time added to a lease for the delivery of the command and the end of the run's processes."""
 
@@ -143,13 +140,15 @@
             those of earlier controllers.
         own_leases_expire_s: The same for the leases of this term only.
         boot_unix_ms: Start time of the worker's incarnation.
-        restarted_s: Local time at which a response has shown another incarnation.
+        reading: Most exact reading of the clock of the incarnation that last responded to a
+            listing; None before the first response.
         clock_ms: Last known reading of the worker's clock, taken at the local time `clock_read_s`.
         durable_end: Ends up to this number are stored.
         acknowledged_end: Ends up to this number are acknowledged to the worker.
         listed_end: Highest number of an end in the last listing.
         may_have_runs: The worker may have runs, so that their lease must be renewed.
         is_listed: The store lists the worker, so that it may get runs.
+        needs_reading: Its entry cannot be dated without a new reading of its clock.
         is_unresponsive: A call failed, or a renewal was rejected, since the last response.
         unresponsive_since_s: Local time at which it last became unresponsive.
         responsive_since_s: Local time at which it last ceased to be unresponsive.
@@ -167,7 +166,7 @@
     leases_expire_s: float
     own_leases_expire_s: float = 0.0
     boot_unix_ms: int = 0
-    restarted_s: float = -math.inf
+    reading: ClockReading | None = None
     clock_ms: int = 0
     clock_read_s: float = 0.0
     durable_end: int = 0
@@ -175,6 +174,7 @@
     listed_end: int = 0
     may_have_runs: bool = False
     is_listed: bool = False
+    needs_reading: bool = False
     is_unresponsive: bool = False
     unresponsive_since_s: float = 0.0
     responsive_since_s: float = 0.0
@@ -222,13 +222,18 @@
     @property
     def _is_needed(self) -> bool:
         """Whether calls are due; an unresponsive worker gets no tasks until a call succeeds."""
-        is_probed = self.is_listed and self.is_unresponsive
+        is_probed = self.is_listed and (self.is_unresponsive or self.needs_reading)
         return self.may_have_runs or self.durable_end > self.acknowledged_end or is_probed
 
     @property
     def _retry_pause_s(self) -> float:
         return RETRY_PAUSE_S if self.may_have_runs else IDLE_PROBE_PAUSE_S
 
+    def request_reading(self) -> None:
+        """Read the worker's clock as soon as possible, once."""
+        self.needs_reading = True
+        self.wake.set()
+
     async def run(self) -> None:
         """Renew the lease, list ends or probe the worker while needed; runs until cancelled."""
         while True:
@@ -245,7 +250,14 @@
     async def _renew_once(self) -> None:
         sent_s = self.now_s()
         has_unprocessed_ends = self.listed_end > self.durable_end
-        is_waiting = self.may_have_runs and not has_unprocessed_ends and not self.is_unresponsive
+        # A response that the worker holds back would date its entries less exactly.
+        is_dating = self.needs_reading
+        is_waiting = (
+            self.may_have_runs
+            and not has_unprocessed_ends
+            and not self.is_unresponsive
+            and not is_dating
+        )
         wait_ms = min(LISTING_WAIT_MS, self.lease_ms // RENEWALS_PER_LEASE) if is_waiting else 0
         # Another incarnation counts its ends anew, and would discard ends that nobody has read.
         acknowledged = self.durable_end if self._has_listed else 0
@@ -276,8 +288,10 @@
             return
         self._mark_responsive()
         self._has_listed = True
-        if response.boot_unix_ms != self.boot_unix_ms:
-            self.restarted_s = self.now_s()
+        reading = ClockReading(response.boot_unix_ms, response.clock_ms, sent_s)
+        self.reading = more_exact(self.reading, reading)
+        if is_dating:
+            self.needs_reading = False
         self.update_clock(response.clock_ms, response.boot_unix_ms)
         if response.boot_unix_ms == boot_unix_ms:
             self.acknowledged_end = max(self.acknowledged_end, acknowledged)
--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -12,6 +12,7 @@
 from anyio.abc import TaskGroup
 
 from foxtailwell.adapters.events import (
+    ENTRY_LATE,
     ENTRY_REFUSED,
     WORKER_DELISTED,
     WORKER_DRAINING,
@@ -45,15 +46,15 @@
 was unavailable, and the times of deletions are unknown.
 """
 
-USUAL_GAP_HEARTBEATS = 4.0
-"""Longest usual gap between two updates, in mean gaps between the heartbeats of all workers."""
-
 MAX_REPORT_AGE_HEARTBEATS = 2
 """Age of the last report up to which a deleted entry means that the worker has shut down.
 
 The entry of an unresponsive worker expires only after three heartbeats.
 """
 
+MAX_APPARENT_AGE_HEARTBEATS = 0.35
+"""Age at which an entry appears in the store, from which the worker's clock is read again."""
+
 MIN_USABLE_REPORT_HEARTBEATS = 1.5
 """Age of a report, in heartbeats, up to which its worker may get starts even without a grace."""
 
@@ -69,8 +70,8 @@
 START_ALLOWANCE_S = 1.0
 """Time that must remain at a plan for its starts to be stored and sent, repeatedly if need be."""
 
-ENTRY_TTL_HEARTBEATS = 3
-"""Missed heartbeats after which the store deletes the entry of a worker."""
+DELIVERY_MARGIN_S = 1.0
+"""Time that a start may take to reach its worker after it was found to be in time."""
 
 LATE_START_S = 12.0
 """Time within which the platform may still deliver a start that got no response."""
@@ -148,12 +149,8 @@
         self._quarantined_until_ms: dict[str, int] = {}
         self._backoff_until_s: dict[str, float] = {}
         self._reported_s: dict[str, float] = {}
-        self._revisions: dict[str, int] = {}
-        self._written_s: dict[str, float] = {}
-        # Revisions in the first listing of the term, of workers without a report since, and the
-        # highest revision of a worker that has reported since.
-        self._first_revisions: dict[str, int] = {}
-        self._followed_revision = 0
+        # Workers whose clocks are to be read, because their entries are old or cannot be dated.
+        self._undated: set[str] = set()
         self._last_update_s = 0.0
         self._removal_candidates: set[str] = set()
         # Incarnation, by worker, that has announced its end last.
@@ -161,20 +158,12 @@
         self._unanswered_starts: dict[str, list[StartFinished]] = {}
         self._views: dict[str, _CachedView] = {}
 
-    def apply_entries(self, event: ChangeBatch, store_failed_s: float = -math.inf) -> None:
-        """Apply reported and deleted worker entries.
-
-        Args:
-            event: Changes of entries, or a listing.
-            store_failed_s: Local time at which the store was last seen to be unavailable. The
-                entries in the first listing of a term may be older than that.
-        """
+    def apply_entries(self, event: ChangeBatch) -> None:
+        """Apply reported and deleted worker entries, from changes or a listing."""
         prefix = self._access.workers_prefix
         seen: set[str] = set()
         now_s = self._now_s()
         is_continuous = now_s - self._last_update_s < MAX_UPDATE_GAP_S
-        is_first = not self._last_update_s
-        written_s = self._earliest_write_s(now_s, store_failed_s)
         self._last_update_s = now_s
         for change in event.changes:
             worker = change.key[len(prefix) :]
@@ -192,52 +181,44 @@
             self.entries[worker] = entry
             self._removal_candidates.discard(worker)
             self._reported_s[worker] = now_s
-            self._note_revision(worker, change.revision, written_s, is_first=is_first)
             self._update_link(entry)
+            self._check_age(entry)
         if event.is_snapshot:
             for worker in self.entries.keys() - seen:
                 self._delist(worker)
             self._health.remove_delisted(self.entries)
 
-    def _note_revision(
-        self, worker: str, revision: int, written_s: float, *, is_first: bool
-    ) -> None:
-        """Record when a new entry of a worker was written at the earliest."""
-        if self._revisions.get(worker) == revision:
-            return
-        if is_first:
-            self._first_revisions[worker] = revision
-        else:
-            first = self._first_revisions.pop(worker, 0)
-            self._followed_revision = max(self._followed_revision, first)
-        self._revisions[worker] = revision
-        self._written_s[worker] = written_s
-
-    def _earliest_write_s(self, now_s: float, store_failed_s: float) -> float:
-        """Return the local time since which new entries of an update were written.
-
-        Updates of a small fleet have longer gaps even while the store is available.
-        """
-        if not self._last_update_s:
-            ttl_s = ENTRY_TTL_HEARTBEATS * self._access.heartbeat_s
-            return now_s if now_s - store_failed_s > ttl_s else -math.inf
-        usual_gap_s = USUAL_GAP_HEARTBEATS * self._access.heartbeat_s / max(1, len(self.entries))
-        is_usual = now_s - self._last_update_s < max(MAX_UPDATE_GAP_S, usual_gap_s)
-        return now_s if is_usual else self._last_update_s
+    def _check_age(self, entry: WorkerEntry) -> None:
+        """Have the worker's clock read if a new entry is old, or cannot be dated."""
+        age_s = self._reported_s[entry.id] - self._stated_s(entry)
+        if age_s > MAX_APPARENT_AGE_HEARTBEATS * self._access.heartbeat_s:
+            self._undated.add(entry.id)
+        if age_s > self._access.heartbeat_s and math.isfinite(age_s):
+            log_event(ENTRY_LATE, worker=entry.id, age_s=round(age_s, 2))
 
-    def start_until_s(self, worker: str) -> float:
-        """Return the local time until which a start may rely on the reported capacity.
+    def _stated_s(self, entry: WorkerEntry) -> float:
+        """Return the earliest local time at which a worker can have written its entry.
 
-        All workers report at the same interval. If one whose entry was newer in the first listing
-        has reported since and this one has not, its entry was older than that interval.
+        The time at which an entry appears in the store does not tell: a worker that was cut off
+        sends what it wrote before. Minus infinity if the entry is not one of the incarnation that
+        responded last.
         """
-        if self._first_revisions.get(worker, math.inf) < self._followed_revision:
+        link = self.links.get(entry.id)
+        reading = link.reading if link else None
+        if reading is None or reading.boot_unix_ms != entry.boot_unix_ms:
             return -math.inf
-        limit_s = max(
-            self._access.capacity_grace_s - MAX_UPDATE_GAP_S,
+        return reading.earliest_s(entry.clock_ms)
+
+    def start_until_s(self, worker: str) -> float:
+        """Return the local time until which a start may rely on the reported capacity."""
+        entry = self.entries.get(worker)
+        stated_s = self._stated_s(entry) if entry else -math.inf
+        if stated_s == -math.inf:
+            return stated_s
+        return stated_s + max(
+            self._access.capacity_grace_s - DELIVERY_MARGIN_S,
             MIN_USABLE_REPORT_HEARTBEATS * self._access.heartbeat_s + START_ALLOWANCE_S,
         )
-        return self._written_s.get(worker, -math.inf) + limit_s
 
     def _delist(self, worker: str) -> WorkerEntry | None:
         delisted = self.entries.pop(worker, None)
@@ -307,8 +288,13 @@
     def update_links(self, group: TaskGroup) -> None:
         """Open a link to every worker that may have runs, and renew leases only on these.
 
-        Other listed workers are probed while they are unresponsive.
+        Other listed workers are probed while they are unresponsive, or to date their entries.
         """
+        undated, self._undated = self._undated, set()
+        for worker in undated:
+            link = self.link(group, worker)
+            if link is not None:
+                link.request_reading()
         occupied = set(self._registry.workers_with_tasks())
         for worker in occupied:
             self.link(group, worker)
@@ -362,11 +348,16 @@
         """Return the seconds until each draining worker may shut down, if it announces its end."""
         now_s = self._now_s()
         return {
-            worker: self._reported_s[worker] + entry.remaining_ms / 1000 - now_s
+            worker: self._noticed_s(entry) + entry.remaining_ms / 1000 - now_s
             for worker, entry in self.entries.items()
             if not entry.is_ready and entry.remaining_ms is not None
         }
 
+    def _noticed_s(self, entry: WorkerEntry) -> float:
+        """Return when a worker wrote its entry, or when that appeared if this is not known."""
+        stated_s = self._stated_s(entry)
+        return stated_s if math.isfinite(stated_s) else self._reported_s[entry.id]
+
     def ending_runs(self, worker: str, now_s: float) -> list[RunningTask]:
         """Return the runs on a worker that end by themselves or have checkpoints."""
         tasks = [
@@ -456,8 +447,7 @@
         link = self.links.get(worker)
         if not entry.is_ready:
             return Obstacle.DRAINING
-        is_outdated = now_s + START_ALLOWANCE_S >= self.start_until_s(worker)
-        if is_outdated or (link and self._is_of_earlier_incarnation(entry, link)):
+        if now_s + START_ALLOWANCE_S >= self.start_until_s(worker):
             return Obstacle.OLD_REPORT
         if link and link.is_unresponsive:
             return Obstacle.UNRESPONSIVE
@@ -469,14 +459,6 @@
             return Obstacle.KEPT_ALONE
         return None
 
-    def _is_of_earlier_incarnation(self, entry: WorkerEntry, link: WorkerLink) -> bool:
-        """Return whether a worker has restarted since it wrote its entry, and may have shrunk.
-
-        The start times of incarnations do not tell which one is newer, as clocks may be set back.
-        """
-        is_other = entry.boot_unix_ms != link.boot_unix_ms
-        return is_other and self._written_s.get(entry.id, -math.inf) < link.restarted_s
-
     def _running(self, task: Task, now_s: float, within_guarantee: frozenset[str]) -> RunningTask:
         job = self._registry.jobs[task.id.job_id]
         step = job.step(task.id)
--- a/src/foxtailwell/instance/_operators.py
+++ b/src/foxtailwell/instance/_operators.py
@@ -91,7 +91,6 @@
         self._evidence_sent_s = float("-inf")
         self._confirm_lock = anyio.Lock()
         self._is_store_unavailable = False
-        self._store_failed_s = float("-inf")
         self._recheck_event = anyio.Event()
         self.on_change: Callable[[], None] = lambda: None
 
@@ -125,12 +124,8 @@
 
     def report_store_failure(self) -> None:
         """Mark the store as unavailable after a failed call, and check it at once."""
-        self._mark_store_unavailable()
-        self._recheck_event.set()
-
-    def _mark_store_unavailable(self) -> None:
         self._is_store_unavailable = True
-        self._store_failed_s = self._now_s()
+        self._recheck_event.set()
 
     def guards(self) -> dict[str, int]:
         """Return the store condition that fails once the configuration has changed."""
@@ -145,7 +140,6 @@
             frozenset(self._zones_out_revisions),
             self._start_guards,
             self._apply_items,
-            self._store_failed_s,
         )
 
     def _apply_items(self, items: Mapping[str, Item]) -> None:
@@ -174,7 +168,7 @@
                 await self._check()
             except StoreCallError as error:
                 self._log_stale(error)
-                self._mark_store_unavailable()
+                self._is_store_unavailable = True
                 return False
             self._is_store_unavailable = False
             self._evidence_sent_s = max(self._evidence_sent_s, sent_s)
--- a/src/foxtailwell_model/_specifications.py
+++ b/src/foxtailwell_model/_specifications.py
@@ -6,6 +6,7 @@
 from foxtailwell_model._gangs import GANG_OF_THREE, GANG_OF_TWO
 from foxtailwell_model._specification import Specification
 from foxtailwell_model._task_lease import TASK_LEASE
+from foxtailwell_model._worker_reports import WORKER_REPORTS
 from foxtailwell_model._workflow_commands import WORKFLOW_COMMANDS
 
 __all__ = ["SPECIFICATIONS"]
@@ -18,4 +19,5 @@
     TASK_LEASE,
     FAILOVER,
     WORKFLOW_COMMANDS,
+    WORKER_REPORTS,
 )
--- a/tests/controller_harness.py
+++ b/tests/controller_harness.py
@@ -138,7 +138,6 @@
     maintenance: MaintenanceAccess | None = None
     heartbeat_s: float = 1.5
     capacity_grace_s: float = math.inf
-    store_failed_s: float = -math.inf
 
     @property
     def intake(self) -> Intake:
@@ -169,7 +168,7 @@
             return {CONFIGURATION: self.revision} | {f"op/evacuate/{z}": 0 for z in zones}
 
         zones = frozenset(self.zones_out)
-        return OperatorView(configuration, zones, guards, self._learn, self.store_failed_s)
+        return OperatorView(configuration, zones, guards, self._learn)
 
     def _learn(self, items: Mapping[str, Item]) -> None:
         zones = "op/evacuate/"
--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import time
+from dataclasses import dataclass
 
 import anyio
+import msgspec
 import pytest
 
-from controller_harness import LATER, Deployment, make_deployment, step, until
+from controller_harness import LATER, WORKERS, Deployment, Instance, make_deployment, step, until
+from foxtailwell.controller._clocks import ClockReading, more_exact
 from foxtailwell.workflows import (
     FleetView,
     Placement,
@@ -20,6 +23,7 @@
     WorkerView,
     plan,
 )
+from foxtailwell_standins.platform_worker import MemoryWorker
 
 pytestmark = pytest.mark.anyio
 
@@ -169,7 +173,7 @@
 
 async def test_new_controller_does_not_rely_on_reports_from_before_an_outage(fleet):
     """Guards against starts on entries that no worker could update while the store was away."""
-    fleet.store_failed_s = time.monotonic()
+    await anyio.sleep(GRACE_S)
     fleet.start("one")
     await fleet.submit(1, LATER, [step()])
     await anyio.sleep(0.5)
@@ -198,6 +202,154 @@
     assert run_count(reporting_fleet) == 1
 
 
+@dataclass
+class CutOff:
+    """A worker that is cut off from the store, shrinks meanwhile, and what it wrote before."""
+
+    fleet: Deployment
+    controller: Instance
+    worker: MemoryWorker
+    written: list[bytes]
+
+    def deliver(self, count: int = 1) -> None:
+        """Deliver what the worker wrote before it shrank, as the end of the cut does."""
+        for value in self.written[:count]:
+            self.fleet.store.write(WORKERS + self.worker.id, value)
+
+    async def replace_controller(self) -> None:
+        """Let another instance become the controller."""
+        self.controller.kill()
+        successor = self.fleet.start("two")
+        assert await until(lambda: successor.leadership.is_controller)
+
+    def reconnect(self) -> None:
+        """Let the worker write its present entry."""
+        self.fleet.publish(self.worker)
+
+
+@pytest.fixture
+async def cut_off(group) -> CutOff:
+    """Return a worker that fell silent and shrank after the controller had read its clock."""
+    fleet = make_deployment(group, 1)
+    fleet.heartbeat_s, fleet.capacity_grace_s = 0.3, GRACE_S
+    controller = fleet.start("one")
+    group.start_soon(fleet.send_heartbeats)
+    await fleet.submit(1, LATER, [step()])
+    assert await until(lambda: run_count(fleet) == 1)
+    fleet.withdrawn.add("w0")
+    worker = fleet.workers["w0"]
+    written = []
+    for _ in range(3):
+        written.append(msgspec.json.encode(worker.entry()))
+        await anyio.sleep(0.1)
+    fleet.store.delete(WORKERS + "w0")
+    shrink(fleet, "w0")
+    await anyio.sleep(GRACE_S)
+    return CutOff(fleet, controller, worker, written)
+
+
+async def deliver_one(cut: CutOff) -> None:
+    cut.deliver()
+
+
+async def deliver_several(cut: CutOff) -> None:
+    for _ in range(4):
+        cut.deliver(3)
+        await anyio.sleep(0.1)
+
+
+async def deliver_after_restart(cut: CutOff) -> None:
+    cut.worker.restart()
+    await anyio.sleep(0.3)
+    cut.deliver()
+
+
+async def deliver_before_restart(cut: CutOff) -> None:
+    cut.deliver()
+    await anyio.sleep(0.1)
+    cut.worker.restart()
+
+
+async def deliver_after_takeover(cut: CutOff) -> None:
+    await cut.replace_controller()
+    cut.deliver()
+
+
+async def deliver_before_takeover(cut: CutOff) -> None:
+    cut.deliver()
+    await cut.replace_controller()
+
+
+@pytest.mark.parametrize(
+    "deliver",
+    [
+        deliver_one,
+        deliver_several,
+        deliver_after_restart,
+        deliver_before_restart,
+        deliver_after_takeover,
+        deliver_before_takeover,
+    ],
+)
+async def test_start_does_not_rely_on_a_report_that_is_delivered_late(cut_off, deliver):
+    """Guards against a start that is checked against what a worker wrote before it shrank."""
+    await deliver(cut_off)
+    await cut_off.fleet.submit(2, LATER, [step(request=HALF)])
+    await anyio.sleep(1.0)
+    assert run_count(cut_off.fleet) == 1
+    cut_off.worker.capacity = Resources(128_000, 262_144, 8)
+    cut_off.reconnect()
+    assert await until(lambda: run_count(cut_off.fleet) >= 2)
+
+
+async def test_worker_that_is_back_gets_starts_within_two_heartbeats(cut_off):
+    """Guards against a worker that stays idle because its late reports count against newer ones."""
+    cut_off.deliver(3)
+    cut_off.worker.capacity = Resources(128_000, 262_144, 8)
+    cut_off.fleet.withdrawn.clear()
+    await cut_off.fleet.submit(2, LATER, [step(request=HALF)])
+    assert await until(lambda: run_count(cut_off.fleet) == 2, 2 * cut_off.fleet.heartbeat_s)
+
+
+async def test_idle_worker_with_a_slow_clock_stays_usable(group):
+    """Guards against reports that look ever older because the clock was last read long ago."""
+    fleet = make_deployment(group, 1, now_s=lambda: time.monotonic() * 0.8)
+    fleet.heartbeat_s, fleet.capacity_grace_s = 0.3, GRACE_S
+    fleet.start("one")
+    group.start_soon(fleet.send_heartbeats)
+    await anyio.sleep(2 * GRACE_S)
+    await fleet.submit(1, LATER, [step()])
+    assert await until(lambda: run_count(fleet) == 1, fleet.heartbeat_s)
+
+
+@pytest.mark.parametrize("rate", [1.0, 0.98])
+@pytest.mark.parametrize("shown_s", [-10.0, 0.0, 10.0])
+@pytest.mark.parametrize("response_s", [0.0, 1.5])
+def test_report_is_never_dated_later_than_it_was_written(rate, shown_s, response_s):
+    """Guards against a slow clock, or a response held back, that make a report look newer."""
+    read_s, clock_ms = 100.0, 50_000
+    reading = ClockReading(1, clock_ms, read_s - response_s)
+    written_s = read_s + shown_s / rate
+    dated_s = reading.earliest_s(clock_ms + int(shown_s * 1000))
+    assert dated_s <= written_s
+    assert dated_s >= written_s - response_s - 0.03 * abs(shown_s)
+
+
+@pytest.mark.parametrize(
+    ("boot", "clock_ms", "sent_s", "is_taken"),
+    [
+        pytest.param(1, 2_000, 101.0, True, id="as exact"),
+        pytest.param(1, 2_000, 100.5, False, id="held back"),
+        pytest.param(1, 2_000, 101.2, True, id="slow clock"),
+        pytest.param(2, 0, 100.5, True, id="other incarnation"),
+    ],
+)
+def test_reading_is_replaced_by_one_that_is_at_least_as_exact(boot, clock_ms, sent_s, is_taken):
+    """Guards against reports that look old because a busy worker holds its responses back."""
+    known, reading = ClockReading(1, 1_000, 100.0), ClockReading(boot, clock_ms, sent_s)
+    assert more_exact(known, reading) is (reading if is_taken else known)
+
+
 def test_reservation_ends_when_its_worker_shrinks():
     """Guards against a unit that waits for room which its worker no longer has."""
     queue = Queue("urgent", "pool", priority=0)
