Read the clocks of workers only when that can tell something new

- An entry that appeared late had the worker's clock read again although a recent reading showed that it really was old: 20 listings for 20 entries of a slow store, and 8 for 8 listings of the same entry.
A reading has a latest time now as well as an earliest one, and another is taken only if the entry may be recent by the one and old by the other.
An entry that is listed again is not new.
- A reading requested while a response was on its way was counted as done by that response, which may come from the life before.
The request is now cleared when the call is sent, and set again if it fails.
- An idle worker whose first reading failed was called again after 1.0 s, as long as a silence that counts as one of several at a time, so a single lost call halved the evidence of a crash elsewhere.
The first second of a silence is probed every 0.25 s, with or without runs.

--- a/src/foxtailwell/controller/_links.py
+++ b/src/foxtailwell/controller/_links.py
@@ -49,7 +49,7 @@
 """Pause after a failed call."""
 
 IDLE_PROBE_PAUSE_S = 1.0
-"""Pause between probes of an unresponsive worker without runs."""
+"""Pause between probes of a worker without runs, once it has been unresponsive for as long."""
 
 START_ATTEMPTS = 3
 """Attempts to send a start command; an incarnation starts each run at most once."""
@@ -227,7 +227,8 @@
 
     @property
     def _retry_pause_s(self) -> float:
-        return RETRY_PAUSE_S if self.may_have_runs else IDLE_PROBE_PAUSE_S
+        is_brief = self.silence_s() < IDLE_PROBE_PAUSE_S
+        return RETRY_PAUSE_S if self.may_have_runs or is_brief else IDLE_PROBE_PAUSE_S
 
     def request_reading(self) -> None:
         """Read the worker's clock as soon as possible, once."""
@@ -251,7 +252,7 @@
         sent_s = self.now_s()
         has_unprocessed_ends = self.listed_end > self.durable_end
         # A response that the worker holds back would date its entries less exactly.
-        is_dating = self.needs_reading
+        is_dating, self.needs_reading = self.needs_reading, False
         is_waiting = (
             self.may_have_runs
             and not has_unprocessed_ends
@@ -269,10 +270,12 @@
             until = self.begin_lease() if is_renewing else None
             response = await self.calls.renew_lease(until, self.token, acknowledged, wait_ms)
         except WorkerCallError as failure:
+            self.needs_reading = self.needs_reading or is_dating
             self._mark_unresponsive(failure.reason)
             await anyio.sleep(self._retry_pause_s)
             return
         if isinstance(response, CommandOutcome):
+            self.needs_reading = self.needs_reading or is_dating
             if response is CommandOutcome.FENCED:
                 self.on_fenced(self.entry.id)
             self._mark_unresponsive(response.value)
@@ -288,10 +291,8 @@
             return
         self._mark_responsive()
         self._has_listed = True
-        reading = ClockReading(response.boot_unix_ms, response.clock_ms, sent_s)
+        reading = ClockReading(response.boot_unix_ms, response.clock_ms, sent_s, self.now_s())
         self.reading = more_exact(self.reading, reading)
-        if is_dating:
-            self.needs_reading = False
         self.update_clock(response.clock_ms, response.boot_unix_ms)
         if response.boot_unix_ms == boot_unix_ms:
             self.acknowledged_end = max(self.acknowledged_end, acknowledged)
--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -177,24 +177,34 @@
             if entry is None:
                 log_event(ENTRY_REFUSED, key=change.key, size_bytes=len(change.value))
                 continue
-            self._note_change(self.entries.get(worker), entry)
+            known = self.entries.get(worker)
+            self._note_change(known, entry)
             self.entries[worker] = entry
             self._removal_candidates.discard(worker)
             self._reported_s[worker] = now_s
             self._update_link(entry)
-            self._check_age(entry)
+            if entry != known:
+                self._check_age(entry)
         if event.is_snapshot:
             for worker in self.entries.keys() - seen:
                 self._delist(worker)
             self._health.remove_delisted(self.entries)
 
     def _check_age(self, entry: WorkerEntry) -> None:
-        """Have the worker's clock read if a new entry is old, or cannot be dated."""
-        age_s = self._reported_s[entry.id] - self._stated_s(entry)
-        if age_s > MAX_APPARENT_AGE_HEARTBEATS * self._access.heartbeat_s:
+        """Have the worker's clock read if that may show a new entry to be more recent."""
+        link = self.links.get(entry.id)
+        reading = link.reading if link else None
+        if reading is None or reading.boot_unix_ms != entry.boot_unix_ms:
+            self._undated.add(entry.id)
+            return
+        limit_s = MAX_APPARENT_AGE_HEARTBEATS * self._access.heartbeat_s
+        latest_s = reading.latest_s(entry.clock_ms)
+        is_old = self._reported_s[entry.id] - latest_s > limit_s
+        if not is_old and self._reported_s[entry.id] - self._stated_s(entry) > limit_s:
             self._undated.add(entry.id)
-        if age_s > self._access.heartbeat_s and math.isfinite(age_s):
-            log_event(ENTRY_LATE, worker=entry.id, age_s=round(age_s, 2))
+        if self._reported_s[entry.id] - latest_s > self._access.heartbeat_s:
+            age_s = round(self._reported_s[entry.id] - latest_s, 2)
+            log_event(ENTRY_LATE, worker=entry.id, age_s=age_s)
 
     def _stated_s(self, entry: WorkerEntry) -> float:
         """Return the earliest local time at which a worker can have written its entry.
--- /dev/null
+++ b/tests/test_worker_reports.py
@@ -0,0 +1,197 @@
+"""How reports of workers are dated by the clocks of the workers, and what follows from it."""
+
+from __future__ import annotations
+
+import math
+import time
+from dataclasses import dataclass, replace
+
+import anyio
+import msgspec
+import pytest
+
+from controller_harness import LATER, WORKERS, Deployment, make_deployment, step, until
+from foxtailwell.controller._links import WorkerLink
+from foxtailwell.workflows import Resources, WorkerCallError, WorkerEntry
+from foxtailwell_standins.platform_worker import MemoryWorker
+
+pytestmark = pytest.mark.anyio
+
+HALF = Resources(10_000, 10_000, 4)
+SHRUNKEN = Resources(128_000, 262_144, 1)
+HEARTBEAT_S = 0.8
+TTL_S = 3 * HEARTBEAT_S
+
+
+@dataclass(slots=True)
+class CountingWorker(MemoryWorker):
+    """A worker that counts the listings it is asked for."""
+
+    listings: int = 0
+
+    async def renew_lease(self, *arguments):
+        """Count the listing and return it."""
+        self.listings += 1
+        return await MemoryWorker.renew_lease(self, *arguments)
+
+
+def encode(entry: WorkerEntry, **changes) -> bytes:
+    """Return an entry as the store holds it."""
+    return msgspec.json.encode(replace(entry, **changes))
+
+
+def run_count(deployment: Deployment) -> int:
+    """Return the number of runs that have started."""
+    return sum(len(worker.log) for worker in deployment.workers.values())
+
+
+async def test_reading_requested_during_another_one_is_taken(group):
+    """Guards against an entry left undated because a response of the life before it came later."""
+    fleet = make_deployment(group, 1)
+    fleet.capacity_grace_s = 4.5
+    worker = fleet.workers["w0"]
+    worker.faults.listing_delay_s = 0.4
+    fleet.start("one")
+    assert await until(lambda: worker.token > 0)
+    worker.restart()
+    worker.faults.listing_delay_s = 0.0
+    fleet.publish(worker)
+    await fleet.submit(1, LATER, [step()])
+    assert await until(lambda: run_count(fleet) == 1, 1.2)
+
+
+async def deliver_with_delay(fleet: Deployment, worker: MemoryWorker) -> None:
+    for _ in range(20):
+        value = encode(worker.entry())
+        await anyio.sleep(0.2)
+        fleet.store.write(WORKERS + "w0", value)
+
+
+async def list_repeatedly(fleet: Deployment, __: MemoryWorker) -> None:
+    for _ in range(8):
+        await anyio.sleep(0.4)
+        fleet.publish(fleet.workers["w1"])
+        fleet.store.drop_history()
+
+
+@pytest.mark.parametrize("deliver", [deliver_with_delay, list_repeatedly])
+async def test_recent_reading_is_not_repeated(group, deliver):
+    """Guards against calls that tell nothing new, while the store is slow or drops its history.
+
+    A clock 2 % slow differs by 0.1 s after 5 s; an entry that a recent reading shows to be old is
+    old, and a second reading dates it no better.
+    """
+    fleet = make_deployment(group, 2)
+    fleet.heartbeat_s = 0.4
+    worker = fleet.workers["w0"] = CountingWorker("w0")
+    fleet.publish(worker)
+    fleet.start("one")
+    assert await until(lambda: worker.listings > 0)
+    await deliver(fleet, worker)
+    assert worker.listings <= 3
+
+
+@dataclass(slots=True)
+class FailingOnceWorker(MemoryWorker):
+    """A worker that leaves as many listings without a response as `failures` says."""
+
+    failures: int = 0
+
+    async def renew_lease(self, *arguments):
+        """Fail, or return the listing."""
+        if self.failures:
+            self.failures -= 1
+            raise WorkerCallError("no response")
+        return await MemoryWorker.renew_lease(self, *arguments)
+
+
+@pytest.mark.parametrize("failures", [0, 1])
+async def test_failed_reading_of_an_idle_worker_excuses_no_crash(group, failures):
+    """Guards against a single lost call, repeated after a second, that counts as a silence."""
+    fleet = make_deployment(group, 1)
+    idle = fleet.workers["w1"] = FailingOnceWorker("w1", capacity=Resources(1, 1, 0))
+    fleet.publish(idle)
+    fatal = fleet.workers["w0"]
+    fatal.faults.fatal_tasks = frozenset({f"{1:016x}.0.0.0"})
+    fatal.faults.crash_s = 1.6
+    fleet.start("one")
+    assert await until(lambda: idle.token > 0 and fatal.token > 0)
+    fleet.publish(fatal)
+    await anyio.sleep(0.3)
+    late = encode(idle.entry())
+    await anyio.sleep(0.7)
+    job = await fleet.submit(1, LATER, [step()])
+    assert await until(lambda: run_count(fleet) == 1)
+    idle.failures = failures
+    fleet.store.write(WORKERS + "w1", late)
+
+    def evidence() -> list[list[object]]:
+        return msgspec.json.decode(fleet.store.items[f"foxtailwell/run/{job}"].value)["crashes"]
+
+    assert await until(lambda: bool(evidence()))
+    assert [crash[1] for crash in evidence()[0][3]] == [2]
+
+
+async def test_reading_counts_from_the_request_for_it(group):
+    """Guards against a slow response that makes every report look newer than it is."""
+    worker = MemoryWorker("w0")
+    worker.faults.listing_delay_s = 0.3
+    send, _receive = anyio.create_memory_object_stream(math.inf)
+    link = WorkerLink(
+        entry=worker.entry(),
+        calls=worker,
+        token=1,
+        lease_ms=4000,
+        now_s=time.monotonic,
+        may_act=lambda: True,
+        on_fenced=lambda _: None,
+        events=send,
+        leases_expire_s=0.0,
+        is_listed=True,
+    )
+    written_s, clock_ms = time.monotonic(), worker.clock_ms()
+    link.request_reading()
+    group.start_soon(link.run)
+    assert await until(lambda: link.reading is not None)
+    assert written_s - 0.1 < link.reading.earliest_s(clock_ms) <= written_s + 0.002
+
+
+async def test_clock_of_an_idle_worker_is_read_once(group):
+    """Guards against a worker that is called without end although its entry is dated."""
+    fleet = make_deployment(group, 1)
+    worker = fleet.workers["w0"] = CountingWorker("w0")
+    fleet.publish(worker)
+    fleet.start("one")
+    assert await until(lambda: worker.listings > 0)
+    await anyio.sleep(1.0)
+    assert worker.listings == 1
+
+
+async def test_time_left_counts_from_the_writing_of_the_notice(group):
+    """Guards against a run that is cut off because the notice of the end arrived late."""
+    fleet = make_deployment(group, 1)
+    fleet.start("one")
+    worker = fleet.workers["w0"]
+    await fleet.submit(1, LATER, [step(is_checkpointing=True, estimate_ms=60_000)])
+    assert await until(lambda: len(worker.running) == 1)
+    notice = msgspec.json.encode(replace(worker.entry(is_ready=False), remaining_ms=3000))
+    await anyio.sleep(2.5)
+    fleet.store.write(WORKERS + "w0", notice)
+    assert await until(lambda: not worker.running, 1.0)
+
+
+async def test_new_controller_leaves_the_runs_of_a_draining_worker_their_time(group):
+    """Guards against runs that are stopped before the clock of their worker is read."""
+    fleet = make_deployment(group, 1)
+    first = fleet.start("one")
+    worker = fleet.workers["w0"]
+    await fleet.submit(1, LATER, [step(is_checkpointing=True, estimate_ms=60_000)])
+    assert await until(lambda: len(worker.running) == 1)
+    fleet.publish(worker, is_ready=False, remaining_ms=60_000)
+    await anyio.sleep(0.5)
+    first.kill()
+    second = fleet.start("two")
+    assert await until(lambda: second.leadership.is_controller)
+    await anyio.sleep(0.5)
+    assert len(worker.running) == 1
+    assert not worker.ended
