Take the expiry of an old entry for no proof that a draining worker has left

Found by review.

Cause: a draining worker counts as gone if its entry is deleted within two heartbeats of its last report, because an entry that expires is three heartbeats old. The age counted from when this controller had first seen the entry, so after a change of the controller, a new listing or a late watch the expiry of the entry of a worker that is cut off looked like its departure, and its tasks were started elsewhere while it still ran them. The same class as: the moment at which something was seen stood for the one at which it was said.

The age now follows from the worker's clock; an entry that cannot be dated proves nothing, and the task waits for the lease.

Test seen to fail on in three of four cases (change of the controller, new listing, late watch; the fourth passes on it).

--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -252,7 +252,7 @@
         An entry that expired after missed heartbeats proves nothing: the worker may be disconnected
         and still run its tasks.
         """
-        report_age_s = now_s - self._reported_s.get(entry.id, 0.0)
+        report_age_s = now_s - self._stated_s(entry)
         if entry.is_ready or report_age_s > MAX_REPORT_AGE_HEARTBEATS * self._access.heartbeat_s:
             return
         self._removal_candidates.add(entry.id)
--- a/tests/test_worker_reports.py
+++ b/tests/test_worker_reports.py
@@ -10,7 +10,7 @@
 import msgspec
 import pytest
 
-from controller_harness import LATER, WORKERS, Deployment, make_deployment, step, until
+from controller_harness import LATER, WORKERS, Deployment, Instance, make_deployment, step, until
 from foxtailwell.controller._links import WorkerLink
 from foxtailwell.workflows import Resources, WorkerCallError, WorkerEntry
 from foxtailwell_standins.platform_worker import MemoryWorker
@@ -45,6 +45,56 @@
     return sum(len(worker.log) for worker in deployment.workers.values())
 
 
+async def no_change(_: Deployment, __: Instance) -> None:
+    await anyio.sleep(0.75 * TTL_S)
+
+
+async def take_over(fleet: Deployment, first: Instance) -> None:
+    first.kill()
+    second = fleet.start("two")
+    assert await until(lambda: second.leadership.is_controller)
+    await anyio.sleep(0.2)
+
+
+async def list_again(fleet: Deployment, _: Instance) -> None:
+    await anyio.sleep(0.75 * TTL_S)
+    fleet.store.drop_history()
+    await anyio.sleep(0.3)
+
+
+async def delay_watches(fleet: Deployment, first: Instance) -> None:
+    first.faults.is_watch_stalled = False
+    await anyio.sleep(0.5)
+
+
+@pytest.mark.parametrize("change", [no_change, take_over, list_again, delay_watches])
+async def test_expired_entry_of_a_draining_worker_is_no_proof_that_it_has_left(group, change):
+    """Guards against a second run while a draining worker that is cut off still has the first.
+
+    Its last report is three heartbeats old when its entry expires, however recently this
+    controller has read the entry.
+    """
+    fleet = make_deployment(group, 2)
+    fleet.heartbeat_s = HEARTBEAT_S
+    group.start_soon(fleet.send_heartbeats)
+    first = fleet.start("one")
+    _, task = await fleet.start_one_task()
+    holder = fleet.holder_of(task)
+    fleet.withdrawn.add(holder.id)
+    first.faults.is_watch_stalled = change is delay_watches
+    await anyio.sleep(0.7)
+    fleet.publish(holder, is_ready=False, remaining_ms=60_000)
+    said_s = anyio.current_time()
+    await anyio.sleep(0.3 + first.faults.is_watch_stalled * 0.7)
+    holder.faults.is_unreachable = True
+    await change(fleet, first)
+    await anyio.sleep(max(0.0, said_s + TTL_S - anyio.current_time()))
+    fleet.store.delete(WORKERS + holder.id)
+    await anyio.sleep(0.7)
+    assert task in holder.running
+    assert len(fleet.runs(task)) == 1
+
+
 async def test_reading_requested_during_another_one_is_taken(group):
     """Guards against an entry left undated because a response of the life before it came later."""
     fleet = make_deployment(group, 1)
