Leave out worker entries that are out of order, of the future or of another life

Found by review.

- An older entry of the same incarnation replaced a newer one, so a late "ready" lifted a "draining" for up to its own age.
An entry with a lower clock than the known one is left out, if the known one could be dated.
- An entry from before a restart with the same start time has a clock ahead of the new one, was dated in the future and believed.
No entry can have been written after it appeared, so such a one is not dated.
- A late notice of an earlier incarnation stopped the runs of the next.
Only a dated notice counts, and once an entry of another incarnation appears the clock is read anew, so that it is known which of them responds.

A reading that fails leaves a draining worker's runs until its lease has ended, as a worker that cannot be reached gets no stops anyway.

Tests seen to fail on: three of tests/test_worker_reports.py.

--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -55,6 +55,9 @@
 MAX_APPARENT_AGE_HEARTBEATS = 0.35
 """Age at which an entry appears in the store, from which the worker's clock is read again."""
 
+CLOCK_STEP_S = 0.002
+"""Rounding of the difference of two readings of a worker's clock, which counts milliseconds."""
+
 MIN_USABLE_REPORT_HEARTBEATS = 1.5
 """Age of a report, in heartbeats, up to which its worker may get starts even without a grace."""
 
@@ -178,6 +181,8 @@
                 log_event(ENTRY_REFUSED, key=change.key, size_bytes=len(change.value))
                 continue
             known = self.entries.get(worker)
+            if self._is_out_of_order(entry):
+                continue
             self._note_change(known, entry)
             self.entries[worker] = entry
             self._removal_candidates.discard(worker)
@@ -193,8 +198,11 @@
     def _check_age(self, entry: WorkerEntry) -> None:
         """Have the worker's clock read if that may show a new entry to be more recent."""
         link = self.links.get(entry.id)
+        if link and link.reading and link.reading.boot_unix_ms != entry.boot_unix_ms:
+            # The worker may have restarted since, or the entry is one from before its restart.
+            link.reading = None
         reading = link.reading if link else None
-        if reading is None or reading.boot_unix_ms != entry.boot_unix_ms:
+        if reading is None:
             self._undated.add(entry.id)
             return
         limit_s = MAX_APPARENT_AGE_HEARTBEATS * self._access.heartbeat_s
@@ -211,13 +219,24 @@
 
         The time at which an entry appears in the store does not tell: a worker that was cut off
         sends what it wrote before. Minus infinity if the entry is not one of the incarnation that
-        responded last.
+        responded last. That is so, too, if it seems to be of the future.
         """
         link = self.links.get(entry.id)
         reading = link.reading if link else None
         if reading is None or reading.boot_unix_ms != entry.boot_unix_ms:
             return -math.inf
-        return reading.earliest_s(entry.clock_ms)
+        stated_s = reading.earliest_s(entry.clock_ms)
+        return stated_s if stated_s <= self._reported_s[entry.id] + CLOCK_STEP_S else -math.inf
+
+    def _is_out_of_order(self, entry: WorkerEntry) -> bool:
+        """Return whether an entry was written before the one that is known."""
+        known = self.entries.get(entry.id)
+        return (
+            known is not None
+            and known.boot_unix_ms == entry.boot_unix_ms
+            and known.clock_ms > entry.clock_ms
+            and math.isfinite(self._stated_s(known))
+        )
 
     def start_until_s(self, worker: str) -> float:
         """Return the local time until which a start may rely on the reported capacity."""
@@ -355,19 +374,19 @@
         self._quarantine(worker)
 
     def draining(self) -> dict[str, float]:
-        """Return the seconds until each draining worker may shut down, if it announces its end."""
+        """Return the seconds until each draining worker may shut down, if it announces its end.
+
+        The notice of another incarnation than the one that has the runs says nothing of them.
+        """
         now_s = self._now_s()
         return {
-            worker: self._noticed_s(entry) + entry.remaining_ms / 1000 - now_s
+            worker: stated_s + entry.remaining_ms / 1000 - now_s
             for worker, entry in self.entries.items()
-            if not entry.is_ready and entry.remaining_ms is not None
+            if not entry.is_ready
+            and entry.remaining_ms is not None
+            and math.isfinite(stated_s := self._stated_s(entry))
         }
 
-    def _noticed_s(self, entry: WorkerEntry) -> float:
-        """Return when a worker wrote its entry, or when that appeared if this is not known."""
-        stated_s = self._stated_s(entry)
-        return stated_s if math.isfinite(stated_s) else self._reported_s[entry.id]
-
     def ending_runs(self, worker: str, now_s: float) -> list[RunningTask]:
         """Return the runs on a worker that end by themselves or have checkpoints."""
         tasks = [
--- a/tests/test_worker_reports.py
+++ b/tests/test_worker_reports.py
@@ -95,6 +95,72 @@
     assert len(fleet.runs(task)) == 1
 
 
+async def test_older_report_that_arrives_after_a_newer_one_does_not_replace_it(group):
+    """Guards against starts on a draining worker whose earlier report arrives out of order."""
+    fleet = make_deployment(group, 1)
+    fleet.capacity_grace_s = 4.5
+    fleet.start("one")
+    await fleet.start_one_task()
+    worker = fleet.workers["w0"]
+    earlier = encode(worker.entry())
+    await anyio.sleep(0.1)
+    fleet.publish(worker, is_ready=False, remaining_ms=60_000)
+    await anyio.sleep(0.5)
+    fleet.store.write(WORKERS + "w0", earlier)
+    await anyio.sleep(0.5)
+    await fleet.submit(2, LATER, [step()])
+    await anyio.sleep(0.6)
+    assert run_count(fleet) == 1
+
+
+async def test_report_that_seems_to_be_of_the_future_allows_no_start(group):
+    """Guards against a start on a report from before a restart with the same start time.
+
+    No worker can have written an entry after it appeared, so the reading is of another life.
+    """
+    fleet = make_deployment(group, 1)
+    fleet.heartbeat_s, fleet.capacity_grace_s = 0.3, 2.5
+    worker = fleet.workers["w0"]
+    worker._boot_s -= 60.0
+    fleet.start("one")
+    group.start_soon(fleet.send_heartbeats)
+    await fleet.start_one_task()
+    await anyio.sleep(1.0)
+    fleet.withdrawn.add("w0")
+    late = encode(worker.entry())
+    worker.restart()
+    worker.boot_unix_ms -= 1
+    worker.capacity = SHRUNKEN
+    fleet.store.delete(WORKERS + "w0")
+    await anyio.sleep(2.6)
+    before = run_count(fleet)
+    fleet.store.write(WORKERS + "w0", late)
+    await anyio.sleep(0.5)
+    fleet.store.write(WORKERS + "w0", late)
+    await fleet.submit(2, LATER, [step(request=HALF)])
+    await anyio.sleep(1.0)
+    assert run_count(fleet) == before
+
+
+async def test_late_notice_of_an_earlier_incarnation_does_not_stop_the_runs_of_the_next(group):
+    """Guards against work thrown away because of the end of an incarnation that is gone."""
+    fleet = make_deployment(group, 1)
+    fleet.heartbeat_s, fleet.capacity_grace_s = 0.3, 2.5
+    fleet.start("one")
+    group.start_soon(fleet.send_heartbeats)
+    worker = fleet.workers["w0"]
+    assert await until(lambda: worker.token > 0)
+    late = encode(worker.entry(is_ready=False), remaining_ms=300)
+    worker.restart()
+    await fleet.submit(1, LATER, [step(estimate_ms=60_000)])
+    assert await until(lambda: run_count(fleet) == 1)
+    await anyio.sleep(0.5)
+    fleet.withdrawn.add("w0")
+    fleet.store.write(WORKERS + "w0", late)
+    await anyio.sleep(1.0)
+    assert len(worker.running) == 1
+
+
 async def test_reading_requested_during_another_one_is_taken(group):
     """Guards against an entry left undated because a response of the life before it came later."""
     fleet = make_deployment(group, 1)
