Stop watching a listener before its accept is cancelled

Callers saw: test_evidence_against_requests_reaches_all_entries_and_survives_a_restart failed at times. A task that served peers, or a relay of the stand-ins, and was cancelled as a connection came in, raised InvalidStateError in the event loop (anyio's test runner turns this into a failure; elsewhere it is logged), and the connection stayed open without anyone to serve it. The daemons run on uvloop, which is not concerned; tests, the soak's links and `foxtailwell-standin relay` run on asyncio's own loop.

Cause: asyncio's selector loop sets the result of an accept without a look at whether the accept was cancelled meanwhile. When the listener is found readable and the task that accepts is cancelled before it in the same iteration of the loop, this raises.

Ruled out: the HTTP servers (uvicorn listens with asyncio's own server, which accepts without a future); connects and receives, for which asyncio looks whether the future is done. Closing the listener alone, while the accept goes on (read, not run): a close that falls into the pause before an accept finds no accept to end, which would then wait for ever behind the shield.

Change: `serve_connections` accepts behind a shield. When it is cancelled it first takes the sockets from the loop, which also drops a callback that is already due, then ends the accept, and closes the listener once the accept is gone. The listeners of tests use it as well, as they had the same cause.

--- a/src/foxtailwell/fleet/_peer_server.py
+++ b/src/foxtailwell/fleet/_peer_server.py
@@ -12,6 +12,7 @@
 from anyio.abc import SocketAttribute, SocketStream, TaskStatus
 
 from foxtailwell.adapters import events
+from foxtailwell.adapters.listeners import serve_connections
 from foxtailwell.adapters.logs import log_event
 from foxtailwell.adapters.peers import (
     ClaimQuery,
@@ -69,11 +70,10 @@
                 connections -= 1
 
     listener = await anyio.create_tcp_listener(local_host=endpoint.host, local_port=endpoint.port)
-    async with listener:
-        port = listener.extra(SocketAttribute.local_port)
-        log_event(events.PEER_LISTENING, host=endpoint.host, port=port)
-        task_status.started(port)
-        await listener.serve(handle)
+    port = listener.extra(SocketAttribute.local_port)
+    log_event(events.PEER_LISTENING, host=endpoint.host, port=port)
+    task_status.started(port)
+    await serve_connections(listener, handle)
 
 
 async def _serve_connection(
--- a/src/foxtailwell_standins/relay.py
+++ b/src/foxtailwell_standins/relay.py
@@ -19,6 +19,8 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from foxtailwell.adapters.listeners import serve_connections
+
 __all__ = ["LinkFailures", "RelayState", "make_relay_app", "serve_relay"]
 
 Direction = Literal["to_target", "to_client"]
@@ -131,9 +133,8 @@
         task_status: Receives the port once the relay accepts connections.
     """
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=port)
-    async with listener:
-        task_status.started(int(listener.extra(anyio.abc.SocketAttribute.local_port)))
-        await listener.serve(lambda client: _forward(state, client))
+    task_status.started(int(listener.extra(anyio.abc.SocketAttribute.local_port)))
+    await serve_connections(listener, lambda client: _forward(state, client))
 
 
 async def _forward(state: RelayState, client: SocketStream) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,6 +15,7 @@
 from loguru import logger
 
 from foxtailwell.adapters.http_server import serve_http
+from foxtailwell.adapters.listeners import serve_connections
 from foxtailwell.adapters.store import StoreClient, open_store
 from foxtailwell_standins.store import StoreState, make_store_app
 
@@ -107,7 +108,7 @@
 
     async def start(group: TaskGroup, handle: Callable) -> str:
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-        group.start_soon(listener.serve, handle)
+        group.start_soon(serve_connections, listener, handle)
         return f"127.0.0.1:{listener.extra(anyio.abc.SocketAttribute.local_port)}"
 
     return start
--- a/tests/test_admin_command.py
+++ b/tests/test_admin_command.py
@@ -12,6 +12,7 @@
 from starlette.routing import Route
 
 from foxtailwell.adapters.http_server import json_response
+from foxtailwell.adapters.listeners import serve_connections
 from foxtailwell.adapters.settings import Settings, load_settings
 from foxtailwell.cli.admin import Admin
 from foxtailwell.core import InstanceRecord
@@ -122,8 +123,8 @@
             await stream.receive()
 
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
-    async with listener, anyio.create_task_group() as group:
-        group.start_soon(listener.serve, drop)
+    async with anyio.create_task_group() as group:
+        group.start_soon(serve_connections, listener, drop)
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
         address = f"http://127.0.0.1:{port}"
         code, message = await admin("zone", "back", "x", "--revision", "0", address=address)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -10,6 +10,7 @@
 import pytest
 
 from foxtailwell.adapters.http_client import open_http_client
+from foxtailwell.adapters.listeners import serve_connections
 from foxtailwell_standins.relay import LinkFailures, RelayState, make_relay_app, serve_relay
 
 pytestmark = pytest.mark.anyio
@@ -27,8 +28,8 @@
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
     target_port = listener.extra(anyio.abc.SocketAttribute.local_port)
     state = RelayState(f"127.0.0.1:{target_port}")
-    async with listener, anyio.create_task_group() as group:
-        group.start_soon(listener.serve, echo)
+    async with anyio.create_task_group() as group:
+        group.start_soon(serve_connections, listener, echo)
         port = await group.start(serve_relay, state, 0)
         yield state, lambda: anyio.connect_tcp("127.0.0.1", port)
         group.cancel_scope.cancel()
