End the turn of a machine that rejects its maintenance

Callers saw: a worker that takes no work for as long as its wave is open, and a wave that stays `running`. With max_count 1 no other machine of the wave had its turn.

Cause: only the success of the command, the removal of the machine or the end of the wave lifted a cordon. A machine that answers each command with "busy" or "wave" brings about none of them.

Ruled out: to count the machine as settled (the wave would be reported as complete, which the operators' rules forbid); to lift the cordon at the first rejection (a machine that has just come up would be drained twice); the same for commands without a response: they may still take effect, and then a machine would go down beside the next one. That wait has no bound; FW1629 tells of it.

Change: commands are repeated for 1 s after the first rejection. Then the machine takes tasks again, the others of its wave go first, and its next turn comes after 2 s, doubling up to 32 s, because each turn stops what runs there. If a command to it got no response within the last 3.5 s, it stays cordoned without further commands until then. FW1640 names the machine and the pause.

--- a/src/foxtailwell/controller/_maintenance.py
+++ b/src/foxtailwell/controller/_maintenance.py
@@ -15,6 +15,7 @@
 
 from foxtailwell.adapters.events import (
     MACHINE_CALL_FAILED,
+    MACHINE_RELEASED,
     MAINTENANCE_REFUSED,
     MAINTENANCE_STARTED,
     RECORD_UNREADABLE,
@@ -66,6 +67,24 @@
 SCHEDULE_MARGIN_S = 2.0
 """Time reserved for listings and stops within the time available for each machine."""
 
+REJECTION_GRACE_S = 1.0
+"""Time for which commands to a machine that rejects its maintenance are repeated at once."""
+
+LATE_COMMAND_S = FIRST_COMMAND_DELAY_S
+"""Time within which a command that got no response may still take effect."""
+
+REJECTION_PAUSE_S = 2.0
+"""Shortest time for which a machine that rejected its maintenance runs tasks until its next turn.
+
+It doubles with each further rejection, because each turn stops what runs there.
+"""
+
+MAX_REJECTION_PAUSE_S = 32.0
+"""Longest time for which such a machine waits for its next turn."""
+
+_REJECTIONS = frozenset({MaintenanceOutcome.BUSY, MaintenanceOutcome.OTHER_WAVE})
+"""Outcomes that concern one machine; others of its wave may be accepted meanwhile."""
+
 
 @dataclass(frozen=True, slots=True)
 class MaintenanceAccess:
@@ -107,6 +126,29 @@
 MaintenanceEvent = MachinesListed | MaintenanceCommandFinished
 
 
+@dataclass(slots=True)
+class _Rejections:
+    """Rejected commands to one machine.
+
+    Attributes:
+        turns: Turns of the machine that ended with its rejections.
+        since_s: Local time of the first rejection in this turn; infinite for none.
+        paused_until_s: Local time from which the machine may have its next turn.
+    """
+
+    turns: int = 0
+    since_s: float = math.inf
+    paused_until_s: float = 0.0
+
+    def end_turn(self, now_s: float) -> float:
+        """End the turn, and return the pause until the next one in seconds."""
+        pause_s = min(REJECTION_PAUSE_S * 2.0 ** min(self.turns, 10), MAX_REJECTION_PAUSE_S)
+        self.turns += 1
+        self.since_s = math.inf
+        self.paused_until_s = now_s + pause_s
+        return pause_s
+
+
 @dataclass(slots=True)
 class _OpenWave:
     """A maintenance wave in progress.
@@ -115,11 +157,15 @@
         cordoned_since_s: Local times at which machines were cordoned: they get no further start.
         settled_since_s: Local times at which the maintenance of machines began or they were
             removed.
+        rejections: Machines that have rejected a command.
+        unanswered_s: Local times at which commands to machines last got no response.
     """
 
     wave: MaintenanceWave
     cordoned_since_s: dict[str, float] = field(default_factory=dict)
     settled_since_s: dict[str, float] = field(default_factory=dict)
+    rejections: dict[str, _Rejections] = field(default_factory=dict)
+    unanswered_s: dict[str, float] = field(default_factory=dict)
 
     @property
     def is_complete(self) -> bool:
@@ -231,13 +277,18 @@
             log_event(MAINTENANCE_STARTED, wave=event.wave, machine=event.machine)
             found.settled_since_s[event.machine] = self._now_s()
             found.cordoned_since_s.pop(event.machine, None)
-        elif event.outcome is not None:
+        elif event.outcome is None:
+            found.unanswered_s[event.machine] = self._now_s()
+        else:
             log_event(
                 MAINTENANCE_REFUSED,
                 wave=event.wave,
                 machine=event.machine,
                 reason=event.outcome.value,
             )
+            if event.outcome in _REJECTIONS:
+                rejections = found.rejections.setdefault(event.machine, _Rejections())
+                rejections.since_s = min(rejections.since_s, self._now_s())
 
     def decide(self) -> list[Task]:
         """Cordon machines, and queue commands for those without runs.
@@ -247,25 +298,54 @@
         """
         stops: list[Task] = []
         for number, wave in self._waves.items():
+            self._release_rejecting(wave)
             self._cordon(wave)
             for machine, since_s in wave.cordoned_since_s.items():
                 tasks = self._tasks(machine)
                 if not tasks:
-                    self._queue_command(number, machine)
+                    if not self._is_rejecting(wave, machine):
+                        self._queue_command(number, machine)
                 elif self._now_s() - since_s >= wave.drain_timeout_s(self._access.down_s):
                     stops += self._stoppable(tasks)
         return stops
 
+    def _is_rejecting(self, wave: _OpenWave, machine: str) -> bool:
+        """Return whether a machine has rejected its maintenance for too long in this turn."""
+        found = wave.rejections.get(machine)
+        return found is not None and self._now_s() - found.since_s >= REJECTION_GRACE_S
+
+    def _release_rejecting(self, wave: _OpenWave) -> None:
+        """End the turn of machines that reject their maintenance, so that others have theirs.
+
+        A machine to which a command is queued, or may still take effect, stays cordoned: it might
+        go down with runs on it, and beside the next machine.
+        """
+        now_s = self._now_s()
+        for machine in list(wave.cordoned_since_s):
+            is_settled = now_s - wave.unanswered_s.get(machine, -math.inf) >= LATE_COMMAND_S
+            is_queued = (wave.wave.number, machine) in self._commands
+            if self._is_rejecting(wave, machine) and is_settled and not is_queued:
+                del wave.cordoned_since_s[machine]
+                pause_s = wave.rejections[machine].end_turn(now_s)
+                log_event(MACHINE_RELEASED, wave=wave.wave.number, machine=machine, pause_s=pause_s)
+
     def _cordon(self, wave: _OpenWave) -> None:
         known = [m for m in wave.wave.machines if m in self._machines]
         down = [m for m in known if m not in wave.cordoned_since_s and self._is_down(wave, m)]
         free = wave.wave.max_count - len(down) - len(wave.cordoned_since_s)
+        now_s = self._now_s()
+        none = _Rejections()
+        rejections = {m: wave.rejections.get(m, none) for m in known}
         waiting = [
-            m for m in known if m not in wave.settled_since_s and m not in wave.cordoned_since_s
+            m
+            for m in known
+            if m not in wave.settled_since_s
+            and m not in wave.cordoned_since_s
+            and now_s >= rejections[m].paused_until_s
         ]
-        waiting.sort(key=lambda m: len(self._tasks(m)))
+        waiting.sort(key=lambda m: (rejections[m].turns, len(self._tasks(m))))
         for machine in waiting[: max(0, free)]:
-            wave.cordoned_since_s[machine] = self._now_s()
+            wave.cordoned_since_s[machine] = now_s
 
     def _is_down(self, wave: _OpenWave, machine: str) -> bool:
         # A listing sent before may still show the state of the machine before its maintenance.
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -106,6 +106,45 @@
     assert await until(lambda: bool(machines.log), FIRST_COMMAND_DELAY_S + 3.0)
 
 
+async def test_machine_that_rejects_its_maintenance_runs_tasks_until_its_next_turn(group):
+    """Guards against a worker that stays empty, and a machine that is never asked again."""
+    deployment, machines = maintained_deployment(group, 1, busy=frozenset({"m-w0"}))
+    deployment.start("one")
+    deployment.workers["w0"].task_duration_s = 0.3
+    request_wave(deployment, ["m-w0"], within_s=60.0)
+    assert await until(lambda: state_of(deployment) == "running")
+    job = await deployment.submit(2, LATER, [step()])
+    task = f"{job}.0.0.0"
+    assert not await until(lambda: bool(deployment.runs(task)), 1.0)
+    assert await until(lambda: bool(deployment.runs(task)), FIRST_COMMAND_DELAY_S + 1.0)
+    machines.busy = frozenset()
+    assert await until(lambda: state_of(deployment) == "completed", 5.0)
+
+
+@pytest.mark.parametrize("is_first_unanswered", [False, True])
+async def test_rejecting_machine_keeps_its_turn_while_a_command_may_take_effect(
+    group, monkeypatch, is_first_unanswered
+):
+    """Guards against a late command that takes down a machine beside the next one of its wave."""
+    deployment, machines = maintained_deployment(group, 2, busy=frozenset({"m-w0"}))
+    commands = []
+    begin = MemoryMachines.begin_maintenance
+
+    async def begin_maintenance(calls, machine, wave, token):
+        commands.append((machine, anyio.current_time()))
+        if is_first_unanswered and len(commands) == 1:
+            raise MachineCallError("no response")
+        return await begin(calls, machine, wave, token)
+
+    monkeypatch.setattr(MemoryMachines, "begin_maintenance", begin_maintenance)
+    deployment.start("one")
+    request_wave(deployment, ["m-w0", "m-w1"], within_s=60.0)
+    assert await until(lambda: bool(machines.log), 2 * FIRST_COMMAND_DELAY_S + 3.0)
+    first_s = next(at for machine, at in commands if machine == "m-w0")
+    next_s = next(at for machine, at in commands if machine == "m-w1")
+    assert (next_s - first_s >= FIRST_COMMAND_DELAY_S) == is_first_unanswered
+
+
 async def test_machines_are_listed_by_page_and_commands_are_fenced(anyio_server):
     """Guards against an adapter that reads only one page or omits the fencing token."""
     pages = [
