Bound the wait of suspects that are kept alone for one another

Callers saw: work that waits in an idle pool until each earlier suspect has outlasted its probation: 17.4 s in process for eight suspects and one worker.

Cause: a suspect that is kept alone could start only on a worker without any other suspect, however long it waited. The sum of the probations was its only bound, because each joint crash would have been further evidence against all of them, up to the limit.

Ruled out: a shorter probation (the wait still grows with the number of suspects); letting one join after the other as soon as its predecessor has outlasted its earlier crash (workers list their runs every 1 to 1.5 s, which gains less than half).

Change: after 2 s in a pool that is not busy, suspects join also those that are kept alone, where no other worker will do. A crash under suspects of several jobs has the weight 0 against those that were kept alone: it may have been any of them. A suspect with such a crash in its record never shares a worker with another one until it has outlasted its runs. So an innocent task is given up by crashes without other suspects only, as before, and a task that is kept alone takes part in one joint crash at most. What remains: after a joint crash, its suspects wait for one another's probations as before.

Tests: eight suspects of an immediate crash run again after 2.4 s with one worker; four such suspects of which one is a cause: it is given up after five runs at most and the others complete. Three tests demanded that suspects that are kept alone are never joined, against joint crashes that give up innocent ones; they now demand it of those with a joint crash, and a new test that a joint crash is no evidence. With the weight 0 left out, that one fails and so does test_crashing_task_among_joint_suspects_is_given_up_alone, which is unchanged (20.1 s, 19.1 s before).

--- a/src/foxtailwell/controller/_crashes.py
+++ b/src/foxtailwell/controller/_crashes.py
@@ -129,4 +129,11 @@
     silent_after_s = (
         link.unresponsive_since_s - task.start_settled_s if is_start_known else math.inf
     )
-    return LostRun(task.id, task.lasted_s, silent_after_s, bool(task.crashes), task.is_on_probation)
+    return LostRun(
+        task.id,
+        task.lasted_s,
+        silent_after_s,
+        bool(task.crashes),
+        task.is_on_probation,
+        task.is_kept_alone,
+    )
--- a/src/foxtailwell/workflows/__init__.py
+++ b/src/foxtailwell/workflows/__init__.py
@@ -16,6 +16,7 @@
     LostRun,
     is_given_up,
     is_kept_alone,
+    is_kept_apart,
     probation_s,
     weigh_crash,
 )
@@ -138,6 +139,7 @@
     "find_submission_fault",
     "is_given_up",
     "is_kept_alone",
+    "is_kept_apart",
     "plan",
     "probation_s",
     "runs_to_stop",
--- a/src/foxtailwell/workflows/_capacity.py
+++ b/src/foxtailwell/workflows/_capacity.py
@@ -27,8 +27,8 @@
 """Longest wait for local workers, behind a gang's reservation, or apart from suspects, beside free
 capacity.
 
-Ready work must not wait 3 s while capacity is free elsewhere. Suspects that are kept alone wait
-longer: each joint crash would be further evidence against all of them, up to the limit.
+Ready work must not wait 3 s while capacity is free elsewhere. Suspects wait longer for each other
+once they have crashed a worker together.
 """
 
 _EMPTY_POOL = PoolUse(Resources(), Resources())
@@ -75,13 +75,15 @@
     suspects: dict[str, SchedulingUnit] = field(default_factory=dict)
     starting: dict[str, set[tuple[str, int, int]]] = field(default_factory=dict)
     overdue_workers: set[str] = field(default_factory=set)
-    _eligible: dict[tuple[str, str, bool], EligibleWorkers] = field(default_factory=dict)
+    _eligible: dict[tuple[str, str, bool, bool], EligibleWorkers] = field(default_factory=dict)
 
     def eligible_workers(self, unit: SchedulingUnit) -> EligibleWorkers:
         """Return the usable workers with the unit's pool and label that its advice allows."""
-        key = (unit.queue.pool, unit.step.required_label, self._joins_all(unit))
+        joins_any = self._joins_suspects(unit)
+        joins_apart = joins_any and not unit.is_suspect
+        key = (unit.queue.pool, unit.step.required_label, joins_any, joins_apart)
         if key not in self._eligible:
-            pool, label, _ = key
+            pool, label, _, _ = key
             found = [
                 worker
                 for worker in self.workers.values()
@@ -97,12 +99,13 @@
 
     def is_usable(self, worker: WorkerView, unit: SchedulingUnit) -> bool:
         """Return whether tasks of the unit may start on a worker, whatever runs there."""
-        is_kept_alone = worker.obstacle is Obstacle.KEPT_ALONE
-        return worker.is_usable or (is_kept_alone and self._joins_all(unit))
+        if worker.obstacle is Obstacle.KEPT_ALONE and self._joins_suspects(unit):
+            return not (unit.is_suspect and worker.has_suspect_apart)
+        return worker.is_usable
 
-    def _joins_all(self, unit: SchedulingUnit) -> bool:
+    def _joins_suspects(self, unit: SchedulingUnit) -> bool:
         """Return whether the unit may start even beside suspects that are kept alone."""
-        return not unit.is_suspect and self.is_overdue(unit)
+        return self.is_overdue(unit) and not unit.is_kept_apart
 
     def allocate(self, worker: str, unit: SchedulingUnit) -> None:
         """Subtract the request of one task of the unit from a worker's free capacity."""
@@ -115,7 +118,7 @@
         if unit.step.is_filling:
             self.filling_workers.add(worker)
         known = self.suspects.get(worker)
-        if unit.is_suspect and (known is None or not known.is_kept_alone):
+        if unit.is_suspect and (known is None or not known.is_kept_alone or unit.is_kept_apart):
             self.suspects[worker] = unit
 
     def max_copies(self, worker: str, unit: SchedulingUnit, free: Resources | None = None) -> int:
@@ -199,10 +202,13 @@
 
     def _may_share(self, worker: str, unit: SchedulingUnit) -> bool:
         """Return whether a unit may start beside the suspects on a worker, or as one of them."""
-        if unit.is_kept_alone or not self.is_overdue(unit):
+        if not self._joins_suspects(unit):
             return self.is_apart(worker, unit)
         suspect = self.suspects.get(worker)
-        return not (unit.is_suspect and suspect is not None and suspect.is_kept_alone)
+        has_suspect_apart = self.workers[worker].has_suspect_apart or (
+            suspect is not None and suspect.is_kept_apart and suspect.key != unit.key
+        )
+        return not (unit.is_suspect and has_suspect_apart)
 
     def is_apart(self, worker: str, unit: SchedulingUnit) -> bool:
         """Return whether nothing on a worker is to be kept apart from the unit."""
