Let workers of the soak change behind cuts from store and instances

Its longest silences left the entries of the workers fresh, so no report was ever late, and capacities changed only while they could be reported.

Change: a schedule of its own cuts workers off from the store and from the instances for longer than leases and entries last. Behind the cut they shrink, or restart with less, or carry out late what arrived before the cut was complete. Once it ends, the entry from before the cut is stored first and the present one a heartbeat later. Schedules of earlier seeds stay as they are.

--- a/src/foxtailwell_soak/_faults.py
+++ b/src/foxtailwell_soak/_faults.py
@@ -28,7 +28,14 @@
 from foxtailwell_standins.platform_worker import MemoryWorker
 from foxtailwell_standins.relay import LinkFailures, RelayState
 
-__all__ = ["Fault", "FaultInjector", "draw_faults", "draw_lasting_faults", "draw_workload_faults"]
+__all__ = [
+    "Fault",
+    "FaultInjector",
+    "draw_cuts",
+    "draw_faults",
+    "draw_lasting_faults",
+    "draw_workload_faults",
+]
 
 FIRST_FAULT_S = 1.5
 """Time before the first fault, in which the instances start and accept jobs."""
@@ -42,6 +49,12 @@
 OUTLASTING_S = 1.1 * BOUNDS.max_hold_ms / 1000 + 2.0
 """Time after which a silent worker is unresponsive and the leases of its runs have ended."""
 
+CHANGE_AFTER_S = 1.0
+"""Time from a cut to the change behind it; as long, commands without a response wait next."""
+
+LATE_STARTS = 4
+"""Most starts that a worker carries out late behind a cut."""
+
 RESTART_DELAY_S = (0.05, 1.5)
 """Range of the delay before a killed instance is started again."""
 
@@ -66,6 +79,10 @@
 """Worker entries of another writer: deep nesting, numbers too large, a port out of range."""
 
 
+SILENCE = LinkFailures(drop=("to_target", "to_client"))
+RESPONSES_LOST = LinkFailures(drop=("to_client",))
+
+
 @dataclass(frozen=True, slots=True)
 class Fault:
     """One scheduled fault.
@@ -126,6 +143,16 @@
     return draw_faults(rng, length_s, LASTING_FAULT_KINDS, LASTING_INTERVAL_S)
 
 
+def draw_cuts(rng: random.Random, length_s: float) -> list[Fault]:
+    """Return a random schedule of workers that change while they are cut off.
+
+    Args:
+        rng: Random source; the order of draws determines the schedule of a seed.
+        length_s: Time in which faults start.
+    """
+    return draw_faults(rng, length_s, CUT_KINDS, CUT_INTERVAL_S)
+
+
 class FaultInjector:
     """Injects faults into a deployment and removes them.
 
@@ -274,11 +301,11 @@
 
     async def drop_traffic(self, fault: Fault) -> None:
         """Drop all bytes of a link while its connections stay open."""
-        await self._set_link_faults(fault, LinkFailures(drop=("to_target", "to_client")))
+        await self._set_link_faults(fault, SILENCE)
 
     async def drop_responses(self, fault: Fault) -> None:
         """Drop the responses on a link: calls take effect but their callers get no response."""
-        await self._set_link_faults(fault, LinkFailures(drop=("to_client",)))
+        await self._set_link_faults(fault, RESPONSES_LOST)
 
     async def drop_requests(self, fault: Fault) -> None:
         """Drop the requests on a link: calls have no effect and get no response."""
@@ -289,17 +316,69 @@
 
         Other faults of these links have no effect meanwhile.
         """
-        workers = self._fleet.workers
-        count = 2 + fault.target % max(1, len(workers) // 2)
-        chosen = [workers[(fault.target + n) % len(workers)].link for n in range(count)]
-        links = [link for link in chosen if link.target not in self._silenced]
-        self._silenced |= {link.target for link in links}
+        links = [handle.link for handle in self._choose_silenced(fault)]
         for link in links:
-            link.set_failures(LinkFailures(drop=("to_target", "to_client")))
+            link.set_failures(SILENCE)
         await anyio.sleep(OUTLASTING_S + fault.for_s / 2)
+        self._end_silence(links)
+
+    def _choose_silenced(self, fault: Fault) -> list[WorkerHandle]:
+        workers = self._fleet.workers
+        count = min(len(workers), 2 + fault.target % max(1, len(workers) // 2))
+        chosen = [workers[(fault.target + n) % len(workers)] for n in range(count)]
+        handles = [handle for handle in chosen if handle.link.target not in self._silenced]
+        self._silenced |= {handle.link.target for handle in handles}
+        return handles
+
+    def _end_silence(self, links: Sequence[RelayState]) -> None:
         self._silenced -= {link.target for link in links}
         restore_links(links)
 
+    async def cut_off_and_shrink(self, fault: Fault) -> None:
+        """Cut workers off from the store and the instances; they shrink meanwhile."""
+        await self._cut_off(fault)
+
+    async def cut_off_and_restart(self, fault: Fault) -> None:
+        """Cut workers off from the store and the instances; they restart with less meanwhile."""
+        await self._cut_off(fault, is_restarting=True)
+
+    async def cut_off_with_late_starts(self, fault: Fault) -> None:
+        """Cut workers off; the last starts arrive, get no response and are carried out late."""
+        await self._cut_off(fault, late_starts=1 + fault.target % LATE_STARTS)
+
+    async def _cut_off(
+        self, fault: Fault, *, is_restarting: bool = False, late_starts: int = 0
+    ) -> None:
+        """Cut workers off until the leases of their runs and their entries have ended.
+
+        Once the cut has ended, the entries that they wrote before it are stored first.
+        """
+        handles = self._choose_silenced(fault)
+        links = [handle.link for handle in handles]
+        present = [h for h in handles if not h.draining_s and not h.is_removed]
+        for handle in handles:
+            handle.link.set_failures(RESPONSES_LOST if late_starts else SILENCE)
+            handle.worker.faults.delayed_starts = late_starts
+        for handle in present:
+            self._fleet.cut_off(handle)
+        await anyio.sleep(CHANGE_AFTER_S)
+        for handle in present:
+            handle.link.set_failures(SILENCE)
+            if is_restarting:
+                handle.worker.restart()
+            _shrink(handle, fault)
+        await anyio.sleep(CHANGE_AFTER_S)
+        for handle in handles if late_starts else ():
+            handle.worker.faults.delayed_starts = 0
+            handle.worker.apply_delayed()
+        await anyio.sleep(OUTLASTING_S + fault.for_s / 2 - 2 * CHANGE_AFTER_S)
+        for handle in present:
+            handle.is_cut_off = False
+        self._end_silence(links)
+        await anyio.sleep(fault.for_s)
+        for handle in present:
+            handle.resize(WORKER_CAPACITY)
+
     # Store
 
     def _set_shared_store_faults(self, faults: StoreFaults) -> None:
@@ -381,8 +460,7 @@
     async def shrink_worker(self, fault: Fault) -> None:
         """Shrink a worker below the size of many jobs, and let it grow again."""
         handle = self._fleet.workers[fault.target % len(self._fleet.workers)]
-        cores = 1 + fault.target % 3
-        handle.resize(replace(WORKER_CAPACITY, cpu_millicores=cores * 1000, accelerators=cores))
+        _shrink(handle, fault)
         await anyio.sleep(2 * fault.for_s)
         handle.resize(WORKER_CAPACITY)
 
@@ -436,6 +514,11 @@
             await anyio.sleep(0.05)
 
 
+def _shrink(handle: WorkerHandle, fault: Fault) -> None:
+    cores = 1 + fault.target % 3
+    handle.resize(replace(WORKER_CAPACITY, cpu_millicores=cores * 1000, accelerators=cores))
+
+
 def _assign_faults(to: StoreFaults, faults: StoreFaults) -> None:
     for field in fields(faults):
         setattr(to, field.name, getattr(faults, field.name))
@@ -481,3 +564,9 @@
 
 LASTING_INTERVAL_S = (2.0, 4.0)
 """Range of the time between the starts of two faults of `LASTING_FAULT_KINDS`."""
+
+CUT_KINDS = ("cut_off_and_shrink", "cut_off_and_restart", "cut_off_with_late_starts")
+"""Kinds of cuts with a schedule of their own, so that earlier seeds keep their faults."""
+
+CUT_INTERVAL_S = (2.0, 5.0)
+"""Range of the time between the starts of two faults of `CUT_KINDS`."""
--- a/src/foxtailwell_soak/_fleet.py
+++ b/src/foxtailwell_soak/_fleet.py
@@ -171,6 +171,8 @@
         address: `host:port` of the relay.
         draining_s: When its state "draining" was stored; 0 while it is ready.
         is_removed: Whether it is temporarily removed from the fleet.
+        is_cut_off: Whether neither the store nor an instance can be reached.
+        unsent: Entry that it wrote before it was cut off; the first one to be stored afterwards.
         published_s: Time of its last heartbeat.
         capacities: Its capacities, each with the time from which it holds.
     """
@@ -180,6 +182,8 @@
     address: str
     draining_s: float = 0.0
     is_removed: bool = False
+    is_cut_off: bool = False
+    unsent: bytes = b""
     published_s: float = 0.0
     capacities: list[tuple[float, Resources]] = field(default_factory=list)
 
@@ -236,13 +240,20 @@
         ]
 
     def publish(self, handle: WorkerHandle) -> None:
-        """Write the entry of a worker to the store, which counts as its heartbeat."""
-        entry = replace(handle.worker.entry(is_ready=not handle.draining_s), address=handle.address)
-        if handle.draining_s:
-            entry = replace(entry, remaining_ms=BOUNDS.drain_ms)
-        self.store.write(f"servers/{handle.worker.id}", encode_entry(entry))
+        """Write the entry of a worker to the store, which counts as its heartbeat.
+
+        A worker that was cut off sends the entry that it wrote before, and the present one next.
+        """
+        if handle.is_cut_off:
+            return
+        value, handle.unsent = handle.unsent or _entry_value(handle), b""
+        self.store.write(f"servers/{handle.worker.id}", value)
         handle.published_s = time.monotonic()
 
+    def cut_off(self, handle: WorkerHandle) -> None:
+        """Keep the entries of a worker from the store, beginning with one that it writes now."""
+        handle.unsent, handle.is_cut_off = _entry_value(handle), True
+
     async def run_workers(self) -> None:
         """End due runs and leases, and write or remove worker entries, until cancelled."""
         while True:
@@ -251,7 +262,7 @@
             for handle in self.workers:
                 handle.worker.end_due_runs()
                 is_due = now_s - handle.published_s >= HEARTBEAT_S
-                is_silent = handle.is_removed or handle.worker.is_silent
+                is_silent = handle.is_removed or handle.is_cut_off or handle.worker.is_silent
                 if is_due and not is_silent and not is_store_down:
                     self.publish(handle)
                 elif now_s - handle.published_s > MISSED_HEARTBEATS * HEARTBEAT_S:
@@ -260,6 +271,13 @@
             await anyio.sleep(CHECK_INTERVAL_S)
 
 
+def _entry_value(handle: WorkerHandle) -> bytes:
+    entry = replace(handle.worker.entry(is_ready=not handle.draining_s), address=handle.address)
+    if handle.draining_s:
+        entry = replace(entry, remaining_ms=BOUNDS.drain_ms)
+    return encode_entry(entry)
+
+
 async def open_fleet(
     group: TaskGroup, directory: Path, instance_count: int, worker_count: int
 ) -> Fleet:
--- a/src/foxtailwell_soak/_operators.py
+++ b/src/foxtailwell_soak/_operators.py
@@ -69,9 +69,9 @@
     async def drain_and_remove(self, handle: WorkerHandle, for_s: float) -> None:
         """Drain a worker, remove it for `for_s`, and add it again as a new incarnation.
 
-        A worker that is already draining or removed is ignored.
+        A worker that is already draining, removed or cut off is ignored.
         """
-        if handle.draining_s or handle.is_removed:
+        if handle.draining_s or handle.is_removed or handle.is_cut_off:
             return
         handle.draining_s = time.monotonic()
         self._fleet.publish(handle)
--- a/src/foxtailwell_soak/_run.py
+++ b/src/foxtailwell_soak/_run.py
@@ -16,6 +16,7 @@
 from foxtailwell_soak._faults import (
     Fault,
     FaultInjector,
+    draw_cuts,
     draw_faults,
     draw_lasting_faults,
     draw_workload_faults,
@@ -68,6 +69,7 @@
     instance_count: int = 3,
     worker_count: int = 8,
     has_lasting_faults: bool = True,
+    has_cuts: bool = True,
 ) -> SoakResult:
     """Run one soak test.
 
@@ -78,6 +80,7 @@
         instance_count: Number of instances.
         worker_count: Number of workers.
         has_lasting_faults: Whether to add the faults of `draw_lasting_faults`.
+        has_cuts: Whether to add the faults of `draw_cuts`.
 
     Returns:
         The result; `violations` is empty if the test passed.
@@ -87,6 +90,8 @@
     faults += draw_workload_faults(random.Random(seed + 2), length_s)
     if has_lasting_faults:
         faults += draw_lasting_faults(random.Random(seed + 3), length_s)
+    if has_cuts:
+        faults += draw_cuts(random.Random(seed + 4), length_s)
     faults.sort(key=lambda fault: fault.at_s)
     size = (instance_count, worker_count)
     return anyio.run(_run, seed, faults, directory, length_s, size, backend="asyncio")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,15 +7,17 @@
 from concurrent.futures import ProcessPoolExecutor
 
 import anyio
+import msgspec
 import pytest
 
 from foxtailwell.adapters.http_connection import CallReply
 from foxtailwell.controller._links import max_lease_s
-from foxtailwell.workflows import EndKind, Resources, StartCommand, TaskId
+from foxtailwell.workflows import EndKind, Resources, StartCommand, TaskId, WorkerCallError
 from foxtailwell_soak import run_soak
 from foxtailwell_soak._checker import CAPACITY_GRACE_S, Checker
 from foxtailwell_soak._clients import Client
 from foxtailwell_soak._faults import (
+    CUT_KINDS,
     FAULT_KINDS,
     LASTING_FAULT_KINDS,
     OUTLASTING_S,
@@ -24,7 +26,14 @@
     FaultInjector,
     draw_faults,
 )
-from foxtailwell_soak._fleet import BOUNDS, Fleet, InstanceProcess, WorkerHandle
+from foxtailwell_soak._fleet import (
+    BOUNDS,
+    MISSED_HEARTBEATS,
+    WORKER_CAPACITY,
+    Fleet,
+    InstanceProcess,
+    WorkerHandle,
+)
 from foxtailwell_soak._history import History, JobRecord
 from foxtailwell_soak._operators import Operators
 from foxtailwell_standins.platform_store import MemoryStore, StoreFaults
@@ -56,9 +65,18 @@
 }
 """Seeds of failures with lasting faults, each with the cause."""
 
-LENGTHS_S = dict.fromkeys((1908340578, *LASTING_SEEDS), 12.0)
+CUT_SEEDS = dict.fromkeys(
+    (9003, 9005), "the report from before a cut, stored after it, counted as a present one"
+)
+"""Seeds of failures with lasting faults and cuts, each with the cause."""
+
+LENGTHS_S = dict.fromkeys((1908340578, *LASTING_SEEDS, *CUT_SEEDS), 12.0)
 """Lengths of soak tests whose failure needed faults after the usual 8 s."""
 
+HEARTBEAT_S = 0.2
+"""Interval of heartbeats in tests of a single cut; shorter than in a soak test."""
+
+SEEDS = (SEED, *REGRESSION_SEEDS, *LASTING_SEEDS, *CUT_SEEDS)
 JOB = "00000000000000aa"
 
 
@@ -74,15 +92,16 @@
             seed,
             tmp_path_factory.mktemp(f"soak-{seed}"),
             length_s=LENGTHS_S.get(seed, 8.0),
-            has_lasting_faults=seed in LASTING_SEEDS,
+            has_lasting_faults=seed in (*LASTING_SEEDS, *CUT_SEEDS),
+            has_cuts=seed in CUT_SEEDS,
         )
         for seed in seeds
-        if seed in (SEED, *REGRESSION_SEEDS, *LASTING_SEEDS)
+        if seed in SEEDS
     }
     pool.shutdown(cancel_futures=True)
 
 
-@pytest.mark.parametrize("seed", [SEED, *REGRESSION_SEEDS, *LASTING_SEEDS])
+@pytest.mark.parametrize("seed", SEEDS)
 def test_guarantees_hold_under_overlapping_faults(seed, soak_results):
     """Guards against lost, repeated or misreported work when faults of real processes overlap."""
     result = soak_results[seed].result()
@@ -286,6 +305,78 @@
     assert handle.link.failures == LinkFailures()
 
 
+@pytest.fixture
+def cut_worker(checked_worker, monkeypatch):
+    """Return a function that cuts the worker off, its handle, and its stored entries or None."""
+    checker, history, handle = checked_worker
+    monkeypatch.setattr("foxtailwell_soak._fleet.HEARTBEAT_S", HEARTBEAT_S)
+    monkeypatch.setattr("foxtailwell_soak._faults.OUTLASTING_S", MISSED_HEARTBEATS * HEARTBEAT_S)
+    monkeypatch.setattr("foxtailwell_soak._faults.CHANGE_AFTER_S", 0.1)
+    fleet = checker._fleet
+    injector = FaultInjector(fleet, Operators(fleet, history), random.Random(1), print)
+    stored = []
+    write, delete = MemoryStore.write, MemoryStore.delete
+
+    def record_write(store, key, value):
+        stored.append(value)
+        write(store, key, value)
+
+    def record_delete(store, key):
+        if key in store.items:
+            stored.append(None)
+        delete(store, key)
+
+    monkeypatch.setattr(MemoryStore, "write", record_write)
+    monkeypatch.setattr(MemoryStore, "delete", record_delete)
+
+    async def cut(kind, during=None):
+        async with anyio.create_task_group() as group:
+            group.start_soon(fleet.run_workers)
+            await anyio.sleep(0.05)
+            async with anyio.create_task_group() as cutting:
+                cutting.start_soon(getattr(injector, kind), Fault(0.0, kind, 0, 0.3))
+                if during is not None:
+                    cutting.start_soon(during)
+            group.cancel_scope.cancel()
+
+    return cut, handle, stored
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("kind", CUT_KINDS)
+async def test_worker_that_was_cut_off_first_sends_its_earlier_report(cut_worker, kind):
+    """Guards against cuts after which nothing old is stored, or that the entry outlasts."""
+    cut, handle, stored = cut_worker
+    await cut(kind)
+    assert stored.pop(1) is None
+    entries = [msgspec.json.decode(value) for value in stored]
+    # The one before the cut, the one that was late, and the present one a heartbeat later.
+    assert [entry["capacity"]["gpu"] for entry in entries] == [2, 2, 1]
+    assert [entry["born"] for entry in entries] == [1, 1, 1 + (kind == "cut_off_and_restart")]
+    assert entries[1]["clock_ms"] < entries[0]["clock_ms"] + 1000 * HEARTBEAT_S
+    assert [gpus for _, gpus in handle.capacities[1:]] == [
+        Resources(1000, 8000, 1),
+        WORKER_CAPACITY,
+    ]
+    assert handle.link.failures == LinkFailures()
+
+
+@pytest.mark.anyio
+async def test_worker_carries_out_late_what_arrives_before_a_cut_is_complete(cut_worker):
+    """Guards against late starts that arrive never, or with a response."""
+    cut, handle, _ = cut_worker
+
+    async def start():
+        await anyio.sleep(0.05)
+        assert handle.link.failures.drop == ("to_client",)
+        with pytest.raises(WorkerCallError):
+            await handle.worker.start(StartCommand(TaskId(JOB, 0, 0, 0), 1, "1.0", ""), 10_000, 1)
+        assert not handle.worker.spans
+
+    await cut("cut_off_with_late_starts", start)
+    assert [span.is_delayed for span in handle.worker.spans] == [True]
+
+
 def test_fault_schedule_is_reproducible_and_faults_overlap():
     """Guards against a schedule that a seed does not reproduce, or without overlaps."""
     schedules = [draw_faults(random.Random(7), 12.0) for _ in range(2)]
@@ -293,4 +384,4 @@
     pairs = zip(schedules[0], schedules[0][1:], strict=False)
     assert any(one.at_s + one.for_s > two.at_s for one, two in pairs)
     assert all(hasattr(FaultInjector, k) for k in (*FAULT_KINDS, *WORKLOAD_FAULT_KINDS))
-    assert all(hasattr(FaultInjector, kind) for kind in LASTING_FAULT_KINDS)
+    assert all(hasattr(FaultInjector, kind) for kind in (*LASTING_FAULT_KINDS, *CUT_KINDS))
