Take no zone out on a response from before it was back

No task starts in a zone for the rest of the term.

Cause: a rejected start tells which evacuation keys it met, and these were applied whatever the watch had reported meanwhile. A rejection that is under way while the zone comes back sets the mark after its deletion was reported. Nothing clears it then: the watch reports a deletion once, and no further start is tried there.

Evidence: the test applies the items of such a rejection after the deletion, reported as a change or by a listing after a lost history, and the zone stays out.

Change: a batch of a watch carries the store revision up to which it is complete, and items that are not newer are left out. An item that is newer is applied as before, and its deletion is yet to be reported. Starts do not rely on it: they are conditional on the keys.

Test, seen to fail on both ways before: test_zone_that_is_back_is_not_taken_out_by_a_late_response. Result: tests/test_instance_api.py and tests/test_follow_prefix.py pass.

--- a/src/foxtailwell/controller/_watch.py
+++ b/src/foxtailwell/controller/_watch.py
@@ -26,10 +26,12 @@
 
     Attributes:
         is_snapshot: The batch lists all keys of the prefix; keys not among them were deleted.
+        revision: Store revision up to which no change is missing after this batch.
     """
 
     changes: tuple[Change, ...]
     is_snapshot: bool = False
+    revision: int = 0
 
 
 async def follow_prefix(
@@ -59,7 +61,7 @@
             if revision is None:
                 items, revision = await store.list_items(prefix)
                 listed = tuple(Change(i.key, i.value, i.revision) for i in items)
-                await deliver(ChangeBatch(listed, is_snapshot=True))
+                await deliver(ChangeBatch(listed, is_snapshot=True, revision=revision))
             changes, revision = await store.watch(prefix, revision, wait_ms)
         except HistoryLostError:
             log_event(WATCH_FAILED, prefix=prefix, reason="the history was dropped")
@@ -74,6 +76,7 @@
             continue
         has_lost_history = False
         if changes:
-            await deliver(ChangeBatch(tuple(changes)))
+            newest = max(change.revision for change in changes)
+            await deliver(ChangeBatch(tuple(changes), revision=newest))
         if pause_s:
             await anyio.sleep(pause_s)
--- a/src/foxtailwell/instance/_operators.py
+++ b/src/foxtailwell/instance/_operators.py
@@ -88,6 +88,7 @@
         self._configuration: ClusterConfiguration | None = None
         self._revision = 0
         self._zones_out_revisions: dict[str, int] = {}
+        self._zones_known_revision = 0
         self._evidence_sent_s = float("-inf")
         self._confirm_lock = anyio.Lock()
         self._is_store_unavailable = False
@@ -144,7 +145,11 @@
 
     def _apply_items(self, items: Mapping[str, Item]) -> None:
         for item in items.values():
-            self._apply(Change(item.key, item.value, item.revision))
+            # The watch reports the deletion of a key once. A response that was under way meanwhile
+            # would set it again, and nothing would clear it.
+            is_zone = item.key.startswith(self._keys.zones_out_prefix)
+            if not is_zone or item.revision > self._zones_known_revision:
+                self._apply(Change(item.key, item.value, item.revision))
 
     def _start_guards(self, zones: frozenset[str]) -> Mapping[str, int]:
         return self.guards() | {self._keys.zones_out_prefix + zone: 0 for zone in zones}
@@ -232,6 +237,7 @@
                     await self._recheck_event.wait()
 
     async def _on_changes(self, batch: ChangeBatch) -> None:
+        self._zones_known_revision = max(self._zones_known_revision, batch.revision)
         if batch.is_snapshot:
             present = {change.key for change in batch.changes}
             removed = [
--- a/tests/test_instance_api.py
+++ b/tests/test_instance_api.py
@@ -9,6 +9,7 @@
 import msgspec
 import pytest
 
+from controller_harness import until
 from foxtailwell.adapters.work_metrics import WorkMetrics
 from foxtailwell.controller import Intake
 from foxtailwell.instance import JobsApi, OperatorKeys, OperatorWatch
@@ -216,6 +217,33 @@
     assert (await instance.call("GET", "/q/"))[0] == 200
 
 
+@pytest.mark.parametrize("is_history_lost", [False, True])
+async def test_zone_that_is_back_is_not_taken_out_by_a_late_response(
+    store, instance, group, is_history_lost
+):
+    """Guards against a zone that gets no starts any more: no later change would bring it back."""
+    key = f"{messages.ZONES_OUT_PREFIX}a"
+    await instance.operators.confirm(instance._now_s())
+    group.start_soon(instance.operators.run)
+
+    async def reaches(zones):
+        return await until(lambda: instance.operators.view().zones_out == zones)
+
+    store.write(key, b"{}")
+    conflict = {key: store.items[key]}
+    instance.operators.view().apply_conflict(conflict)
+    assert await reaches({"a"})
+    store.delete(key)
+    if is_history_lost:
+        store.drop_history()
+    assert await reaches(set())
+    instance.operators.view().apply_conflict(conflict)
+    assert not instance.operators.view().zones_out
+    store.write(key, b"{}")
+    instance.operators.view().apply_conflict({key: store.items[key]})
+    assert instance.operators.view().zones_out == {"a"}
+
+
 async def test_restarted_instance_does_not_accept_a_removed_key(store, instance):
     """Guards against a key that is in use again after a restart, also while the store is away."""
     assert (await instance.call("GET", "/q/"))[0] == 200
