Log why runs are stopped, what they held, and which call marks a worker

FW1650 says whether a reservation that stopped runs was used. No decision changes.

test_controller, test_workflow_placement, test_shrinking_capacity, test_crashing_tasks, test_waiting_suspects, test_pauses and test_events pass.

--- a/src/foxtailwell/adapters/events.py
+++ b/src/foxtailwell/adapters/events.py
@@ -131,6 +131,7 @@
 ROWS_REFUSED = _event("FW1635", "WARNING", "rows of a list cannot be decoded and are left out")
 VALUE_UNREADABLE = _event("FW1636", "ERROR", "a value of the store cannot be read")
 ENTRY_LATE = _event("FW1637", "INFO", "a worker entry was written long before it appeared")
+RESERVATION_ENDED = _event("FW1650", "INFO", "a reservation for urgent work has ended")
 
 # 1700-1799: instances
 SUBMISSION_STORED = _event("FW1701", "INFO", "a job is stored")
--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -15,6 +15,7 @@
 
 from foxtailwell.adapters.events import (
     JOB_PLACED,
+    RESERVATION_ENDED,
     RUN_LEAVES_WORKER,
     RUN_STALLED,
     STARTS_OUTDATED,
@@ -60,9 +61,11 @@
     JobRegistry,
     KeyValueStore,
     Placement,
+    Plan,
     Queue,
     Reservation,
     StartCommand,
+    StopReason,
     StoreCallError,
     Task,
     TaskId,
@@ -416,7 +419,8 @@
 
     def _plan_starts(self) -> None:
         for task in self._registry.stale_runs():
-            self._registry.mark_stopping(task)
+            is_over = self._registry.jobs[task.id.job_id].state.is_final
+            self._registry.mark_stopping(task, StopReason.JOB_ENDED if is_over else StopReason.GANG)
         view = self._operators()
         if view is None or self._is_stopping:
             return
@@ -428,7 +432,7 @@
         self._stop_on_draining_workers(now_s)
         self._stop_stalled_runs(now_s)
         for task in self._maintenance.decide() if self._maintenance else ():
-            self._registry.mark_stopping(task)
+            self._registry.mark_stopping(task, StopReason.DRAINING)
         within_guarantee = self._registry.accounts_within_guarantee(
             view.configuration.guaranteed_accelerators
         )
@@ -440,10 +444,14 @@
         workers = self._workers.views(view.zones_out, cordoned, now_s, within_guarantee)
         explained = self._wait_log.select(units, now_s)
         decided = plan(FleetView(now_s, workers, units, self._reservations, explained))
+        self._log_ended_reservations(decided, now_s)
+        beneficiaries = {
+            v: r.placement.unit.job_id for r in decided.reservations for v in r.victims
+        }
         self._reservations = decided.reservations
         self._planned_version, self._planned_s = self._registry.version, now_s
         for victim in decided.stops:
-            self._preempt(victim)
+            self._preempt(victim, beneficiaries.get(victim, ""))
         for placement in decided.placements:
             self._assign(placement, now_s)
         placed = {placement.unit.key for placement in decided.placements}
@@ -466,7 +474,7 @@
                         percent=task.percent,
                         left_s=round(left_s, 2),
                     )
-                    self._registry.mark_stopping(task)
+                    self._registry.mark_stopping(task, StopReason.DRAINING)
 
     def _stop_stalled_runs(self, now_s: float) -> None:
         for task in self._registry.stalled_runs(now_s, STALL_TIMEOUT_S):
@@ -475,7 +483,7 @@
                 continue
             log_event(RUN_STALLED, job=task.id.job_id, task=str(task.id), worker=task.worker)
             self._workers.record_failure(task.worker, task.id.job_id)
-            self._registry.mark_stopping(task)
+            self._registry.mark_stopping(task, StopReason.STALLED)
 
     def _refresh_queues(self, configuration: ClusterConfiguration) -> None:
         for job in self._registry.jobs.values():
@@ -483,11 +491,33 @@
             if queue is not None:
                 job.queue = queue
 
-    def _preempt(self, victim: TaskId) -> None:
+    def _log_ended_reservations(self, decided: Plan, now_s: float) -> None:
+        kept = {reservation.placement.unit.key for reservation in decided.reservations}
+        placed = {placement.unit.key for placement in decided.placements}
+        for reservation in self._reservations:
+            unit = reservation.placement.unit
+            if unit.key not in kept:
+                log_event(
+                    RESERVATION_ENDED,
+                    job=unit.job_id,
+                    step=unit.step_number,
+                    is_placed=unit.key in placed,
+                    is_expired=now_s > reservation.until_s,
+                    victims=len(reservation.victims),
+                )
+
+    def _preempt(self, victim: TaskId, for_job: str) -> None:
         task = self._registry.find(victim)
         if task is not None:
-            log_event(TASK_RECLAIMED, job=victim.job_id, task=str(victim), worker=task.worker)
-            self._registry.mark_stopping(task)
+            log_event(
+                TASK_RECLAIMED,
+                job=victim.job_id,
+                task=str(victim),
+                run=task.run,
+                worker=task.worker,
+                for_job=for_job,
+            )
+            self._registry.mark_stopping(task, StopReason.PREEMPTED)
 
     def _assign(self, placement: Placement, now_s: float) -> None:
         unit = placement.unit
--- a/src/foxtailwell/controller/_links.py
+++ b/src/foxtailwell/controller/_links.py
@@ -182,6 +182,7 @@
     wake: anyio.Event = field(default_factory=anyio.Event)
     _first_response_s: float = 0.0
     _has_listed: bool = False
+    _listed_s: float = 0.0
 
     def begin_lease(self) -> int:
         """Record a lease that begins now, and return its end on the worker's clock in ms."""
@@ -269,13 +270,13 @@
             until = self.begin_lease() if is_renewing else None
             response = await self.calls.renew_lease(until, self.token, acknowledged, wait_ms)
         except WorkerCallError as failure:
-            self._mark_unresponsive(failure.reason)
+            self._mark_unresponsive("listing", failure.reason)
             await anyio.sleep(self._retry_pause_s)
             return
         if isinstance(response, CommandOutcome):
             if response is CommandOutcome.FENCED:
                 self.on_fenced(self.entry.id)
-            self._mark_unresponsive(response.value)
+            self._mark_unresponsive("listing", response.value)
             # An entry with a new address while the call was under way belongs to a newer
             # incarnation, of which this response says nothing.
             if (
@@ -287,6 +288,7 @@
             await anyio.sleep(self._retry_pause_s)
             return
         self._mark_responsive()
+        self._listed_s = self.now_s()
         self._has_listed = True
         reading = ClockReading(response.boot_unix_ms, response.clock_ms, sent_s)
         self.reading = more_exact(self.reading, reading)
@@ -301,12 +303,18 @@
         with anyio.move_on_after(PROCESSING_TIMEOUT_S):
             await processed.wait()
 
-    def _mark_unresponsive(self, reason: str) -> None:
+    def _mark_unresponsive(self, call: str, reason: str) -> None:
         self._has_listed = False
         if not self.is_unresponsive:
             self.is_unresponsive = True
             self.unresponsive_since_s = self.now_s()
-            log_event(WORKER_UNRESPONSIVE, worker=self.entry.id, reason=reason)
+            log_event(
+                WORKER_UNRESPONSIVE,
+                worker=self.entry.id,
+                call=call,
+                reason=reason,
+                listed_ago_s=round(self.now_s() - self._listed_s, 2),
+            )
 
     def _mark_responsive(self) -> None:
         # The worker has seen this term's token and rejects earlier controllers from now on; a
@@ -356,7 +364,7 @@
             try:
                 outcome, clock_ms = await self.calls.start(command, self.begin_lease(), self.token)
             except WorkerCallError as failure:
-                self._mark_unresponsive(failure.reason)
+                self._mark_unresponsive("start", failure.reason)
                 is_certain = is_certain and not failure.may_have_been_sent
                 continue
             self.update_clock(clock_ms)
@@ -399,7 +407,7 @@
                 try:
                     outcome = await self.calls.stop(task, run, self.token)
                 except WorkerCallError as failure:
-                    self._mark_unresponsive(failure.reason)
+                    self._mark_unresponsive("stop", failure.reason)
                 else:
                     if outcome is CommandOutcome.FENCED:
                         self.on_fenced(self.entry.id)
--- a/src/foxtailwell/controller/_runs.py
+++ b/src/foxtailwell/controller/_runs.py
@@ -22,6 +22,7 @@
     EndKind,
     JobRegistry,
     ListedRun,
+    StopReason,
     Task,
     TaskId,
     TaskState,
@@ -110,10 +111,19 @@
         task = self._registry.find(task_id) if task_id else None
         if task is None or task_id is None:
             return
+        details = self._cost(task) if task.run == run else {}
         if not self._registry.end_run(task, run, kind, checkpoint, now_unix_ms):
             return
         self._metrics.count("run_ends", how=kind.value)
-        log_event(RUN_ENDED, job=task_id.job_id, task=text, run=run, worker=worker, how=kind.value)
+        log_event(
+            RUN_ENDED,
+            job=task_id.job_id,
+            task=text,
+            run=run,
+            worker=worker,
+            how=kind.value,
+            **details,
+        )
         if kind is EndKind.DONE:
             self._workers.record_success(worker)
         elif (
@@ -140,7 +150,7 @@
         if _is_stopped(task, sent_s):
             self._requeue_lost(task, "stopped before it began")
         elif task.state is TaskState.ASSIGNED and task.start_settled_s < sent_s:
-            self._registry.mark_stopping(task)
+            self._registry.mark_stopping(task, StopReason.UNLISTED)
 
     def _apply_crash(self, worker: str, lost: list[Task], reason: str) -> None:
         """Queue the tasks again whose runs ended with an incarnation of their worker."""
@@ -160,9 +170,19 @@
             reason=reason,
             lasted_s=round(task.lasted_s, 2),
             is_confirmed=task.is_confirmed,
+            **self._cost(task),
         )
         self._registry.requeue(task)
 
+    def _cost(self, task: Task) -> dict[str, object]:
+        """Return what the newest run of a task has held, and why it was stopped, for the log."""
+        step = self._registry.jobs[task.id.job_id].step(task.id)
+        return {
+            "stop_reason": task.stop_reason.value if task.stop_reason else "",
+            "core_s": round(step.request.core_count * (self._now_s() - task.started_s), 1),
+            "is_saved": step.is_checkpointing,
+        }
+
     def apply_start(self, event: StartFinished) -> None:
         """Apply the outcome of a start command, or that it got no response.
 
@@ -193,7 +213,7 @@
         if event.is_certain:
             self._registry.requeue(task)
         else:
-            self._registry.mark_stopping(task)
+            self._registry.mark_stopping(task, StopReason.UNANSWERED)
 
     def apply_stop(self, event: StopConfirmed) -> None:
         """Record that the worker confirmed a stop."""
--- a/src/foxtailwell/workflows/_fleet_view.py
+++ b/src/foxtailwell/workflows/_fleet_view.py
@@ -29,9 +29,6 @@
 """Share of a pool in use above which a unit may wait longer for better workers than those with
 room."""
 
-ACCELERATOR_CORES = 8
-"""CPU cores that one accelerator is equivalent to in the cost of lost work."""
-
 URGENT_LOSS_FACTOR = 10.0
 """Weight of lost work of priority 0, so that guarantees reclaim it only as the last resort."""
 
@@ -101,10 +98,9 @@
     @property
     def loss(self) -> float:
         """Return the weighted core-seconds of work that a stop loses, over its whole gang."""
-        cores = self.request.cpu_millicores / 1000 + ACCELERATOR_CORES * self.request.accelerators
         lost_s = STOP_LOSS_S + (0.0 if self.is_checkpointing else self.elapsed_s)
         weight = URGENT_LOSS_FACTOR if self.priority == 0 else 1.0
-        return cores * lost_s * self.member_count * weight
+        return self.request.core_count * lost_s * self.member_count * weight
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,10 +152,12 @@
 
     Attributes:
         until_s: Local time at which the reservation expires.
+        victims: Tasks whose runs are preempted for it.
     """
 
     placement: Placement
     until_s: float
+    victims: tuple[TaskId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/foxtailwell/workflows/_job_registry.py
+++ b/src/foxtailwell/workflows/_job_registry.py
@@ -11,6 +11,7 @@
     Job,
     JobProgress,
     SchedulingUnit,
+    StopReason,
     Task,
     TaskProgress,
     TaskState,
@@ -123,6 +124,7 @@
         task.worker = worker
         task.boot_unix_ms = boot_unix_ms
         task.is_confirmed = False
+        task.stop_reason = None
         task.started_s = task.progress_s = now_s
         task.percent = 0
         task.listed_s = 0.0
@@ -172,10 +174,11 @@
             and not self.jobs[task.id.job_id].step(task.id).is_lasting
         ]
 
-    def mark_stopping(self, task: Task) -> None:
+    def mark_stopping(self, task: Task, reason: StopReason) -> None:
         """Mark an assigned run as being stopped; no effect in other states."""
         if task.state is TaskState.ASSIGNED:
             task.state = TaskState.STOPPING
+            task.stop_reason = reason
             self._bump_version(task.worker)
 
     def cancel(self, job_id: str, now_unix_ms: int) -> bool:
@@ -231,7 +234,7 @@
         for member in job.step_tasks(*key) if job.step(task.id).is_gang else (task,):
             if member.is_placed:
                 member.is_completed_earlier = True
-                self.mark_stopping(member)
+                self.mark_stopping(member, StopReason.JOB_ENDED)
             else:
                 member.state = TaskState.DONE
         self.version += 1
--- a/src/foxtailwell/workflows/_jobs.py
+++ b/src/foxtailwell/workflows/_jobs.py
@@ -48,6 +48,10 @@
         return self in (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
 
 
+ACCELERATOR_CORES = 8
+"""CPU cores that one accelerator is equivalent to in the cost of lost work."""
+
+
 @dataclass(frozen=True, slots=True)
 class Resources:
     """Capacity of a worker, or the demand of one task."""
@@ -56,6 +60,11 @@
     memory_mb: int = 0
     accelerators: int = 0
 
+    @property
+    def core_count(self) -> float:
+        """Number of CPU cores, with each accelerator as several."""
+        return self.cpu_millicores / 1000 + ACCELERATOR_CORES * self.accelerators
+
     def fits(self, available: Resources) -> bool:
         """Return whether this request fits into the available resources."""
         return (
--- a/src/foxtailwell/workflows/_preemption.py
+++ b/src/foxtailwell/workflows/_preemption.py
@@ -48,7 +48,7 @@
     for worker in chosen.values():
         capacity.allocate(worker, unit)
     placement = Placement(unit, chosen)
-    return victims, Reservation(placement, now_s + RESERVATION_TIMEOUT_S)
+    return victims, Reservation(placement, now_s + RESERVATION_TIMEOUT_S, tuple(victims))
 
 
 def _cheapest(
--- a/src/foxtailwell/workflows/_tasks.py
+++ b/src/foxtailwell/workflows/_tasks.py
@@ -18,6 +18,7 @@
     "Job",
     "JobProgress",
     "SchedulingUnit",
+    "StopReason",
     "Task",
     "TaskProgress",
     "TaskState",
@@ -51,6 +52,28 @@
     GANG_INCOMPLETE = "alone"
 
 
+class StopReason(StrEnum):
+    """Why the controller stops a run.
+
+    Attributes:
+        JOB_ENDED: Its job has ended, or another run has completed its task.
+        GANG: Another member of its gang is no longer assigned.
+        PREEMPTED: Urgent work needs its room.
+        DRAINING: Its worker leaves, or its machine is due for maintenance.
+        STALLED: It makes no progress.
+        UNANSWERED: Its start got no response.
+        UNLISTED: Its worker does not list it.
+    """
+
+    JOB_ENDED = "job ended"
+    GANG = "gang"
+    PREEMPTED = "preempted"
+    DRAINING = "draining"
+    STALLED = "stalled"
+    UNANSWERED = "unanswered"
+    UNLISTED = "unlisted"
+
+
 @dataclass(slots=True)
 class Task:
     """One task and its newest run.
@@ -63,6 +86,7 @@
         start_settled_s: Local time at which the start call returned or failed; infinite while it is
             pending, 0 after recovery from the store.
         stopped_s: Local time at which the worker acknowledged a stop; 0 before.
+        stop_reason: Why the run is being stopped; None before.
         percent: Progress of the run as last listed by the worker, 0 to 100.
         progress_s: Local time at which the progress last changed.
         listed_s: Local time at which the worker last listed the run as running; 0 before.
@@ -83,6 +107,7 @@
     started_s: float = 0.0
     start_settled_s: float = 0.0
     stopped_s: float = 0.0
+    stop_reason: StopReason | None = None
     percent: int = 0
     progress_s: float = 0.0
     listed_s: float = 0.0
