Bar late starts from the next incarnation of their worker

Cause: a worker rejects the late start of a run that it has stopped, or that has ended there, but its next incarnation knows of neither. The controller only kept the room of such starts free for as long as they may come.

Change: once a listing shows another incarnation, it is sent the stops of those runs, which it then rejects. The room is kept until that is confirmed by the incarnation that was known when the stop was sent. The incarnation is now the one that responds, not the later of two start times, which may be set back.

Test: of the two cases the one with a stop that arrives fails without the change; the other keeps the former test as it was.

What remains: until the listing, starts of several ended runs may be carried out together. The added test shows it, and is listed as known. Tried and dropped: to keep the room of such starts free also while their worker has not restarted, but for what exceeds the room of answered runs.

--- a/src/foxtailwell/controller/_links.py
+++ b/src/foxtailwell/controller/_links.py
@@ -106,11 +106,16 @@
 
 @dataclass(frozen=True, slots=True)
 class StopConfirmed:
-    """A worker confirmed a stop command."""
+    """A worker confirmed a stop command.
+
+    Attributes:
+        boot_unix_ms: Start time of the incarnation that was known when the command was sent.
+    """
 
     worker: str
     task: TaskId
     run: int
+    boot_unix_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -405,6 +410,7 @@
     async def _stop(self, task: TaskId, run: int) -> None:
         try:
             while self.may_act():
+                boot_unix_ms = self.boot_unix_ms
                 try:
                     outcome = await self.calls.stop(task, run, self.token)
                 except WorkerCallError as failure:
@@ -414,7 +420,9 @@
                         self.on_fenced(self.entry.id)
                         return
                     if outcome not in _REFUSALS:
-                        await self.events.send(StopConfirmed(self.entry.id, task, run))
+                        await self.events.send(
+                            StopConfirmed(self.entry.id, task, run, boot_unix_ms)
+                        )
                         return
                 await anyio.sleep(RETRY_PAUSE_S)
                 if self.now_s() > self.leases_expire_s:
--- a/src/foxtailwell/controller/_runs.py
+++ b/src/foxtailwell/controller/_runs.py
@@ -102,6 +102,8 @@
         for task in unlisted:
             if task.is_placed:
                 self._apply_unlisted(task, event.sent_s)
+        for task_id, number in self._workers.late_starts(event.worker, listing.boot_unix_ms):
+            self._orphaned_runs.add((event.worker, task_id, number))
         return max((end.number for end in listing.ended), default=link.durable_end)
 
     def _apply_end(
@@ -217,6 +219,7 @@
 
     def apply_stop(self, event: StopConfirmed) -> None:
         """Record that the worker confirmed a stop."""
+        self._workers.record_stop(event)
         task = self._registry.find(event.task)
         if task is not None and task.run == event.run:
             task.stopped_s = self._now_s()
@@ -231,7 +234,10 @@
         self._apply_crash(event.worker, lost, "another incarnation has its address")
 
     def take_orphaned_runs(self) -> set[tuple[str, TaskId, int]]:
-        """Return the reported runs that no record asks for, as (worker, task, run), each once."""
+        """Return the runs to stop that no record asks for, as (worker, task, run), each once.
+
+        A worker reports them, or may get their starts late although it has restarted.
+        """
         orphaned, self._orphaned_runs = self._orphaned_runs, set()
         return orphaned
 
--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -19,7 +19,7 @@
     WORKER_QUARANTINED,
 )
 from foxtailwell.adapters.logs import log_event
-from foxtailwell.controller._links import StartFinished, WorkerLink
+from foxtailwell.controller._links import StartFinished, StopConfirmed, WorkerLink
 from foxtailwell.controller._maintenance import MaintenanceAccess
 from foxtailwell.controller._watch import ChangeBatch
 from foxtailwell.core import WorkerHealth, quarantine_until_ms
@@ -31,6 +31,7 @@
     RunningTask,
     Step,
     Task,
+    TaskId,
     TaskState,
     WorkerCalls,
     WorkerEntry,
@@ -159,6 +160,8 @@
         # Incarnation, by worker, that has announced its end last.
         self._announced_boots: dict[str, int] = {}
         self._unanswered_starts: dict[str, list[StartFinished]] = {}
+        # Task, run and the incarnation that rejects its late start.
+        self._barred_starts: set[tuple[TaskId, int, int]] = set()
         self._views: dict[str, _CachedView] = {}
 
     def apply_entries(self, event: ChangeBatch) -> None:
@@ -344,23 +347,47 @@
         """Record that a start may still be delivered, after a restart of the worker as well."""
         self._unanswered_starts.setdefault(event.worker, []).append(event)
 
+    def late_starts(self, worker: str, boot_unix_ms: int) -> list[tuple[TaskId, int]]:
+        """Return the runs whose starts may reach an incarnation that would carry them out.
+
+        It rejects the start of a run that was stopped there, like the one that it was sent to.
+        """
+        return [
+            (start.task, start.run)
+            for start in self._unanswered_starts.get(worker, ())
+            if start.boot_unix_ms != boot_unix_ms
+            and self._now_s() - start.settled_s < LATE_START_S
+            and (start.task, start.run, boot_unix_ms) not in self._barred_starts
+        ]
+
+    def record_stop(self, event: StopConfirmed) -> None:
+        """Record that an incarnation rejects the late start of a run, which it has stopped."""
+        for start in self._unanswered_starts.get(event.worker, ()):
+            if (start.task, start.run) == (event.task, event.run):
+                self._barred_starts.add((event.task, event.run, event.boot_unix_ms))
+
     def _capacity(self, entry: WorkerEntry, now_s: float) -> Resources:
         """Return the capacity of a worker without the room that late starts may take.
 
-        A worker rejects the late start of a run that it has stopped, but another incarnation under
-        the same identifier does not know of the stop.
+        A worker rejects the late start of a run that it has stopped or that has ended there, but
+        another incarnation under the same identifier does so only once it has got the stop itself.
         """
         capacity = entry.capacity
         starts = self._unanswered_starts.get(entry.id)
         if starts is None:
             return capacity
-        starts[:] = [start for start in starts if now_s - start.settled_s < LATE_START_S]
+        expired = [start for start in starts if now_s - start.settled_s >= LATE_START_S]
+        if expired:
+            runs = {(start.task, start.run) for start in expired}
+            self._barred_starts = {b for b in self._barred_starts if b[:2] not in runs}
+            starts[:] = [start for start in starts if start not in expired]
         if not starts:
             del self._unanswered_starts[entry.id]
         link = self.links.get(entry.id)
-        boot_unix_ms = max(entry.boot_unix_ms, link.boot_unix_ms if link else 0)
+        boot_unix_ms = link.boot_unix_ms if link else entry.boot_unix_ms
         for start in starts:
-            if start.boot_unix_ms != boot_unix_ms:
+            is_barred = (start.task, start.run, boot_unix_ms) in self._barred_starts
+            if start.boot_unix_ms != boot_unix_ms and not is_barred:
                 capacity = capacity.minus(start.request)
         return capacity
 
