Derive the time of a reservation from the bound of a guarantee

Cause: a reservation lasted for a fixed 3.0 s before other victims could be chosen.

Ruled out: a fixed shorter time, which says nothing about a deployment with another bound or slower stops; choosing other victims at once, which stops more runs than needed whenever a stop takes long.

Change: the settings reader takes `reclaim_ms` and `stop_timeout_ms` from the bounds. A reservation lasts for half of the bound less 0.5 s for storing and starting, 1.1 and 1.2 s here, so that other victims have as long again, but never less than a worker may need for a stop and 0.4 s.

--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -70,6 +70,7 @@
     WorkerCalls,
     WorkerEntry,
     plan,
+    reservation_limit_s,
     runs_to_stop,
 )
 
@@ -206,6 +207,7 @@
             metrics=metrics,
         )
         self._reservations: tuple[Reservation, ...] = ()
+        self._reservation_limit_s = reservation_limit_s(fleet.reclaim_s, fleet.stop_timeout_s)
         self._wait_log = WaitLog()
         self._planned_version = -1
         self._planned_s = 0.0
@@ -439,7 +441,11 @@
         cordoned = self._maintenance.cordoned() if self._maintenance else frozenset()
         workers = self._workers.views(view.zones_out, cordoned, now_s, within_guarantee)
         explained = self._wait_log.select(units, now_s)
-        decided = plan(FleetView(now_s, workers, units, self._reservations, explained))
+        decided = plan(
+            FleetView(
+                now_s, workers, units, self._reservations, explained, self._reservation_limit_s
+            )
+        )
         self._reservations = decided.reservations
         self._planned_version, self._planned_s = self._registry.version, now_s
         for victim in decided.stops:
--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -100,6 +100,9 @@
         heartbeat_s: Interval of the heartbeats of a worker.
         capacity_grace_s: Time for which a worker tolerates starts that exceed its capacity after
             that has shrunk.
+        reclaim_s: Time within which urgent jobs get the accelerators that their account is
+            guaranteed.
+        stop_timeout_s: Time that a worker needs at most to stop a run.
     """
 
     workers_prefix: str
@@ -109,6 +112,8 @@
     maintenance: MaintenanceAccess | None = None
     heartbeat_s: float = 1.5
     capacity_grace_s: float = math.inf
+    reclaim_s: float = 3.0
+    stop_timeout_s: float = 0.5
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/foxtailwell/instance/_settings.py
+++ b/src/foxtailwell/instance/_settings.py
@@ -24,6 +24,9 @@
         heartbeat_s: Interval of the heartbeats of a worker.
         capacity_grace_s: Time for which a worker tolerates starts that exceed its capacity after
             that has shrunk.
+        reclaim_s: Time within which urgent jobs get the accelerators that their account is
+            guaranteed.
+        stop_timeout_s: Time that a worker needs at most to stop a run.
     """
 
     name: str
@@ -41,3 +44,5 @@
     maintenance_s: float
     heartbeat_s: float
     capacity_grace_s: float
+    reclaim_s: float
+    stop_timeout_s: float
--- a/src/foxtailwell/platform/assembly.py
+++ b/src/foxtailwell/platform/assembly.py
@@ -39,6 +39,8 @@
             _maintenance_access(settings) if settings.machines_address else None,
             settings.heartbeat_s,
             settings.capacity_grace_s,
+            settings.reclaim_s,
+            settings.stop_timeout_s,
         ),
         operator_keys=OperatorKeys(
             messages.CONFIGURATION_KEY,
--- a/src/foxtailwell/platform/settings.py
+++ b/src/foxtailwell/platform/settings.py
@@ -48,6 +48,8 @@
     grace_s: _Seconds = 6
     max_hold_ms: _Milliseconds = 10_000
     revoke_ms: _Milliseconds = 5000
+    reclaim_ms: _Milliseconds = 3000
+    stop_timeout_ms: _Milliseconds = 500
     status_s: _Seconds = 120
     maintenance_s: _Seconds = 2
 
@@ -98,6 +100,8 @@
         maintenance_s=file.bounds.maintenance_s,
         heartbeat_s=file.heartbeat_ms / 1000,
         capacity_grace_s=(file.bounds.contact_ms + file.heartbeat_ms) / 1000,
+        reclaim_s=file.bounds.reclaim_ms / 1000,
+        stop_timeout_s=file.bounds.stop_timeout_ms / 1000,
     )
 
 
--- a/src/foxtailwell/workflows/__init__.py
+++ b/src/foxtailwell/workflows/__init__.py
@@ -71,6 +71,7 @@
     MaintenanceWave,
 )
 from foxtailwell.workflows._placement import plan
+from foxtailwell.workflows._preemption import reservation_limit_s
 from foxtailwell.workflows._tasks import (
     EndKind,
     Job,
@@ -142,6 +143,7 @@
     "is_kept_apart",
     "plan",
     "probation_s",
+    "reservation_limit_s",
     "runs_to_stop",
     "weigh_crash",
 ]
--- a/src/foxtailwell/workflows/_capacity.py
+++ b/src/foxtailwell/workflows/_capacity.py
@@ -61,6 +61,7 @@
         starting: Keys of the units that this plan places, by worker.
         overdue_workers: Workers on which preempted runs did not stop before their reservation
             expired; other runs are preempted rather than waiting for these.
+        reservation_limit_s: Time after which a reservation expires if its victims have not stopped.
     """
 
     workers: Mapping[str, WorkerView]
@@ -75,6 +76,7 @@
     suspects: dict[str, SchedulingUnit] = field(default_factory=dict)
     starting: dict[str, set[tuple[str, int, int]]] = field(default_factory=dict)
     overdue_workers: set[str] = field(default_factory=set)
+    reservation_limit_s: float = math.inf
     _eligible: dict[tuple[str, str, bool, bool], EligibleWorkers] = field(default_factory=dict)
 
     def eligible_workers(self, unit: SchedulingUnit) -> EligibleWorkers:
@@ -234,6 +236,7 @@
         now_s=view.now_s,
         pool_use=pool_use,
         busy_pools=frozenset(pool for pool, use in pool_use.items() if use.is_high),
+        reservation_limit_s=view.reservation_limit_s,
     )
     for worker in view.workers.values():
         for task in worker.running:
--- a/src/foxtailwell/workflows/_fleet_view.py
+++ b/src/foxtailwell/workflows/_fleet_view.py
@@ -173,6 +173,8 @@
         workers: Workers by identifier.
         reservations: Reservations that the previous plan returned.
         explained: Keys of the units whose wait is to be explained if they are not placed.
+        reservation_limit_s: Time after which a new reservation expires if its victims have not
+            stopped.
     """
 
     now_s: float
@@ -180,6 +182,7 @@
     units: Sequence[SchedulingUnit]
     reservations: Sequence[Reservation] = ()
     explained: Collection[tuple[str, int, int]] = ()
+    reservation_limit_s: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/foxtailwell/workflows/_preemption.py
+++ b/src/foxtailwell/workflows/_preemption.py
@@ -11,10 +11,25 @@
 from foxtailwell.workflows._jobs import TaskId
 from foxtailwell.workflows._tasks import SchedulingUnit
 
-__all__ = ["preempt"]
+__all__ = ["preempt", "reservation_limit_s"]
 
-RESERVATION_TIMEOUT_S = 3.0
-"""Time after which a reservation expires if its victims have not stopped."""
+START_ALLOWANCE_S = 0.5
+"""Time for an urgent job to be stored, noticed and started once there is room."""
+
+STOP_ALLOWANCE_S = 0.4
+"""Time in which a stop is stored, sent and listed beyond what the worker needs for it."""
+
+
+def reservation_limit_s(reclaim_s: float, stop_timeout_s: float) -> float:
+    """Return how long a reservation lasts if its victims do not stop.
+
+    Other victims must still have as long to stop within the time that a guarantee allows.
+
+    Args:
+        reclaim_s: Time within which guaranteed capacity must be given back.
+        stop_timeout_s: Time that a worker needs at most to stop a run.
+    """
+    return max((reclaim_s - START_ALLOWANCE_S) / 2, stop_timeout_s + STOP_ALLOWANCE_S)
 
 
 def preempt(
@@ -48,7 +63,7 @@
     for worker in chosen.values():
         capacity.allocate(worker, unit)
     placement = Placement(unit, chosen)
-    return victims, Reservation(placement, now_s + RESERVATION_TIMEOUT_S)
+    return victims, Reservation(placement, now_s + capacity.reservation_limit_s)
 
 
 def _cheapest(
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -339,6 +339,21 @@
     assert await until(lambda: (f"{borrower}.0.0.0", 2, "saved-1") in resumed)
 
 
+async def test_urgent_job_takes_other_room_in_time_if_a_victim_does_not_stop(group):
+    """Guards against a reservation that lasts for longer than a guarantee may take to be met."""
+    deployment = make_deployment(group, 2)
+    deployment.start("one")
+    await deployment.submit(1, LATER, [step(request=WHOLE)])
+    job = await deployment.submit(2, LATER, [step(request=WHOLE, is_checkpointing=True)])
+    borrower = f"{job}.0.0.0"
+    assert await until(lambda: all(worker.running for worker in deployment.workers.values()))
+    await anyio.sleep(1.0)
+    deployment.holder_of(borrower).faults.is_refusing_stops = True
+    urgent = await deployment.submit(3, URGENT, [step(request=WHOLE)])
+    assert await until(lambda: bool(deployment.runs(f"{urgent}.0.0.0")), 2.7)
+    assert deployment.holder_of(borrower).running[borrower].run == 1
+
+
 async def test_worker_never_exceeds_its_capacity(group):
     """Guards against starting a task on capacity that a stopping run still occupies."""
     deployment = make_deployment(group, 1)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -108,12 +108,22 @@
         load_instance_settings(str(path))
 
 
+def test_bounds_of_a_guarantee_are_read(tmp_path):
+    """Guards against reservations that ignore in which time guarantees have to be met."""
+    path = tmp_path / "local.json"
+    bounds = {"reclaim_ms": 2700, "stop_timeout_ms": 200}
+    path.write_bytes(msgspec.json.encode(SETTINGS | {"bounds": bounds}))
+    settings = load_instance_settings(str(path))
+    assert (settings.reclaim_s, settings.stop_timeout_s) == (2.7, 0.2)
+
+
 @pytest.mark.parametrize(
     ("field", "value"),
     [
         ("max_hold_ms", 10),
         ("contact_ms", 3),
         ("revoke_ms", -1),
+        ("reclaim_ms", 3),
         ("grace_s", 120_000),
         ("status_s", -1),
     ],
--- a/tests/test_workflow_placement.py
+++ b/tests/test_workflow_placement.py
@@ -22,6 +22,7 @@
     Wait,
     WorkerView,
     plan,
+    reservation_limit_s,
 )
 
 CAPACITY = Resources(128_000, 262_144, 8)
@@ -212,6 +213,20 @@
     assert len(placed.workers) == 2
 
 
+@pytest.mark.parametrize(
+    ("reclaim_s", "stop_timeout_s", "limit_s"),
+    [(2.7, 0.2, 1.1), (2.9, 0.4, 1.2), (10.0, 0.4, 4.75), (1.0, 0.4, 0.8)],
+)
+def test_reservation_leaves_time_for_other_victims(reclaim_s, stop_timeout_s, limit_s):
+    """Guards against a guarantee that is missed, and victims that are given up before they stop."""
+    limit = reservation_limit_s(reclaim_s, stop_timeout_s)
+    assert limit == pytest.approx(limit_s)
+    workers = [_worker("w0", running=[_running("a", WHOLE, priority=2)])]
+    view = FleetView(10.0, {"w0": workers[0]}, [_unit("j", URGENT, Step(1, WHOLE, 1000))])
+    decided = plan(replace(view, reservation_limit_s=limit))
+    assert [r.until_s for r in decided.reservations] == [10.0 + limit]
+
+
 def test_protected_lasting_tasks_are_never_preempted():
     """Guards against a service outage that the scheduler itself causes by preemption."""
     workers = [_worker("w0", running=[_running("a", WHOLE, is_protected=True)])]
