Tell operators of steps that no set of the listed workers can serve

Callers saw: a job that stays `queued` for as long as it is asked for, and nobody knew that it cannot run. FW1634 counted `room` or `label` for each worker, as for a job that waits for a busy pool.

Decision: no job is refused for its size, label or width. A refusal is right only if the job can never be served, and no instance knows that: workers come and go, a new incarnation may be of another kind, capacities shrink and grow, the configuration may route the queue elsewhere, and an instance that takes a submission sees none of the workers that the controller sees. A wrong refusal is final; a caller whose job waits can cancel it. Requests that no worker whatsoever could hold are refused as malformed, as before.

What a caller is told: the state `queued`.

Change: the explanation of a wait counts the tasks that the listed workers with the label would hold if they were empty (`possible` in FW1634). A step of which that is too few is reported once by FW1641, at the end of that by FW1642, and counted by the metric `foxtailwell_unservable_steps`.

Ruled out: to end such a job as failed after a time (only failed attempts may end a job so).

Tests: steps that are too large, too wide, limited per worker or without their label are reported once; those that wait for room, or for a worker that does not respond, are not; a job that is larger than each worker waits, is reported, and runs once a large worker appears.

--- a/src/foxtailwell/adapters/events.py
+++ b/src/foxtailwell/adapters/events.py
@@ -132,6 +132,8 @@
 VALUE_UNREADABLE = _event("FW1636", "ERROR", "a value of the store cannot be read")
 ENTRY_LATE = _event("FW1637", "INFO", "a worker entry was written long before it appeared")
 MACHINE_RELEASED = _event("FW1640", "WARNING", "a machine rejects its maintenance and waits")
+STEP_UNSERVABLE = _event("FW1641", "WARNING", "no set of the listed workers can serve a step")
+STEP_SERVABLE = _event("FW1642", "INFO", "the listed workers can serve a step again")
 
 # 1700-1799: instances
 SUBMISSION_STORED = _event("FW1701", "INFO", "a job is stored")
--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -246,6 +246,11 @@
         jobs = self._registry.jobs.values()
         return sum(not job.has_started and not job.state.is_final for job in jobs)
 
+    @property
+    def unservable_steps(self) -> int:
+        """Number of waiting steps that no set of the listed workers can serve."""
+        return self._wait_log.unservable_count
+
     def _may_act(self) -> bool:
         return not self._fenced_by and self._now_s() - self._renewed_s() < RENEWAL_GRACE_S
 
--- a/src/foxtailwell/controller/_leadership.py
+++ b/src/foxtailwell/controller/_leadership.py
@@ -87,6 +87,11 @@
         """Number of jobs without a started task; 0 while this instance is not the controller."""
         return self._controller.waiting_jobs if self._controller else 0
 
+    @property
+    def unservable_steps(self) -> int:
+        """Number of waiting steps that no set of the listed workers can serve; 0 without a term."""
+        return self._controller.unservable_steps if self._controller else 0
+
     def change_settings(self, settings: LeadershipSettings) -> None:
         """Use other settings from the next term on; a changed name takes no effect."""
         self._settings = settings
--- a/src/foxtailwell/controller/_waits.py
+++ b/src/foxtailwell/controller/_waits.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Collection, Iterable
 
-from foxtailwell.adapters.events import STEP_WAITS
+from foxtailwell.adapters.events import STEP_SERVABLE, STEP_UNSERVABLE, STEP_WAITS
 from foxtailwell.adapters.logs import log_event
 from foxtailwell.workflows import SchedulingUnit, Wait
 
@@ -28,11 +28,18 @@
     def __init__(self) -> None:
         self._waiting_since_s: dict[UnitKey, float] = {}
         self._explained_s: dict[UnitKey, float] = {}
+        self._unservable: set[UnitKey] = set()
+
+    @property
+    def unservable_count(self) -> int:
+        """Number of waiting steps that no set of the listed workers can serve."""
+        return len(self._unservable)
 
     def select(self, units: Iterable[SchedulingUnit], now_s: float) -> frozenset[UnitKey]:
         """Return the keys of the units to explain if the next plan does not place them."""
         since_s = {unit.key: self._waiting_since_s.get(unit.key, now_s) for unit in units}
         self._waiting_since_s = since_s
+        self._unservable &= since_s.keys()
         self._explained_s = {key: at for key, at in self._explained_s.items() if key in since_s}
         due = [
             key
@@ -60,11 +67,33 @@
                 tasks=len(wait.unit.tasks),
                 waited_s=round(now_s - self._waiting_since_s.get(key, now_s), 2),
                 fitting=wait.fitting_tasks,
+                possible=wait.possible_tasks,
                 cpu_share=round(wait.pool_use.cpu_share, 2),
                 memory_share=round(wait.pool_use.memory_share, 2),
                 accelerator_share=round(wait.pool_use.accelerator_share, 2),
                 obstacles={obstacle.value: count for obstacle, count in wait.obstacles.items()},
             )
             self._explained_s[key] = now_s
+            self._update_unservable(wait)
         for key in placed:
             self._waiting_since_s.pop(key, None)
+            self._unservable.discard(key)
+
+    def _update_unservable(self, wait: Wait) -> None:
+        key = wait.unit.key
+        if wait.is_unservable == (key in self._unservable):
+            return
+        if wait.is_unservable:
+            self._unservable.add(key)
+        else:
+            self._unservable.remove(key)
+        log_event(
+            STEP_UNSERVABLE if wait.is_unservable else STEP_SERVABLE,
+            job=wait.unit.job_id,
+            step=wait.unit.step_number,
+            queue=wait.unit.queue.name,
+            tasks=len(wait.unit.tasks),
+            is_gang=wait.unit.step.is_gang,
+            possible=wait.possible_tasks,
+            label=wait.unit.step.required_label,
+        )
--- a/src/foxtailwell/instance/_daemon.py
+++ b/src/foxtailwell/instance/_daemon.py
@@ -117,6 +117,7 @@
         self._metrics.gauge("evidence_age_seconds", lambda: self._operators.evidence_age_s)
         self._metrics.gauge("controller_token", lambda: self._leadership.token)
         self._metrics.gauge("waiting_jobs", lambda: self._leadership.waiting_jobs)
+        self._metrics.gauge("unservable_steps", lambda: self._leadership.unservable_steps)
         self._is_stopping = False
         self._stop_serving = anyio.Event()
 
--- a/src/foxtailwell/workflows/_capacity.py
+++ b/src/foxtailwell/workflows/_capacity.py
@@ -156,7 +156,20 @@
             else:
                 obstacles[obstacle] = obstacles.get(obstacle, 0) + 1
         pool_use = self.pool_use.get(unit.queue.pool, _EMPTY_POOL)
-        return Wait(unit, obstacles, min(fitting, len(unit.tasks)), pool_use)
+        count = len(unit.tasks)
+        possible = sum(self._max_if_empty(worker, unit) for worker in self.workers.values())
+        return Wait(unit, obstacles, min(fitting, count), pool_use, min(possible, count))
+
+    def _max_if_empty(self, worker: WorkerView, unit: SchedulingUnit) -> int:
+        """Return how many tasks of the unit a worker would hold if it were empty and usable."""
+        step = unit.step
+        if worker.pool != unit.queue.pool or not worker.labels.issuperset(
+            {step.required_label} - {""}
+        ):
+            return 0
+        return min(
+            step.request.max_copies(worker.capacity), step.max_per_worker or UNLIMITED_COPIES
+        )
 
     def _obstacle(self, worker: WorkerView, unit: SchedulingUnit) -> Obstacle | None:
         """Return the first reason why no task of the unit can be placed on a worker."""
--- a/src/foxtailwell/workflows/_fleet_view.py
+++ b/src/foxtailwell/workflows/_fleet_view.py
@@ -227,12 +227,24 @@
         fitting_tasks: Tasks of the unit that fit on the workers without an obstacle. If they are
             all tasks, the unit waits for workers near its data or in one rack.
         pool_use: Use of its pool before the plan.
+        possible_tasks: Tasks of the unit that the workers of its pool with its label would hold if
+            they were empty.
     """
 
     unit: SchedulingUnit
     obstacles: Mapping[Obstacle, int]
     fitting_tasks: int
     pool_use: PoolUse
+    possible_tasks: int
+
+    @property
+    def is_unservable(self) -> bool:
+        """Whether the listed workers cannot serve the unit, however long it waits for their runs.
+
+        Workers come and go, so this says nothing about later. Tasks that need not run together are
+        served if one fits.
+        """
+        return self.possible_tasks < (len(self.unit.tasks) if self.unit.step.is_gang else 1)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -19,7 +19,7 @@
     Submission,
     TaskId,
 )
-from foxtailwell_standins.platform_worker import WorkerFaults
+from foxtailwell_standins.platform_worker import MemoryWorker, WorkerFaults
 
 pytestmark = pytest.mark.anyio
 
@@ -354,6 +354,20 @@
     assert deployment.holder_of(borrower).running[borrower].run == 1
 
 
+async def test_job_that_no_worker_can_hold_runs_once_such_a_worker_appears(group, caplog_events):
+    """Guards against a job that is given up, or waits unnoticed, for want of a large worker."""
+    deployment = make_deployment(group, 1)
+    instance = deployment.start("one")
+    job = await deployment.submit(1, LATER, [step(request=Resources(10_000, 10_000, 9))])
+    assert await until(lambda: instance.leadership.unservable_steps == 1, 4.0)
+    assert await deployment.state(job) is JobState.QUEUED
+    assert any(e.get("event") == "FW1641" and e["job"] == job for e in caplog_events)
+    deployment.workers["large"] = MemoryWorker("large", capacity=Resources(128_000, 262_144, 16))
+    deployment.publish(deployment.workers["large"])
+    assert await until(lambda: bool(deployment.runs(f"{job}.0.0.0")))
+    assert await until(lambda: instance.leadership.unservable_steps == 0)
+
+
 async def test_worker_never_exceeds_its_capacity(group):
     """Guards against starting a task on capacity that a stopping run still occupies."""
     deployment = make_deployment(group, 1)
--- a/tests/test_workflow_placement.py
+++ b/tests/test_workflow_placement.py
@@ -280,6 +280,52 @@
     }
 
 
+@pytest.mark.parametrize(
+    ("step", "possible"),
+    [
+        (Step(4, WHOLE, 1000, is_gang=True), 3),
+        (Step(4, WHOLE, 1000, is_gang=True, max_per_worker=1), 3),
+        (Step(9, Resources(0, 0, 4), 1000, is_gang=True, max_per_worker=2), 6),
+        (Step(1, Resources(0, 0, 9), 1000), 0),
+        (Step(1, WHOLE, 1000, required_label="b"), 0),
+        (Step(2, Resources(0, 0, 9), 1000, is_gang=True), 0),
+    ],
+)
+def test_step_that_no_listed_workers_can_serve_is_reported(caplog_events, step, possible):
+    """Guards against a job that waits without anybody being told that it cannot run."""
+    busy = [_worker(f"w{n}", running=[_running("x", WHOLE)]) for n in range(3)]
+    workers = [*busy, _worker("w9", pool="other")]
+    unit = _unit("j", BATCH, step)
+    view = FleetView(10.0, {w.id: w for w in workers}, [unit], explained={unit.key})
+    (wait,) = plan(view).waits
+    assert (wait.possible_tasks, wait.is_unservable) == (possible, True)
+    waits = WaitLog()
+    waits.select([unit], 10.0)
+    for _ in range(3):
+        waits.record([], [wait], 12.0)
+    assert [e["event"] for e in caplog_events].count("FW1641") == waits.unservable_count == 1
+    waits.record([], [replace(wait, possible_tasks=len(unit.tasks))], 14.0)
+    assert waits.unservable_count == 0
+    assert caplog_events[-1]["event"] == "FW1642"
+
+
+@pytest.mark.parametrize(
+    "step",
+    [
+        Step(3, WHOLE, 1000, is_gang=True),
+        Step(9, WHOLE, 1000),
+        Step(1, WHOLE, 1000, required_label="a"),
+    ],
+)
+def test_step_that_waits_for_room_is_not_reported_as_unservable(step):
+    """Guards against an alarm for each job that waits in a busy pool."""
+    workers = [_worker(f"w{n}", running=[_running("x", WHOLE)]) for n in range(3)]
+    workers[0] = replace(workers[0], obstacle=Obstacle.UNRESPONSIVE)
+    unit = _unit("j", BATCH, step)
+    view = FleetView(10.0, {w.id: w for w in workers}, [unit], explained={unit.key})
+    assert not plan(view).waits[0].is_unservable
+
+
 def test_explanations_of_a_wait_are_rare():
     """Guards against a line in each of the plans, of which several are made in a second."""
     waits, unit = WaitLog(), _unit("j", MODEL, Step(1, WHOLE))
@@ -289,6 +335,6 @@
         if tenth == 45:
             waits.record([unit.key], [], 4.5)
         selected = waits.select([unit], tenth / 10)
-        waits.record([], [Wait(unit, {}, 0, use)] if selected else [], tenth / 10)
+        waits.record([], [Wait(unit, {}, 0, use, 1)] if selected else [], tenth / 10)
         due += [tenth] * len(selected)
     assert due == [20, 40, 65]
