--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -73,6 +73,7 @@
     WorkerCalls,
     WorkerEntry,
     plan,
+    reservation_limit_s,
     runs_to_stop,
 )
 
@@ -209,6 +210,7 @@
             metrics=metrics,
         )
         self._reservations: tuple[Reservation, ...] = ()
+        self._reservation_limit_s = reservation_limit_s(fleet.reclaim_s, fleet.stop_timeout_s)
         self._wait_log = WaitLog()
         self._planned_version = -1
         self._planned_s = 0.0
@@ -247,6 +249,11 @@
         jobs = self._registry.jobs.values()
         return sum(not job.has_started and not job.state.is_final for job in jobs)
 
+    @property
+    def unservable_steps(self) -> int:
+        """Number of waiting steps that no set of the listed workers can serve."""
+        return self._wait_log.unservable_count
+
     def _may_act(self) -> bool:
         return not self._fenced_by and self._now_s() - self._renewed_s() < RENEWAL_GRACE_S
 
@@ -443,7 +450,11 @@
         cordoned = self._maintenance.cordoned() if self._maintenance else frozenset()
         workers = self._workers.views(view.zones_out, cordoned, now_s, within_guarantee)
         explained = self._wait_log.select(units, now_s)
-        decided = plan(FleetView(now_s, workers, units, self._reservations, explained))
+        decided = plan(
+            FleetView(
+                now_s, workers, units, self._reservations, explained, self._reservation_limit_s
+            )
+        )
         self._log_ended_reservations(decided, now_s)
         beneficiaries = {
             v: r.placement.unit.job_id for r in decided.reservations for v in r.victims
--- a/src/foxtailwell/workflows/_capacity.py
+++ b/src/foxtailwell/workflows/_capacity.py
@@ -61,6 +61,7 @@
         starting: Keys of the units that this plan places, by worker.
         overdue_workers: Workers on which preempted runs did not stop before their reservation
             expired; other runs are preempted rather than waiting for these.
+        reservation_limit_s: Time after which a reservation expires if its victims have not stopped.
     """
 
     workers: Mapping[str, WorkerView]
@@ -75,6 +76,7 @@
     suspects: dict[str, SchedulingUnit] = field(default_factory=dict)
     starting: dict[str, set[tuple[str, int, int]]] = field(default_factory=dict)
     overdue_workers: set[str] = field(default_factory=set)
+    reservation_limit_s: float = math.inf
     _eligible: dict[tuple[str, str, bool, bool], EligibleWorkers] = field(default_factory=dict)
 
     def eligible_workers(self, unit: SchedulingUnit) -> EligibleWorkers:
@@ -154,7 +156,20 @@
             else:
                 obstacles[obstacle] = obstacles.get(obstacle, 0) + 1
         pool_use = self.pool_use.get(unit.queue.pool, _EMPTY_POOL)
-        return Wait(unit, obstacles, min(fitting, len(unit.tasks)), pool_use)
+        count = len(unit.tasks)
+        possible = sum(self._max_if_empty(worker, unit) for worker in self.workers.values())
+        return Wait(unit, obstacles, min(fitting, count), pool_use, min(possible, count))
+
+    def _max_if_empty(self, worker: WorkerView, unit: SchedulingUnit) -> int:
+        """Return how many tasks of the unit a worker would hold if it were empty and usable."""
+        step = unit.step
+        if worker.pool != unit.queue.pool or not worker.labels.issuperset(
+            {step.required_label} - {""}
+        ):
+            return 0
+        return min(
+            step.request.max_copies(worker.capacity), step.max_per_worker or UNLIMITED_COPIES
+        )
 
     def _obstacle(self, worker: WorkerView, unit: SchedulingUnit) -> Obstacle | None:
         """Return the first reason why no task of the unit can be placed on a worker."""
@@ -234,6 +249,7 @@
         now_s=view.now_s,
         pool_use=pool_use,
         busy_pools=frozenset(pool for pool, use in pool_use.items() if use.is_high),
+        reservation_limit_s=view.reservation_limit_s,
     )
     for worker in view.workers.values():
         for task in worker.running:
