Have a restarted worker reject the starts that may still reach it

A task runs twice at once, for 10 s and more.

Cause: a start without a response may be carried out seconds later. Its deadline is one on the worker's clock, which starts anew with the next incarnation, and that knows of no stop and no earlier run. A task that was lost with the earlier incarnation, or whose lease lapsed behind a cut, was queued again at once; nothing told the next incarnation to reject the copy that was still under way, and an idle one is not listed.

Evidence: in process, first attempt delayed, the second confirmed or the worker cut off beyond its lease, then a restart: the late copy starts run 1 beside run 2.

Change: a listing of another incarnation has unanswered starts of the last 12 s stopped there, each once, and a task with one of them is queued again only after that is confirmed. A worker confirms a stop of a run that it does not have, and rejects it from then on. What is delivered before the first contact after a restart is stopped as soon as it is listed; that window remains.

Tests, seen to fail before in both cases: test_late_start_does_not_run_on_a_worker_that_has_restarted. The test of the room of a late start on a restarted worker relied on that start to run; its worker refuses stops now, so that it does run, and it fails as before when that room is not kept (tried with `_capacity` replaced).

Result: tests/test_controller.py, test_crashing_tasks.py, test_shrinking_capacity.py, test_waiting_suspects.py, test_maintenance.py, test_pauses.py and test_load_decisions.py pass.

--- a/src/foxtailwell/controller/_runs.py
+++ b/src/foxtailwell/controller/_runs.py
@@ -70,6 +70,8 @@
             registry, workers, metrics, now_s=now_s, now_unix_ms=now_unix_ms
         )
         self._orphaned_runs: set[tuple[str, TaskId, int]] = set()
+        # Late starts that an incarnation was told to reject, by worker.
+        self._rejected_starts: dict[str, set[tuple[int, TaskId, int]]] = {}
 
     def apply_listing(self, event: ListingReceived) -> int:
         """Apply the running and ended runs that a worker lists.
@@ -91,18 +93,45 @@
             for task in self._registry.placed_on(event.worker)
             if (str(task.id), task.run) not in running
         ]
+        late = {(start.task, start.run) for start in self._workers.late_starts(event.worker)}
         lost = [
             task
             for task in unlisted
             if task.boot_unix_ms != listing.boot_unix_ms
-            and (_has_begun_before(task, event.sent_s) or _is_stopped(task, event.sent_s))
+            # While a copy of its start may arrive, the new incarnation has to reject it first.
+            and (
+                (_has_begun_before(task, event.sent_s) and (task.id, task.run) not in late)
+                or _is_stopped(task, event.sent_s)
+            )
         ]
         self._apply_crash(event.worker, lost, "the worker restarted")
         for task in unlisted:
             if task.is_placed:
                 self._apply_unlisted(task, event.sent_s)
+        self._reject_late_starts(event.worker, listing.boot_unix_ms)
         return max((end.number for end in listing.ended), default=link.durable_end)
 
+    def _reject_late_starts(self, worker: str, boot_unix_ms: int) -> None:
+        """Stop runs that may still be delivered to another incarnation than they were sent to.
+
+        It knows of no stop, and its clock starts anew, so that no deadline keeps it from them.
+        """
+        starts = self._workers.late_starts(worker)
+        if not starts:
+            self._rejected_starts.pop(worker, None)
+        for start in starts:
+            task = self._registry.find(start.task)
+            is_placed = task is not None and task.is_placed and task.worker == worker
+            # A run that is placed there is listed, or stopped as one that is missing.
+            if start.boot_unix_ms == boot_unix_ms or (
+                task is not None and is_placed and task.run == start.run
+            ):
+                continue
+            rejected = self._rejected_starts.setdefault(worker, set())
+            if (boot_unix_ms, start.task, start.run) not in rejected:
+                rejected.add((boot_unix_ms, start.task, start.run))
+                self._orphaned_runs.add((worker, start.task, start.run))
+
     def _apply_end(
         self, worker: str, text: str, run: int, kind: EndKind, checkpoint: str, now_unix_ms: int
     ) -> None:
--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -315,6 +315,12 @@
         """Record that a start may still be delivered, after a restart of the worker as well."""
         self._unanswered_starts.setdefault(event.worker, []).append(event)
 
+    def late_starts(self, worker: str) -> list[StartFinished]:
+        """Return the starts that the platform may still deliver to a worker."""
+        now_s = self._now_s()
+        starts = self._unanswered_starts.get(worker, ())
+        return [start for start in starts if now_s - start.settled_s < LATE_START_S]
+
     def _capacity(self, entry: WorkerEntry, now_s: float) -> Resources:
         """Return the capacity of a worker without the room that late starts may take.
 
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -19,7 +19,7 @@
     Submission,
     TaskId,
 )
-from foxtailwell_standins.platform_worker import WorkerFaults
+from foxtailwell_standins.platform_worker import MemoryWorker, WorkerFaults
 
 pytestmark = pytest.mark.anyio
 
@@ -266,6 +266,32 @@
     assert task not in late.running
 
 
+@pytest.mark.parametrize("is_cut_off", [False, True])
+async def test_late_start_does_not_run_on_a_worker_that_has_restarted(group, is_cut_off):
+    """Guards against a task that runs twice: the next incarnation knows of no stop, and no lease.
+
+    The first attempt got no response. It arrives once the worker has restarted and responded.
+    """
+    deployment = make_deployment(group, 1)
+    group.start_soon(deployment.send_heartbeats)
+    deployment.start("one", lease_ms=1000)
+    worker = deployment.workers["w0"]
+    # The deadline of the late start has not passed on the clock of the next incarnation.
+    worker._boot_s -= 50
+    worker.faults.delayed_starts = 1
+    _, task = await deployment.start_one_task()
+    other = deployment.workers["w1"] = MemoryWorker("w1")
+    if is_cut_off:
+        worker.faults.is_unreachable = True
+        assert await until(lambda: bool(other.running), 5.0)
+        worker.faults.is_unreachable = False
+    worker.restart()
+    assert await until(lambda: len(deployment.runs(task)) == 2, 5.0)
+    await anyio.sleep(1.0)
+    worker.apply_delayed()
+    assert [run for _, run in deployment.runs(task)] == [1, 2]
+
+
 async def test_refused_stop_does_not_let_a_delayed_start_run_beside_the_next_run(group):
     """Guards against a stop that counts as confirmed although its worker has refused it."""
     deployment = make_deployment(group, 2)
--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -120,7 +120,11 @@
     first = await deployment.submit(1, LATER, [step(request=WHOLE)])
     assert await until(lambda: not worker.faults.delayed_starts)
     await deployment.intake.cancel(first)
+    assert await until(lambda: f"foxtailwell/in/job/{first}" not in deployment.store.items)
+    # Otherwise the next incarnation is told to reject the late start, and has.
+    worker.faults.is_refusing_stops = True
     worker.crash()
+    assert await until(lambda: worker.token > 0)
     second = await deployment.submit(2, LATER, [step(request=WHOLE)])
     await until(lambda: bool(deployment.runs(f"{second}.0.0.0")), 2.0)
     worker.apply_delayed()
