Let the stand-in end a lapsed gang of which one worker has two members

Callers saw: nothing; the soak itself ended. Cause: the end of one member ends the others, and the stand-in then ended these once more.

Test, seen to fail with the same error before: test_lapsed_lease_ends_all_members_of_a_gang_on_one_worker.

--- a/src/foxtailwell_standins/platform_worker.py
+++ b/src/foxtailwell_standins/platform_worker.py
@@ -305,7 +305,9 @@
         """End the runs whose lease has expired or whose work is complete."""
         if self.running and self.clock_ms() > self._lease_end_ms:
             for task in list(self.running):
-                self.end(task, EndKind.EXPIRED)
+                # The end of one member of a gang ends the others.
+                if task in self.running:
+                    self.end(task, EndKind.EXPIRED)
         for task, run in list(self.running.items()):
             kind = self._due_end_kind(task, run)
             if kind is not None and task in self.running:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -38,7 +38,7 @@
 from foxtailwell_soak._history import History, JobRecord
 from foxtailwell_soak._operators import Operators
 from foxtailwell_standins.platform_store import MemoryStore, StoreFaults
-from foxtailwell_standins.platform_worker import MemoryWorker, RunSpan
+from foxtailwell_standins.platform_worker import GangCoordinator, MemoryWorker, RunSpan
 from foxtailwell_standins.relay import LinkFailures, RelayState
 
 SEED = 20261204
@@ -310,6 +310,19 @@
     assert handle.link.failures == LinkFailures()
 
 
+@pytest.mark.anyio
+async def test_lapsed_lease_ends_all_members_of_a_gang_on_one_worker():
+    """Guards against a stand-in that fails when the end of one member has ended the next."""
+    worker = MemoryWorker("w0", gangs=GangCoordinator({f"{JOB}.0.0": 2}))
+    for index in range(2):
+        await worker.start(StartCommand(TaskId(JOB, 0, 0, index), 1, "1.0", ""), 1000, 1)
+    assert len(worker.running) == 2
+    worker._boot_s -= 2.0
+    worker.end_due_runs()
+    assert not worker.running
+    assert [end.kind for end in worker.ended] == [EndKind.EXPIRED, EndKind.GANG_BROKEN]
+
+
 @pytest.fixture
 def cut_worker(checked_worker, monkeypatch):
     """Return a function that cuts the worker off, its handle, and its stored entries or None."""
