--- a/src/foxtailwell/controller/_runs.py
+++ b/src/foxtailwell/controller/_runs.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from foxtailwell.adapters.events import RUN_ENDED, RUN_LOST, TASK_UNREADABLE
 from foxtailwell.adapters.logs import log_event
@@ -92,20 +92,35 @@
             for task in self._registry.placed_on(event.worker)
             if (str(task.id), task.run) not in running
         ]
+        late = set(self._workers.late_starts(event.worker, listing.boot_unix_ms))
         lost = [
             task
             for task in unlisted
             if task.boot_unix_ms != listing.boot_unix_ms
-            and (_has_begun_before(task, event.sent_s) or _is_stopped(task, event.sent_s))
+            # While a copy of its start may arrive, the new incarnation has to reject it first.
+            and (
+                (_has_begun_before(task, event.sent_s) and (task.id, task.run) not in late)
+                or _is_stopped(task, event.sent_s)
+            )
         ]
         self._apply_crash(event.worker, lost, "the worker restarted")
         for task in unlisted:
             if task.is_placed:
                 self._apply_unlisted(task, event.sent_s)
-        for task_id, number in self._workers.late_starts(event.worker, listing.boot_unix_ms):
-            self._orphaned_runs.add((event.worker, task_id, number))
+        self._reject_late_starts(event.worker, late)
         return max((end.number for end in listing.ended), default=link.durable_end)
 
+    def _reject_late_starts(self, worker: str, late: Iterable[tuple[TaskId, int]]) -> None:
+        """Stop runs that may still be delivered to another incarnation than they were sent to.
+
+        A run that is placed there is listed, or stopped as one that is missing.
+        """
+        for task_id, run in late:
+            task = self._registry.find(task_id)
+            is_here = task is not None and task.is_placed and task.worker == worker
+            if not (is_here and task is not None and task.run == run):
+                self._orphaned_runs.add((worker, task_id, run))
+
     def _apply_end(
         self, worker: str, text: str, run: int, kind: EndKind, checkpoint: str, now_unix_ms: int
     ) -> None:
--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -355,7 +355,8 @@
     def late_starts(self, worker: str, boot_unix_ms: int) -> list[tuple[TaskId, int]]:
         """Return the runs whose starts may reach an incarnation that would carry them out.
 
-        It rejects the start of a run that was stopped there, like the one that it was sent to.
+        It knows of no stop and no run before, and its clock starts anew, so that no deadline keeps
+        a start from it.
         """
         return [
             (start.task, start.run)
