--- a/tests/test_holds_end.py
+++ b/tests/test_holds_end.py
@@ -59,7 +59,7 @@
         events=send,
         leases_expire_s=0.0,
         boot_unix_ms=1,
-        reading=ClockReading(1, 0, START_S),
+        reading=ClockReading(1, 0, START_S, START_S),
     )
     change = Change("servers/w0", msgspec.json.encode(worker.entry()), 1)
     view.apply_entries(ChangeBatch((change,), is_snapshot=True))
