Report starts and waits for processors with a failed soak test

Two instances had logged their start 8 to 10 s after the first. Why could not be told from what was kept.

Ruled out: ports in use, the store, connect timeouts and signals, as none comes before the line; imports from a cold disk.

Not done: a wait for the instances before the first fault. It would hide what a late start does to callers, and no run shows that it helps.

Change: the result of a soak test names the starts of each instance and for how long the processes ran and waited for a processor; the command prints this with violations, the test with each failed assertion. The checks are as they were.

Test: test_report_tells_a_late_start_from_a_process_without_a_processor (new functions; it cannot run before).

--- a/src/foxtailwell_soak/__main__.py
+++ b/src/foxtailwell_soak/__main__.py
@@ -54,7 +54,8 @@
             flush=True,
         )
         if result.violations:
-            print("\n".join((*result.faults, *result.violations)), flush=True)
+            report = (*result.faults, *result.processes, *result.violations)
+            print("\n".join(report), flush=True)
         return result
 
 
--- a/src/foxtailwell_soak/_fleet.py
+++ b/src/foxtailwell_soak/_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import math
 import os
 import signal
@@ -10,13 +11,14 @@
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass, field, replace
+from datetime import datetime
 from pathlib import Path
 
 import anyio
 import msgspec
 from anyio.abc import TaskGroup
 
-from foxtailwell.adapters.events import TASK_FAILED
+from foxtailwell.adapters.events import DAEMON_STARTED, TASK_FAILED
 from foxtailwell.adapters.http_connection import HttpEndpoint
 from foxtailwell.workflows import Resources
 from foxtailwell_standins.platform_server import (
@@ -38,6 +40,7 @@
     "Fleet",
     "InstanceProcess",
     "WorkerHandle",
+    "describe_processor_use",
     "is_signal_handled",
     "restore_links",
 ]
@@ -122,6 +125,20 @@
         errors = [next((x for x in lines[n + 1 :] if x[:1] != " "), "") for n in starts]
         return errors + [x for x in lines if f'"event":"{TASK_FAILED.number}"' in x]
 
+    def describe_starts(self, origin_unix_s: float) -> str:
+        """Return when the processes logged their starts, and how the last one shared a processor.
+
+        Args:
+            origin_unix_s: Time of day from which the starts count.
+        """
+        starts = [
+            f"{datetime.fromisoformat(json.loads(line)['time']).timestamp() - origin_unix_s:.1f}"
+            for line in self.log_path.read_text(errors="replace").splitlines()
+            if f'"event":"{DAEMON_STARTED.number}"' in line
+        ]
+        use = describe_processor_use(self.process.pid) if self.process else "not started"
+        return f"{self.name} started at {', '.join(starts) or 'no time'} s; {use}"
+
     def start(self) -> None:
         """Write the settings file and start the process; its output is appended to the log."""
         front, ready, metrics = self.ports
@@ -315,6 +332,19 @@
     return state, f"127.0.0.1:{port}"
 
 
+def describe_processor_use(pid: int) -> str:
+    """Return for how long a process has run and has waited for a processor.
+
+    It tells a process that had nothing to run on from one that its own code held up.
+    """
+    try:
+        ran_ns, waited_ns, _ = Path(f"/proc/{pid}/schedstat").read_text(encoding="ascii").split()
+    except OSError:
+        # The process has exited, or the kernel keeps no such statistics.
+        return "use of processors unknown"
+    return f"{int(ran_ns) / 1e9:.1f} s on a processor, {int(waited_ns) / 1e9:.1f} s waiting for one"
+
+
 def is_signal_handled(pid: int, number: signal.Signals) -> bool:
     """Whether a process handles or ignores a signal, according to its status in /proc."""
     try:
--- a/src/foxtailwell_soak/_run.py
+++ b/src/foxtailwell_soak/_run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import os
 import random
 import time
 from dataclasses import dataclass
@@ -20,7 +21,7 @@
     draw_lasting_faults,
     draw_workload_faults,
 )
-from foxtailwell_soak._fleet import Fleet, open_fleet
+from foxtailwell_soak._fleet import Fleet, describe_processor_use, open_fleet
 from foxtailwell_soak._history import History
 from foxtailwell_soak._operators import Operators
 
@@ -51,6 +52,7 @@
         violations: Descriptions of the violated guarantees; empty if the test passed.
         accepted: Number of accepted jobs.
         runs: Number of started runs.
+        processes: When each instance started, and how the processes shared processors.
     """
 
     seed: int
@@ -58,6 +60,7 @@
     violations: tuple[str, ...]
     accepted: int
     runs: int
+    processes: tuple[str, ...]
 
 
 def run_soak(
@@ -102,6 +105,7 @@
 ) -> SoakResult:
     descriptions: list[str] = []
     history = History()
+    origin_unix_s = time.time()
     async with anyio.create_task_group() as group:
         fleet = await open_fleet(group, directory, *size)
         try:
@@ -130,6 +134,8 @@
             checker.check_new()
             checker.check_responses()
             checker.check_logs()
+            processes = [i.describe_starts(origin_unix_s) for i in fleet.instances]
+            processes.append(f"soak test: {describe_processor_use(os.getpid())}")
         finally:
             group.cancel_scope.cancel()
             for endpoint in fleet.clients:
@@ -137,7 +143,14 @@
             fleet.close()
     run_count = sum(len(handle.worker.spans) for handle in fleet.workers)
     accepted = sum(bool(job.accepted_s) for job in history.jobs.values())
-    return SoakResult(seed, tuple(descriptions), tuple(history.violations), accepted, run_count)
+    return SoakResult(
+        seed,
+        tuple(descriptions),
+        tuple(history.violations),
+        accepted,
+        run_count,
+        tuple(processes),
+    )
 
 
 async def _until_cancelled_runs_end(fleet: Fleet, history: History) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import os
 import random
+import re
 import time
 from concurrent.futures import ProcessPoolExecutor
 
 import anyio
 import pytest
 
+from foxtailwell.adapters.events import DAEMON_STARTED
 from foxtailwell.adapters.http_connection import CallReply
 from foxtailwell.controller._links import max_lease_s
 from foxtailwell.workflows import EndKind, Resources, StartCommand, TaskId
@@ -24,7 +27,13 @@
     FaultInjector,
     draw_faults,
 )
-from foxtailwell_soak._fleet import BOUNDS, Fleet, InstanceProcess, WorkerHandle
+from foxtailwell_soak._fleet import (
+    BOUNDS,
+    Fleet,
+    InstanceProcess,
+    WorkerHandle,
+    describe_processor_use,
+)
 from foxtailwell_soak._history import History, JobRecord
 from foxtailwell_soak._operators import Operators
 from foxtailwell_standins.platform_store import MemoryStore, StoreFaults
@@ -86,9 +95,10 @@
 def test_guarantees_hold_under_overlapping_faults(seed, soak_results):
     """Guards against lost, repeated or misreported work when faults of real processes overlap."""
     result = soak_results[seed].result()
-    assert result.violations == (), "\n".join((*result.faults, *result.violations))
-    assert result.accepted > 5 + 2  # The last two are submitted after the faults.
-    assert result.runs > 5
+    report = "\n".join((*result.faults, *result.processes, *result.violations))
+    assert result.violations == (), report
+    assert result.accepted > 5 + 2, report  # The last two are submitted after the faults.
+    assert result.runs > 5, report
 
 
 @pytest.fixture
@@ -263,6 +273,18 @@
     assert "FW1708" in history.violations[1]
 
 
+def test_report_tells_a_late_start_from_a_process_without_a_processor(tmp_path):
+    """Guards against a late start whose reason only a repetition of the failure could tell."""
+    instance = InstanceProcess("i0", "a", tmp_path, RelayState(""), "", StoreFaults(), ())
+    start = f'{{"time":"2026-01-01T00:00:09+00:00","event":"{DAEMON_STARTED.number}"}}'
+    instance.log_path.write_text('{"event":"FW1601"}\n' + start + "\n")
+    assert instance.describe_starts(1767225600.0) == "i0 started at 9.0 s; not started"
+    assert re.fullmatch(
+        r"[0-9.]+ s on a processor, [0-9.]+ s waiting for one", describe_processor_use(os.getpid())
+    )
+    assert describe_processor_use(0) == "use of processors unknown"
+
+
 def test_silences_outlast_the_leases_of_runs():
     """Guards against faults that all end before the controller gives up a silent worker."""
     detection_s = 1.6
