Let the lease end of a worker that does not stop a run

Found in review: a task that stalls, or whose job is cancelled, on a worker that answers its listings and refuses each stop (503), or never answers one, waits for it without a limit; its run goes on.

Cause: a refused stop is repeated until the lease has ended, and each listing renews the lease.

Ruled out: placing the task elsewhere at once (two runs of one task); a limit of few seconds (faults of workers last that long, and the end of the lease takes the other runs of the worker with it); resetting the limit at each response of the worker, as a lost response of a stop counts as a silence.

FW1643 names the worker and the runs. Runs that are not listed as stopped although the stop was confirmed are covered as well (read, not tested). In `_links.py` only the condition of a renewal changes.

Tests: with a limit of 1 s, a cancelled run whose stops are refused, or lost, ends with the lease, and the worker gets tasks again (both fail on the code before: the run went on for the 6 s that they wait); a stop that is refused for 1.2 s after a silence of 3 s ends no other run (fails with the silence left out of account). test_refused_stop_is_repeated is unchanged.

--- a/src/foxtailwell/adapters/events.py
+++ b/src/foxtailwell/adapters/events.py
@@ -134,6 +134,7 @@
 MACHINE_RELEASED = _event("FW1640", "WARNING", "a machine rejects its maintenance and waits")
 STEP_UNSERVABLE = _event("FW1641", "WARNING", "no set of the listed workers can serve a step")
 STEP_SERVABLE = _event("FW1642", "INFO", "the listed workers can serve a step again")
+RUN_NOT_STOPPING = _event("FW1643", "WARNING", "a worker does not stop a run; its lease may end")
 
 # 1700-1799: instances
 SUBMISSION_STORED = _event("FW1701", "INFO", "a job is stored")
--- a/src/foxtailwell/controller/_links.py
+++ b/src/foxtailwell/controller/_links.py
@@ -147,6 +147,7 @@
         acknowledged_end: Ends up to this number are acknowledged to the worker.
         listed_end: Highest number of an end in the last listing.
         may_have_runs: The worker may have runs, so that their lease must be renewed.
+        is_lapsing: It does not stop a run, so that the lease of all its runs is not renewed.
         is_listed: The store lists the worker, so that it may get runs.
         needs_reading: Its entry cannot be dated without a new reading of its clock.
         is_unresponsive: A call failed, or a renewal was rejected, since the last response.
@@ -173,6 +174,7 @@
     acknowledged_end: int = 0
     listed_end: int = 0
     may_have_runs: bool = False
+    is_lapsing: bool = False
     is_listed: bool = False
     needs_reading: bool = False
     is_unresponsive: bool = False
@@ -265,7 +267,8 @@
         try:
             # An unresponsive worker is only probed: a renewal that it may never receive would
             # postpone the time at which its runs count as lost.
-            is_renewing = self.may_have_runs and not self.is_unresponsive
+            is_silent_or_lapsing = self.is_unresponsive or self.is_lapsing
+            is_renewing = self.may_have_runs and not is_silent_or_lapsing
             until = self.begin_lease() if is_renewing else None
             response = await self.calls.renew_lease(until, self.token, acknowledged, wait_ms)
         except WorkerCallError as failure:
--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -14,6 +14,7 @@
 from foxtailwell.adapters.events import (
     ENTRY_LATE,
     ENTRY_REFUSED,
+    RUN_NOT_STOPPING,
     WORKER_DELISTED,
     WORKER_DRAINING,
     WORKER_QUARANTINED,
@@ -76,6 +77,15 @@
 LATE_START_S = 12.0
 """Time within which the platform may still deliver a start that got no response."""
 
+STOP_LIMIT_S = 10.0
+"""Time after which a run that is not stopped is left to the end of its worker's lease.
+
+That ends the other runs of the worker too, so a passing fault must not be enough.
+"""
+
+LONG_SILENCE_S = 2.0
+"""Silence that is not due to a lost response; listings go on arriving beside it."""
+
 REFUSAL_BACKOFF_S = 1.0
 """Time without further starts for a worker after a failed start."""
 
@@ -306,6 +316,28 @@
         for worker, link in self.links.items():
             link.is_listed = worker in self.entries
             link.set_may_have_runs(worker in occupied)
+            self._update_lapsing(link)
+
+    def _update_lapsing(self, link: WorkerLink) -> None:
+        """Stop renewing the lease of a worker that does not stop a run, however often it is asked.
+
+        The time counts from the end of the last long silence, in which no stop can have arrived.
+        """
+        now_s = self._now_s()
+        stopping = [
+            task
+            for task in self._registry.placed_on(link.entry.id)
+            if task.state is TaskState.STOPPING
+        ]
+        for task in stopping:
+            task.stopping_since_s = task.stopping_since_s or now_s
+        has_been_silent = link.silence_s() >= LONG_SILENCE_S
+        since_s = link.responsive_since_s if has_been_silent else -math.inf
+        overdue = [t for t in stopping if now_s - max(t.stopping_since_s, since_s) >= STOP_LIMIT_S]
+        is_lapsing = bool(overdue) and not (link.is_unresponsive and has_been_silent)
+        if is_lapsing and not link.is_lapsing:
+            log_event(RUN_NOT_STOPPING, worker=link.entry.id, tasks=[str(t.id) for t in overdue])
+        link.is_lapsing = is_lapsing
 
     def close(self) -> None:
         """Close the connections to all workers."""
@@ -459,6 +491,8 @@
             return Obstacle.OLD_REPORT
         if link and link.is_unresponsive:
             return Obstacle.UNRESPONSIVE
+        if link and link.is_lapsing:
+            return Obstacle.NOT_STOPPING
         if self._quarantined_until_ms.get(worker, 0) > now_s * 1000:
             return Obstacle.QUARANTINED
         if self._backoff_until_s.get(worker, 0.0) > now_s:
--- a/src/foxtailwell/workflows/_fleet_view.py
+++ b/src/foxtailwell/workflows/_fleet_view.py
@@ -47,6 +47,7 @@
         CORDONED: Its machine is about to go down for maintenance.
         KEPT_ALONE: A suspect that is kept alone runs there.
         OLD_REPORT: Its last report is too old to rely on the capacity in it.
+        NOT_STOPPING: It does not stop a run, so its lease is left to expire.
         BACKING_OFF: It has just failed to accept a start.
         LABEL: It lacks the label that the unit requires.
         TICKET: There is no valid ticket for the unit.
@@ -64,6 +65,7 @@
     OLD_REPORT = "old report"
     UNRESPONSIVE = "unresponsive"
     QUARANTINED = "quarantined"
+    NOT_STOPPING = "not stopping"
     BACKING_OFF = "backing off"
     LABEL = "label"
     TICKET = "ticket"
--- a/src/foxtailwell/workflows/_job_registry.py
+++ b/src/foxtailwell/workflows/_job_registry.py
@@ -128,6 +128,7 @@
         task.worker = worker
         task.boot_unix_ms = boot_unix_ms
         task.is_confirmed = False
+        task.stopping_since_s = 0.0
         task.started_s = task.progress_s = now_s
         task.percent = 0
         task.listed_s = 0.0
--- a/src/foxtailwell/workflows/_tasks.py
+++ b/src/foxtailwell/workflows/_tasks.py
@@ -67,6 +67,7 @@
         is_confirmed: The worker acknowledged the start or listed the run.
         start_settled_s: Local time at which the start call returned or failed; infinite while it is
             pending, 0 after recovery from the store.
+        stopping_since_s: Local time since which the run is being stopped; 0 before.
         stopped_s: Local time at which the worker acknowledged a stop; 0 before.
         percent: Progress of the run as last listed by the worker, 0 to 100.
         progress_s: Local time at which the progress last changed.
@@ -87,6 +88,7 @@
     is_confirmed: bool = False
     started_s: float = 0.0
     start_settled_s: float = 0.0
+    stopping_since_s: float = 0.0
     stopped_s: float = 0.0
     percent: int = 0
     progress_s: float = 0.0
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -8,7 +8,7 @@
 import anyio
 import pytest
 
-from controller_harness import LATER, URGENT, job_id, make_deployment, step, until
+from controller_harness import LATER, LEASE_MS, URGENT, job_id, make_deployment, step, until
 from foxtailwell.controller import _controller, _workers
 from foxtailwell.workflows import (
     EndKind,
@@ -298,6 +298,45 @@
     assert await until(lambda: not worker.running)
 
 
+@pytest.mark.parametrize("fault", ["is_refusing_stops", "is_losing_stops"])
+async def test_run_that_its_worker_does_not_stop_ends_with_the_lease(group, monkeypatch, fault):
+    """Guards against a task that waits for ever for a worker that answers but never stops it."""
+    monkeypatch.setattr(_workers, "STOP_LIMIT_S", 1.0)
+    deployment = make_deployment(group, 1)
+    worker = deployment.workers["w0"]
+    deployment.start("one")
+    job, _ = await deployment.start_one_task()
+    setattr(worker.faults, fault, True)
+    await deployment.intake.cancel(job)
+    assert not await until(lambda: not worker.running, 2.0)
+    assert await until(lambda: not worker.running, LEASE_MS / 1000)
+    assert worker.spans[0].end_kind is EndKind.EXPIRED
+    setattr(worker.faults, fault, False)
+    job = await deployment.submit(2, LATER, [step()])
+    assert await until(lambda: bool(deployment.runs(f"{job}.0.0.0")))
+
+
+async def test_lease_is_renewed_after_a_silence_that_delayed_a_stop(group, monkeypatch):
+    """Guards against a cut that ends runs although the stop of another one arrives after it."""
+    monkeypatch.setattr(_workers, "STOP_LIMIT_S", 1.5)
+    deployment = make_deployment(group, 1)
+    worker = deployment.workers["w0"]
+    deployment.start("one")
+    job, _ = await deployment.start_one_task()
+    other = await deployment.submit(2, LATER, [step()])
+    assert await until(lambda: len(worker.running) == 2)
+    worker.faults.is_unreachable = True
+    await deployment.intake.cancel(job)
+    await anyio.sleep(3.0)
+    worker.faults.is_unreachable = False
+    worker.faults.is_refusing_stops = True
+    await anyio.sleep(1.2)
+    worker.faults.is_refusing_stops = False
+    assert await until(lambda: list(worker.running) == [f"{other}.0.0.0"])
+    assert not await until(lambda: not worker.running, 2.0)
+    assert len(worker.log) == 2
+
+
 async def test_gang_with_a_rejected_member_restarts_as_a_whole(group):
     """Guards against members of a gang that run without the other members."""
     deployment = make_deployment(group, 3)
