Tell a call in doubt from a worker that does not respond

Cause: one call without a response marked its worker as unresponsive, which keeps all starts off it. Starts were given up after three attempts, and then the whole gang was stopped.

Ruled out: that only commands are lost. Also ruled out: tasks that are placed and stopped 50 times. All tasks of a step share the run numbers; no task had more than 9 runs.

Now a call without a response puts its worker in doubt: listings are sent at once, it gets no starts, and its lease is not renewed by them. It is unresponsive if it cannot be connected or gives no response for 1.4 s. Where a doubt has passed within the last 5 s, one more lost response means little: starts are kept off after 0.5 s only, and listings are kept short, as a lost one is noticed late. A start is repeated for 2.3 s, but not before a listing has shown that the worker has not restarted since. A run that had not begun when it was stopped is asked for at once instead of after the pending listing.

Why it works: a lost response and a lost worker differ in whether later calls are answered. The evidence of crashes still counts from the first call without a response (silent_since_s). A lost call or a listing given up makes the next one acknowledge no ends.

Tests changed: four tests and the soak let three starts get lost so that the start is given up. It is now repeated for longer, so they lose every start until the point that they are about; the four also pass on the code before.

--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -538,11 +538,11 @@
             link = self._workers.link(group, worker)
             for task in self._registry.placed_on(worker) if link else ():
                 if link and task.state is TaskState.STOPPING and task.stopped_s <= 0:
-                    link.stop(group, task.id, task.run)
+                    link.stop(group, task.id, task.run, has_begun=task.is_confirmed)
         for worker, task_id, run in self._runs.take_orphaned_runs():
             link = self._workers.links.get(worker)
             if link is not None:
-                link.stop(group, task_id, run)
+                link.stop(group, task_id, run, has_begun=True)
 
     async def _commit_and_send(self, group: TaskGroup) -> None:
         pending, self._pending = self._pending, _Pending()
--- a/src/foxtailwell/controller/_crashes.py
+++ b/src/foxtailwell/controller/_crashes.py
@@ -73,15 +73,15 @@
             return
         runs = [_to_lost_run(task, link) for task in lost]
         is_isolated = self._is_isolated(link)
-        self._crashed_since_s[worker] = link.unresponsive_since_s
+        self._crashed_since_s[worker] = link.silent_since_s
         weights = weigh_crash(runs, is_isolated=is_isolated)
         if CERTAIN_WEIGHT in weights.values() or any(task.is_on_probation for task in lost):
-            self._explained_since_s[worker] = link.unresponsive_since_s
+            self._explained_since_s[worker] = link.silent_since_s
         self._metrics.count("worker_crashes")
         log_event(
             WORKER_CRASHED,
             worker=worker,
-            silent_s=round(self._now_s() - link.unresponsive_since_s, 2),
+            silent_s=round(self._now_s() - link.silent_since_s, 2),
             is_isolated=is_isolated,
             evidence={str(task): weight for task, weight in weights.items()},
             others=len(lost) - len(weights),
@@ -105,20 +105,20 @@
     def _is_isolated(self, crashed: WorkerLink) -> bool:
         return not any(
             link is not crashed
-            and self._is_silence_near(link, crashed.unresponsive_since_s)
+            and self._is_silence_near(link, crashed.silent_since_s)
             and not self._has_explanation(link)
             for link in self._workers.links.values()
         )
 
     def _is_silence_near(self, link: WorkerLink, at_s: float) -> bool:
-        is_near = abs(link.unresponsive_since_s - at_s) <= SIMULTANEOUS_S
-        has_crashed = self._crashed_since_s.get(link.entry.id) == link.unresponsive_since_s
+        is_near = abs(link.silent_since_s - at_s) <= SIMULTANEOUS_S
+        has_crashed = self._crashed_since_s.get(link.entry.id) == link.silent_since_s
         return is_near and (has_crashed or link.silence_s() >= MIN_SILENCE_S)
 
     def _has_explanation(self, link: WorkerLink) -> bool:
         """Return whether a suspect on probation was on a worker when it fell silent."""
         worker = link.entry.id
-        return self._explained_since_s.get(worker) == link.unresponsive_since_s or any(
+        return self._explained_since_s.get(worker) == link.silent_since_s or any(
             task.is_on_probation for task in self._registry.placed_on(worker)
         )
 
@@ -126,7 +126,5 @@
 def _to_lost_run(task: Task, link: WorkerLink) -> LostRun:
     # The time of a start that an earlier controller sent is not known.
     is_start_known = task.is_confirmed and task.start_settled_s > 0
-    silent_after_s = (
-        link.unresponsive_since_s - task.start_settled_s if is_start_known else math.inf
-    )
+    silent_after_s = link.silent_since_s - task.start_settled_s if is_start_known else math.inf
     return LostRun(task.id, task.lasted_s, silent_after_s, bool(task.crashes), task.is_on_probation)
--- a/src/foxtailwell/controller/_links.py
+++ b/src/foxtailwell/controller/_links.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -51,8 +52,32 @@
 IDLE_PROBE_PAUSE_S = 1.0
 """Pause between probes of an unresponsive worker without runs."""
 
-START_ATTEMPTS = 3
-"""Attempts to send a start command; an incarnation starts each run at most once."""
+START_DOUBT_S = 2.3
+"""Time for which a start without a response is repeated while its worker answers listings.
+
+The members of a gang that have begun wait for the others; the platform ends them after 4 s.
+"""
+
+MAX_UNLISTED_S = 1.0
+"""Age of the last answered listing up to which a start without a response is repeated at once."""
+
+MAX_DOUBT_S = 1.4
+"""Time without any response after which a worker that accepts connections is unresponsive."""
+
+LOSS_MEMORY_S = 5.0
+"""Time after a lost response for which further ones are expected of the same worker.
+
+Listings are kept short meanwhile, as a lost one is noticed late.
+"""
+
+USUAL_DOUBT_S = 0.5
+"""Time without a response up to which a worker that has lost some before still gets starts."""
+
+SHORT_LISTING_WAIT_MS = 300
+"""Longest wait of a listing after a lost response."""
+
+COMMAND_PAUSE_S = 0.05
+"""Pause after a command without a response while its worker answers listings."""
 
 EXPIRY_MARGIN_S = 0.4
 """Time added to a lease for the delivery of the command and the end of the run's processes."""
@@ -106,11 +131,16 @@
 
 @dataclass(frozen=True, slots=True)
 class StopConfirmed:
-    """A worker confirmed a stop command."""
+    """A worker confirmed a stop command.
+
+    Attributes:
+        confirmed_s: Local time of the response.
+    """
 
     worker: str
     task: TaskId
     run: int
+    confirmed_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,9 +179,13 @@
         may_have_runs: The worker may have runs, so that their lease must be renewed.
         is_listed: The store lists the worker, so that it may get runs.
         needs_reading: Its entry cannot be dated without a new reading of its clock.
-        is_unresponsive: A call failed, or a renewal was rejected, since the last response.
-        unresponsive_since_s: Local time at which it last became unresponsive.
-        responsive_since_s: Local time at which it last ceased to be unresponsive.
+        is_unresponsive: It could not be called, gave no response for `MAX_DOUBT_S`, or rejected a
+            listing, and has not responded since.
+        is_in_doubt: A call got no response, and no listing sent since has been answered. Listings
+            are sent until one is answered or the worker is unresponsive.
+        silent_since_s: Local time at which a call got no response while none had before, or a
+            listing was rejected; the worker may have crashed then.
+        responsive_since_s: Local time at which that silence ended.
         stopping: Runs with a stop command in progress.
     """
 
@@ -176,10 +210,16 @@
     is_listed: bool = False
     needs_reading: bool = False
     is_unresponsive: bool = False
-    unresponsive_since_s: float = 0.0
+    is_in_doubt: bool = False
+    silent_since_s: float = 0.0
     responsive_since_s: float = 0.0
     stopping: set[tuple[TaskId, int]] = field(default_factory=set)
     wake: anyio.Event = field(default_factory=anyio.Event)
+    _doubted_s: float = 0.0
+    _passed_doubt_s: float = -math.inf
+    _doubt_over: anyio.Event = field(default_factory=anyio.Event)
+    _waiting: anyio.CancelScope | None = None
+    _is_hurried: bool = False
     _first_response_s: float = 0.0
     _has_listed: bool = False
     _listed_s: float = 0.0
@@ -223,7 +263,9 @@
     @property
     def _is_needed(self) -> bool:
         """Whether calls are due; an unresponsive worker gets no tasks until a call succeeds."""
-        is_probed = self.is_listed and (self.is_unresponsive or self.needs_reading)
+        is_probed = self.is_in_doubt or (
+            self.is_listed and (self.is_unresponsive or self.needs_reading)
+        )
         return self.may_have_runs or self.durable_end > self.acknowledged_end or is_probed
 
     @property
@@ -235,6 +277,34 @@
         self.needs_reading = True
         self.wake.set()
 
+    def _probe(self) -> None:
+        """Send a listing as soon as possible, instead of one whose response waits for an end."""
+        self._is_hurried = True
+        if self._waiting is not None:
+            self._waiting.cancel()
+        self.wake.set()
+
+    def _record_unanswered(self) -> None:
+        """Record that a call got no response, and find out whether its worker responds."""
+        # The worker may have restarted.
+        self._has_listed = False
+        self._doubted_s = self.now_s()
+        if not self.is_unresponsive and not self.is_in_doubt:
+            self.is_in_doubt = True
+            self._doubt_over = anyio.Event()
+            self.silent_since_s = self._doubted_s
+            self._probe()
+
+    def _end_doubt(self) -> None:
+        self.is_in_doubt = False
+        self._doubt_over.set()
+
+    async def _await_response(self) -> None:
+        """Wait until a worker in doubt has answered a listing or is unresponsive."""
+        with anyio.move_on_after(START_DOUBT_S):
+            if self.is_in_doubt:
+                await self._doubt_over.wait()
+
     async def run(self) -> None:
         """Renew the lease, list ends or probe the worker while needed; runs until cancelled."""
         while True:
@@ -258,25 +328,43 @@
             and not has_unprocessed_ends
             and not self.is_unresponsive
             and not is_dating
+            and not self.is_in_doubt
+            and not self._is_hurried
         )
-        wait_ms = min(LISTING_WAIT_MS, self.lease_ms // RENEWALS_PER_LEASE) if is_waiting else 0
+        self._is_hurried = False
+        longest_ms = SHORT_LISTING_WAIT_MS if self._is_lossy else LISTING_WAIT_MS
+        wait_ms = min(longest_ms, self.lease_ms // RENEWALS_PER_LEASE) if is_waiting else 0
         # Another incarnation counts its ends anew, and would discard ends that nobody has read.
         acknowledged = self.durable_end if self._has_listed else 0
         address, boot_unix_ms = self.entry.address, self.boot_unix_ms
         try:
-            # An unresponsive worker is only probed: a renewal that it may never receive would
-            # postpone the time at which its runs count as lost.
-            is_renewing = self.may_have_runs and not self.is_unresponsive
+            # A worker that may be silent is only probed: a renewal that it may never receive
+            # would postpone the time at which its runs count as lost.
+            is_renewing = self.may_have_runs and not (self.is_unresponsive or self.is_in_doubt)
             until = self.begin_lease() if is_renewing else None
-            response = await self.calls.renew_lease(until, self.token, acknowledged, wait_ms)
+            response: WorkerListing | CommandOutcome | None = None
+            with anyio.CancelScope() as scope:
+                self._waiting = scope if wait_ms else None
+                response = await self.calls.renew_lease(until, self.token, acknowledged, wait_ms)
+            self._waiting = None
+            if response is None:
+                # The next call takes another connection, perhaps to another incarnation.
+                self._has_listed = False
+                return
         except WorkerCallError as failure:
-            self._mark_unresponsive("listing", failure.reason)
+            self._waiting = None
+            self._record_unanswered()
+            is_silent = self.now_s() - self.silent_since_s >= MAX_DOUBT_S
+            if self.is_in_doubt and failure.may_have_been_sent and not is_silent:
+                await anyio.sleep(COMMAND_PAUSE_S)
+                return
+            self._mark_unresponsive(failure.reason)
             await anyio.sleep(self._retry_pause_s)
             return
         if isinstance(response, CommandOutcome):
             if response is CommandOutcome.FENCED:
                 self.on_fenced(self.entry.id)
-            self._mark_unresponsive("listing", response.value)
+            self._mark_unresponsive(response.value)
             # An entry with a new address while the call was under way belongs to a newer
             # incarnation, of which this response says nothing.
             if (
@@ -288,7 +376,10 @@
             await anyio.sleep(self._retry_pause_s)
             return
         self._mark_responsive()
-        self._listed_s = self.now_s()
+        if self.is_in_doubt and sent_s >= self._doubted_s:
+            self.responsive_since_s = self._passed_doubt_s = self.now_s()
+            self._end_doubt()
+        self._listed_s = sent_s
         self._has_listed = True
         reading = ClockReading(response.boot_unix_ms, response.clock_ms, sent_s)
         self.reading = more_exact(self.reading, reading)
@@ -303,15 +394,19 @@
         with anyio.move_on_after(PROCESSING_TIMEOUT_S):
             await processed.wait()
 
-    def _mark_unresponsive(self, call: str, reason: str) -> None:
+    def _mark_unresponsive(self, reason: str) -> None:
+        # The silence began with the first call without a response.
+        was_in_doubt = self.is_in_doubt
+        since_s = self.silent_since_s if was_in_doubt else self.now_s()
         self._has_listed = False
+        self._end_doubt()
         if not self.is_unresponsive:
             self.is_unresponsive = True
-            self.unresponsive_since_s = self.now_s()
+            self.silent_since_s = since_s
             log_event(
                 WORKER_UNRESPONSIVE,
                 worker=self.entry.id,
-                call=call,
+                was_in_doubt=was_in_doubt,
                 reason=reason,
                 listed_ago_s=round(self.now_s() - self._listed_s, 2),
             )
@@ -328,10 +423,24 @@
             self.responsive_since_s = self.now_s()
             log_event(WORKER_REACHED, worker=self.entry.id, silent_s=round(self.silence_s(), 2))
 
+    @property
+    def is_avoided(self) -> bool:
+        """Whether it gets no starts now, because it is in doubt for longer than usual.
+
+        Of a worker that has just answered after lost responses, one more means little.
+        """
+        return self.is_in_doubt and (not self._is_lossy or self.silence_s() > USUAL_DOUBT_S)
+
+    @property
+    def _is_lossy(self) -> bool:
+        """Whether a doubt has lately ended with a response, so that further losses are likely."""
+        return self.now_s() - self._passed_doubt_s < LOSS_MEMORY_S
+
     def silence_s(self) -> float:
         """Return the duration of the current silence in seconds, or of the last one."""
-        until_s = self.now_s() if self.is_unresponsive else self.responsive_since_s
-        return until_s - self.unresponsive_since_s
+        is_silent = self.is_unresponsive or self.is_in_doubt
+        until_s = self.now_s() if is_silent else self.responsive_since_s
+        return until_s - self.silent_since_s
 
     def start(
         self,
@@ -356,16 +465,24 @@
         boot_unix_ms = self.boot_unix_ms
         outcome: CommandOutcome | None = None
         is_certain = True
-        for _ in range(START_ATTEMPTS):
+        attempts, began_s = 0, self.now_s()
+        while True:
             # The start may have crashed the worker, and would crash its next incarnation as well.
             has_restarted = self.boot_unix_ms != boot_unix_ms
             if has_restarted or not self.may_act() or not is_wanted():
                 break
+            attempts += 1
             try:
                 outcome, clock_ms = await self.calls.start(command, self.begin_lease(), self.token)
             except WorkerCallError as failure:
-                self._mark_unresponsive("start", failure.reason)
+                self._record_unanswered()
                 is_certain = is_certain and not failure.may_have_been_sent
+                # A listing shows whether this is still the same incarnation of the worker.
+                if self._listed_s < max(began_s, self.now_s() - MAX_UNLISTED_S):
+                    await self._await_response()
+                if self.is_unresponsive or self.now_s() - began_s >= START_DOUBT_S:
+                    break
+                await anyio.sleep(COMMAND_PAUSE_S)
                 continue
             self.update_clock(clock_ms)
             if outcome is CommandOutcome.FENCED:
@@ -381,6 +498,7 @@
                 task=str(command.task),
                 run=command.run,
                 outcome=outcome.value if outcome else "no answer",
+                attempts=attempts,
             )
         await self.events.send(
             StartFinished(
@@ -395,27 +513,41 @@
             )
         )
 
-    def stop(self, group: TaskGroup, task: TaskId, run: int) -> None:
-        """Send a stop command until it is confirmed, unless one for the run is in progress."""
+    def stop(self, group: TaskGroup, task: TaskId, run: int, *, has_begun: bool) -> None:
+        """Send a stop command until it is confirmed, unless one for the run is in progress.
+
+        Args:
+            group: Group of the new task.
+            task: Task of the run.
+            run: Number of the run.
+            has_begun: The worker has acknowledged or listed the run.
+        """
         if (task, run) not in self.stopping:
             self.stopping.add((task, run))
-            group.start_soon(self._stop, task, run)
+            group.start_soon(self._stop, task, run, has_begun)
 
-    async def _stop(self, task: TaskId, run: int) -> None:
+    async def _stop(self, task: TaskId, run: int, has_begun: bool) -> None:
         try:
             while self.may_act():
+                is_refused = False
                 try:
                     outcome = await self.calls.stop(task, run, self.token)
-                except WorkerCallError as failure:
-                    self._mark_unresponsive("stop", failure.reason)
+                except WorkerCallError:
+                    self._record_unanswered()
                 else:
                     if outcome is CommandOutcome.FENCED:
                         self.on_fenced(self.entry.id)
                         return
                     if outcome not in _REFUSALS:
-                        await self.events.send(StopConfirmed(self.entry.id, task, run))
+                        confirmed = StopConfirmed(self.entry.id, task, run, self.now_s())
+                        await self.events.send(confirmed)
+                        if not has_begun:
+                            # No end may show that the run is over, only a listing without it.
+                            self._probe()
                         return
-                await anyio.sleep(RETRY_PAUSE_S)
+                    is_refused = True
+                is_pausing = is_refused or self.is_unresponsive
+                await anyio.sleep(RETRY_PAUSE_S if is_pausing else COMMAND_PAUSE_S)
                 if self.now_s() > self.leases_expire_s:
                     return
         finally:
--- a/src/foxtailwell/controller/_runs.py
+++ b/src/foxtailwell/controller/_runs.py
@@ -219,7 +219,7 @@
         """Record that the worker confirmed a stop."""
         task = self._registry.find(event.task)
         if task is not None and task.run == event.run:
-            task.stopped_s = self._now_s()
+            task.stopped_s = event.confirmed_s
 
     def apply_replacement(self, event: IncarnationReplaced) -> None:
         """Queue the tasks again of a worker whose address now belongs to another incarnation.
@@ -259,7 +259,7 @@
 
 def _is_stopped(task: Task, sent_s: float) -> bool:
     """Return whether a stop was confirmed before a listing was sent, so that no run can follow."""
-    return task.state is TaskState.STOPPING and 0 < task.stopped_s < sent_s
+    return task.state is TaskState.STOPPING and 0 < task.stopped_s <= sent_s
 
 
 def _parse_task(text: str) -> TaskId | None:
--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -451,6 +451,8 @@
             return Obstacle.OLD_REPORT
         if link and link.is_unresponsive:
             return Obstacle.UNRESPONSIVE
+        if link and link.is_avoided:
+            return Obstacle.IN_DOUBT
         if self._quarantined_until_ms.get(worker, 0) > now_s * 1000:
             return Obstacle.QUARANTINED
         if self._backoff_until_s.get(worker, 0.0) > now_s:
--- a/src/foxtailwell/platform/workers.py
+++ b/src/foxtailwell/platform/workers.py
@@ -27,10 +27,13 @@
 
 __all__ = ["connect_worker", "decode_worker_entry"]
 
-COMMAND_TIMEOUT_S = 0.5
-"""Longest wait for the response to a command; a worker takes up to 30 ms across zones."""
+COMMAND_TIMEOUT_S = 0.25
+"""Longest wait for the response to a command, which is then repeated.
 
-RENEWAL_MARGIN_S = 0.6
+A worker takes up to 30 ms across zones, and TCP sends a lost segment again after 0.2 s.
+"""
+
+RENEWAL_MARGIN_S = 0.4
 """Added to the wait of a lease renewal to get the timeout of its call."""
 
 _IDENTIFIER_PATTERN = re.compile(r"[!-~]{1,128}")
@@ -175,7 +178,8 @@
             body["deadline_ms"] = until_clock_ms
         if wait_ms:
             body["wait_ms"] = wait_ms
-        reply = await self._call("/-/hold", body, wait_ms / 1000 + RENEWAL_MARGIN_S)
+        timeout_s = wait_ms / 1000 + RENEWAL_MARGIN_S if wait_ms else COMMAND_TIMEOUT_S
+        reply = await self._call("/-/hold", body, timeout_s)
         if reply.status != 200:
             return _outcome(reply)[0]
         return _decode_listing(reply.body)
--- a/src/foxtailwell/workflows/_fleet_view.py
+++ b/src/foxtailwell/workflows/_fleet_view.py
@@ -44,6 +44,7 @@
         CORDONED: Its machine is about to go down for maintenance.
         KEPT_ALONE: A suspect that is kept alone runs there.
         OLD_REPORT: Its last report is too old to rely on the capacity in it.
+        IN_DOUBT: A call to it got no response, and it is being asked whether it responds.
         BACKING_OFF: It has just failed to accept a start.
         LABEL: It lacks the label that the unit requires.
         TICKET: There is no valid ticket for the unit.
@@ -60,6 +61,7 @@
     KEPT_ALONE = "kept alone"
     OLD_REPORT = "old report"
     UNRESPONSIVE = "unresponsive"
+    IN_DOUBT = "in doubt"
     QUARANTINED = "quarantined"
     BACKING_OFF = "backing off"
     LABEL = "label"
--- a/src/foxtailwell_soak/_faults.py
+++ b/src/foxtailwell_soak/_faults.py
@@ -358,8 +358,10 @@
     async def delay_starts(self, fault: Fault) -> None:
         """Execute the next start commands of a worker after the fault, without a response."""
         worker = self._fleet.workers[fault.target % len(self._fleet.workers)].worker
-        worker.faults.delayed_starts = 1 + fault.target % 3
+        # A few are repeated until one is answered, more are given up.
+        worker.faults.delayed_starts = 1000 if fault.target % 2 else 1 + fault.target % 3
         await anyio.sleep(fault.for_s)
+        worker.faults.delayed_starts = 0
         worker.apply_delayed()
 
     async def lose_start_responses(self, fault: Fault) -> None:
--- a/src/foxtailwell_standins/platform_worker.py
+++ b/src/foxtailwell_standins/platform_worker.py
@@ -49,6 +49,7 @@
         is_losing_stops: Stops get no response and have no effect.
         is_refusing_stops: Stops are refused with UNHEALTHY and have no effect.
         start_delay_s: Time for which a start is on its way, so that a stop may overtake it.
+        lost_listings: Number of coming listings that get no response.
         listing_delay_s: Time for which the response to a listing is on its way.
         is_unhealthy: Starts are refused with UNHEALTHY.
         is_failing_runs: Each run ends as failed as soon as it starts.
@@ -67,6 +68,7 @@
     is_losing_stops: bool = False
     is_refusing_stops: bool = False
     start_delay_s: float = 0.0
+    lost_listings: int = 0
     listing_delay_s: float = 0.0
     is_unhealthy: bool = False
     is_failing_runs: bool = False
@@ -415,6 +417,9 @@
     ) -> WorkerListing | CommandOutcome:
         """Renew the lease of all runs and list runs and ends; wait up to `wait_ms` for an end."""
         await self._begin_call()
+        if self.faults.lost_listings:
+            self.faults.lost_listings -= 1
+            raise WorkerCallError("no response")
         if self.faults.is_replaced:
             return CommandOutcome.OTHER_INCARNATION
         if token < self.token:
