Keep a reservation while an obstacle passes

Callers saw: runs stopped for an urgent gang that did not start, and then others for the same gang.

Cause: a reservation for an urgent unit was dropped as soon as one of its workers could not get starts, also for the second after a refused start, or while a call to it is in doubt. Other runs were then preempted for the same unit on other workers.

Ruled out: keeping it for an unresponsive or draining worker, which may not end in time; these still drop it.

Nothing is placed before.

Test seen to fail before: test_reservation_outlasts_obstacles_that_pass (in doubt, backing off).

--- a/src/foxtailwell/workflows/_fleet_view.py
+++ b/src/foxtailwell/workflows/_fleet_view.py
@@ -14,6 +14,7 @@
 from foxtailwell.workflows._tasks import SchedulingUnit
 
 __all__ = [
+    "PASSING_OBSTACLES",
     "FleetView",
     "Obstacle",
     "Placement",
@@ -73,6 +74,10 @@
     ROOM = "room"
 
 
+PASSING_OBSTACLES = frozenset({Obstacle.IN_DOUBT, Obstacle.BACKING_OFF})
+"""Obstacles that end by themselves within about a second."""
+
+
 @dataclass(frozen=True, slots=True)
 class RunningTask:
     """A run that occupies capacity of a worker.
--- a/src/foxtailwell/workflows/_placement.py
+++ b/src/foxtailwell/workflows/_placement.py
@@ -16,6 +16,7 @@
     free_capacity,
 )
 from foxtailwell.workflows._fleet_view import (
+    PASSING_OBSTACLES,
     FleetView,
     Placement,
     Plan,
@@ -111,17 +112,19 @@
 ) -> Placement | Reservation | None:
     unit = reservation.placement.unit
     workers = reservation.placement.workers
+    views = [capacity.workers.get(worker) for worker in workers.values()]
     if now_s > reservation.until_s or not all(
-        w in capacity.workers
-        and capacity.is_usable(capacity.workers[w], unit)
-        and unit.step.request.fits(capacity.workers[w].capacity)
-        for w in workers.values()
+        view is not None
+        and (capacity.is_usable(view, unit) or view.obstacle in PASSING_OBSTACLES)
+        and unit.step.request.fits(view.capacity)
+        for view in views
     ):
         return None
+    is_usable = all(view is not None and view.obstacle not in PASSING_OBSTACLES for view in views)
     for worker in workers.values():
         capacity.allocate(worker, unit)
     zero = Resources()
-    if all(zero.fits(capacity.free[worker]) for worker in workers.values()):
+    if is_usable and all(zero.fits(capacity.free[worker]) for worker in workers.values()):
         return reservation.placement
     return reservation
 
--- a/tests/test_workflow_placement.py
+++ b/tests/test_workflow_placement.py
@@ -198,6 +198,28 @@
         assert plan(fleet).stops == stops
 
 
+@pytest.mark.parametrize(
+    ("obstacle", "is_kept"),
+    [
+        (Obstacle.IN_DOUBT, True),
+        (Obstacle.BACKING_OFF, True),
+        (Obstacle.UNRESPONSIVE, False),
+        (Obstacle.DRAINING, False),
+    ],
+)
+def test_reservation_outlasts_obstacles_that_pass(obstacle, is_kept):
+    """Guards against runs that are preempted in vain because one command got no response."""
+    unit = _unit("u", URGENT, Step(1, WHOLE, 1000))
+    reserved = Reservation(Placement(unit, {unit.tasks[0]: "w0"}), 12.0)
+    running = _running("x", WHOLE)
+    workers = [_worker("w0", obstacle=obstacle), _worker("w1", running=[running])]
+    fleet = FleetView(10.0, {w.id: w for w in workers}, [unit], [reserved])
+    decided = plan(fleet)
+    assert not decided.placements
+    assert bool(decided.stops) != is_kept
+    assert (reserved in decided.reservations) == is_kept
+
+
 def test_unusable_and_unlabelled_workers_get_no_tasks():
     """Guards against placement on draining workers or on workers without the required label."""
     workers = [_worker("w0", obstacle=Obstacle.DRAINING), _worker("w1")]
