Stop no runs for an urgent unit that has no value left

Callers saw: batch work that is stopped again and again while urgent jobs that are late beyond any use take its room.

Cause: any unit of priority 0 preempted, however late; beyond three times its target a job gains its client nothing.

Ruled out: units within their account's guarantee, which must start in time whatever they gain; they still preempt.

Failed try: a loss that grows with each earlier preemption of a task.

Test seen to fail before: test_nothing_is_preempted_for_a_unit_without_value (without value).

--- a/src/foxtailwell/workflows/_placement.py
+++ b/src/foxtailwell/workflows/_placement.py
@@ -39,6 +39,9 @@
 ZERO_VALUE_FACTOR = 3.0
 """Multiple of the target time after which completing a job has no value to its client."""
 
+NO_VALUE = 2
+"""Lateness of a unit that has no value left."""
+
 
 def plan(view: FleetView) -> Plan:
     """Choose the starts and stops for the current state of the fleet.
@@ -84,7 +87,9 @@
         if placed:
             continue
         preemption = (
-            preempt(capacity, unit, stopping, view.now_s) if unit.queue.priority == 0 else None
+            preempt(capacity, unit, stopping, view.now_s)
+            if _may_preempt(unit, view.now_s)
+            else None
         )
         if preemption is not None:
             victims, reservation = preemption
@@ -101,10 +106,25 @@
     Units that can still meet their deadline come first: under overload, serving the earliest
     deadline first would make every job slightly late.
     """
+    return (
+        unit.queue.priority,
+        not unit.is_guaranteed,
+        _lateness(unit, now_s),
+        unit.deadline_s,
+        unit.job_id,
+    )
+
+
+def _lateness(unit: SchedulingUnit, now_s: float) -> int:
+    """Return 0 if the unit can meet its deadline, 1 if it is late, 2 if it has no value left."""
     zero_value_s = unit.accepted_s + ZERO_VALUE_FACTOR * (unit.deadline_s - unit.accepted_s)
     end_s = now_s + unit.step.estimate_ms / 1e3
-    lateness = int(end_s > unit.deadline_s) + int(end_s > zero_value_s)
-    return (unit.queue.priority, not unit.is_guaranteed, lateness, unit.deadline_s, unit.job_id)
+    return int(end_s > unit.deadline_s) + int(end_s > zero_value_s)
+
+
+def _may_preempt(unit: SchedulingUnit, now_s: float) -> bool:
+    """Return whether runs are stopped for a unit: not for one that gains nothing by it."""
+    return unit.queue.priority == 0 and (unit.is_guaranteed or _lateness(unit, now_s) < NO_VALUE)
 
 
 def _use_reservation(
--- a/tests/test_workflow_placement.py
+++ b/tests/test_workflow_placement.py
@@ -170,6 +170,18 @@
     assert len(_plan([unit], [_worker("w0", running=[running])]).stops) == stops
 
 
+@pytest.mark.parametrize(
+    ("deadline_s", "is_guaranteed", "stops"),
+    [(11.5, False, 1), (9.0, False, 1), (3.5, False, 0), (3.5, True, 1)],
+    ids=["in time", "late", "without value", "guaranteed"],
+)
+def test_nothing_is_preempted_for_a_unit_without_value(deadline_s, is_guaranteed, stops):
+    """Guards against work that is thrown away for urgent jobs that nobody waits for any more."""
+    unit = _unit("u", URGENT, Step(1, WHOLE, 1000), deadline_s=deadline_s)
+    unit = replace(unit, is_guaranteed=is_guaranteed)
+    assert len(_plan([unit], [_worker("w0", running=[_running("x", WHOLE)])]).stops) == stops
+
+
 def test_job_that_can_meet_its_target_goes_before_one_that_cannot():
     """Guards against serving late jobs first, which under overload makes every job late."""
     late = _unit("late", MODEL, Step(1, WHOLE, 5000), deadline_s=12.0)
