--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -550,6 +550,8 @@
             return Obstacle.UNRESPONSIVE
         if link and link.is_lapsing:
             return Obstacle.NOT_STOPPING
+        if link and link.is_avoided:
+            return Obstacle.IN_DOUBT
         if self._quarantined_until_ms.get(worker, 0) > now_s * 1000:
             return Obstacle.QUARANTINED
         if self._backoff_until_s.get(worker, 0.0) > now_s:
--- a/src/foxtailwell/workflows/_fleet_view.py
+++ b/src/foxtailwell/workflows/_fleet_view.py
@@ -14,6 +14,7 @@
 from foxtailwell.workflows._tasks import SchedulingUnit
 
 __all__ = [
+    "PASSING_OBSTACLES",
     "FleetView",
     "Obstacle",
     "Placement",
@@ -45,6 +46,7 @@
         KEPT_ALONE: A suspect that is kept alone runs there.
         OLD_REPORT: Its last report is too old to rely on the capacity in it.
         NOT_STOPPING: It does not stop a run, so its lease is left to expire.
+        IN_DOUBT: A call to it got no response, and it is being asked whether it responds.
         BACKING_OFF: It has just failed to accept a start.
         LABEL: It lacks the label that the unit requires.
         TICKET: There is no valid ticket for the unit.
@@ -61,6 +63,7 @@
     KEPT_ALONE = "kept alone"
     OLD_REPORT = "old report"
     UNRESPONSIVE = "unresponsive"
+    IN_DOUBT = "in doubt"
     QUARANTINED = "quarantined"
     NOT_STOPPING = "not stopping"
     BACKING_OFF = "backing off"
@@ -73,6 +76,10 @@
     ROOM = "room"
 
 
+PASSING_OBSTACLES = frozenset({Obstacle.IN_DOUBT, Obstacle.BACKING_OFF})
+"""Obstacles that end by themselves within about a second."""
+
+
 @dataclass(frozen=True, slots=True)
 class RunningTask:
     """A run that occupies capacity of a worker.
--- a/tests/controller_harness.py
+++ b/tests/controller_harness.py
@@ -130,6 +130,7 @@
     store: MemoryStore
     workers: dict[str, MemoryWorker]
     queues: tuple[Queue, ...] = (URGENT, LATER)
+    guaranteed_accelerators: dict[str, int] = field(default_factory=dict)
     zones_out: set[str] = field(default_factory=set)
     revision: int = 0
     is_configured: bool = True
@@ -162,7 +163,11 @@
     def _view(self) -> OperatorView | None:
         if not self.is_configured:
             return None
-        configuration = ClusterConfiguration(1, queues={q.name: q for q in self.queues})
+        configuration = ClusterConfiguration(
+            1,
+            guaranteed_accelerators=self.guaranteed_accelerators,
+            queues={q.name: q for q in self.queues},
+        )
 
         def guards(zones: frozenset[str]) -> Mapping[str, int]:
             return {CONFIGURATION: self.revision} | {f"op/evacuate/{z}": 0 for z in zones}
--- a/tests/test_workflow_placement.py
+++ b/tests/test_workflow_placement.py
@@ -171,6 +171,18 @@
     assert len(_plan([unit], [_worker("w0", running=[running])]).stops) == stops
 
 
+@pytest.mark.parametrize(
+    ("deadline_s", "is_guaranteed", "stops"),
+    [(11.5, False, 1), (9.0, False, 1), (3.5, False, 0), (3.5, True, 1)],
+    ids=["in time", "late", "without value", "guaranteed"],
+)
+def test_nothing_is_preempted_for_a_unit_without_value(deadline_s, is_guaranteed, stops):
+    """Guards against work that is thrown away for urgent jobs that nobody waits for any more."""
+    unit = _unit("u", URGENT, Step(1, WHOLE, 1000), deadline_s=deadline_s)
+    unit = replace(unit, is_guaranteed=is_guaranteed)
+    assert len(_plan([unit], [_worker("w0", running=[_running("x", WHOLE)])]).stops) == stops
+
+
 def test_job_that_can_meet_its_target_goes_before_one_that_cannot():
     """Guards against serving late jobs first, which under overload makes every job late."""
     late = _unit("late", MODEL, Step(1, WHOLE, 5000), deadline_s=12.0)
@@ -199,6 +211,28 @@
         assert plan(fleet).stops == stops
 
 
+@pytest.mark.parametrize(
+    ("obstacle", "is_kept"),
+    [
+        (Obstacle.IN_DOUBT, True),
+        (Obstacle.BACKING_OFF, True),
+        (Obstacle.UNRESPONSIVE, False),
+        (Obstacle.DRAINING, False),
+    ],
+)
+def test_reservation_outlasts_obstacles_that_pass(obstacle, is_kept):
+    """Guards against runs that are preempted in vain because one command got no response."""
+    unit = _unit("u", URGENT, Step(1, WHOLE, 1000))
+    reserved = Reservation(Placement(unit, {unit.tasks[0]: "w0"}), 12.0)
+    running = _running("x", WHOLE)
+    workers = [_worker("w0", obstacle=obstacle), _worker("w1", running=[running])]
+    fleet = FleetView(10.0, {w.id: w for w in workers}, [unit], [reserved])
+    decided = plan(fleet)
+    assert not decided.placements
+    assert bool(decided.stops) != is_kept
+    assert (reserved in decided.reservations) == is_kept
+
+
 def test_unusable_and_unlabelled_workers_get_no_tasks():
     """Guards against placement on draining workers or on workers without the required label."""
     workers = [_worker("w0", obstacle=Obstacle.DRAINING), _worker("w1")]
