Settle a start at its last attempt, not after the wait for a listing

Callers saw nothing yet; found by reading after a soak in which a worker got no task for 6 s while its room was held for late starts.

Cause: since a start without a response waits for a listing, StartFinished.settled_s was the end of that wait. The room of a start that may still be carried out was held for up to 1.4 s longer, and listings sent meanwhile did not show that its run was missing.

Test: none fails before; test_controller and test_shrinking_capacity pass in the parts on lost and late commands.

--- a/src/foxtailwell/controller/_links.py
+++ b/src/foxtailwell/controller/_links.py
@@ -466,6 +466,7 @@
         outcome: CommandOutcome | None = None
         is_certain = True
         attempts, began_s = 0, self.now_s()
+        settled_s = began_s
         while True:
             # The start may have crashed the worker, and would crash its next incarnation as well.
             has_restarted = self.boot_unix_ms != boot_unix_ms
@@ -475,6 +476,7 @@
             try:
                 outcome, clock_ms = await self.calls.start(command, self.begin_lease(), self.token)
             except WorkerCallError as failure:
+                settled_s = self.now_s()
                 self._record_unanswered()
                 is_certain = is_certain and not failure.may_have_been_sent
                 # A listing shows whether this is still the same incarnation of the worker.
@@ -484,13 +486,13 @@
                     break
                 await anyio.sleep(COMMAND_PAUSE_S)
                 continue
+            settled_s = self.now_s()
             self.update_clock(clock_ms)
             if outcome is CommandOutcome.FENCED:
                 self.on_fenced(self.entry.id)
             elif outcome is CommandOutcome.DONE:
                 self._mark_responsive()
             break
-        settled_s = self.now_s()
         if outcome is not CommandOutcome.DONE:
             log_event(
                 COMMAND_REFUSED,
