Revert "Bound the wait of suspects that are kept alone for one another"

Its log: the task had evidence of 1, 1 and 1 from three crashes and was kept alone; the fourth crash, at w1, came beside three other runs and weighed 0 by the new rule for joint crashes; the fifth, beside two, weighed 1; a sixth followed. Before, by reading, the fourth would have weighed 1 and the task would have been given up.

A weight of 0 for each crash beside others gives a task that crashes its workers as many as there are such crashes.

The wait it bounded is open again: suspects that are kept alone run one probation after the other.

--- a/src/foxtailwell/controller/_crashes.py
+++ b/src/foxtailwell/controller/_crashes.py
@@ -127,11 +127,4 @@
     # The time of a start that an earlier controller sent is not known.
     is_start_known = task.is_confirmed and task.start_settled_s > 0
     silent_after_s = link.silent_since_s - task.start_settled_s if is_start_known else math.inf
-    return LostRun(
-        task.id,
-        task.lasted_s,
-        silent_after_s,
-        bool(task.crashes),
-        task.is_on_probation,
-        task.is_kept_alone,
-    )
+    return LostRun(task.id, task.lasted_s, silent_after_s, bool(task.crashes), task.is_on_probation)
--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -132,7 +132,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _CachedView:
-    key: tuple[int, Obstacle | None, tuple[bool, bool], int, Resources]
+    key: tuple[int, Obstacle | None, bool, int, Resources]
     until_s: float
     view: WorkerView
 
@@ -512,9 +512,7 @@
             version = self._registry.version_of(worker)
             has_suspect = any(task.is_on_probation for task in placed)
             capacity = self._capacity(entry, now_s)
-            has_suspect_apart = any(task.is_kept_apart for task in placed)
-            suspicion = (has_suspect, has_suspect_apart)
-            key = (version, obstacle, suspicion, entry.boot_unix_ms, capacity)
+            key = (version, obstacle, has_suspect, entry.boot_unix_ms, capacity)
             cached = self._views.get(worker)
             if cached is not None and cached.key == key and now_s < cached.until_s:
                 views[worker] = cached.view
@@ -531,7 +529,6 @@
                 obstacle,
                 float(len(failed.job_ids)) if failed else 0.0,
                 has_suspect,
-                has_suspect_apart,
             )
             self._views[worker] = _CachedView(key, now_s + VIEW_CACHE_S, views[worker])
         return views
--- a/src/foxtailwell/workflows/__init__.py
+++ b/src/foxtailwell/workflows/__init__.py
@@ -16,7 +16,6 @@
     LostRun,
     is_given_up,
     is_kept_alone,
-    is_kept_apart,
     probation_s,
     weigh_crash,
 )
@@ -142,7 +141,6 @@
     "find_submission_fault",
     "is_given_up",
     "is_kept_alone",
-    "is_kept_apart",
     "plan",
     "probation_s",
     "reservation_limit_s",
--- a/src/foxtailwell/workflows/_capacity.py
+++ b/src/foxtailwell/workflows/_capacity.py
@@ -27,8 +27,8 @@
 """Longest wait for local workers, behind a gang's reservation, or apart from suspects, beside free
 capacity.
 
-Ready work must not wait 3 s while capacity is free elsewhere. Suspects wait longer for each other
-once they have crashed a worker together.
+Ready work must not wait 3 s while capacity is free elsewhere. Suspects that are kept alone wait
+longer: each joint crash would be further evidence against all of them, up to the limit.
 """
 
 _EMPTY_POOL = PoolUse(Resources(), Resources())
@@ -77,15 +77,13 @@
     starting: dict[str, set[tuple[str, int, int]]] = field(default_factory=dict)
     overdue_workers: set[str] = field(default_factory=set)
     reservation_limit_s: float = math.inf
-    _eligible: dict[tuple[str, str, bool, bool], EligibleWorkers] = field(default_factory=dict)
+    _eligible: dict[tuple[str, str, bool], EligibleWorkers] = field(default_factory=dict)
 
     def eligible_workers(self, unit: SchedulingUnit) -> EligibleWorkers:
         """Return the usable workers with the unit's pool and label that its advice allows."""
-        joins_any = self._joins_suspects(unit)
-        joins_apart = joins_any and not unit.is_suspect
-        key = (unit.queue.pool, unit.step.required_label, joins_any, joins_apart)
+        key = (unit.queue.pool, unit.step.required_label, self._joins_all(unit))
         if key not in self._eligible:
-            pool, label, _, _ = key
+            pool, label, _ = key
             found = [
                 worker
                 for worker in self.workers.values()
@@ -101,13 +99,12 @@
 
     def is_usable(self, worker: WorkerView, unit: SchedulingUnit) -> bool:
         """Return whether tasks of the unit may start on a worker, whatever runs there."""
-        if worker.obstacle is Obstacle.KEPT_ALONE and self._joins_suspects(unit):
-            return not (unit.is_suspect and worker.has_suspect_apart)
-        return worker.is_usable
+        is_kept_alone = worker.obstacle is Obstacle.KEPT_ALONE
+        return worker.is_usable or (is_kept_alone and self._joins_all(unit))
 
-    def _joins_suspects(self, unit: SchedulingUnit) -> bool:
+    def _joins_all(self, unit: SchedulingUnit) -> bool:
         """Return whether the unit may start even beside suspects that are kept alone."""
-        return self.is_overdue(unit) and not unit.is_kept_apart
+        return not unit.is_suspect and self.is_overdue(unit)
 
     def allocate(self, worker: str, unit: SchedulingUnit) -> None:
         """Subtract the request of one task of the unit from a worker's free capacity."""
@@ -120,7 +117,7 @@
         if unit.step.is_filling:
             self.filling_workers.add(worker)
         known = self.suspects.get(worker)
-        if unit.is_suspect and (known is None or not known.is_kept_alone or unit.is_kept_apart):
+        if unit.is_suspect and (known is None or not known.is_kept_alone):
             self.suspects[worker] = unit
 
     def max_copies(self, worker: str, unit: SchedulingUnit, free: Resources | None = None) -> int:
@@ -217,13 +214,10 @@
 
     def _may_share(self, worker: str, unit: SchedulingUnit) -> bool:
         """Return whether a unit may start beside the suspects on a worker, or as one of them."""
-        if not self._joins_suspects(unit):
+        if unit.is_kept_alone or not self.is_overdue(unit):
             return self.is_apart(worker, unit)
         suspect = self.suspects.get(worker)
-        has_suspect_apart = self.workers[worker].has_suspect_apart or (
-            suspect is not None and suspect.is_kept_apart and suspect.key != unit.key
-        )
-        return not (unit.is_suspect and has_suspect_apart)
+        return not (unit.is_suspect and suspect is not None and suspect.is_kept_alone)
 
     def is_apart(self, worker: str, unit: SchedulingUnit) -> bool:
         """Return whether nothing on a worker is to be kept apart from the unit."""
--- a/src/foxtailwell/workflows/_crashes.py
+++ b/src/foxtailwell/workflows/_crashes.py
@@ -4,9 +4,8 @@
 jobs that only happened to run there. A crash is evidence against a task, of a weight that depends
 on what else could have caused it. A task with any evidence is a suspect: while it is on probation,
 no other suspect starts on its worker, and with more evidence, or after a crash right after its
-start, nothing does, so that the next crash leaves no doubt. While much of the pool is free, units
-keep off for a short time only. A crash of suspects that joined one which is kept alone is no
-evidence against that one, but keeps it apart from other suspects for as long as it takes.
+start, nothing does, so that the next crash leaves no doubt. While much of the pool is free, other
+units keep off for a short time only, except suspects from those that are kept alone.
 """
 
 from __future__ import annotations
@@ -22,7 +21,6 @@
     "LostRun",
     "is_given_up",
     "is_kept_alone",
-    "is_kept_apart",
     "probation_s",
     "weigh_crash",
 ]
@@ -39,12 +37,6 @@
 POSSIBLE_WEIGHT = 1
 """Weight of a crash with other possible causes."""
 
-JOINT_WEIGHT = 0
-"""Weight of a crash under a suspect that is kept alone, beside suspects of other jobs.
-
-It may have been any of them, and one more crash without them gives a certain answer.
-"""
-
 GIVE_UP_WEIGHT = 4
 """Total weight at which a task is given up: two certain crashes, or up to four possible ones."""
 
@@ -76,7 +68,6 @@
             negative if none was noticed since, infinite if this controller has no confirmation.
         is_suspect: There is evidence against its task from earlier crashes.
         is_on_probation: It had not outlasted the runs that ended in these crashes.
-        is_kept_alone: The evidence was enough to keep it alone.
     """
 
     task: TaskId
@@ -84,7 +75,6 @@
     silent_after_s: float
     is_suspect: bool
     is_on_probation: bool = False
-    is_kept_alone: bool = False
 
     @property
     def is_immediate(self) -> bool:
@@ -118,8 +108,6 @@
     for run in likeliest:
         if is_one_job and (is_isolated or run.is_suspect) and run.is_immediate:
             weights[run.task] = CERTAIN_WEIGHT
-    if len({run.task.job_id for run in recent if run.is_suspect}) > 1:
-        weights |= {run.task: JOINT_WEIGHT for run in recent if run.is_kept_alone}
     return weights
 
 
@@ -139,14 +127,6 @@
     return weight >= CERTAIN_WEIGHT or any(crash.is_immediate for crash in crashes)
 
 
-def is_kept_apart(crashes: Iterable[CrashRecord]) -> bool:
-    """Return whether a suspect must not share a worker with other suspects, however long it waits.
-
-    It has crashed a worker together with others, so only a run without them can clear it.
-    """
-    return any(crash.weight == JOINT_WEIGHT for crash in crashes)
-
-
 def probation_s(crashes: Iterable[CrashRecord]) -> float:
     """Return how long a run of a suspect must last to be cleared; 0 if there is no evidence.
 
--- a/src/foxtailwell/workflows/_fleet_view.py
+++ b/src/foxtailwell/workflows/_fleet_view.py
@@ -121,7 +121,6 @@
             there is no other obstacle.
         fault_score: Evidence that the worker is faulty or slow; lower scores are preferred.
         has_suspect: A suspect on probation runs there, so other suspects are kept off.
-        has_suspect_apart: It must not be joined by other suspects, however long they wait.
     """
 
     id: str
@@ -134,7 +133,6 @@
     obstacle: Obstacle | None = None
     fault_score: float = 0.0
     has_suspect: bool = False
-    has_suspect_apart: bool = False
 
     @property
     def is_usable(self) -> bool:
--- a/src/foxtailwell/workflows/_job_registry.py
+++ b/src/foxtailwell/workflows/_job_registry.py
@@ -4,12 +4,7 @@
 
 from collections.abc import Iterator, Mapping, Sequence
 
-from foxtailwell.workflows._crashes import (
-    CrashRecord,
-    is_given_up,
-    is_kept_alone,
-    is_kept_apart,
-)
+from foxtailwell.workflows._crashes import CrashRecord, is_given_up, is_kept_alone
 from foxtailwell.workflows._jobs import JobState, Queue, Submission, TaskId
 from foxtailwell.workflows._tasks import (
     EndKind,
@@ -419,7 +414,6 @@
                 any(task.crashes for task in waiting),
                 any(is_kept_alone(task.crashes) for task in waiting),
                 min(task.waiting_since_s for task in waiting),
-                is_kept_apart=any(is_kept_apart(task.crashes) for task in waiting),
             )
 
 
--- a/src/foxtailwell/workflows/_tasks.py
+++ b/src/foxtailwell/workflows/_tasks.py
@@ -10,12 +10,7 @@
 from dataclasses import dataclass, field
 from enum import IntEnum, StrEnum
 
-from foxtailwell.workflows._crashes import (
-    CrashRecord,
-    is_kept_alone,
-    is_kept_apart,
-    probation_s,
-)
+from foxtailwell.workflows._crashes import CrashRecord, is_kept_alone, probation_s
 from foxtailwell.workflows._jobs import JobState, Queue, Step, Submission, TaskId
 
 __all__ = [
@@ -141,11 +136,6 @@
         """Whether nothing else may start on its worker."""
         return self.is_on_probation and is_kept_alone(self.crashes)
 
-    @property
-    def is_kept_apart(self) -> bool:
-        """Whether no other suspect may ever start on its worker."""
-        return self.is_on_probation and is_kept_apart(self.crashes)
-
     @property
     def is_placed(self) -> bool:
         """Whether the task occupies a worker: it is assigned or being stopped."""
@@ -196,7 +186,6 @@
         queued_since_s: Local time from which the longest waiting of its tasks has been queued since
             its last run; infinite if none is known.
         allowed: Workers for which the unit has a valid ticket; None if its queue needs no tickets.
-        is_kept_apart: It must not share a worker with other suspects, however long it waits.
     """
 
     job_id: str
@@ -214,7 +203,6 @@
     is_kept_alone: bool = False
     queued_since_s: float = math.inf
     allowed: frozenset[str] | None = None
-    is_kept_apart: bool = False
 
     @property
     def key(self) -> tuple[str, int, int]:
