Ask for late starts in one place, and skip idle workers when looking for runs that do not stop

- `Workers._capacity` repeated the conditions of `late_starts`; it calls that now.
- The age of an entry was computed up to four times in `_check_age`.
- `_update_lapsing` runs for each link in each pass of the main loop; it reads the clock and the silence only for workers with runs that are being stopped.
- `_reject_late_starts` tested for the same None twice.

--- a/src/foxtailwell/controller/_runs.py
+++ b/src/foxtailwell/controller/_runs.py
@@ -92,7 +92,10 @@
             for task in self._registry.placed_on(event.worker)
             if (str(task.id), task.run) not in running
         ]
-        late = set(self._workers.late_starts(event.worker, listing.boot_unix_ms))
+        late = {
+            (start.task, start.run)
+            for start in self._workers.late_starts(event.worker, listing.boot_unix_ms)
+        }
         lost = [
             task
             for task in unlisted
@@ -117,8 +120,7 @@
         """
         for task_id, run in late:
             task = self._registry.find(task_id)
-            is_here = task is not None and task.is_placed and task.worker == worker
-            if not (is_here and task is not None and task.run == run):
+            if task is None or not task.is_placed or (task.worker, task.run) != (worker, run):
                 self._orphaned_runs.add((worker, task_id, run))
 
     def _apply_end(
--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -223,14 +223,13 @@
         if reading is None:
             self._undated.add(entry.id)
             return
+        reported_s = self._reported_s[entry.id]
+        least_age_s = reported_s - reading.latest_s(entry.clock_ms)
         limit_s = MAX_APPARENT_AGE_HEARTBEATS * self._access.heartbeat_s
-        latest_s = reading.latest_s(entry.clock_ms)
-        is_old = self._reported_s[entry.id] - latest_s > limit_s
-        if not is_old and self._reported_s[entry.id] - self._stated_s(entry) > limit_s:
+        if least_age_s <= limit_s < reported_s - self._stated_s(entry):
             self._undated.add(entry.id)
-        if self._reported_s[entry.id] - latest_s > self._access.heartbeat_s:
-            age_s = round(self._reported_s[entry.id] - latest_s, 2)
-            log_event(ENTRY_LATE, worker=entry.id, age_s=age_s)
+        if least_age_s > self._access.heartbeat_s:
+            log_event(ENTRY_LATE, worker=entry.id, age_s=round(least_age_s, 2))
 
     def _stated_s(self, entry: WorkerEntry) -> float:
         """Return the earliest local time at which a worker can have written its entry.
@@ -355,12 +354,15 @@
 
         The time counts from the end of the last long silence, in which no stop can have arrived.
         """
-        now_s = self._now_s()
         stopping = [
             task
             for task in self._registry.placed_on(link.entry.id)
             if task.state is TaskState.STOPPING
         ]
+        if not stopping:
+            link.is_lapsing = False
+            return
+        now_s = self._now_s()
         for task in stopping:
             task.stopping_since_s = task.stopping_since_s or now_s
         has_been_silent = link.silence_s() >= LONG_SILENCE_S
@@ -384,17 +386,18 @@
         """Record that a start may still be delivered, after a restart of the worker as well."""
         self._unanswered_starts.setdefault(event.worker, []).append(event)
 
-    def late_starts(self, worker: str, boot_unix_ms: int) -> list[tuple[TaskId, int]]:
-        """Return the runs whose starts may reach an incarnation that would carry them out.
+    def late_starts(self, worker: str, boot_unix_ms: int) -> list[StartFinished]:
+        """Return the starts that may yet reach an incarnation which would carry them out.
 
         It knows of no stop and no run before, and its clock starts anew, so that no deadline keeps
         a start from it.
         """
+        now_s = self._now_s()
         return [
-            (start.task, start.run)
+            start
             for start in self._unanswered_starts.get(worker, ())
             if start.boot_unix_ms != boot_unix_ms
-            and self._now_s() - start.settled_s < LATE_START_S
+            and now_s - start.settled_s < LATE_START_S
             and (start.task, start.run, boot_unix_ms) not in self._barred_starts
         ]
 
@@ -423,10 +426,8 @@
             del self._unanswered_starts[entry.id]
         link = self.links.get(entry.id)
         boot_unix_ms = link.boot_unix_ms if link else entry.boot_unix_ms
-        for start in starts:
-            is_barred = (start.task, start.run, boot_unix_ms) in self._barred_starts
-            if start.boot_unix_ms != boot_unix_ms and not is_barred:
-                capacity = capacity.minus(start.request)
+        for start in self.late_starts(entry.id, boot_unix_ms):
+            capacity = capacity.minus(start.request)
         return capacity
 
     def record_success(self, worker: str) -> None:
