Keep the narrower bounds of two readings of a worker's clock

Cause, by reading: of two readings the one that counts from the later request was kept, whatever its response had taken. A first response that was slow left the latest time of an entry in doubt, and later, exact ones did not end that if their requests were a millisecond longer on the way. The kept reading now takes over the earlier end of the other one. When an entry was written at the earliest is as before, and with it every start.

--- a/src/foxtailwell/controller/_clocks.py
+++ b/src/foxtailwell/controller/_clocks.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 __all__ = ["CLOCK_DRIFT_FACTOR", "ClockReading", "more_exact"]
 
@@ -49,4 +49,7 @@
     if known is None or known.boot_unix_ms != reading.boot_unix_ms:
         return reading
     earliest_s = known.earliest_s(reading.clock_ms)
-    return known if reading.sent_s < earliest_s <= reading.received_s else reading
+    if not reading.sent_s < earliest_s <= reading.received_s:
+        return reading
+    excess_s = known.latest_s(reading.clock_ms) - reading.received_s
+    return replace(known, received_s=known.received_s - excess_s) if excess_s > 0 else known
