--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -338,17 +338,26 @@
         deployment: Deployment to call.
         seed: Seed of the choice of instances.
         tenant: Tenant of the client.
+        avoided: Instance that the client's connections do not lead to.
     """
 
-    def __init__(self, deployment: Deployment, seed: int = 1, tenant: Tenant | None = None) -> None:
+    def __init__(
+        self,
+        deployment: Deployment,
+        seed: int = 1,
+        tenant: Tenant | None = None,
+        avoided: Instance | None = None,
+    ) -> None:
         self._deployment = deployment
+        self._deployment = deployment
+        self._avoided = avoided
         self._tenant = tenant or Tenant()
         self._random = random.Random(seed)
 
     async def submit(self, queue: str, job: str, body: dict, attempts: int = 5) -> bool:
         """Hand in a job, and return whether it was accepted."""
         for _ in range(attempts):
-            status, _ = await self._call("POST", queue, job, body)
+            status, _ = await self.call("POST", queue, job, body)
             if 200 <= status < 300:
                 return True
             await asyncio.sleep(0.3)
@@ -358,16 +367,23 @@
         """Return the state of a job, or what was answered instead."""
         status = 0
         for _ in range(attempts):
-            status, body = await self._call("GET", queue, job)
+            status, body = await self.call("GET", queue, job)
             if status == 200:
                 return str(body["state"])
             await asyncio.sleep(0.3)
         return f"status {status}" if status else "no answer"
 
-    async def _call(
-        self, method: str, queue: str, job: str, body: dict | None = None
+    async def call(
+        self,
+        method: str,
+        queue: str,
+        job: str,
+        body: dict | None = None,
+        at: Instance | None = None,
     ) -> tuple[int, dict]:
-        instance = self._random.choice(self._deployment.instances)
+        """Send one request at an instance, or at one that is chosen by chance."""
+        instances = [i for i in self._deployment.instances if i is not self._avoided]
+        instance = at or self._random.choice(instances)
         path = self._deployment.queues[queue].prefix + job
         headers = {
             "Host": HOST,
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -42,6 +42,8 @@
 
     Attributes:
         last_writer: Name of the caller whose conditional transaction wrote last.
+        late_s: Time after which the writes of a caller are done, by caller; these get no answer.
+        writes: Number of writing transactions, and of those that got no answer.
     """
 
     def __init__(self) -> None:
@@ -52,6 +54,8 @@
         self._lease_ids = count(1000)
         self._changed = asyncio.Event()
         self.last_writer = ""
+        self.late_s: dict[str, float] = {}
+        self.writes = [0, 0]
 
     def put(self, key: str, value: bytes) -> int:
         """Write a key as the operator or a minion does, and return the revision."""
@@ -73,6 +77,14 @@
         async def handle(request: Request) -> tuple[int, dict]:
             await asyncio.sleep(ANSWER_S)
             self._expire()
+            if request.path == "/-/kv-txn" and (request.body["puts"] or request.body["deletes"]):
+                self.writes[0] += 1
+                if caller in self.late_s:
+                    self.writes[1] += 1
+                    await asyncio.sleep(self.late_s[caller])
+                    self._expire()
+                    self._transact(caller, request.body)
+                    raise ConnectionAbortedError("the answer is lost")
             return await self._handle(caller, request)
 
         return handle
