--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -7,18 +7,16 @@
 import os
 import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
 import time
 from collections.abc import Awaitable, Callable
-from contextlib import ExitStack
 from dataclasses import dataclass
 from pathlib import Path
 from typing import TextIO
 
-from standins.http import Handler, HttpServer, call
+from standins.http import Handler, HttpServer, call, find_free_port
 from standins.minion import Minion, Shape
 from standins.store import Store
 
@@ -239,7 +237,7 @@
                     self.report("process started", instance=instance.name)
 
     def _prepare(self, name: str, zone: str, store: str, cloud: str) -> Instance:
-        front, ready, metrics = _free_ports(3)
+        front, ready, metrics = (find_free_port() for _ in range(3))
         settings = {
             "node_name": name,
             "role": "instance",
@@ -437,14 +435,6 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def _free_ports(number: int) -> list[int]:
-    with ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(number)]
-        for opened in sockets:
-            opened.bind(("127.0.0.1", 0))
-        return [opened.getsockname()[1] for opened in sockets]
-
-
 Case = Callable[[Path, Callable[..., None]], Awaitable[bool]]
 
 
--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -4,11 +4,34 @@
 
 import asyncio
 import json
+import random
+import socket
 from collections.abc import Awaitable, Callable, Mapping
+from contextlib import closing
 from dataclasses import dataclass
 from urllib.parse import parse_qs, urlsplit
 
-__all__ = ["Handler", "HttpServer", "Request", "call"]
+__all__ = ["Handler", "HttpServer", "Request", "call", "find_free_port"]
+
+PORTS = range(20_000, 32_000)
+"""Below the ports that the kernel assigns to connections, so that a server gets its own again."""
+
+_used_ports: set[int] = set()
+
+
+def find_free_port() -> int:
+    """Return a port on 127.0.0.1 that is free and was not returned before."""
+    while True:
+        port = random.choice(PORTS)
+        if port in _used_ports:
+            continue
+        with closing(socket.socket()) as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _used_ports.add(port)
+        return port
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,16 +49,15 @@
 
 
 class HttpServer:
-    """Serves one handler on a loopback port, with persistent connections.
+    """Serves one handler on a free loopback port, with persistent connections.
 
     Args:
         handler: Returns the status and the JSON body of a response.
-        port: Port on 127.0.0.1; 0 selects a free one, which is kept across `stop` and `start`.
     """
 
-    def __init__(self, handler: Handler, port: int = 0) -> None:
+    def __init__(self, handler: Handler) -> None:
         self._handler = handler
-        self.port = port
+        self.port = find_free_port()
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.StreamWriter] = set()
 
@@ -45,9 +67,8 @@
         return f"127.0.0.1:{self.port}"
 
     async def start(self) -> None:
-        """Listen on the port."""
+        """Listen on the port, which stays the same across `stop` and `start`."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
-        self.port = self._server.sockets[0].getsockname()[1]
 
     def stop(self) -> None:
         """Close the port and reset all connections, as the end of a process does."""
