--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -22,6 +22,7 @@
 
 __all__ = [
     "BOUNDS",
+    "FIRST_VERSION",
     "Client",
     "Deployment",
     "Instance",
@@ -38,6 +39,7 @@
 SERVICE = "depot-watch"
 HOST = "nony24.example"
 RESTART_S = 0.5
+FIRST_VERSION = 7
 MEMORY_MB = 300
 
 BOUNDS = {
@@ -186,7 +188,7 @@
 
     async def start(self, instance_count: int = 3, machines: Handler | None = None) -> None:
         """Start everything, and wait until the instances are ready."""
-        self.store.put("op/config", json.dumps(self._configuration()).encode())
+        self.configure(FIRST_VERSION)
         for minion in self.minions:
             await minion.boot()
         cloud = await self._serve(machines) if machines else ""
@@ -283,7 +285,13 @@
             self._directory / f"{name}.log",
         )
 
-    def _configuration(self) -> dict:
+    def configure(self, version: int, removed: str = "") -> None:
+        """Write a version of the configuration as the operator does, without one of the queues."""
+        queues = [queue.name for queue in self.queues.values() if queue.name != removed]
+        self.store.put("op/config", json.dumps(self._configuration(version, removed)).encode())
+        self.report("configuration", version=version, queues=queues)
+
+    def _configuration(self, version: int, removed: str) -> dict:
         routes = [
             {
                 "name": queue.name,
@@ -299,6 +307,7 @@
                 "no_auth": False,
             }
             for queue in self.queues.values()
+            if queue.name != removed
         ]
         service = {
             "name": SERVICE,
@@ -310,7 +319,7 @@
             {"name": t.name, "api_keys": [t.key], "guaranteed": {"gpu": t.guaranteed}}
             for t in self._tenants
         ]
-        return {"version": 7, "routes": routes, "services": [service], "tenants": tenants}
+        return {"version": version, "routes": routes, "services": [service], "tenants": tenants}
 
     async def is_ready(self, instance: Instance) -> bool:
         """Ask an instance for its readiness, as the platform does."""
