--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -151,6 +151,7 @@
         shape: Capacity of each minion.
         minion_count: Number of minions.
         tenants: Tenants of the configuration.
+        zones: Availability zones, over which minions and instances are spread in turn.
     """
 
     def __init__(
@@ -162,8 +163,10 @@
         shape: Shape,
         minion_count: int,
         tenants: tuple[Tenant, ...] = (Tenant(),),
+        zones: tuple[str, ...] = ZONES,
     ) -> None:
         self.report = report
+        self._zones = zones
         self._tenants = tenants
         self.store = Store()
         self.queues = {queue.name: queue for queue in queues}
@@ -177,8 +180,8 @@
                 f"i-{number:08x}",
                 self.store,
                 SERVICE,
-                ZONES[number % len(ZONES)],
-                f"r{number % len(ZONES)}-1",
+                zones[number % len(zones)],
+                f"r{number % len(zones)}-1",
                 shape,
                 work_s,
                 report,
@@ -192,9 +195,10 @@
         for minion in self.minions:
             await minion.boot()
         for number in range(instance_count):
-            name = f"edge-{ZONES[number % len(ZONES)]}-{number + 1}"
+            zone = self._zones[number % len(self._zones)]
+            name = f"edge-{zone}-{number + 1}"
             store = await self._serve(self.store.handler(name))
-            self.instances.append(self._prepare(name, ZONES[number % len(ZONES)], store))
+            self.instances.append(self._prepare(name, zone, store))
         for instance in self.instances:
             instance.start()
         self._keeper = asyncio.create_task(self._keep_running())
@@ -247,7 +251,7 @@
             "ip": "127.0.0.1",
             "zone": zone,
             "region": "nl-oost",
-            "zones": dict.fromkeys(ZONES, "nl-oost"),
+            "zones": dict.fromkeys(self._zones, "nl-oost"),
             "listen_addrs": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}"},
             "port_range": [metrics, metrics],
             "seeds": [],
--- a/review/standins/minion.py
+++ b/review/standins/minion.py
@@ -11,13 +11,14 @@
 from standins.http import HttpServer, Request
 from standins.store import Store
 
-__all__ = ["Minion", "Run", "Shape"]
+__all__ = ["End", "Minion", "Run", "Shape", "Start"]
 
 BEAT_S = 1.5
 STOP_S = 0.1
 STARTUP_S = 0.5
 MAX_HOLD_MS = 10_000
 CHECK_S = 0.02
+MAX_LISTED_ENDS = 500
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +51,36 @@
         return min(100, int(100 * elapsed_s / whole_s))
 
 
+@dataclass(frozen=True, slots=True)
+class Start:
+    """A run that has begun, with the time of the local clock."""
+
+    task: str
+    run: int
+    at_s: float
+
+
+@dataclass(slots=True)
+class End:
+    """A run that has ended, with the time of the local clock.
+
+    Attributes:
+        listed_s: Time at which the end was listed first; infinite before.
+        acked_s: Time at which an acknowledgement reached the end; infinite before.
+        has_lapsed: The lease of the minion lapsed between its end and its acknowledgement.
+    """
+
+    task: str
+    run: int
+    how: str
+    number: int
+    born: int
+    at_s: float
+    listed_s: float = float("inf")
+    acked_s: float = float("inf")
+    has_lapsed: bool = False
+
+
 @dataclass(slots=True)
 class Minion:
     """One minion with its HTTP interface.
@@ -58,6 +89,12 @@
         work_s: Returns the time that a task works, from its `spec`.
         report: Writes a line to the record.
         running: Present runs by task.
+        crash_after_s: Returns the time after which a task crashes this minion, from its `spec`;
+            infinite for never.
+        reboot_s: Time after which a minion that a task has crashed is back.
+        starts: Runs that have begun, over all lives.
+        ends: Runs that have ended, over all lives.
+        crashes: Tasks that have crashed this minion, and when.
     """
 
     id: str
@@ -72,6 +109,11 @@
     state: str = "ready"
     running: dict[str, Run] = field(default_factory=dict)
     is_up: bool = False
+    crash_after_s: Callable[[str], float] = lambda spec: float("inf")
+    reboot_s: float = 4.5
+    starts: list[Start] = field(default_factory=list)
+    ends: list[End] = field(default_factory=list)
+    crashes: list[tuple[str, float]] = field(default_factory=list)
     _born: int = 0
     _boot_s: float = 0.0
     _seq: int = 0
@@ -81,6 +123,7 @@
     _token: int = 0
     _deadline_ms: int = 0
     _tasks: set[asyncio.Task] = field(default_factory=set)
+    _reboot: asyncio.Task | None = None
 
     def __post_init__(self) -> None:
         self.server = HttpServer(self._handle)
@@ -155,6 +198,9 @@
         while True:
             await asyncio.sleep(CHECK_S)
             is_lapsed = self._clock_ms() > self._deadline_ms
+            if is_lapsed:
+                for end in self.ends[-len(self._ended) :] if self._ended else ():
+                    end.has_lapsed = True
             for run in list(self.running.values()):
                 if is_lapsed:
                     self._end(run, "lapsed")
@@ -168,6 +214,7 @@
         self._end_count += 1
         self._highest[run.task] = max(self._highest.get(run.task, 0), run.run)
         self._ended.append([self._end_count, run.task, run.run, how, ""])
+        self.ends.append(End(run.task, run.run, how, self._end_count, self._born, time.monotonic()))
         is_at_work = run.percent() >= 100
         self.report(
             "run ends", minion=self.id, task=run.task, run=run.run, how=how, at_work=is_at_work
@@ -217,9 +264,27 @@
         if present or number <= self._highest.get(task, 0):
             return 409, self._reply(reason="old")
         self.running[task] = Run(task, number, time.monotonic(), self.work_s(body["spec"]))
+        self.starts.append(Start(task, number, time.monotonic()))
         self.report("run starts", minion=self.id, task=task, run=number, token=self._token)
+        crash_after_s = self.crash_after_s(body["spec"])
+        if crash_after_s < float("inf"):
+            asyncio.get_running_loop().call_later(crash_after_s, self._crash_by, task, number)
         return 200, self._reply()
 
+    def _crash_by(self, task: str, number: int) -> None:
+        """Crash by a run if it is still there, and boot again after a while."""
+        present = self.running.get(task)
+        if not self.is_up or present is None or present.run != number:
+            return
+        self.report("task crashes its minion", minion=self.id, task=task, run=number)
+        self.crashes.append((task, time.monotonic()))
+        self.crash()
+        self._reboot = asyncio.create_task(self._boot_later())
+
+    async def _boot_later(self) -> None:
+        await asyncio.sleep(self.reboot_s)
+        await self.boot()
+
     def _begin_stop(self, body: dict) -> tuple[int, dict]:
         task, number = body["task"], body["run"]
         self.report("stop ordered", minion=self.id, task=task, run=number, token=self._token)
@@ -233,10 +298,29 @@
 
     async def _hold(self, body: dict) -> tuple[int, dict]:
         self._extend(body)
-        self._ended = [end for end in self._ended if end[0] > body.get("acked", 0)]
+        self._forget(body.get("acked", 0))
         for _ in range(int(min(body.get("wait_ms", 0), 2000) / 1000 / CHECK_S)):
             if self._ended:
                 break
             await asyncio.sleep(CHECK_S)
         running = [[run.task, run.run, "", run.percent(), 0] for run in self.running.values()]
-        return 200, self._reply(running=running, ended=self._ended[:500])
+        listed = self._ended[:MAX_LISTED_ENDS]
+        if listed:
+            self._note_listed(listed[-1][0])
+        return 200, self._reply(running=running, ended=listed)
+
+    def _forget(self, acked: int) -> None:
+        """Forget the ends up to a number."""
+        self._ended = [end for end in self._ended if end[0] > acked]
+        for end in reversed(self.ends):
+            if end.born != self._born or end.acked_s < float("inf"):
+                break
+            if end.number <= acked:
+                end.acked_s = time.monotonic()
+
+    def _note_listed(self, number: int) -> None:
+        for end in reversed(self.ends):
+            if end.born != self._born or end.listed_s < float("inf"):
+                break
+            if end.number <= number:
+                end.listed_s = time.monotonic()
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from base64 import b64decode, b64encode
+from collections import deque
 from dataclasses import dataclass
 from itertools import count
 
@@ -15,6 +16,7 @@
 ANSWER_S = 0.004
 PAGE_ITEMS = 500
 ENTRY_LIMIT = 32
+RETENTION_S = 20.0
 MAX_KEY_BYTES = 200
 MAX_VALUE_BYTES = 1_048_576
 OPERATOR_PREFIXES = ("op/", "servers/")
@@ -43,18 +45,21 @@
     Attributes:
         last_writer: Name of the caller whose conditional transaction wrote last.
         late_s: Time after which the writes of a caller are done, by caller; these get no answer.
+        oversized: Number of transactions that were refused for having too many entries.
         writes: Number of writing transactions, and of those that got no answer.
     """
 
     def __init__(self) -> None:
         self._revision = 1
         self._items: dict[str, _Item] = {}
-        self._events: list[tuple[int, str, dict]] = []
+        self._events: deque[tuple[int, str, dict, float]] = deque()
+        self._dropped_revision = 0
         self._leases: dict[int, tuple[float, float]] = {}
         self._lease_ids = count(1000)
         self._changed = asyncio.Event()
         self.last_writer = ""
         self.late_s: dict[str, float] = {}
+        self.oversized = 0
         self.writes = [0, 0]
 
     def put(self, key: str, value: bytes) -> int:
@@ -92,12 +97,18 @@
     def _write(self, key: str, value: bytes, lease_id: int) -> None:
         item = _Item(key, value, self._revision, lease_id)
         self._items[key] = item
-        self._events.append((self._revision, key, item.encode()))
+        self._append_event(key, item.encode())
 
     def _remove(self, key: str) -> None:
         if self._items.pop(key, None) is not None:
             event = {"key": key, "revision": self._revision, "deleted": True}
-            self._events.append((self._revision, key, event))
+            self._append_event(key, event)
+
+    def _append_event(self, key: str, event: dict) -> None:
+        now_s = time.monotonic()
+        self._events.append((self._revision, key, event, now_s))
+        while self._events[0][3] < now_s - RETENTION_S:
+            self._dropped_revision = self._events.popleft()[0]
 
     def _notify(self) -> None:
         self._changed.set()
@@ -156,7 +167,9 @@
         until_s = time.monotonic() + int(request.query["wait_ms"]) / 1000
         while True:
             self._expire()
-            events = [e for r, key, e in self._events if r > after and key.startswith(prefix)]
+            if after < self._dropped_revision:
+                return 410, {}
+            events = [e for r, key, e, _ in self._events if r > after and key.startswith(prefix)]
             remaining_s = until_s - time.monotonic()
             if events or remaining_s <= 0:
                 return 200, {"events": events, "at_rev": self._revision}
@@ -170,6 +183,7 @@
         conditions, puts = body.get("precondition", []), body.get("puts", [])
         deletes = body.get("deletes", [])
         if len(conditions) + len(puts) + len(deletes) > ENTRY_LIMIT:
+            self.oversized += 1
             return 400, {"error": "too many entries"}
         values = [(p["key"], b64decode(p["value"]), p.get("lease_id", 0)) for p in puts]
         written = [key for key, _, _ in values] + deletes
