--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,9 +13,9 @@
 from standins.minion import End, Shape, Start
 
 BATCH = Queue("seis-pick", 2)
-JOBS = 20
-TASKS = 100
-SUBMIT_PAUSE_S = 0.5
+JOBS = 40
+TASKS = 50
+SUBMIT_PAUSE_S = 0.25
 FIRST_END_S = 16.0
 ENDS_WITHIN_S = 1.8
 SHAPE = Shape(cpu=128_000, mem_mb=262_144, gpu=8)
--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -53,10 +53,12 @@
 
     Args:
         handler: Returns the status and the JSON body of a response.
+        max_connections: Connections that are open at most; further ones are closed at once.
     """
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(self, handler: Handler, max_connections: int = 4_000) -> None:
         self._handler = handler
+        self._max_connections = max_connections
         self.port = find_free_port()
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.StreamWriter] = set()
@@ -79,6 +81,9 @@
             writer.transport.abort()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if len(self._connections) >= self._max_connections:
+            writer.close()
+            return
         self._connections.add(writer)
         try:
             while True:
--- a/review/standins/minion.py
+++ b/review/standins/minion.py
@@ -19,6 +19,7 @@
 MAX_HOLD_MS = 10_000
 CHECK_S = 0.02
 MAX_LISTED_ENDS = 500
+MAX_CONNECTIONS = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,7 +127,7 @@
     _reboot: asyncio.Task | None = None
 
     def __post_init__(self) -> None:
-        self.server = HttpServer(self._handle)
+        self.server = HttpServer(self._handle, MAX_CONNECTIONS)
 
     def _clock_ms(self) -> int:
         return int((time.monotonic() - self._boot_s) * 1000)
