Tell complete listings of a worker from incomplete ones

A worker lists at most 500 ends at once. Neither the controller nor its log could tell a listing that has all of them from one that has not, so that a run missing from it looked the same whether its start was lost or its end did not fit. WorkerListing.is_complete says so now, FW1644 logs each incomplete listing with the runs that it does not account for, and the in-process worker lists its ends in pages of `max_listed_ends` as well. No decision depends on it yet.

Test: test_listing_with_the_most_ends_may_lack_further_ones.

--- a/src/foxtailwell/adapters/events.py
+++ b/src/foxtailwell/adapters/events.py
@@ -135,6 +135,7 @@
 STEP_UNSERVABLE = _event("FW1641", "WARNING", "no set of the listed workers can serve a step")
 STEP_SERVABLE = _event("FW1642", "INFO", "the listed workers can serve a step again")
 RUN_NOT_STOPPING = _event("FW1643", "WARNING", "a worker does not stop a run; its lease may end")
+LISTING_INCOMPLETE = _event("FW1644", "INFO", "a worker lists only a part of its ended runs")
 RESERVATION_ENDED = _event("FW1650", "INFO", "a reservation for urgent work has ended")
 
 # 1700-1799: instances
--- a/src/foxtailwell/controller/_runs.py
+++ b/src/foxtailwell/controller/_runs.py
@@ -5,7 +5,12 @@
 import re
 from collections.abc import Callable, Iterable
 
-from foxtailwell.adapters.events import RUN_ENDED, RUN_LOST, TASK_UNREADABLE
+from foxtailwell.adapters.events import (
+    LISTING_INCOMPLETE,
+    RUN_ENDED,
+    RUN_LOST,
+    TASK_UNREADABLE,
+)
 from foxtailwell.adapters.logs import log_event
 from foxtailwell.adapters.work_metrics import WorkMetrics
 from foxtailwell.controller._crashes import CrashReports
@@ -92,6 +97,13 @@
             for task in self._registry.placed_on(event.worker)
             if (str(task.id), task.run) not in running
         ]
+        if not listing.is_complete:
+            log_event(
+                LISTING_INCOMPLETE,
+                worker=event.worker,
+                ended=len(listing.ended),
+                unaccounted=len(unlisted),
+            )
         late = {
             (start.task, start.run)
             for start in self._workers.late_starts(event.worker, listing.boot_unix_ms)
--- a/src/foxtailwell/platform/workers.py
+++ b/src/foxtailwell/platform/workers.py
@@ -36,6 +36,9 @@
 RENEWAL_MARGIN_S = 0.4
 """Added to the wait of a lease renewal to get the timeout of its call."""
 
+MAX_LISTED_ENDS = 500
+"""Ends that a worker lists at once; it lists the others once these are acknowledged."""
+
 _IDENTIFIER_PATTERN = re.compile(r"[!-~]{1,128}")
 """Printable ASCII, because the identifier is sent in a header."""
 
@@ -233,7 +236,8 @@
         )
     except (*MALFORMED, ValueError) as error:
         raise WorkerCallError(f"listing cannot be decoded: {error}") from error
-    return WorkerListing(listing.clock_ms, listing.born, running, ended)
+    is_complete = len(ended) < MAX_LISTED_ENDS
+    return WorkerListing(listing.clock_ms, listing.born, running, ended, is_complete)
 
 
 def _percent(progress: float) -> int:
--- a/src/foxtailwell/workflows/_interfaces.py
+++ b/src/foxtailwell/workflows/_interfaces.py
@@ -262,13 +262,17 @@
     Attributes:
         clock_ms: The worker's clock at the time of the listing.
         boot_unix_ms: Start time of the worker's incarnation.
-        ended: Ends that have not been acknowledged yet.
+        running: All runs that have not ended.
+        ended: Ends that have not been acknowledged yet, oldest first.
+        is_complete: Whether `ended` has all of them. A worker lists a limited number at once, so a
+            run that is missing from an incomplete listing may have ended.
     """
 
     clock_ms: int
     boot_unix_ms: int
     running: tuple[ListedRun, ...]
     ended: tuple[EndedRun, ...]
+    is_complete: bool = True
 
 
 class WorkerCalls(Protocol):
--- a/src/foxtailwell_standins/platform_worker.py
+++ b/src/foxtailwell_standins/platform_worker.py
@@ -205,6 +205,8 @@
         task_duration_s: Duration of each run; if infinite, the test ends runs with `end`.
         payload_duration_s: Returns the duration of a run from its payload; overrides
             `task_duration_s`.
+        max_listed_ends: Ends that one listing has at most; further ones follow once these are
+            acknowledged.
         ticket: Ticket that start commands must carry; empty if none is required.
         gangs: Gangs that the workers share; None if gang members run independently.
         boot_unix_ms: Identifies the incarnation; each restart adds 1.
@@ -223,6 +225,7 @@
     capacity: Resources = field(default_factory=lambda: Resources(128_000, 262_144, 8))
     task_duration_s: float = float("inf")
     payload_duration_s: Callable[[str], float] | None = None
+    max_listed_ends: int = 500
     ticket: str = ""
     gangs: GangCoordinator | None = None
     faults: WorkerFaults = field(default_factory=WorkerFaults)
@@ -440,7 +443,9 @@
             ListedRun(task, run.run, run.checkpoint, self._percent(run))
             for task, run in self.running.items()
         )
-        listing = WorkerListing(self.clock_ms(), self.boot_unix_ms, running, tuple(self.ended))
+        ended = tuple(self.ended[: self.max_listed_ends])
+        is_complete = len(ended) < self.max_listed_ends
+        listing = WorkerListing(self.clock_ms(), self.boot_unix_ms, running, ended, is_complete)
         await anyio.sleep(self.faults.listing_delay_s)
         return listing
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -14,7 +14,7 @@
 from foxtailwell.core.errors import ValidationError
 from foxtailwell.platform import messages
 from foxtailwell.platform.settings import load_instance_settings
-from foxtailwell.platform.workers import decode_worker_entry
+from foxtailwell.platform.workers import connect_worker, decode_worker_entry
 from foxtailwell.workflows import Resources
 
 ENTRY = {
@@ -53,6 +53,25 @@
     assert decode_worker_entry("i-1", b"\xff\x00") is None
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(("count", "is_complete"), [(0, True), (499, True), (500, False)])
+async def test_listing_with_the_most_ends_may_lack_further_ones(anyio_server, count, is_complete):
+    """Guards against a run that is missing from a full list of ends and counts as lost."""
+    ended = [[n + 1, f"{'a' * 16}.0.0.{n}", 1, "done", ""] for n in range(count)]
+    body = msgspec.json.encode({"clock_ms": 1, "born": 2, "running": [], "ended": ended})
+
+    async def handle(stream):
+        async with stream:
+            await stream.receive()
+            await stream.send(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+
+    async with anyio.create_task_group() as group:
+        calls = connect_worker("i-1", await anyio_server(group, handle))
+        listing = await calls.renew_lease(None, 1, 0, 0)
+        assert (len(listing.ended), listing.is_complete) == (count, is_complete)
+        group.cancel_scope.cancel()
+
+
 def test_filling_tasks_request_no_processors():
     """Guards against filling tasks that prevent other tasks from starting."""
     body = {"spec": "s", "phases": [{"count": 1, "cpu": 900, "gpu": 1, "fills": True}]}
