Take a run for gone only if its worker lists all ends

Cause: a worker lists 500 ends at once. RunReports.apply_listing took every assigned run that a listing had neither as running nor as ended for one that the worker does not have: it stopped the run as unlisted, and once the stop was confirmed and another listing did not name the run either, it queued the task again. The ends beyond the 500 were listed later. The same rule took such runs for lost with an earlier incarnation, and weighed a crash that had not happened to them against their tasks.

Ruled out: a crash or silence of the worker (no FW1631, FW1613), runs held to be stalled (no FW1618), late or repeated starts as the first cause (the first tasks were queued again without any), and a wrong record of the former controller (the runs were loaded as assigned, with the right worker).

Why it works: the ends are listed oldest first and forgotten only once they are acknowledged, which follows their storage. So each end is in some listing, and a run that a complete listing omits, sent after its start was settled or its stop confirmed, has no end that may still come. An incomplete listing shows only what it names. It is followed by another at once, as its ends are stored, so the judgement waits for as long as the ends take.

--- a/src/foxtailwell/controller/_runs.py
+++ b/src/foxtailwell/controller/_runs.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Set
 
 from foxtailwell.adapters.events import (
     LISTING_INCOMPLETE,
@@ -80,6 +80,8 @@
     def apply_listing(self, event: ListingReceived) -> int:
         """Apply the running and ended runs that a worker lists.
 
+        Only a complete listing shows that a run is gone; otherwise its end may be listed later.
+
         Returns:
             The highest listed number of an end; the one already durable if none is listed.
         """
@@ -97,21 +99,36 @@
             for task in self._registry.placed_on(event.worker)
             if (str(task.id), task.run) not in running
         ]
-        if not listing.is_complete:
+        late = {
+            (start.task, start.run)
+            for start in self._workers.late_starts(event.worker, listing.boot_unix_ms)
+        }
+        if listing.is_complete:
+            self._apply_unlisted(event, unlisted, late)
+        else:
             log_event(
                 LISTING_INCOMPLETE,
                 worker=event.worker,
                 ended=len(listing.ended),
                 unaccounted=len(unlisted),
             )
-        late = {
-            (start.task, start.run)
-            for start in self._workers.late_starts(event.worker, listing.boot_unix_ms)
-        }
+        self._reject_late_starts(event.worker, late)
+        return max((end.number for end in listing.ended), default=link.durable_end)
+
+    def _apply_unlisted(
+        self, event: ListingReceived, unlisted: list[Task], late: Set[tuple[TaskId, int]]
+    ) -> None:
+        """Apply that a worker has none of the given runs.
+
+        Args:
+            event: Complete listing of the worker.
+            unlisted: Tasks whose runs it lists neither as running nor as ended.
+            late: Tasks and runs of starts that may still reach the worker.
+        """
         lost = [
             task
             for task in unlisted
-            if task.boot_unix_ms != listing.boot_unix_ms
+            if task.boot_unix_ms != event.listing.boot_unix_ms
             # While a copy of its start may arrive, the new incarnation has to reject it first.
             and (
                 (_has_begun_before(task, event.sent_s) and (task.id, task.run) not in late)
@@ -120,10 +137,10 @@
         ]
         self._apply_crash(event.worker, lost, "the worker restarted")
         for task in unlisted:
-            if task.is_placed:
-                self._apply_unlisted(task, event.sent_s)
-        self._reject_late_starts(event.worker, late)
-        return max((end.number for end in listing.ended), default=link.durable_end)
+            if _is_stopped(task, event.sent_s):
+                self._requeue_lost(task, "stopped before it began")
+            elif task.state is TaskState.ASSIGNED and task.start_settled_s < event.sent_s:
+                self._registry.mark_stopping(task, StopReason.UNLISTED)
 
     def _reject_late_starts(self, worker: str, late: Iterable[tuple[TaskId, int]]) -> None:
         """Stop runs that may still be delivered to another incarnation than they were sent to.
@@ -177,12 +194,6 @@
             # No record asks for this run: its job has ended, or its lease was considered expired.
             self._orphaned_runs.add((worker, task_id, run.run))
 
-    def _apply_unlisted(self, task: Task, sent_s: float) -> None:
-        if _is_stopped(task, sent_s):
-            self._requeue_lost(task, "stopped before it began")
-        elif task.state is TaskState.ASSIGNED and task.start_settled_s < sent_s:
-            self._registry.mark_stopping(task, StopReason.UNLISTED)
-
     def _apply_crash(self, worker: str, lost: list[Task], reason: str) -> None:
         """Queue the tasks again whose runs ended with an incarnation of their worker."""
         if lost:
