Judge no run as stalled while its end may be listed later

With a slower store, runs that have ended count as stalled after 4 s: they are stopped, and their worker, which has done nothing wrong, is quarantined as if they had failed there.

Cause: the progress of a run that has ended does not change, and stalled_runs cannot tell it from one that is still running, as its end did not fit into the listing.

Why it works: while the last listing that was processed may lack ends, no run of its worker is judged. The next complete listing either names the run as running, and the time counts on, or its end is applied before the next judgement.

Test, seen to fail before: test_ended_run_that_is_listed_later_has_not_stalled (FW1618 for the runs whose ends were listed later).

--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -490,7 +490,7 @@
     def _stop_stalled_runs(self, now_s: float) -> None:
         for task in self._registry.stalled_runs(now_s, STALL_TIMEOUT_S):
             link = self._workers.links.get(task.worker)
-            if link is None or link.is_unresponsive:
+            if link is None or link.is_unresponsive or link.has_unlisted_ends:
                 continue
             log_event(RUN_STALLED, job=task.id.job_id, task=str(task.id), worker=task.worker)
             self._workers.record_failure(task.worker, task.id.job_id)
--- a/src/foxtailwell/controller/_links.py
+++ b/src/foxtailwell/controller/_links.py
@@ -178,6 +178,8 @@
         durable_end: Ends up to this number are stored.
         acknowledged_end: Ends up to this number are acknowledged to the worker.
         listed_end: Highest number of an end in the last listing.
+        has_unlisted_ends: The listing that the controller processed last may lack ends, so that
+            runs which it does not list as running may have ended.
         may_have_runs: The worker may have runs, so that their lease must be renewed.
         is_lapsing: It does not stop a run, so that the lease of all its runs is not renewed.
         is_listed: The store lists the worker, so that it may get runs.
@@ -209,6 +211,7 @@
     durable_end: int = 0
     acknowledged_end: int = 0
     listed_end: int = 0
+    has_unlisted_ends: bool = False
     may_have_runs: bool = False
     is_lapsing: bool = False
     is_listed: bool = False
--- a/src/foxtailwell/controller/_runs.py
+++ b/src/foxtailwell/controller/_runs.py
@@ -103,6 +103,7 @@
             (start.task, start.run)
             for start in self._workers.late_starts(event.worker, listing.boot_unix_ms)
         }
+        link.has_unlisted_ends = not listing.is_complete
         if listing.is_complete:
             self._apply_unlisted(event, unlisted, late)
         else:
--- a/tests/test_incomplete_listings.py
+++ b/tests/test_incomplete_listings.py
@@ -6,6 +6,7 @@
 import pytest
 
 from controller_harness import LATER, Deployment, Instance, make_deployment, step, until
+from foxtailwell.controller import _controller
 from foxtailwell.workflows import EndKind, JobState
 from foxtailwell_standins.platform_worker import MemoryWorker
 
@@ -83,3 +84,16 @@
     lost = [e for e in caplog_events if e.get("event") == "FW1608" and e["job"] == job]
     blamed = [e for e in caplog_events if job in str(e.get("evidence"))]
     assert not lost + blamed
+
+
+async def test_ended_run_that_is_listed_later_has_not_stalled(
+    group, fleet, monkeypatch, caplog_events
+):
+    """Guards against a quarantine of a worker whose runs have ended."""
+    monkeypatch.setattr(_controller, "STALL_TIMEOUT_S", 0.5)
+    worker = fleet.workers["w0"]
+    first = fleet.start("one")
+    job = await run_tasks(fleet, worker)
+    await end_beside_a_slow_store(fleet, first, worker)
+    assert await fleet.reaches(job, JobState.COMPLETED, 12.0)
+    assert not [e for e in caplog_events if e.get("event") in ("FW1618", "FW1417")]
