Let no lease lapse for a stop whose end may be listed later

Callers would see all runs of a worker end and start again: a run that is not stopped within 10 s is left to the end of its worker's lease, which ends the others there too.

Cause: a stop counts as not carried out until the end of its run is listed. While the store takes no ends and more than 500 of them wait, it is not listed, however soon the run has stopped.

Why it works: while the last listing that was processed may lack ends, the lease is renewed. A run that a complete listing still names as running is overdue from the same moment as before.

Test, seen to fail before (the lasting run beside the stopped ones ended with its lease and started again): test_stopped_run_whose_end_is_listed_later_keeps_no_lease_from_renewal.

--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -353,6 +353,7 @@
         """Stop renewing the lease of a worker that does not stop a run, however often it is asked.
 
         The time counts from the end of the last long silence, in which no stop can have arrived.
+        While ends of the worker are yet to be listed, those of the runs may be among them.
         """
         stopping = [
             task
@@ -368,7 +369,8 @@
         has_been_silent = link.silence_s() >= LONG_SILENCE_S
         since_s = link.responsive_since_s if has_been_silent else -math.inf
         overdue = [t for t in stopping if now_s - max(t.stopping_since_s, since_s) >= STOP_LIMIT_S]
-        is_lapsing = bool(overdue) and not (link.is_unresponsive and has_been_silent)
+        is_silent = link.is_unresponsive and has_been_silent
+        is_lapsing = bool(overdue) and not (is_silent or link.has_unlisted_ends)
         if is_lapsing and not link.is_lapsing:
             log_event(RUN_NOT_STOPPING, worker=link.entry.id, tasks=[str(t.id) for t in overdue])
         link.is_lapsing = is_lapsing
--- a/tests/test_incomplete_listings.py
+++ b/tests/test_incomplete_listings.py
@@ -5,8 +5,8 @@
 import anyio
 import pytest
 
-from controller_harness import LATER, Deployment, Instance, make_deployment, step, until
-from foxtailwell.controller import _controller
+from controller_harness import LATER, LEASE_MS, Deployment, Instance, make_deployment, step, until
+from foxtailwell.controller import _controller, _workers
 from foxtailwell.workflows import EndKind, JobState
 from foxtailwell_standins.platform_worker import MemoryWorker
 
@@ -97,3 +97,21 @@
     await end_beside_a_slow_store(fleet, first, worker)
     assert await fleet.reaches(job, JobState.COMPLETED, 12.0)
     assert not [e for e in caplog_events if e.get("event") in ("FW1618", "FW1417")]
+
+
+async def test_stopped_run_whose_end_is_listed_later_keeps_no_lease_from_renewal(
+    group, fleet, monkeypatch
+):
+    """Guards against a lapse of all runs of a worker that has stopped the run in question."""
+    monkeypatch.setattr(_workers, "STOP_LIMIT_S", 0.5)
+    worker = fleet.workers["w0"]
+    first = fleet.start("one", lease_ms=1000)
+    job = await run_tasks(fleet, worker)
+    _, lasting = await fleet.submit(2, LATER, [step()]), f"{2:016x}.0.0.0"
+    assert await until(lambda: lasting in worker.running)
+    first.faults.write_delay_s = SLOW_WRITE_S
+    await fleet.intake.cancel(job)
+    assert await until(lambda: list(worker.running) == [lasting])
+    await anyio.sleep(LEASE_MS / 1000)
+    assert lasting in worker.running
+    assert fleet.runs(lasting) == [("w0", 1)]
