Take a machine for removed only if two listings lack it

Operators could see a wave as completed while a machine of it, which stays, has had no maintenance (MIXED), and tasks start on a cordoned machine.

Cause: MaintenanceCoordinator took a machine that one listing lacks for removed: it settled the machine's part of each wave at once and forgot its cordon.

Ruled out as a check: the command itself, whose 400 says for certain that there is no such machine. Sent to one that is there it ends all of its runs.

A wave that names a machine that is gone is completed one listing later than before.

The stand-in can leave a machine out of its listings now. Test, seen to fail before (only m-w0 had its maintenance): test_machine_that_one_listing_lacks_has_its_maintenance.

--- a/src/foxtailwell/controller/_maintenance.py
+++ b/src/foxtailwell/controller/_maintenance.py
@@ -211,6 +211,7 @@
         self._created_s = now_s()
         self._waves: dict[int, _OpenWave] = {}
         self._machines: Mapping[str, Machine] = {}
+        self._unlisted: frozenset[str] = frozenset()
         self._commands: list[tuple[int, str]] = []
         self._published: dict[int, tuple[int, bool]] = {}
         self._wake = anyio.Event()
@@ -265,10 +266,7 @@
     def apply(self, event: MaintenanceEvent) -> None:
         """Apply a listing of machines or the outcome of a command."""
         if isinstance(event, MachinesListed):
-            self._machines = event.machines
-            for wave in self._waves.values():
-                for machine in set(wave.wave.machines) - event.machines.keys():
-                    wave.settled_since_s.setdefault(machine, self._now_s())
+            self._apply_machines(event.machines)
             return
         found = self._waves.get(event.wave)
         if found is None:
@@ -290,6 +288,22 @@
                 rejections = found.rejections.setdefault(event.machine, _Rejections())
                 rejections.since_s = min(rejections.since_s, self._now_s())
 
+    def _apply_machines(self, listed: Mapping[str, Machine]) -> None:
+        """Apply a listing, in which a machine that two in a row do not have counts as removed.
+
+        The pages of a listing are read one after the other, so that it may lack a machine that is
+        there.
+        """
+        requested = {m for wave in self._waves.values() for m in wave.wave.machines}
+        unlisted = (requested | self._machines.keys()) - listed.keys()
+        removed = unlisted & self._unlisted
+        self._unlisted = frozenset(unlisted)
+        kept = {name: m for name, m in self._machines.items() if name not in removed}
+        self._machines = kept | dict(listed)
+        for wave in self._waves.values():
+            for machine in removed.intersection(wave.wave.machines):
+                wave.settled_since_s.setdefault(machine, self._now_s())
+
     def decide(self) -> list[Task]:
         """Cordon machines, and queue commands for those without runs.
 
--- a/src/foxtailwell_standins/platform_machines.py
+++ b/src/foxtailwell_standins/platform_machines.py
@@ -22,6 +22,7 @@
         down_s: Time for which maintenance takes a machine down.
         lost_responses: Number of coming maintenance commands that take effect but get no response.
         busy: Machines that are up and reject each command.
+        omissions: Number of coming listings that lack a machine although it is there, by name.
         log: Machine, start time and number of ended runs of each maintenance.
         max_down_count: Highest number of machines that were down at the same time.
     """
@@ -30,6 +31,7 @@
     down_s: float = 0.2
     lost_responses: int = 0
     busy: frozenset[str] = frozenset()
+    omissions: dict[str, int] = field(default_factory=dict)
     log: list[tuple[str, float, int]] = field(default_factory=list)
     max_down_count: int = 0
     _begun: set[tuple[str, int]] = field(default_factory=set)
@@ -39,8 +41,10 @@
         return self._down_until_s.get(machine, 0.0) > time.monotonic()
 
     async def list_machines(self) -> Sequence[Machine]:
-        """Return all machines; those that are down are in state MAINTENANCE."""
+        """Return the machines; those that are down are in state MAINTENANCE."""
         await anyio.sleep(0.002)
+        omitted = {machine for machine, count in self.omissions.items() if count}
+        self.omissions = {machine: self.omissions[machine] - 1 for machine in omitted}
         return [
             Machine(
                 f"m-{worker}",
@@ -48,6 +52,7 @@
                 worker,
             )
             for worker in self.workers
+            if f"m-{worker}" not in omitted
         ]
 
     async def begin_maintenance(self, machine: str, wave: int, token: int) -> MaintenanceOutcome:
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -60,6 +60,16 @@
     assert all(deployment.runs(str(TaskId(job, 0, 0, index))) for index in range(3))
 
 
+async def test_machine_that_one_listing_lacks_has_its_maintenance(group):
+    """Guards against a completed wave without the maintenance of a machine that is there."""
+    deployment, machines = maintained_deployment(group, 3)
+    deployment.start("one")
+    machines.omissions = {"m-w1": 1}
+    request_wave(deployment, ["m-w0", "m-w1"])
+    assert await until(lambda: state_of(deployment) == "completed", FIRST_COMMAND_DELAY_S + 6.0)
+    assert sorted(name for name, _, _ in machines.log) == ["m-w0", "m-w1"]
+
+
 async def test_command_without_response_is_retried_without_further_effect(group):
     """Guards against a wave that never completes, and against maintaining a machine twice."""
     deployment, machines = maintained_deployment(group, 2, lost_responses=1)
