Take no worker for removed whose record cannot be used

Callers of the scheduler daemon could see a job that must not be repeated run twice.

Cause: the instance list leaves out records that cannot be used, and _report_removed_workers took every worker that is not in the rest for removed. A removed worker counts as out of reach of the previous holder of its zone, so that its gang ends once the lease of its task would have expired. A previous holder that is cut from the store alone still renews it.

Why it works: the view keeps the identifiers of the unusable records, and FleetView.removed_instances leaves these out. If one has no readable identifier, nothing counts as removed: it may be the record of any instance. The list is one document with an ETag, so that it has no pages to lose.

--- a/src/foxtailwell/adapters/instance_list.py
+++ b/src/foxtailwell/adapters/instance_list.py
@@ -55,6 +55,11 @@
         """Total bytes sent to the instance list since the client was opened."""
         return self._http.bytes_sent
 
+    @property
+    def unreadable_ids(self) -> frozenset[str]:
+        """Identifiers of the records of the last list that cannot be used; empty if unreadable."""
+        return frozenset(record.id for record in self._refused)
+
     async def fetch(self) -> tuple[InstanceRecord, ...] | None:
         """Fetch the list if it changed since the last successful call (HTTP ETag).
 
--- a/src/foxtailwell/fleet/_instance_list.py
+++ b/src/foxtailwell/fleet/_instance_list.py
@@ -36,6 +36,7 @@
             is_available = True
             if records is not None:
                 state.view.instances = {record.id: record for record in records}
+                state.view.unreadable_instances = client.unreadable_ids
                 state.view.notify()
         state.view.instance_list_bytes_sent = client.bytes_sent
         first_poll.set()
--- a/src/foxtailwell/fleet/_view.py
+++ b/src/foxtailwell/fleet/_view.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 
 import anyio
@@ -45,6 +45,8 @@
         configuration: Configuration in force; its revision never decreases.
         evidence: Newest evidence that the configuration was current.
         instances: Instance list by identifier, including this daemon.
+        unreadable_instances: Identifiers of the listed instances whose records cannot be used. An
+            empty one stands for a record whose identifier cannot be read.
         peers: Peers that replied to a recent heartbeat, by identifier.
         own_id: Identifier of this daemon, `<instance>/<role>`.
         is_store_available: Whether the last watch of the store got a response.
@@ -61,6 +63,7 @@
     configuration: Configuration = field(default_factory=Configuration)
     evidence: Evidence | None = None
     instances: dict[str, InstanceRecord] = field(default_factory=dict)
+    unreadable_instances: frozenset[str] = frozenset()
     peers: dict[str, PeerState] = field(default_factory=dict)
     own_id: str = ""
     is_store_available: bool = False
@@ -84,6 +87,16 @@
         others = (p for i, p in self.peers.items() if not i.startswith(own_prefix))
         return not has_recent_evidence and all(p.last_reply_monotonic_s < oldest_s for p in others)
 
+    def removed_instances(self, names: Iterable[str]) -> frozenset[str]:
+        """Return those of the named instances that the instance list no longer has.
+
+        An empty list was not read yet, and a record without a readable identifier may be the one
+        of any instance.
+        """
+        if not self.instances or "" in self.unreadable_instances:
+            return frozenset()
+        return frozenset(names) - self.instances.keys() - self.unreadable_instances
+
     def notify(self) -> None:
         """Wake the tasks that wait on `changed`."""
         self.changed.set()
--- a/src/foxtailwell/scheduler/_zone.py
+++ b/src/foxtailwell/scheduler/_zone.py
@@ -830,14 +830,11 @@
 
 
 def _report_removed_workers(executor: ZoneExecutor) -> None:
-    listed = executor.state.view.instances
-    if not listed:
-        # No instances means that the list was not read yet, not that all workers were removed.
-        return
+    view = executor.state.view
     for active in list(executor.active_gangs.values()):
-        removed = {m.worker for m in active.run.members if not m.is_fenced} - set(listed)
+        removed = view.removed_instances(m.worker for m in active.run.members if not m.is_fenced)
         if removed:
-            _advance(executor, active, WorkersRemoved(frozenset(removed)))
+            _advance(executor, active, WorkersRemoved(removed))
 
 
 def _reconcile(executor: ZoneExecutor, now_s: float) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -124,6 +124,20 @@
         assert other.suspects.is_empty
 
 
+@pytest.mark.parametrize(
+    ("change", "removed"),
+    [({"address": "10.0.0.2:80"}, {"w-9"}), ({"address": ""}, {"w-9"}), ({"id": 7}, set())],
+)
+async def test_record_that_cannot_be_used_is_not_a_removal(fleet, change, removed):
+    """Guards against a second run of a gang whose worker is listed with an odd record."""
+    worker = InstanceRecord("w-1", "worker", "z", "10.0.0.1:80", accelerators=8)
+    fleet.instances.put(replace(worker, **change))
+    fleet.instances.put(replace(worker, id="w-2"))
+    async with fleet.daemon("i-1") as (view, _):
+        await until(lambda: "w-2" in view.instances)
+        assert view.removed_instances(["w-1", "w-2", "w-9"]) == removed
+
+
 @pytest.mark.parametrize("change", [{"address": "host:port"}, {"address": ""}, {"role": "new"}])
 async def test_unusable_record_does_not_hide_the_other_instances(fleet, change, caplog_events):
     """Guards against a daemon that ends, or keeps an old list for ever, because of one record."""
