Let the in-process store list its items in pages

It reads page by page now, with a pause in which changes may come; over HTTP it returns 500 items at a time with `has_more`.

It found no fault (passed at once): a key that exists throughout is in some page, and what comes after its page is reported by the watch from the first page's revision.

--- a/src/foxtailwell_standins/platform_server.py
+++ b/src/foxtailwell_standins/platform_server.py
@@ -35,6 +35,9 @@
 NO_RESPONSE_S = 20.0
 """Time for which a call without a response stays open; it exceeds all timeouts of callers."""
 
+MAX_PAGE_ITEMS = 500
+"""Items in a page of a listing."""
+
 _REASONS = {
     CommandOutcome.FENCED: "fence",
     CommandOutcome.STALE_RUN: "old",
@@ -82,7 +85,11 @@
             items, revision = await store.list_items(query["prefix"])
             remaining = [item for item in items if item.key > query.get("after", "")]
             return json_response(
-                {"items": [_encode_item(i) for i in remaining], "at_rev": revision}
+                {
+                    "items": [_encode_item(i) for i in remaining[:MAX_PAGE_ITEMS]],
+                    "has_more": len(remaining) > MAX_PAGE_ITEMS,
+                    "at_rev": revision,
+                }
             )
         case "kv-watch":
             changes, revision = await store.watch(
--- a/src/foxtailwell_standins/platform_store.py
+++ b/src/foxtailwell_standins/platform_store.py
@@ -54,12 +54,17 @@
     """State of the store; clients with separate faults share it.
 
     Attributes:
+        page_size: Items in a page of a listing.
+        page_pause_s: Time between two pages, in which changes may come: a listing of several pages
+            is no snapshot.
         calls: Number of calls from all clients.
         leases: Expiry time and duration by lease, both in seconds.
         lease_keys: Lease that each attached key is deleted with.
     """
 
     revision: int = 1
+    page_size: int = 500
+    page_pause_s: float = 0.001
     calls: int = 0
     items: dict[str, Item] = field(default_factory=dict)
     leases: dict[int, tuple[float, float]] = field(default_factory=dict)
@@ -141,6 +146,11 @@
                 self._record_change(Change(key, None, self.revision))
         return Committed(self.revision)
 
+    def page(self, prefix: str, after: str) -> tuple[list[Item], bool]:
+        """Return the items of a prefix after a key, and whether there are more than a page."""
+        keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
+        return [self.items[key] for key in keys[: self.page_size]], len(keys) > self.page_size
+
     async def changes_after(self, prefix: str, after: int, wait_s: float) -> list[Change]:
         """Wait up to `wait_s` for changes of a prefix after a revision.
 
@@ -195,8 +205,14 @@
 
     async def list_items(self, prefix: str) -> tuple[list[Item], int]:
         await self._begin_call()
-        found = [item for key, item in self._store.items.items() if key.startswith(prefix)]
-        return sorted(found, key=lambda item: item.key), self._store.revision
+        revision = self._store.revision
+        found, has_more = self._store.page(prefix, "")
+        while has_more:
+            await anyio.sleep(self._store.page_pause_s)
+            await self._begin_call()
+            further, has_more = self._store.page(prefix, found[-1].key)
+            found += further
+        return found, revision
 
     async def watch(self, prefix: str, after: int, wait_ms: int) -> tuple[list[Change], int]:
         await self._begin_call()
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -660,6 +660,31 @@
     assert all(len(deployment.runs(f"{job}.0.0.{n}")) == 1 for n in range(3))
 
 
+async def test_new_controller_reads_its_records_in_pages_that_are_no_snapshot(group):
+    """Guards against a job or a run that counts as gone because a page was read before it came."""
+    deployment = make_deployment(group, 3)
+    deployment.store.page_size, deployment.store.page_pause_s = 2, 0.05
+    first = deployment.start("one")
+    assert await until(lambda: first.leadership.is_controller)
+    early = [await deployment.submit(2 * n, LATER, [step()]) for n in range(5)]
+    assert await until(lambda: all(deployment.runs(f"{job}.0.0.0") for job in early))
+    first.kill()
+    second = deployment.start("two")
+    late = []
+    for number in (1, 3, 5, 7):
+        late.append(await deployment.submit(number, LATER, [step()]))
+        await anyio.sleep(0.5)
+    assert second.leadership.is_controller
+    jobs = [f"{job}.0.0.0" for job in early + late]
+    assert await until(lambda: all(deployment.runs(task) for task in jobs))
+    for worker in deployment.workers.values():
+        for task in list(worker.running):
+            worker.end(task, EndKind.DONE)
+    for job in early + late:
+        assert await deployment.reaches(job, JobState.COMPLETED)
+    assert all(len(deployment.runs(task)) == 1 for task in jobs)
+
+
 async def test_replaced_controller_steps_down_when_a_worker_rejects_it(group):
     """Guards against two active controllers while one is disconnected from the store."""
     deployment = make_deployment(group, 1)
