--- a/tests/test_incomplete_listings.py
+++ b/tests/test_incomplete_listings.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from controller_harness import LATER, LEASE_MS, Deployment, Instance, make_deployment, step, until
+from controller_harness import LATER, Deployment, Instance, make_deployment, step, until
 from foxtailwell.controller import _controller, _workers
 from foxtailwell.workflows import EndKind, JobState
 from foxtailwell_standins.platform_worker import MemoryWorker
@@ -13,6 +13,7 @@
 pytestmark = pytest.mark.anyio
 
 COUNT = 6
+SHORT_LEASE_MS = 1000
 SLOW_WRITE_S = 0.8
 """Time of a write that keeps listed ends unacknowledged, so that the same ones are listed again."""
 
@@ -105,13 +106,13 @@
     """Guards against a lapse of all runs of a worker that has stopped the run in question."""
     monkeypatch.setattr(_workers, "STOP_LIMIT_S", 0.5)
     worker = fleet.workers["w0"]
-    first = fleet.start("one", lease_ms=1000)
-    job = await run_tasks(fleet, worker)
-    _, lasting = await fleet.submit(2, LATER, [step()]), f"{2:016x}.0.0.0"
-    assert await until(lambda: lasting in worker.running)
+    first = fleet.start("one", lease_ms=SHORT_LEASE_MS)
+    stopped = await run_tasks(fleet, worker)
+    kept = f"{await fleet.submit(2, LATER, [step()])}.0.0.0"
+    assert await until(lambda: kept in worker.running)
     first.faults.write_delay_s = SLOW_WRITE_S
-    await fleet.intake.cancel(job)
-    assert await until(lambda: list(worker.running) == [lasting])
-    await anyio.sleep(LEASE_MS / 1000)
-    assert lasting in worker.running
-    assert fleet.runs(lasting) == [("w0", 1)]
+    await fleet.intake.cancel(stopped)
+    assert await until(lambda: list(worker.running) == [kept])
+    await anyio.sleep(4 * SHORT_LEASE_MS / 1000)
+    assert kept in worker.running
+    assert fleet.runs(kept) == [("w0", 1)]
