--- a/tests/test_incomplete_listings.py
+++ b/tests/test_incomplete_listings.py
@@ -24,10 +24,10 @@
     return make_deployment(group, 1, max_listed_ends=2)
 
 
-def end_all(worker: MemoryWorker, kind: EndKind = EndKind.DONE) -> None:
-    """End all runs of a worker at once."""
+def end_all(worker: MemoryWorker) -> None:
+    """Complete all runs of a worker at once."""
     for task in list(worker.running):
-        worker.end(task, kind)
+        worker.end(task, EndKind.DONE)
 
 
 async def run_tasks(fleet: Deployment, worker: MemoryWorker) -> str:
