Stand-in worker rejects a start under a name that it is running

It replaced the run in progress, which then never ended. The platform's page says that a run which is there already is confirmed and that lower numbers are rejected; it says nothing of a higher number while a run is in progress. Rejecting is what no caller can rely on to work, so a product that sends such a start fails its tests.

--- a/src/foxtailwell_standins/platform_worker.py
+++ b/src/foxtailwell_standins/platform_worker.py
@@ -356,7 +356,7 @@
             return CommandOutcome.DEADLINE_PASSED
         if self.ticket and command.ticket != self.ticket:
             return CommandOutcome.NO_TICKET
-        if command.run <= self._highest_runs.get(task, 0):
+        if task in self.running or command.run <= self._highest_runs.get(task, 0):
             return CommandOutcome.STALE_RUN
         self._lease_end_ms = max(self._lease_end_ms, until_clock_ms)
         started_s = time.monotonic()
