--- a/scripts/check_mixed_builds.py
+++ b/scripts/check_mixed_builds.py
@@ -83,6 +83,14 @@
 
 RECORD_PREFIXES = ("foxtailwell/in/job/", "foxtailwell/run/")
 
+ADDED_FIELDS = {
+    "foxtailwell/in/job/": {"digest"},
+    "foxtailwell/run/": {"queue", "account", "digest", "highest_run", "run_ranges"},
+    "FW1703": {"queue"},
+}
+"""Fields that the newer build may add to records, by prefix, and to events; earlier builds ignore
+them in records. No other difference is accepted."""
+
 HOST = "jobs.example"
 CAPACITY = Resources(8_000, 8_000, 8)
 
@@ -126,7 +134,12 @@
     """Check that events which both builds have written carry the same fields."""
     fields = [_event_fields(first), _event_fields(second)]
     common = sorted(fields[0].keys() & fields[1].keys())
-    different = [event for event in common if fields[0][event] != fields[1][event]]
+    different = [
+        event
+        for event in common
+        if fields[0][event] != fields[1][event]
+        and fields[0][event] != fields[1][event] - ADDED_FIELDS.get(event, set())
+    ]
     check(f"events of {len(common)} kinds in {first.name} and {second.name}", different, [])
 
 
@@ -432,12 +445,17 @@
         return str(body.get("state", status)) if status == 200 else str(status)
 
     def record_fields(self) -> dict[str, set[str]]:
-        """Return the field names of the stored submissions and progress records."""
+        """Return the field names of the stored submissions and progress records.
+
+        Fields that the newer build adds are left out.
+        """
         found: dict[str, set[str]] = {}
         for key, item in self.store.items.items():
             for prefix in RECORD_PREFIXES:
                 if key.startswith(prefix):
                     value = json.loads(item.value)
+                    for name in ADDED_FIELDS[prefix]:
+                        value.pop(name, None)
                     found.setdefault(prefix, set()).add(
                         json.dumps(
                             {n: sorted(v[0]) if n == "steps" else None for n, v in value.items()}
@@ -445,10 +463,11 @@
                     )
         return found
 
-    def runs(self, job: str) -> list[tuple[int, str]]:
-        """Return the run numbers and workers of the first task of a job."""
-        task = f"{job.rpartition('/')[2]}.0.0.0"
-        return [(s.run, s.worker) for w, _ in self.workers for s in w.spans if s.task == task]
+    def runs(self, job: str, work_s: float) -> list[tuple[int, str]]:
+        """Return the run numbers and workers of the first task of the job with this duration."""
+        run_of = (f"{job.rpartition('/')[2]}.0.0.0", f"{work_s}")
+        spans = [span for worker, _ in self.workers for span in worker.spans]
+        return [(s.run, s.worker) for s in spans if (s.task, s.payload) == run_of]
 
 
 def _http(address: str, method: str, path: str, body: object) -> tuple[int, Any]:
@@ -503,6 +522,8 @@
                 return look
 
             ended, running, waiting = _path("later", 1), _path("urgent", 2), _path("later", 3)
+            # Jobs with the IDs of `running` and of one that the instance "two" completes.
+            namesakes = {"two": _path("later", 2), "four": _path("urgent", 20)}
             cancelled, later = _path("later", 4), _path("later", 5)
             await _until("a job is accepted", lambda: submit("one", ended, _job(0.2)))
             await _until("it has completed", shows("one", ended, "completed"))
@@ -540,6 +561,10 @@
                     await submit(name, _path("later", 30 + number), timed),
                     True,
                 )
+                if source is new:
+                    namesake = namesakes[name]
+                    check("namesake accepted", await submit(name, namesake, _job(0.3)), True)
+                    check("namesake shown", await fleet.state(name, namesake), "queued")
                 second, third = _path("later", 10 + number), _path("later", 20 + number)
                 await _until("it accepts a job", lambda n=name, s=second: submit(n, s, _job(0.2)))
                 await _until("the leaving one shows its end", shows(leaving, second, "completed"))
@@ -551,9 +576,13 @@
                 await _until("it is the controller", elected)
                 await _until("it accepts a job", lambda n=name, t=third: submit(n, t, _job(0.2)))
                 await _until("the job completes", shows(name, third, "completed"))
-                check("runs of the long job", len(fleet.runs(running)), 1)
+                if source is new:
+                    # It has waited for this controller, as the earlier build leaves it alone.
+                    await _until("the namesake completes", shows(name, namesake, "completed"))
+                    check("runs of the namesake", len(fleet.runs(namesake, 0.3)), 1)
+                check("runs of the long job", len(fleet.runs(running, 25.0)), 1)
             await _until("the long job completes", shows("four", running, "completed"), 60.0)
-            check("runs of the long job", len(fleet.runs(running)), 1)
+            check("runs of the long job", len(fleet.runs(running, 25.0)), 1)
             await _until("the waiting job completes", shows("four", waiting, "completed"), 60.0)
             check_log_fields(directory / "one.log", directory / "two.log")
             fields = fleet.record_fields()
--- a/src/foxtailwell/controller/_intake.py
+++ b/src/foxtailwell/controller/_intake.py
@@ -1,8 +1,14 @@
-"""Job submissions, cancellations and queries, which every instance serves from the store."""
+"""Job submissions, cancellations and queries, which every instance serves from the store.
+
+A client addresses a job by a queue and an identifier. The first job with an identifier is stored
+under that identifier, as by earlier versions. While it is known, a namesake, that is a job with the
+same identifier on another queue, is stored under an identifier that contains its queue.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Mapping
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from foxtailwell.controller._records import (
@@ -20,21 +26,28 @@
 from foxtailwell.workflows import (
     Committed,
     Conflict,
+    Item,
     JobState,
     KeyValueStore,
     Put,
     StoreCallError,
     Submission,
+    namesake_id,
+    submission_digest,
 )
 
 __all__ = ["CancelOutcome", "Intake", "IntakeError", "SubmitOutcome"]
 
+MAX_CREATE_ATTEMPTS = 4
+"""Attempts to store a job while other jobs with its identifier come and go."""
+
 
 class SubmitOutcome(Enum):
     """Outcome of a submission.
 
     Attributes:
-        DUPLICATE: A job with this identifier was stored before.
+        DUPLICATE: The same job was stored before.
+        CONFLICTING: Another job has this identifier on this queue.
         REFUSED: The job is not stored, and this submission can no longer take effect.
         UNKNOWN: The job may have been stored; submit it again to find out.
         CONFIGURATION_CHANGED: A guard failed; check the job against the new configuration.
@@ -42,6 +55,7 @@
 
     STORED = "stored"
     DUPLICATE = "known"
+    CONFLICTING = "conflicting"
     REFUSED = "refused"
     UNKNOWN = "unknown"
     CONFIGURATION_CHANGED = "configuration changed"
@@ -65,6 +79,52 @@
     """The store gave no usable response, so retry later, or a record cannot be decoded."""
 
 
+@dataclass(frozen=True, slots=True)
+class _StoredJob:
+    """What the records of a job tell about it.
+
+    Attributes:
+        queue: Queue of the job; empty if only a record of an earlier version is left of it.
+        account: Client account of the job; empty if unknown or none.
+        digest: Digest of its submission; empty if unknown.
+    """
+
+    job_id: str
+    state: JobState = JobState.QUEUED
+    queue: str = ""
+    account: str = ""
+    digest: str = ""
+
+    def is_on(self, queue: str) -> bool:
+        """Return whether it may be the job that clients of a queue mean by its identifier."""
+        return self.queue in ("", queue)
+
+    def is_of(self, account: str) -> bool:
+        """Return whether it may belong to an account; an empty one stands for every account."""
+        return not self.account or not account or self.account == account
+
+
+def _stored_job(job_id: str, submitted: Item | None, progress: Item | None) -> _StoredJob | None:
+    """Return a job by its records; None if there is none.
+
+    Raises:
+        RecordError: A record cannot be decoded.
+    """
+    record = decode_progress(progress.value) if progress else None
+    if record is not None and record.queue:
+        return _StoredJob(job_id, record.state, record.queue, record.account, record.digest)
+    state = record.state if record else JobState.QUEUED
+    if submitted is not None and submitted.value != REFUSED_MARK:
+        submission = decode_submission_record(submitted.value)
+        return _StoredJob(job_id, state, submission.queue, submission.account, submission.digest)
+    return _StoredJob(job_id, state) if record else None
+
+
+def _is_same(found: _StoredJob, submission: Submission, account: str) -> bool:
+    has_same_content = found.digest in ("", submission.digest)
+    return has_same_content and found.is_of(account)
+
+
 class Intake:
     """Access of client requests to the jobs in the store.
 
@@ -75,91 +135,95 @@
     def __init__(self, store: KeyValueStore) -> None:
         self._store = store
 
-    async def submit(self, submission: Submission, guards: Mapping[str, int]) -> SubmitOutcome:
-        """Store a job unless one with its identifier is stored already.
+    async def submit(
+        self, submission: Submission, guards: Mapping[str, int], account: str | None = None
+    ) -> SubmitOutcome:
+        """Store a job unless it is stored already.
 
         Args:
             submission: The job.
             guards: Store conditions on the configuration that the job was checked against.
+            account: Account that an earlier copy must have; None for that of the submission, empty
+                if clients of the queue need none.
 
         Returns:
             The outcome; REFUSED only if this submission can never take effect.
         """
+        submission = replace(submission, digest=submission_digest(submission))
+        account = submission.account if account is None else account
         job_id = submission.job_id
-        key = job_key(job_id)
-        conditions = {key: 0, progress_key(job_id): 0, **guards}
-        puts = [
-            Put(key, encode_submission_record(submission)),
-            Put(waiting_key(submission.queue, job_id), b""),
-        ]
-        try:
-            result = await self._store.transact(conditions, puts)
-        except StoreCallError as failure:
-            if not failure.is_outcome_unknown:
-                return SubmitOutcome.REFUSED
-            return await self._resolve_unknown(submission)
-        if isinstance(result, Committed):
-            return SubmitOutcome.STORED
-        if progress_key(job_id) in result.items:
-            return SubmitOutcome.DUPLICATE
-        item = result.items.get(key)
-        if item is None:
-            return SubmitOutcome.CONFIGURATION_CHANGED
-        if item.value != REFUSED_MARK:
-            return SubmitOutcome.DUPLICATE
-        return await self._overwrite_refused(conditions | {key: item.revision}, puts)
+        own_id = namesake_id(job_id, submission.queue)
+        keys = [key(name) for name in (job_id, own_id) for key in (job_key, progress_key)]
+        conditions = dict.fromkeys(keys, 0)
+        stored_id = job_id
+        for _ in range(MAX_CREATE_ATTEMPTS):
+            puts = [
+                Put(job_key(stored_id), encode_submission_record(submission)),
+                Put(waiting_key(submission.queue, stored_id), b""),
+            ]
+            try:
+                result = await self._store.transact({**conditions, **guards}, puts)
+            except StoreCallError as failure:
+                if not failure.is_outcome_unknown:
+                    return SubmitOutcome.REFUSED
+                return await self._resolve_unknown(submission, account, stored_id, conditions)
+            if isinstance(result, Committed):
+                return SubmitOutcome.STORED
+            known = _known_outcome(result, submission, account)
+            if known is not None:
+                return known
+            next_id, next_conditions = _free_key(result, submission, keys)
+            if next_conditions == conditions:
+                return SubmitOutcome.CONFIGURATION_CHANGED
+            stored_id, conditions = next_id, next_conditions
+        return SubmitOutcome.UNKNOWN
 
-    async def _overwrite_refused(
-        self, conditions: Mapping[str, int], puts: list[Put]
+    async def _resolve_unknown(
+        self,
+        submission: Submission,
+        account: str,
+        stored_id: str,
+        conditions: Mapping[str, int],
     ) -> SubmitOutcome:
-        """Store a job whose earlier submission was refused and can no longer take effect."""
-        try:
-            result = await self._store.transact(conditions, puts)
-        except StoreCallError as failure:
-            return SubmitOutcome.UNKNOWN if failure.is_outcome_unknown else SubmitOutcome.REFUSED
-        return SubmitOutcome.STORED if isinstance(result, Committed) else SubmitOutcome.UNKNOWN
+        """Find out whether a submission without a response took effect; if not, prevent it.
 
-    async def _resolve_unknown(self, submission: Submission) -> SubmitOutcome:
-        """Find out whether a submission without a response took effect; if not, prevent it."""
-        key = job_key(submission.job_id)
-        conditions = {key: 0, progress_key(submission.job_id): 0}
+        A conflict without the job prevents it as well: a condition that has failed by another
+        record does not hold again before that record is deleted, minutes later.
+        """
+        mark = Put(job_key(stored_id), REFUSED_MARK)
         try:
             # No retry: clients wait for 3 s, and each of the two calls times out after 1.2 s.
-            result = await self._store.transact(conditions, [Put(key, REFUSED_MARK)])
+            result = await self._store.transact(conditions, [mark])
         except StoreCallError:
             return SubmitOutcome.UNKNOWN
         if isinstance(result, Committed):
             return SubmitOutcome.REFUSED
-        return self._outcome_from_conflict(result, key, submission.job_id)
-
-    @staticmethod
-    def _outcome_from_conflict(result: Conflict, key: str, job_id: str) -> SubmitOutcome:
-        if progress_key(job_id) in result.items:
-            return SubmitOutcome.DUPLICATE
-        item = result.items.get(key)
-        if item is None:
-            return SubmitOutcome.UNKNOWN
-        return SubmitOutcome.REFUSED if item.value == REFUSED_MARK else SubmitOutcome.DUPLICATE
+        return _known_outcome(result, submission, account) or SubmitOutcome.REFUSED
 
-    async def state(self, job_id: str) -> tuple[JobState, str] | None:
-        """Return a job's state and its queue; None if there is no such job.
+    async def state(self, job_id: str, queue: str, account: str = "") -> JobState | None:
+        """Return a job's state; None if the account has no such job on the queue.
 
-        The queue is empty once the job has a progress record.
+        Args:
+            job_id: Identifier that the client chose.
+            queue: Queue of the job.
+            account: Account of the client; empty if clients of the queue need none.
 
         Raises:
-            IntakeError: The store gave no usable response, or the record cannot be decoded.
+            IntakeError: The store gave no usable response, or a record cannot be decoded.
         """
+        found = await self._find(job_id, queue, account)
+        return found.state if found else None
+
+    async def _find(self, job_id: str, queue: str, account: str) -> _StoredJob | None:
         try:
             for _ in range(2):
-                progress = await self._store.get(progress_key(job_id))
-                if progress is not None:
-                    return decode_progress(progress.value).state, ""
-                item = await self._store.get(job_key(job_id))
-                if item is not None:
-                    if item.value == REFUSED_MARK:
-                        return None
-                    submission = decode_submission_record(item.value)
-                    return JobState.QUEUED, submission.queue
+                first = await self._read(job_id)
+                found = first if first and first.queue == queue else None
+                found = found or await self._read(namesake_id(job_id, queue))
+                if found is None and first is not None and first.is_on(queue):
+                    found = first
+                if found is not None:
+                    return found if found.is_of(account) else None
                 # The job may have ended between both reads, which created its progress record.
         except StoreCallError as failure:
             raise IntakeError(failure.reason) from failure
@@ -167,20 +231,33 @@
             raise IntakeError(str(error)) from error
         return None
 
-    async def cancel(self, job_id: str) -> CancelOutcome:
+    async def _read(self, job_id: str) -> _StoredJob | None:
+        progress = await self._store.get(progress_key(job_id))
+        found = _stored_job(job_id, None, progress)
+        if found is not None and found.queue:
+            return found
+        return _stored_job(job_id, await self._store.get(job_key(job_id)), progress)
+
+    async def cancel(self, job_id: str, queue: str, account: str = "") -> CancelOutcome:
         """Store a cancellation mark for a job that has not ended.
 
+        Args:
+            job_id: Identifier that the client chose.
+            queue: Queue of the job.
+            account: Account of the client; empty if clients of the queue need none.
+
         Raises:
             IntakeError: The store gave no usable response; the mark may have been stored.
         """
-        state = await self.state(job_id)
-        if state is None:
+        found = await self._find(job_id, queue, account)
+        if found is None:
             return CancelOutcome.ABSENT
-        if state[0].is_final:
+        if found.state.is_final:
             return CancelOutcome.ENDED
+        key = cancel_key(found.job_id)
         try:
             # A conflict means that the mark is there already.
-            await self._store.transact({cancel_key(job_id): 0}, [Put(cancel_key(job_id), b"")])
+            await self._store.transact({key: 0}, [Put(key, b"")])
         except StoreCallError as failure:
             raise IntakeError(failure.reason) from failure
         return CancelOutcome.STORED
@@ -196,3 +273,40 @@
         except StoreCallError as failure:
             raise IntakeError(failure.reason) from failure
         return len(items)
+
+
+def _known_outcome(
+    conflict: Conflict, submission: Submission, account: str
+) -> SubmitOutcome | None:
+    """Return the outcome of a submission whose job the conflict shows; None if it shows none."""
+    items = conflict.items
+    for job_id in (submission.job_id, namesake_id(submission.job_id, submission.queue)):
+        try:
+            found = _stored_job(job_id, items.get(job_key(job_id)), items.get(progress_key(job_id)))
+        except RecordError:
+            # Stored by a newer version, or damaged: nothing tells it from an earlier copy.
+            return SubmitOutcome.DUPLICATE
+        if found is not None and found.is_on(submission.queue):
+            is_same = _is_same(found, submission, account)
+            return SubmitOutcome.DUPLICATE if is_same else SubmitOutcome.CONFLICTING
+    return None
+
+
+def _free_key(
+    conflict: Conflict, submission: Submission, keys: list[str]
+) -> tuple[str, dict[str, int]]:
+    """Return the identifier under which to store a job that is not stored, and the conditions.
+
+    The conditions hold only while no other copy of the submission is stored under either
+    identifier. The progress of a job that has not ended changes often, so its submission is
+    compared in its place.
+    """
+    items = conflict.items
+    revisions = {key: items[key].revision if key in items else 0 for key in keys}
+    job_id = submission.job_id
+    submitted, progress = items.get(job_key(job_id)), items.get(progress_key(job_id))
+    if _stored_job(job_id, submitted, progress) is None:
+        return job_id, revisions
+    if submitted is not None and submitted.value != REFUSED_MARK:
+        del revisions[progress_key(job_id)]
+    return namesake_id(job_id, submission.queue), revisions
--- a/src/foxtailwell/controller/_records.py
+++ b/src/foxtailwell/controller/_records.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import replace
 
 import msgspec
 
@@ -15,22 +16,26 @@
     CrashRecord,
     JobProgress,
     JobState,
+    RunNumbers,
     Submission,
     TaskProgress,
     TaskState,
+    client_job_id,
     find_submission_fault,
+    is_namesake_id,
+    namesake_id,
 )
 
 __all__ = [
     "CANCEL_PREFIX",
     "CONTROLLER_KEY",
     "INTAKE_PREFIX",
-    "JOB_PREFIX",
     "PROGRESS_PREFIX",
     "REFUSED_MARK",
     "RecordError",
     "WAITING_PREFIX",
     "cancel_key",
+    "decode_job",
     "decode_progress",
     "decode_submission_record",
     "decode_wave_progress",
@@ -38,6 +43,7 @@
     "encode_submission_record",
     "encode_wave_progress",
     "job_key",
+    "job_of_key",
     "progress_key",
     "waiting_key",
     "waiting_prefix",
@@ -46,7 +52,9 @@
 
 CONTROLLER_KEY = "foxtailwell/controller"
 INTAKE_PREFIX = "foxtailwell/in/"
-JOB_PREFIX = INTAKE_PREFIX + "job/"
+_JOB_PREFIX = INTAKE_PREFIX + "job/"
+# Earlier versions read the keys above only, and would take a namesake for a damaged record.
+_NAMESAKE_PREFIX = INTAKE_PREFIX + "namesake/"
 CANCEL_PREFIX = INTAKE_PREFIX + "cancel/"
 PROGRESS_PREFIX = "foxtailwell/run/"
 WAITING_PREFIX = "foxtailwell/wait/"
@@ -74,11 +82,22 @@
     tasks: list[_TaskRow] = []
     # Occurrence, step and index of a task; then the crash records of its runs.
     crashes: list[tuple[_Number, _Number, _Number, list[_CrashRow]]] = []
+    queue: str = ""
+    account: str = ""
+    digest: str = ""
+    highest_run: _Number = 0
+    run_ranges: tuple[tuple[_Number, _Number], ...] | None = None
 
 
 def job_key(job_id: str) -> str:
     """Return the key of a job's submission, or of `REFUSED_MARK` in its place."""
-    return JOB_PREFIX + job_id
+    return (_NAMESAKE_PREFIX if is_namesake_id(job_id) else _JOB_PREFIX) + job_id
+
+
+def job_of_key(key: str) -> str | None:
+    """Return the job whose submission has the key; None if it is not the key of a submission."""
+    prefixes = (p for p in (_JOB_PREFIX, _NAMESAKE_PREFIX) if key.startswith(p))
+    return next((key.removeprefix(prefix) for prefix in prefixes), None)
 
 
 def cancel_key(job_id: str) -> str:
@@ -107,7 +126,7 @@
 
 
 def decode_submission_record(value: bytes) -> Submission:
-    """Decode a submission.
+    """Decode a submission, which names the job by its client's identifier.
 
     Raises:
         RecordError: The value is malformed, or the job cannot be scheduled.
@@ -122,6 +141,21 @@
     return submission
 
 
+def decode_job(job_id: str, value: bytes) -> Submission:
+    """Decode the submission under the key of a job, and name the job as the key does.
+
+    Raises:
+        RecordError: The value is malformed, or belongs to another job.
+    """
+    submission = decode_submission_record(value)
+    expected = submission.job_id
+    if is_namesake_id(job_id):
+        expected = namesake_id(expected, submission.queue)
+    if expected != job_id or client_job_id(submission.job_id) != submission.job_id:
+        raise RecordError(f"submission: names job {submission.job_id}")
+    return replace(submission, job_id=job_id)
+
+
 def encode_progress(progress: JobProgress) -> bytes:
     """Encode the progress of a job as the JSON value of its key; tasks are stored as arrays."""
     tasks = [
@@ -150,7 +184,16 @@
     ]
     return msgspec.json.encode(
         _ProgressRecord(
-            progress.state, progress.has_started, progress.ended_unix_ms, tasks, crashes
+            progress.state,
+            progress.has_started,
+            progress.ended_unix_ms,
+            tasks,
+            crashes,
+            progress.queue,
+            progress.account,
+            progress.digest,
+            progress.run_numbers.highest,
+            progress.run_numbers.ranges,
         )
     )
 
@@ -170,7 +213,16 @@
         for occurrence, step, index, recorded in record.crashes
     }
     tasks = tuple(TaskProgress(*task, crashes.get(task[:3], ())) for task in record.tasks)
-    return JobProgress(record.state, record.begun, record.ended_unix_ms, tasks)
+    return JobProgress(
+        record.state,
+        record.begun,
+        record.ended_unix_ms,
+        tasks,
+        record.queue,
+        record.account,
+        record.digest,
+        RunNumbers(record.highest_run, record.run_ranges),
+    )
 
 
 def wave_key(number: int) -> str:
--- a/src/foxtailwell/controller/_runs.py
+++ b/src/foxtailwell/controller/_runs.py
@@ -156,17 +156,18 @@
     def _apply_end(
         self, worker: str, text: str, run: int, kind: EndKind, checkpoint: str, now_unix_ms: int
     ) -> None:
-        task_id = _parse_task(text)
-        task = self._registry.find(task_id) if task_id else None
-        if task is None or task_id is None:
+        listed = _parse_task(text)
+        task = self._registry.find_run(listed, run) if listed else None
+        if task is None:
             return
+        job_id = task.id.job_id
         details = self._cost(task) if task.run == run else {}
         if not self._registry.end_run(task, run, kind, checkpoint, now_unix_ms):
             return
         self._metrics.count("run_ends", how=kind.value)
         log_event(
             RUN_ENDED,
-            job=task_id.job_id,
+            job=job_id,
             task=text,
             run=run,
             worker=worker,
@@ -175,25 +176,22 @@
         )
         if kind is EndKind.DONE:
             self._workers.record_success(worker)
-        elif (
-            kind is EndKind.FAILED
-            and not self._registry.jobs[task_id.job_id].step(task_id).is_lasting
-        ):
+        elif kind is EndKind.FAILED and not self._registry.jobs[job_id].step(task.id).is_lasting:
             # Lasting tasks may fail at any time, which is no evidence against the worker.
-            self._workers.record_failure(worker, task_id.job_id)
+            self._workers.record_failure(worker, job_id)
 
     def _apply_running(self, worker: str, boot_unix_ms: int, run: ListedRun) -> None:
-        task_id = _parse_task(run.task)
-        task = self._registry.find(task_id) if task_id else None
+        listed = _parse_task(run.task)
+        task = self._registry.find_run(listed, run.run) if listed else None
         if task is not None and task.is_placed and task.run == run.run and task.worker == worker:
             task.boot_unix_ms = boot_unix_ms
             task.checkpoint = run.checkpoint or task.checkpoint
             self._registry.record_progress(task, run.percent, self._now_s())
             if not task.is_confirmed:
                 self._registry.confirm(task)
-        elif task_id is not None:
+        elif listed is not None:
             # No record asks for this run: its job has ended, or its lease was considered expired.
-            self._orphaned_runs.add((worker, task_id, run.run))
+            self._orphaned_runs.add((worker, listed, run.run))
 
     def _apply_crash(self, worker: str, lost: list[Task], reason: str) -> None:
         """Queue the tasks again whose runs ended with an incarnation of their worker."""
@@ -310,6 +308,7 @@
 
 
 def _parse_task(text: str) -> TaskId | None:
+    """Return the task that a worker names, with the client's identifier of its job."""
     found = _TASK_PATTERN.fullmatch(text)
     if found is None:
         log_event(TASK_UNREADABLE, task=text[:MAX_LOGGED_CHARACTERS])
--- a/src/foxtailwell/controller/_stored_jobs.py
+++ b/src/foxtailwell/controller/_stored_jobs.py
@@ -17,14 +17,14 @@
 from foxtailwell.controller._records import (
     CANCEL_PREFIX,
     INTAKE_PREFIX,
-    JOB_PREFIX,
     PROGRESS_PREFIX,
     REFUSED_MARK,
     WAITING_PREFIX,
     RecordError,
+    decode_job,
     decode_progress,
-    decode_submission_record,
     job_key,
+    job_of_key,
     progress_key,
 )
 from foxtailwell.workflows import (
@@ -108,13 +108,14 @@
                 log_event(RECORD_UNREADABLE, key=item.key, reason=str(error))
                 self._unreadable.add(job_id)
         intake, revision = await self._store.list_items(INTAKE_PREFIX)
-        jobs = {i.key[len(JOB_PREFIX) :] for i in intake if i.key.startswith(JOB_PREFIX)}
+        jobs = {job_of_key(item.key) for item in intake} - {None}
         for item in intake:
             change = Change(item.key, item.value, item.revision)
             self.apply(change, progress, is_recovered=True)
         for job_id, record in progress.items():
             if job_id not in jobs:
                 self._ended_unix_ms[job_id] = record.ended_unix_ms
+                self._registry.add_ended(job_id, record.run_numbers.highest)
         log_event(CONTROLLER_LOADED, token=token, jobs=len(jobs), ended=len(progress))
         return revision
 
@@ -147,7 +148,7 @@
                 job_id = change.key[len(CANCEL_PREFIX) :]
                 self._commits.cancel_marks.add(job_id)
                 self._registry.cancel(job_id, self._now_unix_ms())
-        elif change.key.startswith(JOB_PREFIX) and change.value not in (None, REFUSED_MARK):
+        elif change.value not in (None, REFUSED_MARK):
             self._apply_submission(change, progress, is_recovered)
 
     def _is_known(self, job_id: str) -> bool:
@@ -157,13 +158,11 @@
     def _apply_submission(
         self, change: Change, progress: Mapping[str, JobProgress], is_recovered: bool
     ) -> None:
-        job_id = change.key[len(JOB_PREFIX) :]
-        if self._is_known(job_id):
+        job_id = job_of_key(change.key)
+        if job_id is None or self._is_known(job_id):
             return
         try:
-            submission = decode_submission_record(change.value or b"")
-            if submission.job_id != job_id:
-                raise RecordError(f"submission: names job {submission.job_id}")
+            submission = decode_job(job_id, change.value or b"")
         except RecordError as error:
             log_event(RECORD_UNREADABLE, key=change.key, reason=str(error))
             return
@@ -234,4 +233,5 @@
             return
         for job_id in old:
             self._ended_unix_ms.pop(job_id, None)
+            self._registry.remove_ended(job_id)
             self._commits.revisions.pop(job_id, None)
--- a/src/foxtailwell/controller/_tickets.py
+++ b/src/foxtailwell/controller/_tickets.py
@@ -11,7 +11,13 @@
 
 from foxtailwell.adapters.events import ADVICE_UNAVAILABLE
 from foxtailwell.adapters.logs import log_event
-from foxtailwell.workflows import AdviceCallError, Advisor, SchedulingUnit, WorkerEntry
+from foxtailwell.workflows import (
+    AdviceCallError,
+    Advisor,
+    SchedulingUnit,
+    WorkerEntry,
+    client_job_id,
+)
 
 __all__ = ["AdviceReceived", "Tickets"]
 
@@ -205,7 +211,8 @@
             sent_s = self._now_s()
             try:
                 tickets = await self._advisor.advise(
-                    f"{job_id}.{occurrence}.{number}", tuple(request.incarnations)
+                    f"{client_job_id(job_id)}.{occurrence}.{number}",
+                    tuple(request.incarnations),
                 )
             except AdviceCallError as failure:
                 log_event(ADVICE_UNAVAILABLE, job=job_id, step=number, reason=failure.reason)
--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -406,8 +406,8 @@
     def record_stop(self, event: StopConfirmed) -> None:
         """Record that an incarnation rejects the late start of a run, which it has stopped."""
         for start in self._unanswered_starts.get(event.worker, ()):
-            if (start.task, start.run) == (event.task, event.run):
-                self._barred_starts.add((event.task, event.run, event.boot_unix_ms))
+            if (str(start.task), start.run) == (str(event.task), event.run):
+                self._barred_starts.add((start.task, start.run, event.boot_unix_ms))
 
     def _capacity(self, entry: WorkerEntry, now_s: float) -> Resources:
         """Return the capacity of a worker without the room that late starts may take.
--- a/src/foxtailwell/instance/_jobs_api.py
+++ b/src/foxtailwell/instance/_jobs_api.py
@@ -228,12 +228,13 @@
             if request.method == "POST":
                 return await self._submit(request, route, suffix, content)
             if request.method == "DELETE":
-                return await self._cancel(request, suffix)
+                return await self._cancel(request, route, suffix)
             if request.method == "GET":
-                state = await self._intake.state(suffix)
+                account = self._account_to_match(request, route)
+                state = await self._intake.state(suffix, route.queue.name, account)
                 if state is None:
                     return Reply(410)
-                return Reply(200, msgspec.json.encode({"state": state[0].value}))
+                return Reply(200, msgspec.json.encode({"state": state.value}))
         except IntakeError as error:
             self._operators.report_store_failure()
             return _refuse(request, 504, str(error))
@@ -242,8 +243,6 @@
     async def _submit(
         self, request: _Request, route: Route, job_id: str, content: bytes
     ) -> Reply | None:
-        configuration = self._operators.configuration
-        account = configuration.accounts_by_key.get(request.key) if configuration else None
         start_s = time.monotonic()
         if len(content) > MAX_BODY_BYTES:
             return _refuse(request, 413, f"the body exceeds {MAX_BODY_BYTES} bytes")
@@ -251,13 +250,14 @@
             submission = self._decode(
                 job_id,
                 route.queue.name,
-                account.name if account else "",
+                self._account(request),
                 self._now_unix_ms(),
                 content,
             )
         except self._decode_error as error:
             return _refuse(request, 400, str(error))
-        outcome = await self._intake.submit(submission, self._operators.guards())
+        account = self._account_to_match(request, route)
+        outcome = await self._intake.submit(submission, self._operators.guards(), account)
         self._metrics.count(
             "submissions",
             queue=route.queue.name,
@@ -276,6 +276,11 @@
             case SubmitOutcome.STORED | SubmitOutcome.DUPLICATE:
                 log_event(SUBMISSION_STORED, **fields)
                 return Reply(200)
+            case SubmitOutcome.CONFLICTING:
+                log_event(SUBMISSION_REFUSED, **fields)
+                return _refuse(
+                    request, 409, "another job has this ID on this queue; choose another ID"
+                )
             case SubmitOutcome.REFUSED:
                 log_event(SUBMISSION_REFUSED, **fields)
                 return Reply(503)
@@ -285,9 +290,20 @@
                 return Reply(504)
         return None
 
-    async def _cancel(self, request: _Request, job_id: str) -> Reply:
-        outcome = await self._intake.cancel(job_id)
-        log_event(CANCELLATION_STORED, job=job_id, outcome=outcome.value)
+    def _account(self, request: _Request) -> str:
+        """Return the client account of a request's key; empty for none."""
+        configuration = self._operators.configuration
+        account = configuration.accounts_by_key.get(request.key) if configuration else None
+        return account.name if account else ""
+
+    def _account_to_match(self, request: _Request, route: Route) -> str:
+        """Return the account that the job of a request must have; empty for any."""
+        return "" if route.is_open else self._account(request)
+
+    async def _cancel(self, request: _Request, route: Route, job_id: str) -> Reply:
+        account = self._account_to_match(request, route)
+        outcome = await self._intake.cancel(job_id, route.queue.name, account)
+        log_event(CANCELLATION_STORED, job=job_id, queue=route.queue.name, outcome=outcome.value)
         return Reply(410 if outcome is CancelOutcome.ABSENT else 200)
 
 
--- a/src/foxtailwell/workflows/__init__.py
+++ b/src/foxtailwell/workflows/__init__.py
@@ -31,6 +31,12 @@
     Wait,
     WorkerView,
 )
+from foxtailwell.workflows._identifiers import (
+    RunNumbers,
+    client_job_id,
+    is_namesake_id,
+    namesake_id,
+)
 from foxtailwell.workflows._interfaces import (
     AdviceCallError,
     Advisor,
@@ -60,6 +66,7 @@
     Submission,
     TaskId,
     find_submission_fault,
+    submission_digest,
 )
 from foxtailwell.workflows._machines import (
     Machine,
@@ -121,6 +128,7 @@
     "Reservation",
     "Resources",
     "Route",
+    "RunNumbers",
     "RunningTask",
     "SchedulingUnit",
     "StartCommand",
@@ -138,12 +146,16 @@
     "WorkerEntry",
     "WorkerListing",
     "WorkerView",
+    "client_job_id",
     "find_submission_fault",
     "is_given_up",
     "is_kept_alone",
+    "is_namesake_id",
+    "namesake_id",
     "plan",
     "probation_s",
     "reservation_limit_s",
     "runs_to_stop",
+    "submission_digest",
     "weigh_crash",
 ]
--- a/src/foxtailwell/workflows/_capacity.py
+++ b/src/foxtailwell/workflows/_capacity.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from foxtailwell.workflows._fleet_view import FleetView, Obstacle, PoolUse, Wait, WorkerView
-from foxtailwell.workflows._jobs import UNLIMITED_COPIES, Resources
+from foxtailwell.workflows._jobs import UNLIMITED_COPIES, Resources, TaskId
 from foxtailwell.workflows._tasks import SchedulingUnit
 
 __all__ = [
@@ -59,6 +59,7 @@
         suspects: Units with suspects that this plan places, by worker. Other suspects are kept off
             these workers, and all units if the suspects are kept alone.
         starting: Keys of the units that this plan places, by worker.
+        placed_names: Workers and names of the tasks that this plan places and that have namesakes.
         overdue_workers: Workers on which preempted runs did not stop before their reservation
             expired; other runs are preempted rather than waiting for these.
         reservation_limit_s: Time after which a reservation expires if its victims have not stopped.
@@ -75,6 +76,7 @@
     filling_workers: set[str] = field(default_factory=set)
     suspects: dict[str, SchedulingUnit] = field(default_factory=dict)
     starting: dict[str, set[tuple[str, int, int]]] = field(default_factory=dict)
+    placed_names: set[tuple[str, str]] = field(default_factory=set)
     overdue_workers: set[str] = field(default_factory=set)
     reservation_limit_s: float = math.inf
     _eligible: dict[tuple[str, str, bool], EligibleWorkers] = field(default_factory=dict)
@@ -106,6 +108,37 @@
         """Return whether the unit may start even beside suspects that are kept alone."""
         return not unit.is_suspect and self.is_overdue(unit)
 
+    def allocate_all(self, unit: SchedulingUnit, workers: Mapping[TaskId, str]) -> None:
+        """Allocate capacity to tasks of the unit on the workers that were chosen for them."""
+        for worker in workers.values():
+            self.allocate(worker, unit)
+        if unit.has_namesakes:
+            self.placed_names.update((worker, str(task)) for task, worker in workers.items())
+
+    def is_name_free(self, worker: str, unit: SchedulingUnit, task: TaskId) -> bool:
+        """Return whether a worker has no run of another job under the name of the task.
+
+        A worker rejects a start under a name that it is running, whatever the number of the run.
+        """
+        if not unit.has_namesakes:
+            return True
+        is_placed = (worker, str(task)) in self.placed_names
+        return not is_placed and (worker, task) not in unit.names_in_use
+
+    def split(
+        self, worker: str, unit: SchedulingUnit, tasks: Sequence[TaskId], count: int
+    ) -> tuple[Sequence[TaskId], Sequence[TaskId]]:
+        """Split tasks of the unit into up to `count` that a worker may be given, and the others.
+
+        Tasks whose names are in use at other workers come first, as they have the least choice.
+        """
+        if not unit.has_namesakes:
+            return tasks[:count], tasks[count:]
+        in_use = {task for _, task in unit.names_in_use}
+        free = [task for task in tasks if self.is_name_free(worker, unit, task)]
+        chosen = sorted(free, key=lambda task: task not in in_use)[:count]
+        return chosen, [task for task in tasks if task not in chosen]
+
     def allocate(self, worker: str, unit: SchedulingUnit) -> None:
         """Subtract the request of one task of the unit from a worker's free capacity."""
         self.free[worker] = self.free[worker].minus(unit.step.request)
@@ -136,9 +169,12 @@
         """Return how many more tasks of the unit a worker may have, whatever its free resources."""
         if self._obstacle_beside(worker, unit) is not None:
             return 0
-        if not unit.step.max_per_worker:
-            return UNLIMITED_COPIES
-        return max(0, unit.step.max_per_worker - self._step_count(worker, unit))
+        limit = UNLIMITED_COPIES
+        if unit.has_namesakes:
+            limit = sum(self.is_name_free(worker, unit, task) for task in unit.tasks)
+        if unit.step.max_per_worker:
+            limit = min(limit, unit.step.max_per_worker - self._step_count(worker, unit))
+        return max(0, limit)
 
     def explain(self, unit: SchedulingUnit) -> Wait:
         """Return why the unit cannot be placed on the workers of its pool now."""
@@ -180,6 +216,8 @@
         beside = self._obstacle_beside(worker.id, unit)
         if beside is not None:
             return beside
+        if not any(self.is_name_free(worker.id, unit, task) for task in unit.tasks):
+            return Obstacle.NAME
         if step.max_per_worker and self._step_count(worker.id, unit) >= step.max_per_worker:
             return Obstacle.LIMIT
         return None if step.request.fits(self.free[worker.id]) else Obstacle.ROOM
--- a/src/foxtailwell/workflows/_fleet_view.py
+++ b/src/foxtailwell/workflows/_fleet_view.py
@@ -53,6 +53,7 @@
         RESERVED: It is reserved for another gang before the unit would end.
         SUSPECT: The unit and a unit there must not share a worker, because of earlier crashes.
         INTERFERENCE: Filling tasks and serving tasks must not share a worker.
+        NAME: It has runs of another job under the names of the unit's tasks.
         LIMIT: It has as many tasks of the step as it may have.
         ROOM: Its free resources do not suffice for a task.
     """
@@ -72,6 +73,7 @@
     RESERVED = "reserved"
     SUSPECT = "suspect"
     INTERFERENCE = "interference"
+    NAME = "name"
     LIMIT = "limit"
     ROOM = "room"
 
--- a/src/foxtailwell/workflows/_job_registry.py
+++ b/src/foxtailwell/workflows/_job_registry.py
@@ -3,8 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import replace
 
 from foxtailwell.workflows._crashes import CrashRecord, is_given_up, is_kept_alone
+from foxtailwell.workflows._identifiers import (
+    client_job_id,
+    close_run_numbers,
+    is_namesake_id,
+    with_run,
+)
 from foxtailwell.workflows._jobs import JobState, Queue, Submission, TaskId
 from foxtailwell.workflows._tasks import (
     EndKind,
@@ -34,6 +41,10 @@
         self.changed: set[str] = set()
         self._placed: dict[str, dict[TaskId, Task]] = {}
         self._versions: dict[str, int] = {}
+        # Identifiers of the jobs by client identifier, namesakes of the first job before it.
+        self._ids: dict[str, list[str]] = {}
+        # Highest run numbers of ended jobs by identifier, by client identifier.
+        self._ended_runs: dict[str, dict[str, int]] = {}
         self.version = 0
 
     def add(
@@ -62,10 +73,43 @@
             job.ended_unix_ms = progress.ended_unix_ms
             for stored in progress.tasks:
                 self._restore(job, stored, now_s)
+            highest = max((task.run for task in progress.tasks), default=0)
+            job.run_numbers = replace(
+                progress.run_numbers, highest=max(highest, progress.run_numbers.highest)
+            )
         self.jobs[submission.job_id] = job
+        client_id = client_job_id(submission.job_id)
+        ids = self._ids.setdefault(client_id, [])
+        if submission.job_id not in ids:
+            ids.append(submission.job_id)
+            # Records of earlier versions may claim numbers of namesakes, which know their own.
+            ids.sort(key=is_namesake_id, reverse=True)
+        self._separate_run_numbers(client_id)
         self.version += 1
         return job
 
+    def _separate_run_numbers(self, client_id: str) -> None:
+        """Tell the runs of jobs with one client identifier apart, if there are several."""
+        ids = self._ids.get(client_id, [])
+        if len(ids) > 1 or client_id in self._ended_runs:
+            for job_id in ids:
+                job = self.jobs[job_id]
+                job.run_numbers = close_run_numbers(job.run_numbers)
+
+    def add_ended(self, job_id: str, highest_run: int) -> None:
+        """Add a job that has ended, so that namesakes do not repeat its run numbers."""
+        client_id = client_job_id(job_id)
+        self._ended_runs.setdefault(client_id, {})[job_id] = highest_run
+        self._separate_run_numbers(client_id)
+
+    def remove_ended(self, job_id: str) -> None:
+        """Remove an ended job whose records are deleted."""
+        client_id = client_job_id(job_id)
+        ended = self._ended_runs.get(client_id, {})
+        ended.pop(job_id, None)
+        if not ended:
+            self._ended_runs.pop(client_id, None)
+
     def _restore(self, job: Job, stored: TaskProgress, now_s: float) -> None:
         task_id = TaskId(job.submission.job_id, stored.occurrence, stored.step, stored.index)
         task = job.tasks.get(task_id)
@@ -85,8 +129,14 @@
 
     def remove(self, job_id: str) -> None:
         """Remove a job that has ended and has no placed tasks left."""
-        self.jobs.pop(job_id, None)
+        job = self.jobs.pop(job_id, None)
         self.changed.discard(job_id)
+        if job is not None:
+            client_id = client_job_id(job_id)
+            self._ids[client_id].remove(job_id)
+            if not self._ids[client_id]:
+                del self._ids[client_id]
+            self.add_ended(job_id, job.run_numbers.highest)
 
     def version_of(self, worker: str) -> int:
         """Return a number that rises when the set of runs on the worker may have changed."""
@@ -109,6 +159,24 @@
         job = self.jobs.get(task_id.job_id)
         return job.tasks.get(task_id) if job else None
 
+    def find_run(self, listed: TaskId, run: int) -> Task | None:
+        """Return the task of a run that a worker reports.
+
+        Args:
+            listed: Task as named by the worker, with the client's identifier of its job.
+            run: Number of the run, which tells namesakes apart.
+
+        Returns:
+            The task; None if no job in the registry has had a run of this number.
+        """
+        for job_id in self._ids.get(listed.job_id, ()):
+            job = self.jobs[job_id]
+            own_id = listed if job_id == listed.job_id else replace(listed, job_id=job_id)
+            task = job.tasks.get(own_id)
+            if task is not None and (task.run == run or run in job.run_numbers):
+                return task
+        return None
+
     def assign(self, task: Task, worker: str, boot_unix_ms: int, run: int, now_s: float) -> None:
         """Assign the next run of a task to a worker.
 
@@ -129,14 +197,35 @@
         task.started_s = task.progress_s = now_s
         task.percent = 0
         task.listed_s = 0.0
+        job = self.jobs[task.id.job_id]
+        job.run_numbers = with_run(job.run_numbers, run)
         self._placed.setdefault(worker, {})[task.id] = task
         self._bump_version(worker)
         self.changed.add(task.id.job_id)
 
     def next_run(self, unit: SchedulingUnit) -> int:
-        """Return a run number greater than all earlier ones of the unit's step."""
+        """Return a run number greater than all earlier ones of the unit's step.
+
+        It is also greater than all numbers of namesakes, whatever their steps.
+        """
         job = self.jobs[unit.job_id]
-        return 1 + max(task.run for task in job.step_tasks(unit.occurrence, unit.step_number))
+        if job.run_numbers.ranges is None:
+            return 1 + max(task.run for task in job.step_tasks(unit.occurrence, unit.step_number))
+        client_id = client_job_id(unit.job_id)
+        highest = [self.jobs[job_id].run_numbers.highest for job_id in self._ids[client_id]]
+        return 1 + max((*highest, *self._ended_runs.get(client_id, {}).values()))
+
+    def _names_in_use(self, job: Job, waiting: list[Task]) -> frozenset[tuple[str, TaskId]]:
+        """Return the workers of namesakes' tasks, each with the waiting task of the same name."""
+        job_id = job.submission.job_id
+        found: set[tuple[str, TaskId]] = set()
+        for other_id in self._ids[client_job_id(job_id)]:
+            if other_id != job_id:
+                for task in waiting:
+                    other = self.jobs[other_id].tasks.get(replace(task.id, job_id=other_id))
+                    if other is not None and other.is_placed:
+                        found.add((other.worker, task.id))
+        return frozenset(found)
 
     def confirm(self, task: Task) -> None:
         """Record that the worker runs the task; the first confirmed task makes the job running."""
@@ -378,6 +467,7 @@
     def _ready_steps(
         self, job: Job, occurrence: int, now_s: float, within_guarantee: frozenset[str]
     ) -> Iterator[SchedulingUnit]:
+        has_namesakes = len(self._ids[client_job_id(job.submission.job_id)]) > 1
         for number, step in enumerate(job.submission.steps):
             tasks = job.step_tasks(occurrence, number)
             waiting = [task for task in tasks if task.state is TaskState.WAITING]
@@ -414,6 +504,8 @@
                 any(task.crashes for task in waiting),
                 any(is_kept_alone(task.crashes) for task in waiting),
                 min(task.waiting_since_s for task in waiting),
+                has_namesakes=has_namesakes,
+                names_in_use=self._names_in_use(job, waiting) if has_namesakes else frozenset(),
             )
 
 
--- a/src/foxtailwell/workflows/_jobs.py
+++ b/src/foxtailwell/workflows/_jobs.py
@@ -7,8 +7,13 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from enum import StrEnum
+from hashlib import blake2b
+
+import msgspec
+
+from foxtailwell.workflows._identifiers import client_job_id
 
 __all__ = [
     "AdviceRules",
@@ -20,6 +25,7 @@
     "TaskId",
     "UNLIMITED_COPIES",
     "find_submission_fault",
+    "submission_digest",
 ]
 
 
@@ -29,6 +35,8 @@
 MAX_TASKS = 10_000
 """Limit of the tasks of a job over all occurrences; their progress is one value of the store."""
 
+_DIGEST_BYTES = 8
+
 MAX_NUMBER = 2**53
 """Largest number in a submission; every integer up to it is exact as a float."""
 
@@ -144,6 +152,7 @@
     """Identifier of a task.
 
     Attributes:
+        job_id: Identifier of the job; a worker's reports contain the client's identifier instead.
         occurrence: Repetition of the job, from 0.
         step: Index of the step in the job.
         index: Index of the task in the step.
@@ -155,8 +164,12 @@
     index: int
 
     def __str__(self) -> str:
-        """Return the identifier in the format of the worker protocol."""
-        return f"{self.job_id}.{self.occurrence}.{self.step}.{self.index}"
+        """Return the identifier in the format of the worker protocol.
+
+        Tasks of namesakes have the same one.
+        """
+        job_id = client_job_id(self.job_id)
+        return f"{job_id}.{self.occurrence}.{self.step}.{self.index}"
 
 
 @dataclass(frozen=True, slots=True)
@@ -164,10 +177,13 @@
     """A job as its client submitted it.
 
     Attributes:
+        job_id: Identifier that the client chose; within the controller, the identifier that also
+            tells namesakes apart.
         payload: Text that is passed to the worker with every start command of the job.
         start_at_unix_ms: Time of day at which the first occurrence may start; 0 for at once.
         interval_ms: Time between the starts of two occurrences.
         accepted_unix_ms: Time of day at the instance that accepted it.
+        digest: Result of `submission_digest`; empty in records of earlier versions.
     """
 
     job_id: str
@@ -179,6 +195,7 @@
     interval_ms: int = 0
     repeat_count: int = 0
     accepted_unix_ms: int = 0
+    digest: str = ""
 
     @property
     def occurrences(self) -> int:
@@ -199,6 +216,27 @@
                     yield TaskId(self.job_id, occurrence, number, index)
 
 
+def submission_digest(submission: Submission) -> str:
+    """Return a digest of what a submission asks for, by which another copy is recognized.
+
+    Fields with their default values are left out, so that new ones do not change the digest.
+    """
+    asked = _changed_fields(
+        submission, {"job_id", "queue", "account", "accepted_unix_ms", "digest"}
+    )
+    asked["steps"] = [_changed_fields(step, {"request"}) for step in submission.steps]
+    asked["requests"] = [_changed_fields(step.request, set()) for step in submission.steps]
+    encoded = msgspec.json.encode(asked, order="sorted")
+    return blake2b(encoded, digest_size=_DIGEST_BYTES).hexdigest()
+
+
+def _changed_fields(value: Submission | Step | Resources, left_out: set[str]) -> dict[str, object]:
+    """Return the fields of a dataclass that differ from their defaults."""
+    found = {field.name: getattr(value, field.name) for field in fields(value)}
+    defaults = {field.name: field.default for field in fields(value)}
+    return {n: v for n, v in found.items() if n not in left_out and v != defaults[n]}
+
+
 def find_submission_fault(submission: Submission) -> str:
     """Return why a job cannot be scheduled, and the remedy; empty if it can."""
     if not submission.steps:
--- a/src/foxtailwell/workflows/_placement.py
+++ b/src/foxtailwell/workflows/_placement.py
@@ -133,16 +133,22 @@
     unit = reservation.placement.unit
     workers = reservation.placement.workers
     views = [capacity.workers.get(worker) for worker in workers.values()]
-    if now_s > reservation.until_s or not all(
-        view is not None
-        and (capacity.is_usable(view, unit) or view.obstacle in PASSING_OBSTACLES)
-        and unit.step.request.fits(view.capacity)
-        for view in views
+    are_names_free = all(
+        capacity.is_name_free(worker, unit, task) for task, worker in workers.items()
+    )
+    if (
+        now_s > reservation.until_s
+        or not are_names_free
+        or not all(
+            view is not None
+            and (capacity.is_usable(view, unit) or view.obstacle in PASSING_OBSTACLES)
+            and unit.step.request.fits(view.capacity)
+            for view in views
+        )
     ):
         return None
     is_usable = all(view is not None and view.obstacle not in PASSING_OBSTACLES for view in views)
-    for worker in workers.values():
-        capacity.allocate(worker, unit)
+    capacity.allocate_all(unit, workers)
     zero = Resources()
     if is_usable and all(zero.fits(capacity.free[worker]) for worker in workers.values()):
         return reservation.placement
@@ -255,8 +261,7 @@
         chosen = _place_gang(capacity, unit, by_rack, candidates, now_s)
     else:
         chosen = _place_independent(capacity, unit, by_rack, candidates, now_s)
-    for worker in chosen.values():
-        capacity.allocate(worker, unit)
+    capacity.allocate_all(unit, chosen)
     return chosen
 
 
@@ -321,7 +326,7 @@
     others, those with a lower fault score come first. Without
     `is_partial_allowed` the result is empty unless every task fits.
     """
-    remaining = list(unit.tasks if tasks is None else tasks)
+    remaining = unit.tasks if tasks is None else tasks
     chosen: dict[TaskId, str] = {}
 
     is_overdue = capacity.is_overdue(unit)
@@ -340,9 +345,8 @@
     ordered = sorted(workers, key=preference)
     for worker in ordered:
         count = min(capacity.max_copies(worker.id, unit), len(remaining))
-        for task in remaining[:count]:
-            chosen[task] = worker.id
-        remaining = remaining[count:]
+        placed, remaining = capacity.split(worker.id, unit, remaining, count)
+        chosen.update(dict.fromkeys(placed, worker.id))
         if not remaining:
             return chosen
     return chosen if is_partial_allowed else {}
--- a/src/foxtailwell/workflows/_preemption.py
+++ b/src/foxtailwell/workflows/_preemption.py
@@ -60,8 +60,7 @@
         return None
     _, victims, chosen = best
     stopping.update(victims)
-    for worker in chosen.values():
-        capacity.allocate(worker, unit)
+    capacity.allocate_all(unit, chosen)
     placement = Placement(unit, chosen)
     return victims, Reservation(placement, now_s + capacity.reservation_limit_s, tuple(victims))
 
@@ -87,15 +86,15 @@
     heap = [(_loss_per_copy(own[0]), worker) for worker, own in options.items() if own]
     heapq.heapify(heap)
     chosen: dict[TaskId, str] = {}
-    remaining = list(unit.tasks)
+    remaining: Sequence[TaskId] = unit.tasks
     stopped: list[TaskId] = []
     total = 0.0
     while heap and remaining:
         _, worker_id = heapq.heappop(heap)
         option = options[worker_id].pop(0)
         count = min(option.count, len(remaining))
-        chosen.update(dict.fromkeys(remaining[:count], worker_id))
-        remaining = remaining[count:]
+        placed, remaining = capacity.split(worker_id, unit, remaining, count)
+        chosen.update(dict.fromkeys(placed, worker_id))
         total += option.loss
         stopped += [victim.id for victim in option.victims if not victim.is_stopping]
         if options[worker_id]:
--- a/src/foxtailwell/workflows/_tasks.py
+++ b/src/foxtailwell/workflows/_tasks.py
@@ -11,6 +11,7 @@
 from enum import IntEnum, StrEnum
 
 from foxtailwell.workflows._crashes import CrashRecord, is_kept_alone, probation_s
+from foxtailwell.workflows._identifiers import RunNumbers
 from foxtailwell.workflows._jobs import JobState, Queue, Step, Submission, TaskId
 
 __all__ = [
@@ -164,12 +165,22 @@
 
 @dataclass(frozen=True, slots=True)
 class JobProgress:
-    """Stored progress of a job; its submission is stored separately."""
+    """Stored progress of a job; its submission is stored separately, and deleted when it ends.
+
+    Attributes:
+        queue: Queue of the job; empty in records of earlier versions.
+        account: Client account of the job; empty for none, and in records of earlier versions.
+        digest: Digest of its submission; empty in records of earlier versions.
+    """
 
     state: JobState
     has_started: bool
     ended_unix_ms: int
     tasks: tuple[TaskProgress, ...] = ()
+    queue: str = ""
+    account: str = ""
+    digest: str = ""
+    run_numbers: RunNumbers = field(default_factory=RunNumbers)
 
 
 @dataclass(frozen=True, slots=True)
@@ -186,6 +197,9 @@
         queued_since_s: Local time from which the longest waiting of its tasks has been queued since
             its last run; infinite if none is known.
         allowed: Workers for which the unit has a valid ticket; None if its queue needs no tickets.
+        has_namesakes: Tasks of another job may have the names that its tasks have at the workers.
+        names_in_use: Workers that have a run of that other job, each with the task of the unit that
+            has the same name there.
     """
 
     job_id: str
@@ -203,6 +217,8 @@
     is_kept_alone: bool = False
     queued_since_s: float = math.inf
     allowed: frozenset[str] | None = None
+    has_namesakes: bool = False
+    names_in_use: frozenset[tuple[str, TaskId]] = frozenset()
 
     @property
     def key(self) -> tuple[str, int, int]:
@@ -219,6 +235,7 @@
         has_started: Some worker has confirmed a run of the job.
         ended_unix_ms: Time of day of its end; 0 before.
         ready_since_s: Local time from which a step could be placed, by occurrence and step.
+        run_numbers: Numbers of the runs of all its tasks.
     """
 
     submission: Submission
@@ -229,6 +246,7 @@
     ended_unix_ms: int = 0
     tasks: dict[TaskId, Task] = field(default_factory=dict)
     ready_since_s: dict[tuple[int, int], float] = field(default_factory=dict)
+    run_numbers: RunNumbers = field(default_factory=RunNumbers)
     _step_tasks: dict[tuple[int, int], tuple[Task, ...]] = field(default_factory=dict)
 
     def step(self, task: TaskId) -> Step:
@@ -273,7 +291,16 @@
             for task in self.tasks.values()
             if task.is_placed or (keep_all and (task.run or task.is_done))
         )
-        return JobProgress(self.state, self.has_started, self.ended_unix_ms, tasks)
+        return JobProgress(
+            self.state,
+            self.has_started,
+            self.ended_unix_ms,
+            tasks,
+            self.submission.queue,
+            self.submission.account,
+            self.submission.digest,
+            self.run_numbers,
+        )
 
     def peak_accelerators(self) -> int:
         """Return the largest number of accelerators that a single step of the job needs."""
--- a/tests/controller_harness.py
+++ b/tests/controller_harness.py
@@ -224,10 +224,13 @@
         assert await until(lambda: bool(self.runs(task)))
         return job, task
 
-    async def state(self, identifier: str) -> JobState | None:
+    async def state(self, identifier: str, queue: Queue = LATER) -> JobState | None:
         """Return a job's state as its client sees it; None if there is no such job."""
-        found = await self.intake.state(identifier)
-        return found[0] if found else None
+        return await self.intake.state(identifier, queue.name)
+
+    async def cancel(self, identifier: str, queue: Queue = LATER) -> None:
+        """Cancel a job as its client does."""
+        await self.intake.cancel(identifier, queue.name)
 
     async def reaches(self, identifier: str, state: JobState, limit_s: float = 3.0) -> bool:
         """Return whether a job reaches a state within the given time."""
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -356,7 +356,7 @@
     job = await deployment.submit(1, LATER, [step()])
     assert await until(lambda: bool(worker.running))
     worker.faults.is_refusing_stops = True
-    await deployment.intake.cancel(job)
+    await deployment.cancel(job)
     await anyio.sleep(1.0)
     worker.faults.is_refusing_stops = False
     assert await until(lambda: not worker.running)
@@ -371,7 +371,7 @@
     deployment.start("one")
     job, _ = await deployment.start_one_task()
     setattr(worker.faults, fault, True)
-    await deployment.intake.cancel(job)
+    await deployment.cancel(job)
     assert not await until(lambda: not worker.running, 2.0)
     assert await until(lambda: not worker.running, LEASE_MS / 1000)
     assert worker.spans[0].end_kind is EndKind.EXPIRED
@@ -390,7 +390,7 @@
     other = await deployment.submit(2, LATER, [step()])
     assert await until(lambda: len(worker.running) == 2)
     worker.faults.is_unreachable = True
-    await deployment.intake.cancel(job)
+    await deployment.cancel(job)
     await anyio.sleep(3.0)
     worker.faults.is_unreachable = False
     worker.faults.is_refusing_stops = True
@@ -506,7 +506,7 @@
     job = await deployment.submit(1, LATER, [step(12)])
     worker = deployment.workers["w0"]
     assert await until(lambda: len(worker.running) == 8)
-    await deployment.intake.cancel(job)
+    await deployment.cancel(job)
     assert await deployment.reaches(job, JobState.CANCELLED)
     assert await until(lambda: not worker.running)
     assert len(worker.log) == 8
@@ -975,7 +975,7 @@
     assert await until(lambda: second.leadership.is_controller)
     worker.end(f"{job}.0.0.0", EndKind.FAILED)
     await anyio.sleep(0.5)
-    assert await deployment.state(job) is JobState.RUNNING
+    assert await deployment.state(job, URGENT) is JobState.RUNNING
 
 
 async def test_new_controller_requeues_the_task_of_an_unreachable_worker_in_time(group):
--- a/tests/test_incomplete_listings.py
+++ b/tests/test_incomplete_listings.py
@@ -111,7 +111,7 @@
     kept = f"{await fleet.submit(2, LATER, [step()])}.0.0.0"
     assert await until(lambda: kept in worker.running)
     first.faults.write_delay_s = SLOW_WRITE_S
-    await fleet.intake.cancel(stopped)
+    await fleet.cancel(stopped)
     assert await until(lambda: list(worker.running) == [kept])
     await anyio.sleep(4 * SHORT_LEASE_MS / 1000)
     assert kept in worker.running
--- a/tests/test_instance_api.py
+++ b/tests/test_instance_api.py
@@ -60,13 +60,22 @@
         return reply.status, msgspec.json.decode(reply.body)
 
 
-def configure(store, version, keys=("k1",), prefixes=("/q/",)):
+def configure(store, version, keys=("k1",), prefixes=("/q/",), other_keys=(), open_prefixes=()):
     """Write a configuration to the store, as an operator does."""
     routes = [
-        {"name": f"r{n}", "host": "h.example", "prefix": prefix, "service": "s"}
+        {
+            "name": f"r{n}",
+            "host": "h.example",
+            "prefix": prefix,
+            "service": "s",
+            "no_auth": prefix in open_prefixes,
+        }
         for n, prefix in enumerate(prefixes)
     ]
-    tenants = [{"name": "acme", "api_keys": list(keys), "guaranteed": {"gpu": 4}}]
+    tenants = [
+        {"name": name, "api_keys": list(own), "guaranteed": {"gpu": 4}}
+        for name, own in (("acme", keys), ("other", other_keys))
+    ]
     value = {"version": version, "routes": routes, "services": [], "tenants": tenants}
     store.write(messages.CONFIGURATION_KEY, msgspec.json.encode(value))
 
@@ -357,3 +366,55 @@
     configure(store, 1)
     assert (await Instance(store).call("POST", JOB, body=body))[0] == 413
     assert parts == 4
+
+
+async def test_jobs_with_one_id_on_two_queues_are_two_jobs(store, instance):
+    """Guards against a job that is accepted, never run, and shown with the states of another."""
+    configure(store, 2, prefixes=("/q/", "/r/", "/s/"), other_keys=("k2",))
+    await instance.operators.confirm(instance._now_s())
+    assert (await instance.call("POST", JOB))[0] == 200
+    assert (await instance.call("POST", JOB.replace("q", "r"), key="k2"))[0] == 200
+    for prefix, key in (("/q/", "k1"), ("/r/", "k2")):
+        assert await instance.call("GET", prefix, key=key) == (200, {"pending": 1})
+        path = JOB.replace("/q/", prefix)
+        assert await instance.call("GET", path, key=key) == (200, {"state": "queued"})
+    other = JOB.replace("q", "s")
+    assert [(await instance.call(m, other))[0] for m in ("GET", "DELETE")] == [410, 410]
+    before = set(store.items)
+    assert (await instance.call("DELETE", JOB.replace("q", "r"), key="k2"))[0] == 200
+    (mark,) = set(store.items) - before
+    assert mark.startswith("foxtailwell/in/cancel/5c0e7a21d94b36f8@")
+
+
+@pytest.mark.parametrize("is_open", [False, True])
+async def test_job_of_another_account_is_neither_shown_nor_cancelled(store, instance, is_open):
+    """Guards against a client that reads or cancels another account's job by its ID."""
+    open_prefixes = ("/q/",) if is_open else ()
+    configure(store, 2, other_keys=("k2",), open_prefixes=open_prefixes)
+    await instance.operators.confirm(instance._now_s())
+    assert (await instance.call("POST", JOB))[0] == 200
+    expected = [200, 200, 200] if is_open else [409, 410, 410]
+    seen = [(await instance.call(m, JOB, key="k2"))[0] for m in ("POST", "GET", "DELETE")]
+    assert seen == expected
+
+
+async def test_id_that_stands_for_another_job_is_refused_with_the_remedy(store, instance):
+    """Guards against a submission that is accepted as a copy of another job, and not run."""
+    assert (await instance.call("POST", JOB))[0] == 200
+    before = dict(store.items)
+    other = msgspec.json.encode({"spec": "another", "phases": [{"count": 2, "cpu": 500}]})
+    status, body = await instance.call("POST", JOB, body=other)
+    assert status == 409
+    assert "choose another ID" in body["error"]
+    assert store.items == before
+
+
+async def test_job_stays_one_job_after_its_key_is_replaced(store, instance):
+    """Guards against a copy that is refused, or stored again, because it carries a newer key."""
+    assert (await instance.call("POST", JOB))[0] == 200
+    before = set(store.items)
+    configure(store, 2, keys=("k3",))
+    await instance.operators.confirm(instance._now_s())
+    assert (await instance.call("POST", JOB, key="k3"))[0] == 200
+    assert set(store.items) == before
+    assert (await instance.call("GET", JOB, key="k3"))[0] == 200
--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -126,7 +126,7 @@
     deployment.start("one")
     first = await deployment.submit(1, LATER, [step(request=WHOLE)])
     assert await until(lambda: worker.faults.delayed_starts < 998)
-    await deployment.intake.cancel(first)
+    await deployment.cancel(first)
     # The stop is confirmed before the crash, so that the next incarnation does not know of it.
     assert await until(lambda: f"foxtailwell/in/job/{first}" not in deployment.store.items)
     worker.faults.is_losing_stops = is_stop_lost
