A cancellation that is stored as its job ends cancels no later job with its ID

What callers would see: a job that nobody cancelled is shown as cancelled and never runs, also one of another account on another queue.

Cause: a cancellation read the state and then stored its mark on the sole condition that there was none. If the job ended in between, or before the controller had seen the mark, nothing deleted the mark, and the next job under the ID was cancelled by it as soon as it was loaded.

Fix: the mark requires the submission, in the revision that was read; otherwise the state is read again. The transaction that deletes the submission deletes the mark as well, seen or not. So there is no mark without a submission. A cancellation costs one read more.

Test: test_cancellation_of_a_job_that_has_just_ended_stops_no_later_job; both cases failed before, and with the condition alone the one in which the mark comes first.

--- a/src/foxtailwell/controller/_commits.py
+++ b/src/foxtailwell/controller/_commits.py
@@ -165,9 +165,8 @@
         if (job.has_started or job.state.is_final) and job_id in self.waiting_marks:
             entries.deletes.append(waiting_key(job.submission.queue, job_id))
         if job.state.is_final and not job.has_placed_tasks:
-            entries.deletes.append(job_key(job_id))
-            if job_id in self.cancel_marks:
-                entries.deletes.append(cancel_key(job_id))
+            # The mark of a client may be there although the watch has not reported it yet.
+            entries.deletes += [job_key(job_id), cancel_key(job_id)]
 
     async def _commit(self, transaction: _Transaction) -> RejectedTransaction | None:
         is_repeated = False
--- a/src/foxtailwell/controller/_intake.py
+++ b/src/foxtailwell/controller/_intake.py
@@ -42,6 +42,10 @@
 """Attempts to store a job while other jobs with its identifier come and go."""
 
 
+MAX_CANCEL_ATTEMPTS = 3
+"""Attempts to mark a job as cancelled while it ends."""
+
+
 class SubmitOutcome(Enum):
     """Outcome of a submission.
 
@@ -249,18 +253,32 @@
         Raises:
             IntakeError: The store gave no usable response; the mark may have been stored.
         """
-        found = await self._find(job_id, queue, account)
-        if found is None:
-            return CancelOutcome.ABSENT
-        if found.state.is_final:
-            return CancelOutcome.ENDED
-        key = cancel_key(found.job_id)
-        try:
-            # A conflict means that the mark is there already.
-            await self._store.transact({key: 0}, [Put(key, b"")])
-        except StoreCallError as failure:
-            raise IntakeError(failure.reason) from failure
-        return CancelOutcome.STORED
+        for _ in range(MAX_CANCEL_ATTEMPTS):
+            found = await self._find(job_id, queue, account)
+            if found is None:
+                return CancelOutcome.ABSENT
+            if found.state.is_final:
+                return CancelOutcome.ENDED
+            try:
+                if await self._mark_cancelled(found.job_id):
+                    return CancelOutcome.STORED
+            except StoreCallError as failure:
+                raise IntakeError(failure.reason) from failure
+        raise IntakeError("the job has changed with every attempt")
+
+    async def _mark_cancelled(self, job_id: str) -> bool:
+        """Store a cancellation mark, and return whether it is stored.
+
+        The mark requires the submission, with which the controller deletes it. One that is stored
+        after the end of the job would cancel a later job with its identifier.
+        """
+        submitted = await self._store.get(job_key(job_id))
+        if submitted is None:
+            return False
+        mark = cancel_key(job_id)
+        conditions = {mark: 0, job_key(job_id): submitted.revision}
+        result = await self._store.transact(conditions, [Put(mark, b"")])
+        return isinstance(result, Committed) or mark in result.items
 
     async def pending_count(self, queue: str) -> int:
         """Return the number of accepted jobs of a queue without any started task.
--- a/tests/test_namesakes.py
+++ b/tests/test_namesakes.py
@@ -9,7 +9,7 @@
 import pytest
 
 from controller_harness import LATER, URGENT, job_id, make_deployment, step, until
-from foxtailwell.controller import CancelOutcome, Intake, SubmitOutcome, _intake
+from foxtailwell.controller import CancelOutcome, Intake, SubmitOutcome, _controller, _intake
 from foxtailwell.controller._records import (
     decode_progress,
     encode_progress,
@@ -408,6 +408,34 @@
     )
 
 
+@pytest.mark.parametrize("is_mark_first", [False, True])
+async def test_cancellation_of_a_job_that_has_just_ended_stops_no_later_job(group, is_mark_first):
+    """Guards against a mark that stays, and cancels the next job with the same ID on any queue."""
+    deployment = make_deployment(group, 1)
+    instance = deployment.start("one")
+    await submit(deployment, job(LATER))
+    worker = deployment.workers["w0"]
+    assert await until(lambda: bool(worker.running))
+    # The controller stores the end before it has seen the mark.
+    instance.faults.is_watch_stalled = True
+    await anyio.sleep(_controller.SUBMISSION_WATCH_MS / 1000 + 0.2)
+    intake = deployment.intake
+    transact = intake._store.transact
+
+    async def end_and_transact(conditions, puts, deletes=()):
+        if is_mark_first:
+            result = await transact(conditions, puts, deletes)
+        worker.end(f"{ID}.0.0.0", EndKind.DONE)
+        assert await completes(deployment, LATER)
+        assert await until(lambda: f"foxtailwell/in/job/{ID}" not in deployment.store.items)
+        return result if is_mark_first else await transact(conditions, puts, deletes)
+
+    intake._store.transact = end_and_transact
+    outcome = CancelOutcome.STORED if is_mark_first else CancelOutcome.ENDED
+    assert await intake.cancel(ID, LATER.name) is outcome
+    assert not [key for key in deployment.store.items if key.startswith("foxtailwell/in/")]
+
+
 # Records of the earlier version
 
 OLD_SUBMISSION = msgspec.json.encode(
