Model the runs of two jobs with one ID

Late and repeated starts, ends that are listed late, leases that lapse, and controllers that know the records only.

--- a/src/foxtailwell_model/_specifications.py
+++ b/src/foxtailwell_model/_specifications.py
@@ -4,6 +4,7 @@
 from foxtailwell_model._failover import FAILOVER
 from foxtailwell_model._freshness import FRESHNESS
 from foxtailwell_model._gangs import GANG_OF_THREE, GANG_OF_TWO
+from foxtailwell_model._namesakes import NAMESAKES
 from foxtailwell_model._specification import Specification
 from foxtailwell_model._task_lease import TASK_LEASE
 from foxtailwell_model._worker_reports import WORKER_REPORTS
@@ -20,4 +21,5 @@
     FAILOVER,
     WORKFLOW_COMMANDS,
     WORKER_REPORTS,
+    NAMESAKES,
 )
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -51,7 +51,14 @@
 from foxtailwell_model._gangs import GANG_OF_TWO, gang_steps
 from foxtailwell_model._run import is_proved
 
-SMALL_NAMES = {"failover", "task_lease", "gang_of_two", "workflow_commands", "worker_reports"}
+SMALL_NAMES = {
+    "failover",
+    "task_lease",
+    "gang_of_two",
+    "workflow_commands",
+    "worker_reports",
+    "namesakes",
+}
 SMALL_SPECIFICATIONS = [spec for spec in SPECIFICATIONS if spec.name in SMALL_NAMES]
 QUICK_MUTANTS = [
     (CLAIMS, "claim_comes_before_send"),
