Soak: clients submit jobs under one ID to both queues

Two of five jobs that are no gangs come a second time, with another payload. The checker tells their runs apart by payload and reports a number that two jobs have used for one task. Earlier seeds run without it, so that their clients draw what they drew before.

--- a/src/foxtailwell_soak/_checker.py
+++ b/src/foxtailwell_soak/_checker.py
@@ -40,8 +40,10 @@
         self._fleet = fleet
         self._history = history
         self._checked_count: dict[str, int] = {}
-        self._runs: dict[str, list[RunSpan]] = {}
-        self._acknowledged_s: dict[str, float] = {}
+        # By name and payload, as tasks of two jobs may have one name.
+        self._runs: dict[tuple[str, str], list[RunSpan]] = {}
+        self._acknowledged_s: dict[tuple[str, str], float] = {}
+        self._payloads: dict[tuple[str, int], str] = {}
 
     async def run(self) -> None:
         """Check until cancelled."""
@@ -56,8 +58,8 @@
             for span in spans[self._checked_count.get(handle.worker.id, 0) :]:
                 self._check_start(handle, span)
                 self._check_capacity(handle, span)
-                self._runs.setdefault(span.task, []).append(span)
-                self._check_crashes(span.task)
+                self._runs.setdefault(_task_key(span), []).append(span)
+                self._check_crashes(span)
             self._checked_count[handle.worker.id] = len(spans)
             self._record_acknowledged_ends(handle)
         for instance in self._fleet.instances:
@@ -67,16 +69,18 @@
                 )
 
     def _check_start(self, handle: WorkerHandle, span: RunSpan) -> None:
-        job = self._history.jobs.get(span.task.partition(".")[0])
-        if job is None or span.payload != job.payload:
+        job = self._history.find(span)
+        if job is None:
             self._history.add_violation(f"{span.task} was never submitted")
             return
-        for other in self._runs.get(span.task, ()):
+        if self._payloads.setdefault((span.task, span.run), span.payload) != span.payload:
+            self._history.add_violation(f"two jobs have a run {span.run} of {span.task}")
+        for other in self._runs.get(_task_key(span), ()):
             if other.started_s < span.ended_s and span.started_s < other.ended_s:
                 self._history.add_violation(
                     f"{span.task} ran twice at once: {_describe(other)} and {_describe(span)}"
                 )
-        done_s = self._acknowledged_s.get(span.task, math.inf)
+        done_s = self._acknowledged_s.get(_task_key(span), math.inf)
         if span.started_s > done_s + TOLERANCE_S and not span.is_delayed:
             self._history.add_violation(
                 f"{span.task} started again {span.started_s - done_s:.2f} s after done"
@@ -107,7 +111,7 @@
         running = [s for s in handle.worker.spans if s.started_s <= at_s < s.ended_s]
         used = Resources()
         for span in running:
-            job = self._history.jobs.get(span.task.partition(".")[0])
+            job = self._history.find(span)
             if job is not None:
                 used = used.plus(job.request)
         since_s = 0.0 if started.is_delayed else at_s - CAPACITY_GRACE_S
@@ -115,9 +119,10 @@
             tasks = ", ".join(f"{span.task} run {span.run}" for span in running)
             self._history.add_violation(f"{handle.worker.id} is over its capacity: {tasks}")
 
-    def _check_crashes(self, task: str) -> None:
+    def _check_crashes(self, started: RunSpan) -> None:
         """Check that a task which crashes its workers is given up; late starts do not count."""
-        starts = sum(not span.is_delayed for span in self._runs[task])
+        task = started.task
+        starts = sum(not span.is_delayed for span in self._runs[_task_key(started)])
         if task in self._fleet.fatal_tasks and starts >= FORBIDDEN_FATAL_STARTS:
             self._history.add_violation(f"{task} has crashed {starts} workers")
 
@@ -127,13 +132,13 @@
             is_done = (
                 span.end_kind is EndKind.DONE and span.end_number <= handle.worker.acknowledged
             )
-            if is_same_incarnation and is_done and span.task not in self._acknowledged_s:
-                self._acknowledged_s[span.task] = time.monotonic()
+            if is_same_incarnation and is_done and _task_key(span) not in self._acknowledged_s:
+                self._acknowledged_s[_task_key(span)] = time.monotonic()
 
     def check_responses(self) -> None:
         """Compare responses to clients with all runs; call it once all jobs should have ended."""
         for job in self._history.jobs.values():
-            runs = [s for s in self._all_spans() if s.task.startswith(f"{job.job_id}.")]
+            runs = [s for s in self._all_spans() if job.has_run(s)]
             if runs and job.is_refused:
                 self._history.add_violation(f"{job.job_id} ran although each attempt was refused")
             if not job.accepted_s:
@@ -166,6 +171,10 @@
         return [span for handle in self._fleet.workers for span in handle.worker.spans]
 
 
+def _task_key(span: RunSpan) -> tuple[str, str]:
+    return (span.task, span.payload)
+
+
 def _is_out_of_attempts(runs: list[RunSpan]) -> bool:
     failed = {(span.task, span.run) for span in runs if span.end_kind is EndKind.FAILED}
     by_task = Counter(task for task, _ in failed)
--- a/src/foxtailwell_soak/_clients.py
+++ b/src/foxtailwell_soak/_clients.py
@@ -31,6 +31,9 @@
 CANCEL_PROBABILITY = 0.2
 """Probability that a client cancels a job instead of reading its state."""
 
+NAMESAKE_PROBABILITY = 0.4
+"""Probability that a client submits a namesake of a job, if it submits any."""
+
 STATUSES = frozenset({200, 401, 404, 410, 429, 503, 504})
 """Statuses of responses to well-formed requests."""
 
@@ -45,9 +48,18 @@
         fleet: Instances to call; takes the connections, to be closed after the test.
         history: Takes jobs, responses and violations.
         rng: Random source; the order of draws determines what a seed does.
+        namesakes_rng: Source of its own for jobs that have the identifier of a job on the other
+            queue; None for no such jobs.
     """
 
-    def __init__(self, fleet: Fleet, history: History, rng: random.Random) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        history: History,
+        rng: random.Random,
+        namesakes_rng: random.Random | None = None,
+    ) -> None:
+        self._namesakes_rng = namesakes_rng
         self._history = history
         self._rng = rng
         self._fleet = fleet
@@ -97,6 +109,22 @@
             job.is_fatal = True
         self._jobs.append((prefix, job))
         await self._submit(prefix, job, is_checkpointing=is_checkpointing)
+        if not job.is_gang and not job.is_fatal:
+            await self._submit_namesake(prefix, job)
+
+    async def _submit_namesake(self, prefix: str, first: JobRecord) -> None:
+        """Submit a job under the identifier of another one to the other queue, or do nothing."""
+        rng = self._namesakes_rng
+        if rng is None or rng.random() >= NAMESAKE_PROBABILITY:
+            return
+        await anyio.sleep(rng.choice((0.0, rng.uniform(0.0, 3.0))))
+        # Its format differs from that of the first payload.
+        payload = f"{rng.uniform(0.2, 1.5):.3f}"
+        count = rng.randint(1, 4)
+        job = JobRecord(first.job_id, payload, first.request, count, False, is_namesake=True)
+        other = LATER_PREFIX if prefix == URGENT_PREFIX else URGENT_PREFIX
+        self._jobs.append((other, job))
+        await self._submit(other, job, is_checkpointing=rng.random() < 0.5)
 
     async def submit_until_accepted(self, count: int, work_s: float, limit_s: float) -> JobRecord:
         """Submit a job whose tasks use one accelerator each, and try again for `limit_s`."""
@@ -139,7 +167,7 @@
             "checkpointing": is_checkpointing,
         }
         body = msgspec.json.encode({"spec": job.payload, "phases": [phase]})
-        self._history.jobs[job.job_id] = job
+        self._history.jobs[job.key] = job
         if job.is_gang:
             self._gangs.sizes[f"{job.job_id}.0.0"] = job.count
         for _ in range(SUBMIT_ATTEMPTS):
--- a/src/foxtailwell_soak/_run.py
+++ b/src/foxtailwell_soak/_run.py
@@ -73,6 +73,7 @@
     worker_count: int = 8,
     has_lasting_faults: bool = True,
     has_cuts: bool = True,
+    has_namesakes: bool = True,
 ) -> SoakResult:
     """Run one soak test.
 
@@ -84,6 +85,7 @@
         worker_count: Number of workers.
         has_lasting_faults: Whether to add the faults of `draw_lasting_faults`.
         has_cuts: Whether to add the faults of `draw_cuts`.
+        has_namesakes: Whether clients also submit jobs with one identifier to both queues.
 
     Returns:
         The result; `violations` is empty if the test passed.
@@ -97,7 +99,8 @@
         faults += draw_cuts(random.Random(seed + 4), length_s)
     faults.sort(key=lambda fault: fault.at_s)
     size = (instance_count, worker_count)
-    return anyio.run(_run, seed, faults, directory, length_s, size, backend="asyncio")
+    arguments = (seed, faults, directory, length_s, size, has_namesakes)
+    return anyio.run(_run, *arguments, backend="asyncio")
 
 
 def _is_not_cancellation(record: logging.LogRecord) -> bool:
@@ -106,7 +109,12 @@
 
 
 async def _run(
-    seed: int, faults: list[Fault], directory: Path, length_s: float, size: tuple[int, int]
+    seed: int,
+    faults: list[Fault],
+    directory: Path,
+    length_s: float,
+    size: tuple[int, int],
+    has_namesakes: bool,
 ) -> SoakResult:
     descriptions: list[str] = []
     history = History()
@@ -122,7 +130,12 @@
             injector.keep_running(group)
             start_s = time.monotonic()
             clients = [
-                Client(fleet, history, random.Random(seed * 100 + number))
+                Client(
+                    fleet,
+                    history,
+                    random.Random(seed * 100 + number),
+                    random.Random(seed * 100 + CLIENT_COUNT + number) if has_namesakes else None,
+                )
                 for number in range(CLIENT_COUNT)
             ]
             async with anyio.create_task_group() as running:
@@ -160,13 +173,14 @@
 
 async def _until_cancelled_runs_end(fleet: Fleet, history: History) -> None:
     """Wait up to `SETTLE_S` until no cancelled job has runs; the checker reports later ones."""
-    cancelled = {job.job_id for job in history.jobs.values() if job.cancel_sent_s}
+    cancelled = [job for job in history.jobs.values() if job.cancel_sent_s]
 
     def has_running() -> bool:
         return any(
-            task.partition(".")[0] in cancelled
+            job.has_run(run.span)
             for handle in fleet.workers
-            for task in handle.worker.running
+            for run in handle.worker.running.values()
+            for job in cancelled
         )
 
     for _ in range(int(SETTLE_S / CHECK_INTERVAL_S)):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,7 @@
 import re
 import time
 from concurrent.futures import ProcessPoolExecutor
+from dataclasses import replace
 
 import anyio
 import msgspec
@@ -74,6 +75,9 @@
 )
 """Seeds of failures with lasting faults and cuts, each with the cause."""
 
+NAMESAKE_SEEDS = (20261207,)
+"""Seeds with all faults, and with jobs that have the identifiers of jobs on the other queue."""
+
 LENGTHS_S = dict.fromkeys((1908340578, *LASTING_SEEDS, *CUT_SEEDS), 12.0)
 """Lengths of soak tests whose failure needed faults after the usual 8 s."""
 
@@ -83,7 +87,7 @@
 HEARTBEAT_S = 0.2
 """Interval of heartbeats in tests of a single cut; shorter than in a soak test."""
 
-SEEDS = (SEED, *REGRESSION_SEEDS, *LASTING_SEEDS, *CUT_SEEDS)
+SEEDS = (SEED, *REGRESSION_SEEDS, *LASTING_SEEDS, *CUT_SEEDS, *NAMESAKE_SEEDS)
 JOB = "00000000000000aa"
 
 
@@ -100,8 +104,9 @@
             seed,
             tmp_path_factory.mktemp(f"soak-{seed}"),
             length_s=LENGTHS_S.get(seed, 8.0),
-            has_lasting_faults=seed in (*LASTING_SEEDS, *CUT_SEEDS),
-            has_cuts=seed in CUT_SEEDS,
+            has_lasting_faults=seed in (*LASTING_SEEDS, *CUT_SEEDS, *NAMESAKE_SEEDS),
+            has_cuts=seed in (*CUT_SEEDS, *NAMESAKE_SEEDS),
+            has_namesakes=seed in NAMESAKE_SEEDS,
         )
         for seed in seeds
         if seed in SEEDS
@@ -151,6 +156,21 @@
     assert "twice at once" in history.violations[0]
 
 
+def test_checker_tells_jobs_with_one_identifier_apart(checked_worker):
+    """Guards against a checker that takes two jobs for one, or misses a number that they share."""
+    checker, history, handle = checked_worker
+    namesake = JobRecord(JOB, "1.00", Resources(1000, 100, 1), 2, False, is_namesake=True)
+    history.jobs[namesake.key] = namesake
+    spans = [span(1.0, 3.0), replace(span(2.0, 4.0, run=2), payload="1.00")]
+    handle.worker.spans += spans
+    checker.check_new()
+    assert [history.find(s) for s in spans] == [history.jobs[JOB], namesake]
+    assert not history.violations
+    handle.worker.spans.append(replace(span(5.0, run=1), payload="1.00"))
+    checker.check_new()
+    assert history.violations == [f"two jobs have a run 1 of {JOB}.0.0.0"]
+
+
 def test_checker_reports_a_start_after_an_acknowledged_end(checked_worker):
     """Guards against a checker that misses the repetition of completed work."""
     checker, history, handle = checked_worker
