--- a/tests/test_claim_writer.py
+++ b/tests/test_claim_writer.py
@@ -64,3 +64,10 @@
         assert KEY not in decode_document(current.value, ClaimShard).claims
         outcome = await writer.claim(ClaimRequest(KEY, Claim("r2", "i1", "digest", 2**52)))
         assert outcome.kind == "claimed"
+
+
+def test_claim_keeps_account_and_key_apart():
+    """Guards against a request that is refused, or answered, as one of another account."""
+    assert claim_key("a", "b:c") != claim_key("a:b", "c")
+    assert claim_key("a", "bk") != claim_key("ab", "k")
+    assert claim_key("a", "k") == claim_key("a", "k")
--- a/tests/test_namesakes.py
+++ b/tests/test_namesakes.py
@@ -196,6 +196,36 @@
     assert await completes(deployment, URGENT)
 
 
+async def test_checkpoint_goes_to_the_job_that_saved_it(group):
+    """Guards against a start that carries the checkpoint of another job's task."""
+    deployment = make_deployment(group, 2)
+    deployment.start("one")
+    name = f"{ID}.0.0.0"
+    for queue in (LATER, URGENT):
+        await submit(deployment, job(queue, is_checkpointing=True))
+        assert await until(lambda q=queue: bool(runs_of(deployment, q)))
+    for worker in deployment.workers.values():
+        worker.end(name, EndKind.STOPPED, f"saved by {worker.running[name].payload}")
+    assert await until(lambda: len(deployment.runs(name)) == 4)
+    check_runs(deployment)
+    for worker in deployment.workers.values():
+        restarted = worker.running[name]
+        assert restarted.checkpoint == f"saved by {restarted.payload}"
+
+
+async def test_each_namesake_has_its_own_occurrences(group):
+    """Guards against an occurrence that counts as done because a namesake has completed its own."""
+    deployment = make_deployment(group, 3, task_duration_s=0.1)
+    deployment.start("one")
+    for queue, count in ((LATER, 2), (URGENT, 4)):
+        due = {"start_at_unix_ms": 1, "interval_ms": 1, "repeat_count": count}
+        assert await submit(deployment, replace(job(queue), **due)) is SubmitOutcome.STORED
+    for queue, count in ((LATER, 2), (URGENT, 4)):
+        assert await completes(deployment, queue)
+        assert len({task for task, *_ in runs_of(deployment, queue)}) == count
+    check_runs(deployment)
+
+
 @pytest.mark.parametrize("cancelled", [LATER, URGENT], ids=lambda queue: queue.name)
 async def test_cancellation_ends_only_the_job_of_its_queue(group, cancelled):
     """Guards against a cancellation that stops another account's job with the same ID."""
