A controller cancels a job only by a mark that is newer than its submission

What callers would see: a job that nobody cancelled is shown as cancelled, if a job with its ID, perhaps of another account on another queue, was cancelled more than twice `status_s` before, and its records are deleted.

Cause: the controller kept the identifiers of cancelled jobs for its whole term, and cancelled what it loaded under one of them.

Fix: the revision of the mark is kept and compared with that of the submission. A mark follows its submission, so an older one belongs to an earlier job. Nothing else used the set any more: the mark is deleted with the submission in any case.

Test: test_mark_of_an_ended_job_cancels_no_later_one_in_the_same_term, failed before. Also renames a function of the intake after what it returns.

--- a/src/foxtailwell/controller/_commits.py
+++ b/src/foxtailwell/controller/_commits.py
@@ -91,7 +91,6 @@
 
     Attributes:
         revisions: Revisions of the stored progress records, by job.
-        cancel_marks: Jobs with a cancellation mark in the store.
         waiting_marks: Jobs with a key in the store that counts them as not started.
     """
 
@@ -100,7 +99,6 @@
         self._token = token
         self._check_term = check_term
         self.revisions: dict[str, int] = {}
-        self.cancel_marks: set[str] = set()
         self.waiting_marks: set[str] = set()
 
     async def store(
--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -607,7 +607,6 @@
             if placement.unit.job_id in rejection.jobs:
                 self._requeue_unsent(placement)
         for job_id in rejection.cancelled:
-            self._commits.cancel_marks.add(job_id)
             self._registry.cancel(job_id, self._now_unix_ms())
         self._registry.changed.update(j for j in rejection.jobs if j in self._registry.jobs)
 
--- a/src/foxtailwell/controller/_intake.py
+++ b/src/foxtailwell/controller/_intake.py
@@ -41,7 +41,6 @@
 MAX_CREATE_ATTEMPTS = 4
 """Attempts to store a job while other jobs with its identifier come and go."""
 
-
 MAX_CANCEL_ATTEMPTS = 3
 """Attempts to mark a job as cancelled while it ends."""
 
@@ -176,7 +175,7 @@
             known = _known_outcome(result, submission, account)
             if known is not None:
                 return known
-            next_id, next_conditions = _free_key(result, submission, keys)
+            next_id, next_conditions = _choose_identifier(result, submission, keys)
             if next_conditions == conditions:
                 return SubmitOutcome.CONFIGURATION_CHANGED
             stored_id, conditions = next_id, next_conditions
@@ -310,7 +309,7 @@
     return None
 
 
-def _free_key(
+def _choose_identifier(
     conflict: Conflict, submission: Submission, keys: list[str]
 ) -> tuple[str, dict[str, int]]:
     """Return the identifier under which to store a job that is not stored, and the conditions.
--- a/src/foxtailwell/controller/_stored_jobs.py
+++ b/src/foxtailwell/controller/_stored_jobs.py
@@ -82,6 +82,8 @@
         self._now_unix_ms = now_unix_ms
         self._metrics = metrics
         self._ended_unix_ms: dict[str, int] = {}
+        # Revisions of the newest cancellation marks, by job.
+        self._mark_revisions: dict[str, int] = {}
         # Jobs whose progress cannot be read; started anew, completed tasks would run again.
         self._unreadable: set[str] = set()
 
@@ -146,7 +148,7 @@
         if change.key.startswith(CANCEL_PREFIX):
             if change.value is not None:
                 job_id = change.key[len(CANCEL_PREFIX) :]
-                self._commits.cancel_marks.add(job_id)
+                self._mark_revisions[job_id] = change.revision
                 self._registry.cancel(job_id, self._now_unix_ms())
         elif change.value not in (None, REFUSED_MARK):
             self._apply_submission(change, progress, is_recovered)
@@ -178,7 +180,8 @@
         is_aged = is_recovered and submission.accepted_unix_ms > 0
         age_ms = self._now_unix_ms() - submission.accepted_unix_ms if is_aged else 0
         self._registry.add(submission, queue, self._now_s(), record, age_s=max(0, age_ms) / 1000)
-        if job_id in self._commits.cancel_marks:
+        # Listings name marks before jobs; an older mark belongs to an earlier job.
+        if self._mark_revisions.get(job_id, 0) > change.revision:
             self._registry.cancel(job_id, self._now_unix_ms())
         log_event(JOB_WAITING, job=job_id, queue=submission.queue, steps=len(submission.steps))
 
@@ -233,5 +236,6 @@
             return
         for job_id in old:
             self._ended_unix_ms.pop(job_id, None)
+            self._mark_revisions.pop(job_id, None)
             self._registry.remove_ended(job_id)
             self._commits.revisions.pop(job_id, None)
--- a/tests/test_namesakes.py
+++ b/tests/test_namesakes.py
@@ -9,15 +9,19 @@
 import pytest
 
 from controller_harness import LATER, URGENT, job_id, make_deployment, step, until
+from foxtailwell.adapters.work_metrics import WorkMetrics
 from foxtailwell.controller import CancelOutcome, Intake, SubmitOutcome, _controller, _intake
+from foxtailwell.controller._commits import Commits, JobChange
 from foxtailwell.controller._records import (
     decode_progress,
     encode_progress,
     job_key,
     progress_key,
 )
+from foxtailwell.controller._stored_jobs import StoredJobs
 from foxtailwell.workflows import (
     AdviceRules,
+    Change,
     EndKind,
     FleetView,
     JobRegistry,
@@ -354,14 +358,14 @@
 
     def prepare(*actions):
         remaining = iter(actions)
-        choose = _intake._free_key
+        choose = _intake._choose_identifier
 
         def choose_and_act(conflict, submission, keys):
             chosen = choose(conflict, submission, keys)
             next(remaining, lambda: None)()
             return chosen
 
-        monkeypatch.setattr(_intake, "_free_key", choose_and_act)
+        monkeypatch.setattr(_intake, "_choose_identifier", choose_and_act)
 
     return prepare
 
@@ -466,6 +470,40 @@
     assert not [key for key in deployment.store.items if key.startswith("foxtailwell/in/")]
 
 
+async def test_mark_of_an_ended_job_cancels_no_later_one_in_the_same_term(store, intake):
+    """Guards against a controller that remembers the cancellation of an earlier job with the ID."""
+    registry = JobRegistry()
+    commits = Commits(store.client(), 0, lambda: None)
+    stored = StoredJobs(
+        store.client(),
+        registry,
+        commits,
+        lambda name: LATER,
+        retention_s=0.0,
+        now_s=lambda: 0.0,
+        now_unix_ms=lambda: 1000,
+        metrics=WorkMetrics(),
+    )
+
+    async def take_over_changes():
+        for prefix in ("foxtailwell/in/cancel/", "foxtailwell/in/job/"):
+            for item in (await store.client().list_items(prefix))[0]:
+                stored.apply(Change(item.key, item.value, item.revision), {})
+
+    await intake.submit(job(), {})
+    await intake.cancel(ID, LATER.name)
+    await take_over_changes()
+    cancelled = registry.jobs[ID]
+    assert cancelled.state is JobState.CANCELLED
+    assert await commits.store([JobChange(cancelled)], lambda zones: {}) == []
+    cancelled.ended_unix_ms = 1
+    assert stored.remove_ended([cancelled]) == [cancelled]
+    await stored.delete_old_records()
+    assert await intake.submit(job(URGENT), {}) is SubmitOutcome.STORED
+    await take_over_changes()
+    assert registry.jobs[ID].state is JobState.QUEUED
+
+
 # Records of the earlier version
 
 OLD_SUBMISSION = msgspec.json.encode(
