Planner skips workers without room before it splits the tasks of a unit

Addressing jobs by queue and ID made a plan dearer: for each pair of worker and unit it now called a function and copied the remaining tasks, also where nothing fits.

Units without namesakes or a limit also skip the sum of free names.

--- a/src/foxtailwell/workflows/_capacity.py
+++ b/src/foxtailwell/workflows/_capacity.py
@@ -169,6 +169,8 @@
         """Return how many more tasks of the unit a worker may have, whatever its free resources."""
         if self._obstacle_beside(worker, unit) is not None:
             return 0
+        if not (unit.has_namesakes or unit.step.max_per_worker):
+            return UNLIMITED_COPIES
         limit = UNLIMITED_COPIES
         if unit.has_namesakes:
             limit = sum(self.is_name_free(worker, unit, task) for task in unit.tasks)
--- a/src/foxtailwell/workflows/_placement.py
+++ b/src/foxtailwell/workflows/_placement.py
@@ -345,6 +345,9 @@
     ordered = sorted(workers, key=preference)
     for worker in ordered:
         count = min(capacity.max_copies(worker.id, unit), len(remaining))
+        # A plan looks at every pair of worker and unit, and most workers have no room.
+        if not count:
+            continue
         placed, remaining = capacity.split(worker.id, unit, remaining, count)
         chosen.update(dict.fromkeys(placed, worker.id))
         if not remaining:
