--- a/src/foxtailwell_model/_gangs.py
+++ b/src/foxtailwell_model/_gangs.py
@@ -21,7 +21,7 @@
 from typing import Any
 
 from foxtailwell.core import PREPARATION_LIMIT_S
-from foxtailwell_model._specification import Specification, State, Step, Transitions
+from foxtailwell_model._specification import Specification, State, Step, Transitions, replace_at
 
 __all__ = ["GANG_OF_THREE", "GANG_OF_TWO", "gang_steps"]
 
@@ -92,10 +92,6 @@
     return tuple(after)
 
 
-def _replace_at(values: tuple[Any, ...], index: int, value: Any) -> tuple[Any, ...]:
-    return (*values[:index], value, *values[index + 1 :])
-
-
 def _aged(member: State) -> State:
     term, task, age, has_started, has_run = member
     if task == "prepared" and age + 1 >= EXPIRED:
@@ -127,12 +123,12 @@
         if term <= 1 and task != "none" and state[KNOWN][index] not in (task, "ended"):
             yield (
                 f"S1 receives the state of {index}",
-                _with(state, (KNOWN, _replace_at(state[KNOWN], index, task))),
+                _with(state, (KNOWN, replace_at(state[KNOWN], index, task))),
             )
         if state[S1] == "stopping" and _has_expired(task, age):
             yield (
                 f"S1 sees the lease of {index} expire",
-                _with(state, (KNOWN, _replace_at(state[KNOWN], index, "ended"))),
+                _with(state, (KNOWN, replace_at(state[KNOWN], index, "ended"))),
             )
 
 
@@ -203,14 +199,14 @@
                 f"S2 learns that {index} has ended",
                 _with(
                     state,
-                    (ENDED, _replace_at(state[ENDED], index, True)),
-                    (MEMBERS, _replace_at(state[MEMBERS], index, seen)),
+                    (ENDED, replace_at(state[ENDED], index, True)),
+                    (MEMBERS, replace_at(state[MEMBERS], index, seen)),
                 ),
             )
         if _has_expired(task, age):
             yield (
                 f"S2 sees the lease of {index} expire",
-                _with(state, (ENDED, _replace_at(state[ENDED], index, True))),
+                _with(state, (ENDED, replace_at(state[ENDED], index, True))),
             )
     if _all_ended(state[ENDED], removed):
         verdict = "may have run" if state[FOUND] == "running" else "clean"
@@ -223,7 +219,7 @@
         for label, after in _advance_worker(state, member, removed):
             yield (
                 f"worker {index} {label}",
-                _with(state, (MEMBERS, _replace_at(state[MEMBERS], index, after))),
+                _with(state, (MEMBERS, replace_at(state[MEMBERS], index, after))),
             )
 
 
--- a/src/foxtailwell_model/_namesakes.py
+++ b/src/foxtailwell_model/_namesakes.py
@@ -11,9 +11,17 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator, Mapping
+from functools import partial
 from typing import Any, NamedTuple
 
-from foxtailwell_model._specification import Specification, State, Step, Transitions
+from foxtailwell_model._specification import (
+    Specification,
+    State,
+    Step,
+    Transitions,
+    replace_at,
+    replace_fields,
+)
 
 __all__ = ["NAMESAKES"]
 
@@ -81,15 +89,7 @@
 )
 
 
-def _with(state: State, **changes: Any) -> State:
-    after = list(state)
-    for name, value in changes.items():
-        after[FIELDS.index(name)] = value
-    return tuple(after)
-
-
-def _replace(pair: tuple[Any, ...], index: int, value: Any) -> tuple[Any, ...]:
-    return (*pair[:index], value, *pair[index + 1 :])
+_with = partial(replace_fields, FIELDS)
 
 
 def _make_transitions(removed: frozenset[str]) -> Transitions:
@@ -102,7 +102,7 @@
             if worker.running is not None:
                 run = worker.running
                 ended = _Worker(None, max(worker.refused, run[1]), worker.ended | {run})
-                after = _with(state, workers=_replace(workers, number, ended))
+                after = _with(state, workers=replace_at(workers, number, ended))
                 yield f"run {run} ends at worker {number}", after
             for run in worker.ended:
                 yield from _acknowledge(state, number, run, removed)
@@ -128,7 +128,7 @@
         # The protocol does not say what a worker does.
         yield f"run {run} finds its name taken", _with(state, has_taken_name=True)
     elif worker.running is None and run[1] > worker.refused:
-        workers = _replace(state[3], number, worker._replace(running=run))
+        workers = replace_at(state[3], number, worker._replace(running=run))
         has_wrong_start = state[6] or run[0] in state[4]
         after = _with(state, workers=workers, has_wrong_start=has_wrong_start)
         yield f"run {run} starts at worker {number}", after
@@ -148,8 +148,8 @@
     stored = numbers if "numbers_are_stored" not in removed else frozenset()
     after = _with(
         state,
-        records=_replace(records, job, _Record(run, number, False, stored)),
-        known=_replace(known, job, numbers),
+        records=replace_at(records, job, _Record(run, number, False, stored)),
+        known=replace_at(known, job, numbers),
         commands=commands | {(number, (job, run))},
     )
     yield f"run {run} of job {job} is assigned to worker {number}", after
@@ -160,8 +160,8 @@
     record = state[0][job]
     return _with(
         state,
-        records=_replace(state[0], job, record._replace(worker=NO_WORKER)),
-        workers=_replace(state[3], record.worker, worker),
+        records=replace_at(state[0], job, record._replace(worker=NO_WORKER)),
+        workers=replace_at(state[3], record.worker, worker),
     )
 
 
@@ -193,11 +193,11 @@
     if "run_is_found_by_its_number" in removed:
         owners = [job for job in JOBS if records[job].run]
     worker = workers[number]._replace(ended=workers[number].ended - {run})
-    after = _with(state, workers=_replace(workers, number, worker), done=done | {run[0]})
+    after = _with(state, workers=replace_at(workers, number, worker), done=done | {run[0]})
     if owners:
         job = owners[0]
         record = records[job]
-        after = _with(after, records=_replace(records, job, record._replace(is_done=True)))
+        after = _with(after, records=replace_at(records, job, record._replace(is_done=True)))
         if record.worker != NO_WORKER:
             # A newer run may be in progress.
             holder = after[3][record.worker]
--- a/src/foxtailwell_model/_specification.py
+++ b/src/foxtailwell_model/_specification.py
@@ -12,7 +12,16 @@
 
 from minicheck import Protocol, check_safety
 
-__all__ = ["Outcome", "Specification", "State", "Step", "Transitions", "check"]
+__all__ = [
+    "Outcome",
+    "Specification",
+    "State",
+    "Step",
+    "Transitions",
+    "check",
+    "replace_at",
+    "replace_fields",
+]
 
 State = tuple[Any, ...]
 Step = tuple[str, State]
@@ -20,6 +29,25 @@
 Invariant = Callable[[Mapping[str, Any]], bool]
 
 
+def replace_at(values: tuple[Any, ...], index: int, value: Any) -> tuple[Any, ...]:
+    """Return a tuple with another value at one index."""
+    return (*values[:index], value, *values[index + 1 :])
+
+
+def replace_fields(fields: tuple[str, ...], state: State, /, **changes: Any) -> State:
+    """Return a state with other values of the named fields.
+
+    Args:
+        fields: Names of the parts of the state, in order.
+        state: State to change.
+        changes: New values by name.
+    """
+    after = list(state)
+    for name, value in changes.items():
+        after[fields.index(name)] = value
+    return tuple(after)
+
+
 @dataclass(frozen=True, slots=True)
 class Specification:
     """A state machine with named rules and invariants.
--- a/src/foxtailwell_model/_workflow_commands.py
+++ b/src/foxtailwell_model/_workflow_commands.py
@@ -11,9 +11,17 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator, Mapping
+from functools import partial
 from typing import Any, NamedTuple
 
-from foxtailwell_model._specification import Specification, State, Step, Transitions
+from foxtailwell_model._specification import (
+    Specification,
+    State,
+    Step,
+    Transitions,
+    replace_at,
+    replace_fields,
+)
 
 __all__ = ["WORKFLOW_COMMANDS"]
 
@@ -76,15 +84,7 @@
 )
 
 
-def _with(state: State, **changes: Any) -> State:
-    after = list(state)
-    for name, value in changes.items():
-        after[FIELDS.index(name)] = value
-    return tuple(after)
-
-
-def _replace(pair: tuple[Any, ...], index: int, value: Any) -> tuple[Any, ...]:
-    return (*pair[:index], value, *pair[index + 1 :])
+_with = partial(replace_fields, FIELDS)
 
 
 def _make_transitions(removed: frozenset[str]) -> Transitions:
@@ -99,7 +99,7 @@
         for number, worker in enumerate(workers):
             if worker.running:
                 ended = _Worker(0, max(worker.refused, worker.running), worker.running)
-                after = _with(state, workers=_replace(workers, number, ended))
+                after = _with(state, workers=replace_at(workers, number, ended))
                 yield f"the run ends at worker {number}", after
         for own, copy in enumerate(copies):
             if copy is not None:
@@ -115,7 +115,7 @@
         return
     after = _with(
         state,
-        workers=_replace(workers, number, worker._replace(running=run)),
+        workers=replace_at(workers, number, worker._replace(running=run)),
         started_after_end=state[6] or is_acknowledged,
     )
     yield f"the start of run {run} arrives at worker {number}", after
@@ -130,7 +130,7 @@
         yield from _stop(state, own, copy, removed)
         yield from _acknowledge_end(state, own, copy, removed)
     if copy != state[0] and own == 1:
-        yield f"{name} reads the record", _with(state, copies=_replace(state[2], own, state[0]))
+        yield f"{name} reads the record", _with(state, copies=replace_at(state[2], own, state[0]))
 
 
 def _can_commit(state: State, own: int, copy: _Record, removed: frozenset[str]) -> bool:
@@ -141,7 +141,7 @@
 
 
 def _store(state: State, own: int, record: _Record) -> State:
-    return _with(state, record=record, copies=_replace(state[2], own, record))
+    return _with(state, record=record, copies=replace_at(state[2], own, record))
 
 
 def _assign(
@@ -174,7 +174,7 @@
     if "stop_blocks_a_late_start" not in removed:
         refused = max(refused, copy.run)
     stopped = _Worker(0 if worker.running == copy.run else worker.running, refused, worker.ended)
-    after = _with(state, workers=_replace(workers, copy.worker, stopped))
+    after = _with(state, workers=replace_at(workers, copy.worker, stopped))
     yield f"worker {copy.worker} stops run {copy.run}", after
     if _can_commit(state, own, copy, removed):
         yield f"C{own + 1} stops and releases the task", _store(after, own, released)
@@ -189,7 +189,7 @@
         return
     acknowledged = _with(
         state,
-        workers=_replace(workers, copy.worker, worker._replace(ended=0)),
+        workers=replace_at(workers, copy.worker, worker._replace(ended=0)),
         is_acknowledged=True,
     )
     if "end_is_stored_before_it_is_acknowledged" in removed:
