Soak finds the job of a run by its history; ports and tests drop what they do not use

The wait for cancelled runs compared every run with every cancelled job beside History.find, which does that. The reservation of a port that turns out to be in use is closed at once, not when it is collected. Behaviour and assertions are unchanged.

--- a/src/foxtailwell_soak/_run.py
+++ b/src/foxtailwell_soak/_run.py
@@ -173,15 +173,11 @@
 
 async def _until_cancelled_runs_end(fleet: Fleet, history: History) -> None:
     """Wait up to `SETTLE_S` until no cancelled job has runs; the checker reports later ones."""
-    cancelled = [job for job in history.jobs.values() if job.cancel_sent_s]
 
     def has_running() -> bool:
-        return any(
-            job.has_run(run.span)
-            for handle in fleet.workers
-            for run in handle.worker.running.values()
-            for job in cancelled
-        )
+        running = (run for handle in fleet.workers for run in handle.worker.running.values())
+        jobs = (history.find(run.span) for run in running)
+        return any(job is not None and job.cancel_sent_s for job in jobs)
 
     for _ in range(int(SETTLE_S / CHECK_INTERVAL_S)):
         if not has_running():
--- a/src/foxtailwell_standins/ports.py
+++ b/src/foxtailwell_standins/ports.py
@@ -40,8 +40,12 @@
         if len(reserved) == count:
             break
         holder = _reserve(port)
-        if holder is not None and _is_free(port):
+        if holder is None:
+            continue
+        if _is_free(port):
             reserved[port] = holder
+        else:
+            holder.close()
     if len(reserved) < count:
         raise RuntimeError(
             f"{len(reserved)} of {count} ports are free; end the processes of earlier tests"
--- a/tests/test_namesakes.py
+++ b/tests/test_namesakes.py
@@ -575,11 +575,11 @@
     return {unit.job_id: unit for unit in registry.ready_units(0.0, 0)}
 
 
-def add(registry, queue, progress=None, count=1):
+def add(registry, queue, count=1):
     """Add the job of a queue, the first one under the client's identifier."""
-    name = namesake_id(ID, queue.name) if registry.jobs or progress else ID
+    name = namesake_id(ID, queue.name) if registry.jobs else ID
     submission = replace(job(queue, count), job_id=name)
-    return registry.add(submission, queue, 0.0, progress)
+    return registry.add(submission, queue, 0.0)
 
 
 def run_next(registry, added):
