FW1631 tells what is known of the starts and of other silent workers

Callers saw jobs as failed although no task had failed. The event named the evidence against each task, but not whether its run had begun, nor on what the verdict on isolation rests. No decision changes.

--- a/src/foxtailwell/controller/_crashes.py
+++ b/src/foxtailwell/controller/_crashes.py
@@ -72,6 +72,7 @@
         if link is None or not lost:
             return
         runs = [_to_lost_run(task, link) for task in lost]
+        near = self._describe_silences_near(link)
         is_isolated = self._is_isolated(link)
         self._crashed_since_s[worker] = link.silent_since_s
         weights = weigh_crash(runs, is_isolated=is_isolated)
@@ -85,6 +86,8 @@
             is_isolated=is_isolated,
             evidence={str(task): weight for task, weight in weights.items()},
             others=len(lost) - len(weights),
+            starts={str(t.id): _describe_start(t) for t in lost if t.id in weights},
+            near=near,
         )
         for task, run in zip(lost, runs, strict=True):
             if task.id in weights:
@@ -102,6 +105,19 @@
                 runs=[crash.run for crash in task.crashes],
             )
 
+    def _describe_silences_near(self, crashed: WorkerLink) -> dict[str, str]:
+        """Return the other workers that fell silent at the same time, for the log."""
+        return {
+            link.entry.id: "explained"
+            if self._has_explanation(link)
+            else "crashed"
+            if self._crashed_since_s.get(link.entry.id) == link.silent_since_s
+            else f"silent for {link.silence_s():.2f} s"
+            for link in self._workers.links.values()
+            if link is not crashed
+            and abs(link.silent_since_s - crashed.silent_since_s) <= SIMULTANEOUS_S
+        }
+
     def _is_isolated(self, crashed: WorkerLink) -> bool:
         return not any(
             link is not crashed
@@ -123,6 +139,15 @@
         )
 
 
+def _describe_start(task: Task) -> str:
+    """Return what is known of the start of a lost run, for the log."""
+    if task.is_confirmed:
+        return "confirmed"
+    if task.start_settled_s == math.inf:
+        return "in flight"
+    return "no answer" if task.start_settled_s > 0 else "earlier term"
+
+
 def _to_lost_run(task: Task, link: WorkerLink) -> LostRun:
     # The time of a start that an earlier controller sent is not known.
     is_start_known = task.is_confirmed and task.start_settled_s > 0
