A crash with a common cause is no evidence against the tasks on its worker

Cause: whether a crash is isolated was decided as it was noticed, when the silences of the same moment were too young to count. Crashes that were not isolated counted a point all the same, as often as they happened. After the first of them nearly every task was a suspect, and a crash that a suspect could have caused was no reason to doubt another one, so that the next crashes counted in full.

A crash is now judged once each other worker is known to have lived on or to have failed as well, or after 1.6 s. Until then its runs count as placed, also in the store, so that a new controller judges it anew. Two workers may have failed together unless one is known to have lived on after the other had fallen silent: by a listing, an acknowledged start or its entry. Other workers are probed when one falls silent right after a start. A failure at the same moment that no fresh start and no suspect explains shows a common cause: the crash is recorded without a weight. Only a run that began at the very moment of the crash still counts a point, as that of a fatal task does with each start.

--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -390,6 +390,7 @@
                 self._apply(self._receive.receive_nowait())
             except anyio.WouldBlock:
                 break
+        self._runs.judge_crashes()
         self._runs.requeue_expired()
         self._runs.requeue_from_removed()
         await self._jobs.delete_old_records()
--- a/src/foxtailwell/controller/_crashes.py
+++ b/src/foxtailwell/controller/_crashes.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
 
 from foxtailwell.adapters.events import TASK_GIVEN_UP, WORKER_CRASHED
 from foxtailwell.adapters.logs import log_event
@@ -12,25 +14,65 @@
 from foxtailwell.controller._workers import Workers
 from foxtailwell.workflows import (
     CERTAIN_WEIGHT,
+    SPREAD_S,
+    Failure,
     JobRegistry,
     LostRun,
+    StopReason,
     Task,
+    TaskId,
     is_given_up,
-    weigh_crash,
+    judge_crash,
+    may_coincide,
 )
 
-__all__ = ["CrashReports"]
+__all__ = ["CrashReports", "RunToQueue"]
 
-SIMULTANEOUS_S = 2.0
-"""Longest time between two silences with one cause; a lost worker is noticed within 1.6 s."""
+JUDGEMENT_LIMIT_S = 1.6
+"""Time after a silence begins within which the others with the same cause are noticed."""
 
 MIN_SILENCE_S = 1.0
 """Shortest silence that may be due to the cause of a crash; a failed call alone ends sooner."""
 
+MEMORY_S = 10.0
+"""Time for which a crash is compared with others; longer than any judgement takes."""
+
+
+@dataclass(frozen=True, slots=True)
+class RunToQueue:
+    """A run that ended with its worker, whose task may be queued again.
+
+    Attributes:
+        reason: How the end of the worker was noticed.
+    """
+
+    task: Task
+    run: int
+    reason: str
+
+
+@dataclass(slots=True)
+class _PendingCrash:
+    """A crash whose judgement waits for what is known of the other workers.
+
+    Attributes:
+        failure: The crash, with its runs as they were when it was noticed.
+        tasks: Tasks of these runs, in the same order.
+        noticed_s: Local time at which it was noticed.
+    """
+
+    failure: Failure
+    tasks: tuple[RunToQueue, ...]
+    noticed_s: float
+
 
 class CrashReports:
     """Weighs the crashes of workers; used only by the controller's main task.
 
+    A crash is judged once each other worker is known to have lived on or to have failed as well,
+    or `JUDGEMENT_LIMIT_S` after its silence began. Until then its runs count as placed, so that a
+    new controller judges it anew.
+
     Args:
         registry: State of all unfinished jobs.
         workers: Workers and their links.
@@ -53,12 +95,17 @@
         self._metrics = metrics
         self._now_s = now_s
         self._now_unix_ms = now_unix_ms
-        # Starts of the silences that ended with a crash, by worker, and of those among them whose
-        # cause is a suspect or a certain one.
-        self._crashed_since_s: dict[str, float] = {}
-        self._explained_since_s: dict[str, float] = {}
+        self._pending: list[_PendingCrash] = []
+        self._pending_runs: set[tuple[TaskId, int]] = set()
+        # Starts of the silences, by worker, for which the other workers have been probed.
+        self._probed_for_s: dict[str, float] = {}
+        self._crashes: dict[str, Failure] = {}
 
-    def apply(self, worker: str, lost: Sequence[Task]) -> None:
+    def is_pending(self, task: Task) -> bool:
+        """Return whether the newest run of a task ended with a crash that is not judged yet."""
+        return (task.id, task.run) in self._pending_runs
+
+    def report(self, worker: str, lost: Sequence[Task], reason: str) -> list[RunToQueue]:
         """Record that an incarnation of a worker has ended together with its runs.
 
         The end of an incarnation that has announced it is no crash.
@@ -66,32 +113,101 @@
         Args:
             worker: Identifier of the worker.
             lost: Tasks whose runs were on it.
+            reason: How the end was noticed.
+
+        Returns:
+            The runs whose tasks need not wait for the judgement.
         """
+        runs = [RunToQueue(task, task.run, reason) for task in lost]
         link = self._workers.links.get(worker)
-        lost = [t for t in lost if not self._workers.has_announced_end(worker, t.boot_unix_ms)]
-        if link is None or not lost:
-            return
-        runs = [_to_lost_run(task, link) for task in lost]
-        near = self._describe_silences_near(link)
-        is_isolated = self._is_isolated(link)
-        self._crashed_since_s[worker] = link.silent_since_s
-        weights = weigh_crash(runs, is_isolated=is_isolated)
-        if CERTAIN_WEIGHT in weights.values() or any(task.is_on_probation for task in lost):
-            self._explained_since_s[worker] = link.silent_since_s
-        self._metrics.count("worker_crashes")
+        blamable = [
+            run
+            for run in runs
+            if link is not None
+            and not self._workers.has_announced_end(worker, run.task.boot_unix_ms)
+        ]
+        if link is not None and blamable:
+            failure = self._to_failure(link, [run.task for run in blamable])
+            self._pending.append(_PendingCrash(failure, tuple(blamable), self._now_s()))
+            self._crashes[worker] = failure
+            self._metrics.count("worker_crashes")
+            self._pending_runs |= {(run.task.id, run.run) for run in blamable}
+            for run in blamable:
+                # The other members of a gang need not run on, and the run itself needs no stop.
+                self._registry.mark_stopping(run.task, StopReason.CRASHED)
+                run.task.stopped_s = self._now_s()
+        return [run for run in runs if run not in blamable]
+
+    def judge(self) -> list[RunToQueue]:
+        """Record the evidence of the crashes that can be judged.
+
+        Returns:
+            The runs of these crashes.
+        """
+        self._probe_beside_silent()
+        judged = [crash for crash in self._pending if not self._is_undecided(crash)]
+        if not judged:
+            return []
+        self._pending = [crash for crash in self._pending if crash not in judged]
+        for crash in judged:
+            self._judge(crash)
+            self._pending_runs -= {(run.task.id, run.run) for run in crash.tasks}
+        now_s = self._now_s()
+        self._crashes = {
+            worker: failure
+            for worker, failure in self._crashes.items()
+            if now_s - failure.silent_s < MEMORY_S
+        }
+        return [run for crash in judged for run in crash.tasks]
+
+    def _probe_beside_silent(self) -> None:
+        """Find out which workers live on beside one that a run may just have crashed.
+
+        Otherwise a crash of the others would make it doubtful until their next listings.
+        """
+        now_s = self._now_s()
+        for worker, link in self._workers.links.items():
+            silent_s = link.silent_since_s
+            is_new = link.is_unresponsive and self._probed_for_s.get(worker) != silent_s
+            if not is_new or now_s <= silent_s + SPREAD_S:
+                continue
+            self._probed_for_s[worker] = silent_s
+            failure = self._to_failure(link, self._registry.placed_on(worker))
+            if not failure.may_have_inner_cause:
+                continue
+            for other in self._workers.links.values():
+                if other.alive_s < silent_s + SPREAD_S and not other.is_unresponsive:
+                    other.request_reading()
+                    other.probe()
+
+    def _judge(self, crash: _PendingCrash) -> None:
+        # Evidence from crashes that were judged meanwhile makes a task a suspect.
+        runs = tuple(
+            replace(
+                run,
+                is_suspect=lost.task.is_blamed,
+                is_on_probation=lost.run == lost.task.run and _is_blamed_on_probation(lost.task),
+            )
+            for run, lost in zip(crash.failure.runs, crash.tasks, strict=True)
+        )
+        failure = replace(crash.failure, runs=runs)
+        others = self._failures_near(failure)
+        weights = judge_crash(failure, others)
+        has_certain_cause = CERTAIN_WEIGHT in weights.values()
+        self._crashes[failure.worker] = replace(failure, has_certain_cause=has_certain_cause)
         log_event(
             WORKER_CRASHED,
-            worker=worker,
-            silent_s=round(self._now_s() - link.silent_since_s, 2),
-            is_isolated=is_isolated,
+            worker=failure.worker,
+            silent_s=round(self._now_s() - failure.silent_s, 2),
+            judged_after_s=round(self._now_s() - crash.noticed_s, 2),
             evidence={str(task): weight for task, weight in weights.items()},
-            others=len(lost) - len(weights),
-            starts={str(t.id): _describe_start(t) for t in lost if t.id in weights},
-            near=near,
+            others=len(runs) - len(weights),
+            starts={str(lost.task.id): lost.task.describe_start() for lost in crash.tasks},
+            near=dict(Counter(_describe(other) for other in others)),
         )
-        for task, run in zip(lost, runs, strict=True):
-            if task.id in weights:
-                self._record(task, weights[task.id], is_immediate=run.is_immediate)
+        for lost, run in zip(crash.tasks, runs, strict=True):
+            if run.task in weights and lost.task.run == lost.run:
+                self._record(lost.task, weights[run.task], is_immediate=run.is_immediate)
 
     def _record(self, task: Task, weight: int, *, is_immediate: bool) -> None:
         now_unix_ms = self._now_unix_ms()
@@ -102,54 +218,102 @@
                 TASK_GIVEN_UP,
                 job=task.id.job_id,
                 task=str(task.id),
-                runs=[crash.run for crash in task.crashes],
+                runs=[crash.run for crash in task.crashes if crash.weight],
             )
 
-    def _describe_silences_near(self, crashed: WorkerLink) -> dict[str, str]:
-        """Return the other workers that fell silent at the same time, for the log."""
-        return {
-            link.entry.id: "explained"
-            if self._has_explanation(link)
-            else "crashed"
-            if self._crashed_since_s.get(link.entry.id) == link.silent_since_s
-            else f"silent for {link.silence_s():.2f} s"
-            for link in self._workers.links.values()
-            if link is not crashed
-            and abs(link.silent_since_s - crashed.silent_since_s) <= SIMULTANEOUS_S
+    def _is_undecided(self, crash: _PendingCrash) -> bool:
+        failure = crash.failure
+        if self._now_s() - failure.silent_s >= JUDGEMENT_LIMIT_S:
+            return False
+        others = self._failures_near(failure)
+        if any(not other.may_have_inner_cause for other in others):
+            return False
+        known = {failure.worker, *(other.worker for other in others)}
+        return any(
+            link.alive_s < failure.silent_s + SPREAD_S
+            and may_coincide(failure, self._to_failure(link, ()))
+            for worker, link in self._workers.links.items()
+            if worker not in known
+        )
+
+    def _failures_near(self, crash: Failure) -> list[Failure]:
+        """Return the other workers that have crashed, or fallen silent, at the same moment."""
+        failures = {
+            worker: self._find_failure(link, crash)
+            for worker, link in self._workers.links.items()
+            if worker not in self._crashes
         }
+        return [
+            failure
+            for worker, failure in (failures | self._crashes).items()
+            if failure is not None and worker != crash.worker and may_coincide(crash, failure)
+        ]
+
+    def _find_failure(self, link: WorkerLink, crash: Failure) -> Failure | None:
+        """Return the failure of a worker of which no crash has been reported; None if it has none.
 
-    def _is_isolated(self, crashed: WorkerLink) -> bool:
-        return not any(
-            link is not crashed
-            and self._is_silence_near(link, crashed.silent_since_s)
-            and not self._has_explanation(link)
-            for link in self._workers.links.values()
+        A worker without runs shows a crash only by its next incarnation.
+        """
+        placed = self._registry.placed_on(link.entry.id)
+        is_silent = link.is_unresponsive or link.silence_s() >= MIN_SILENCE_S
+        if is_silent and link.alive_s <= link.silent_since_s:
+            is_earlier = link.silent_since_s + SPREAD_S < crash.alive_s
+            return None if is_earlier else self._to_failure(link, placed)
+        born_s = _born_s(link)
+        # A new controller knows no worker from before, only when the incarnations began.
+        is_known = link.former_alive_s > 0 or (
+            crash.alive_s <= 0 and abs(born_s - crash.silent_s) <= SPREAD_S
         )
+        if not is_known or not math.isfinite(born_s):
+            return None
+        lost = [task for task in placed if task.boot_unix_ms != link.boot_unix_ms]
+        runs = tuple(_to_lost_run(task, born_s) for task in lost)
+        return Failure(link.entry.id, link.former_alive_s, born_s, runs)
 
-    def _is_silence_near(self, link: WorkerLink, at_s: float) -> bool:
-        is_near = abs(link.silent_since_s - at_s) <= SIMULTANEOUS_S
-        has_crashed = self._crashed_since_s.get(link.entry.id) == link.silent_since_s
-        return is_near and (has_crashed or link.silence_s() >= MIN_SILENCE_S)
+    def _to_failure(self, link: WorkerLink, lost: Sequence[Task]) -> Failure:
+        """Return what is known of the end of a worker's runs.
 
-    def _has_explanation(self, link: WorkerLink) -> bool:
-        """Return whether a suspect on probation was on a worker when it fell silent."""
-        worker = link.entry.id
-        return self._explained_since_s.get(worker) == link.silent_since_s or any(
-            task.is_on_probation for task in self._registry.placed_on(worker)
-        )
+        A restart that no failed call has shown happened before the next incarnation began.
+        """
+        has_restarted = any(task.boot_unix_ms != link.boot_unix_ms for task in lost)
+        alive_s = link.former_alive_s if has_restarted else link.alive_s
+        silent_s = link.silent_since_s
+        if silent_s <= alive_s:
+            born_s = _born_s(link) if has_restarted else math.inf
+            silent_s = min(born_s, self._now_s())
+        runs = tuple(_to_lost_run(task, silent_s) for task in lost)
+        return Failure(link.entry.id, alive_s, silent_s, runs)
 
 
-def _describe_start(task: Task) -> str:
-    """Return what is known of the start of a lost run, for the log."""
-    if task.is_confirmed:
-        return "confirmed"
-    if task.start_settled_s == math.inf:
-        return "in flight"
-    return "no answer" if task.start_settled_s > 0 else "earlier term"
+def _born_s(link: WorkerLink) -> float:
+    """Return the local time at which the worker's incarnation had begun; infinite if unknown.
+
+    Its clock starts with it.
+    """
+    reading = link.reading
+    is_read = reading is not None and reading.boot_unix_ms == link.boot_unix_ms
+    return reading.latest_s(0) if reading and is_read else math.inf
 
 
-def _to_lost_run(task: Task, link: WorkerLink) -> LostRun:
+def _to_lost_run(task: Task, silent_s: float) -> LostRun:
     # The time of a start that an earlier controller sent is not known.
     is_start_known = task.is_confirmed and task.start_settled_s > 0
-    silent_after_s = link.silent_since_s - task.start_settled_s if is_start_known else math.inf
-    return LostRun(task.id, task.lasted_s, silent_after_s, bool(task.crashes), task.is_on_probation)
+    return LostRun(
+        task.id,
+        task.lasted_s,
+        silent_s - task.start_settled_s if is_start_known else math.inf,
+        task.is_blamed,
+        _is_blamed_on_probation(task),
+        is_unanswered=not task.is_confirmed and task.start_settled_s > 0,
+    )
+
+
+def _is_blamed_on_probation(task: Task) -> bool:
+    return task.is_blamed and task.is_on_probation
+
+
+def _describe(failure: Failure) -> str:
+    """Return what is known of the cause of a failure, for the log."""
+    if failure.has_likely_cause:
+        return "suspect"
+    return "fresh start" if failure.may_have_inner_cause else "no cause"
--- a/src/foxtailwell/controller/_links.py
+++ b/src/foxtailwell/controller/_links.py
@@ -191,6 +191,8 @@
         silent_since_s: Local time at which a call got no response while none had before, or a
             listing was rejected; the worker may have crashed then.
         responsive_since_s: Local time at which that silence ended.
+        alive_s: Latest local time at which the incarnation is known to have lived; 0 for none.
+        former_alive_s: The same for the incarnation before.
         stopping: Runs with a stop command in progress.
     """
 
@@ -220,6 +222,8 @@
     is_in_doubt: bool = False
     silent_since_s: float = 0.0
     responsive_since_s: float = 0.0
+    alive_s: float = 0.0
+    former_alive_s: float = 0.0
     stopping: set[tuple[TaskId, int]] = field(default_factory=set)
     wake: anyio.Event = field(default_factory=anyio.Event)
     _doubted_s: float = 0.0
@@ -249,10 +253,16 @@
         if boot_unix_ms is not None and boot_unix_ms != self.boot_unix_ms:
             self.boot_unix_ms = boot_unix_ms
             self.durable_end = self.acknowledged_end = self.listed_end = 0
+            self.former_alive_s, self.alive_s = self.alive_s, 0.0
         if clock_ms is not None:
             self.clock_ms = clock_ms
             self.clock_read_s = self.now_s()
 
+    def record_life(self, boot_unix_ms: int, at_s: float) -> None:
+        """Record that an incarnation lived at a local time."""
+        if boot_unix_ms == self.boot_unix_ms:
+            self.alive_s = max(self.alive_s, at_s)
+
     def record_stored_ends(self, boot_unix_ms: int, number: int) -> None:
         """Record that the ends of an incarnation up to a number are stored.
 
@@ -285,7 +295,7 @@
         self.needs_reading = True
         self.wake.set()
 
-    def _probe(self) -> None:
+    def probe(self) -> None:
         """Send a listing as soon as possible, instead of one whose response waits for an end."""
         self._is_hurried = True
         if self._waiting is not None:
@@ -301,7 +311,7 @@
             self.is_in_doubt = True
             self._doubt_over = anyio.Event()
             self.silent_since_s = self._doubted_s
-            self._probe()
+            self.probe()
 
     def _end_doubt(self) -> None:
         self.is_in_doubt = False
@@ -395,6 +405,7 @@
         reading = ClockReading(response.boot_unix_ms, response.clock_ms, sent_s, self.now_s())
         self.reading = more_exact(self.reading, reading)
         self.update_clock(response.clock_ms, response.boot_unix_ms)
+        self.record_life(response.boot_unix_ms, sent_s)
         if response.boot_unix_ms == boot_unix_ms:
             self.acknowledged_end = max(self.acknowledged_end, acknowledged)
         self.listed_end = max((end.number for end in response.ended), default=self.durable_end)
@@ -482,6 +493,7 @@
             if has_restarted or not self.may_act() or not is_wanted():
                 break
             attempts += 1
+            sent_s = self.now_s()
             try:
                 outcome, clock_ms = await self.calls.start(command, self.begin_lease(), self.token)
             except WorkerCallError as failure:
@@ -501,6 +513,7 @@
                 self.on_fenced(self.entry.id)
             elif outcome is CommandOutcome.DONE:
                 self._mark_responsive()
+                self.record_life(boot_unix_ms, sent_s)
             break
         if outcome is not CommandOutcome.DONE:
             log_event(
@@ -557,7 +570,7 @@
                         await self.events.send(confirmed)
                         if not has_begun:
                             # No end may show that the run is over, only a listing without it.
-                            self._probe()
+                            self.probe()
                         return
                     is_refused = True
                 is_pausing = is_refused or self.is_unresponsive
--- a/src/foxtailwell/controller/_runs.py
+++ b/src/foxtailwell/controller/_runs.py
@@ -13,7 +13,7 @@
 )
 from foxtailwell.adapters.logs import log_event
 from foxtailwell.adapters.work_metrics import WorkMetrics
-from foxtailwell.controller._crashes import CrashReports
+from foxtailwell.controller._crashes import CrashReports, RunToQueue
 from foxtailwell.controller._links import (
     IncarnationReplaced,
     ListingReceived,
@@ -97,7 +97,7 @@
         unlisted = [
             task
             for task in self._registry.placed_on(event.worker)
-            if (str(task.id), task.run) not in running
+            if (str(task.id), task.run) not in running and not self._crashes.is_pending(task)
         ]
         late = {
             (start.task, start.run)
@@ -138,6 +138,8 @@
         ]
         self._apply_crash(event.worker, lost, "the worker restarted")
         for task in unlisted:
+            if self._crashes.is_pending(task):
+                continue
             if _is_stopped(task, event.sent_s):
                 self._requeue_lost(task, "stopped before it began")
             elif task.state is TaskState.ASSIGNED and task.start_settled_s < event.sent_s:
@@ -194,11 +196,20 @@
             self._orphaned_runs.add((worker, listed, run.run))
 
     def _apply_crash(self, worker: str, lost: list[Task], reason: str) -> None:
-        """Queue the tasks again whose runs ended with an incarnation of their worker."""
-        if lost:
-            self._crashes.apply(worker, lost)
-        for task in lost:
-            self._requeue_lost(task, reason)
+        """Queue the tasks again whose runs ended with an incarnation of their worker.
+
+        Those that may have caused it wait for the judgement.
+        """
+        self._queue_lost(self._crashes.report(worker, lost, reason))
+
+    def judge_crashes(self) -> None:
+        """Record the evidence of crashes, and queue the tasks again that have waited for it."""
+        self._queue_lost(self._crashes.judge())
+
+    def _queue_lost(self, runs: Iterable[RunToQueue]) -> None:
+        for lost in runs:
+            if lost.task.is_placed and lost.task.run == lost.run:
+                self._requeue_lost(lost.task, lost.reason)
 
     def _requeue_lost(self, task: Task, reason: str) -> None:
         self._metrics.count("runs_lost", reason=reason)
@@ -268,8 +279,11 @@
 
         A crashed worker is replaced at its address within seconds, long before its leases expire.
         """
-        placed = self._registry.placed_on(event.worker)
-        lost = [task for task in placed if task.boot_unix_ms <= event.boot_unix_ms]
+        lost = [
+            task
+            for task in self._registry.placed_on(event.worker)
+            if task.boot_unix_ms <= event.boot_unix_ms and not self._crashes.is_pending(task)
+        ]
         self._apply_crash(event.worker, lost, "another incarnation has its address")
 
     def take_orphaned_runs(self) -> set[tuple[str, TaskId, int]]:
@@ -283,8 +297,9 @@
     def requeue_from_removed(self) -> None:
         """Queue the tasks of removed workers again."""
         for worker in self._workers.take_removed():
-            placed = list(self._registry.placed_on(worker))
-            self._apply_crash(worker, placed, "the worker has left")
+            placed = self._registry.placed_on(worker)
+            lost = [task for task in placed if not self._crashes.is_pending(task)]
+            self._apply_crash(worker, lost, "the worker has left")
 
     def requeue_expired(self) -> None:
         """Queue the tasks again of workers whose leases have all expired without contact."""
--- a/src/foxtailwell/controller/_workers.py
+++ b/src/foxtailwell/controller/_workers.py
@@ -208,6 +208,9 @@
             self._update_link(entry)
             if entry != known:
                 self._check_age(entry)
+            link = self.links.get(worker)
+            if link is not None:
+                link.record_life(entry.boot_unix_ms, self._stated_s(entry))
         if event.is_snapshot:
             for worker in self.entries.keys() - seen:
                 self._delist(worker)
--- a/src/foxtailwell/workflows/_crashes.py
+++ b/src/foxtailwell/workflows/_crashes.py
@@ -6,21 +6,29 @@
 no other suspect starts on its worker, and with more evidence, or after a crash right after its
 start, nothing does, so that the next crash leaves no doubt. While much of the pool is free, other
 units keep off for a short time only, except suspects from those that are kept alone.
+
+Workers also crash together, by a power failure or behind a cut. A crash at the same moment that no
+task on that worker explains shows such a cause, and speaks against no task on any of them.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass
 
 from foxtailwell.workflows._jobs import TaskId
 
 __all__ = [
     "CERTAIN_WEIGHT",
+    "SPREAD_S",
     "CrashRecord",
+    "Failure",
     "LostRun",
+    "is_blamed",
     "is_given_up",
     "is_kept_alone",
+    "judge_crash",
+    "may_coincide",
     "probation_s",
     "weigh_crash",
 ]
@@ -31,12 +39,21 @@
 IMMEDIATE_S = 0.5
 """Time from the start of a run to the silence of its worker that points to this run."""
 
+SUDDEN_S = 0.05
+"""Time from the start of a run to the silence of its worker that is hardly ever a coincidence."""
+
 CERTAIN_WEIGHT = 2
 """Weight of a crash right after a start that hardly anything but one job can have caused."""
 
 POSSIBLE_WEIGHT = 1
 """Weight of a crash with other possible causes."""
 
+NO_WEIGHT = 0
+"""Weight of a crash with a common cause, which is no evidence."""
+
+SPREAD_S = 0.1
+"""Longest time between two failures with one cause."""
+
 GIVE_UP_WEIGHT = 4
 """Total weight at which a task is given up: two certain crashes, or up to four possible ones."""
 
@@ -68,6 +85,7 @@
             negative if none was noticed since, infinite if this controller has no confirmation.
         is_suspect: There is evidence against its task from earlier crashes.
         is_on_probation: It had not outlasted the runs that ended in these crashes.
+        is_unanswered: Its start got no response, and may have been the last that the worker did.
     """
 
     task: TaskId
@@ -75,12 +93,74 @@
     silent_after_s: float
     is_suspect: bool
     is_on_probation: bool = False
+    is_unanswered: bool = False
 
     @property
     def is_immediate(self) -> bool:
         """Whether the worker fell silent immediately after the start."""
         return 0 <= self.silent_after_s < IMMEDIATE_S
 
+    @property
+    def is_sudden(self) -> bool:
+        """Whether the worker fell silent so soon after the start that chance is unlikely."""
+        return 0 <= self.silent_after_s < SUDDEN_S
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """A worker that has crashed, or is silent and may have.
+
+    Attributes:
+        alive_s: Latest local time at which it is known to have lived.
+        silent_s: Earliest local time at which it is known to have failed.
+        runs: Runs that were on it.
+        has_certain_cause: A run of it is blamed without doubt.
+    """
+
+    worker: str
+    alive_s: float
+    silent_s: float
+    runs: tuple[LostRun, ...]
+    has_certain_cause: bool = False
+
+    @property
+    def may_have_inner_cause(self) -> bool:
+        """Whether a run on the worker may have crashed it."""
+        return any(
+            run.is_immediate or run.is_unanswered or run.is_on_probation for run in self.runs
+        )
+
+    @property
+    def has_likely_cause(self) -> bool:
+        """Whether a suspect was on the worker, or a run is blamed without doubt."""
+        return self.has_certain_cause or any(run.is_on_probation for run in self.runs)
+
+
+def may_coincide(one: Failure, other: Failure) -> bool:
+    """Return whether two workers may have failed at the same moment.
+
+    They have not if one is known to have lived on after the other had failed.
+    """
+    return one.alive_s <= other.silent_s + SPREAD_S and other.alive_s <= one.silent_s + SPREAD_S
+
+
+def judge_crash(crash: Failure, others: Collection[Failure]) -> dict[TaskId, int]:
+    """Return the weight of the evidence that a crash adds against each task.
+
+    A common cause excuses all runs but those that began at the very moment of the crash: few tasks
+    meet with that several times, and one that crashes its workers does so with each start.
+
+    Args:
+        crash: The crashed worker.
+        others: Workers that may have failed at the same moment.
+    """
+    if any(not other.may_have_inner_cause for other in others):
+        excused = weigh_crash(crash.runs, is_isolated=False)
+        sudden = {run.task for run in crash.runs if run.is_sudden}
+        return {task: POSSIBLE_WEIGHT if task in sudden else NO_WEIGHT for task in excused}
+    is_isolated = all(other.has_likely_cause for other in others)
+    return weigh_crash(crash.runs, is_isolated=is_isolated)
+
 
 def weigh_crash(runs: Sequence[LostRun], *, is_isolated: bool) -> dict[TaskId, int]:
     """Return the weight of the evidence that a crash adds against each task.
@@ -111,6 +191,11 @@
     return weights
 
 
+def is_blamed(crashes: Iterable[CrashRecord]) -> bool:
+    """Return whether any crash is evidence against a task."""
+    return any(crash.weight for crash in crashes)
+
+
 def is_given_up(crashes: Iterable[CrashRecord]) -> bool:
     """Return whether the evidence suffices to give up a task."""
     return sum(crash.weight for crash in crashes) >= GIVE_UP_WEIGHT
@@ -124,13 +209,15 @@
     """
     crashes = tuple(crashes)
     weight = sum(crash.weight for crash in crashes)
-    return weight >= CERTAIN_WEIGHT or any(crash.is_immediate for crash in crashes)
+    return weight >= CERTAIN_WEIGHT or any(crash.is_immediate for crash in crashes if crash.weight)
 
 
 def probation_s(crashes: Iterable[CrashRecord]) -> float:
-    """Return how long a run of a suspect must last to be cleared; 0 if there is no evidence.
+    """Return how long a run must last to be cleared of crashes; 0 if there was none.
 
-    It must outlast each of its earlier runs that ended in a crash.
+    It must outlast each of its earlier runs that ended in a crash, unless that was no evidence.
     """
-    longest_s = max((crash.lasted_ms / 1000 for crash in crashes), default=None)
+    crashes = tuple(crashes)
+    relevant = [crash for crash in crashes if crash.weight] or crashes
+    longest_s = max((crash.lasted_ms / 1000 for crash in relevant), default=None)
     return 0.0 if longest_s is None else longest_s + RECENT_START_S
--- a/src/foxtailwell/workflows/_job_registry.py
+++ b/src/foxtailwell/workflows/_job_registry.py
@@ -366,7 +366,8 @@
             is_immediate: The crash followed the start immediately.
         """
         crash = CrashRecord(task.run, weight, int(task.lasted_s * 1000), is_immediate)
-        task.crashes = (*task.crashes, crash)
+        # Of the crashes that do not count, the last one tells that there were any.
+        task.crashes = (*(c for c in task.crashes if c.weight), crash)
         self.changed.add(task.id.job_id)
         self._update_job_state(self.jobs[task.id.job_id], now_unix_ms)
 
--- a/src/foxtailwell/workflows/_tasks.py
+++ b/src/foxtailwell/workflows/_tasks.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from enum import IntEnum, StrEnum
 
-from foxtailwell.workflows._crashes import CrashRecord, is_kept_alone, probation_s
+from foxtailwell.workflows._crashes import CrashRecord, is_blamed, is_kept_alone, probation_s
 from foxtailwell.workflows._identifiers import RunNumbers
 from foxtailwell.workflows._jobs import JobState, Queue, Step, Submission, TaskId
 
@@ -64,6 +64,7 @@
         STALLED: It makes no progress.
         UNANSWERED: Its start got no response.
         UNLISTED: Its worker does not list it.
+        CRASHED: It has ended with its worker, and waits for the judgement of the crash.
     """
 
     JOB_ENDED = "job ended"
@@ -73,6 +74,7 @@
     STALLED = "stalled"
     UNANSWERED = "unanswered"
     UNLISTED = "unlisted"
+    CRASHED = "crashed"
 
 
 @dataclass(slots=True)
@@ -129,14 +131,32 @@
 
     @property
     def is_on_probation(self) -> bool:
-        """Whether earlier crashes speak against the task and its run has not outlasted them."""
+        """Whether the task is a suspect of earlier crashes and its run has not outlasted them."""
         return bool(self.crashes) and self.is_placed and self.lasted_s < probation_s(self.crashes)
 
+    @property
+    def is_blamed(self) -> bool:
+        """Whether any of the earlier crashes is evidence against the task."""
+        return is_blamed(self.crashes)
+
     @property
     def is_kept_alone(self) -> bool:
         """Whether nothing else may start on its worker."""
         return self.is_on_probation and is_kept_alone(self.crashes)
 
+    @property
+    def is_start_under_way(self) -> bool:
+        """Whether the start of the run has been sent, or will be, and its outcome is not known."""
+        return self.start_settled_s == math.inf and not self.is_confirmed
+
+    def describe_start(self) -> str:
+        """Return what is known of the start of the run, for the log."""
+        if self.is_confirmed:
+            return "confirmed"
+        if self.is_start_under_way:
+            return "under way"
+        return "no answer" if self.start_settled_s > 0 else "earlier term"
+
     @property
     def is_placed(self) -> bool:
         """Whether the task occupies a worker: it is assigned or being stopped."""
