A start that has no answer yet is no evidence in the crash of its worker

A worker that another incarnation has replaced answers a start with "other boot": the run has never begun. The listing is answered in the same way, often before the start, and then the run counted as lost in a crash, with a point.

Such a run is now left to the outcome of its start: a rejected one is queued again without evidence, one without a response counts once the worker is known to be another incarnation.

--- a/src/foxtailwell/controller/_crashes.py
+++ b/src/foxtailwell/controller/_crashes.py
@@ -108,7 +108,8 @@
     def report(self, worker: str, lost: Sequence[Task], reason: str) -> list[RunToQueue]:
         """Record that an incarnation of a worker has ended together with its runs.
 
-        The end of an incarnation that has announced it is no crash.
+        The end of an incarnation that has announced it is no crash, and a run whose start is still
+        under way cannot have caused one.
 
         Args:
             worker: Identifier of the worker.
@@ -125,6 +126,7 @@
             for run in runs
             if link is not None
             and not self._workers.has_announced_end(worker, run.task.boot_unix_ms)
+            and not run.task.is_start_under_way
         ]
         if link is not None and blamable:
             failure = self._to_failure(link, [run.task for run in blamable])
--- a/src/foxtailwell/controller/_runs.py
+++ b/src/foxtailwell/controller/_runs.py
@@ -282,7 +282,10 @@
         lost = [
             task
             for task in self._registry.placed_on(event.worker)
-            if task.boot_unix_ms <= event.boot_unix_ms and not self._crashes.is_pending(task)
+            if task.boot_unix_ms <= event.boot_unix_ms
+            # The response to a start that is under way tells whether there is a run.
+            and not task.is_start_under_way
+            and not self._crashes.is_pending(task)
         ]
         self._apply_crash(event.worker, lost, "another incarnation has its address")
 
--- a/tests/controller_harness.py
+++ b/tests/controller_harness.py
@@ -266,6 +266,11 @@
     return deployment
 
 
+def evidence_against(deployment: Deployment, job: str) -> list[object]:
+    """Return the stored evidence against the tasks of a job."""
+    return msgspec.json.decode(deployment.store.items[f"foxtailwell/run/{job}"].value)["crashes"]
+
+
 async def until(condition: Callable[[], bool], limit_s: float = 3.0) -> bool:
     """Return whether a condition becomes true within the given time."""
     for _ in range(int(limit_s / 0.01)):
--- a/tests/test_common_crashes.py
+++ b/tests/test_common_crashes.py
@@ -10,6 +10,7 @@
 from controller_harness import (
     LATER,
     Deployment,
+    evidence_against,
     job_id,
     make_deployment,
     step,
@@ -105,6 +106,25 @@
         assert await fleet.reaches(job, JobState.COMPLETED, 8.0)
 
 
+async def test_start_that_another_incarnation_rejects_is_no_evidence(fleet):
+    """Guards against a run that has never begun and counts as the cause of a crash."""
+    fleet.start("one")
+    first = await fleet.submit(1, LATER, [step()])
+    assert await runs_everywhere(fleet, 1)
+    for worker in fleet.workers.values():
+        worker.faults.is_replaced, worker.faults.start_delay_s = True, 0.4
+    job = await fleet.submit(2, LATER, [step()])
+    rejected = [w.commands for w in fleet.workers.values()]
+    assert await until(lambda: sum(map(len, rejected)) >= 4, 8.0)
+    assert not evidence_against(fleet, job)
+    for worker in fleet.workers.values():
+        worker.faults.is_replaced, worker.faults.start_delay_s = False, 0.0
+    let_runs_end(fleet)
+    assert await fleet.reaches(job, JobState.COMPLETED, 6.0)
+    assert await fleet.reaches(first, JobState.COMPLETED, 6.0)
+    assert len(fleet.runs(f"{job}.0.0.0")) == 1
+
+
 def lost_run(number: int, silent_after_s: float, *, is_blamed: bool = False) -> LostRun:
     """Return a confirmed run of its own job, by the time from its start to the silence."""
     task = TaskId(job_id(number), 0, 0, 0)
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -5,12 +5,19 @@
 from dataclasses import replace
 
 import anyio
-import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from controller_harness import LATER, Deployment, job_id, make_deployment, step, until
+from controller_harness import (
+    LATER,
+    Deployment,
+    evidence_against,
+    job_id,
+    make_deployment,
+    step,
+    until,
+)
 from foxtailwell.controller._records import decode_progress, encode_progress
 from foxtailwell.workflows import (
     CrashRecord,
@@ -64,11 +71,6 @@
         worker.task_duration_s = float("inf")
 
 
-def evidence_against(deployment: Deployment, job: str) -> list[object]:
-    """Return the stored evidence against the tasks of a job."""
-    return msgspec.json.decode(deployment.store.items[f"foxtailwell/run/{job}"].value)["crashes"]
-
-
 async def test_task_that_crashes_every_worker_is_given_up(fleet):
     """Guards against a task that crashes one worker after the other without a limit."""
     task = f"{job_id(1)}.0.0.0"
