Only a crash within 0.2 s of a start counts two points

Callers could see a job as failed because two of its workers crashed for other causes soon after its starts. Cause: up to 0.5 s after a start, a crash of a single worker counted without doubt.

A crash between 0.2 s and 0.5 s counts one point; it is still a reason to keep the task alone, and explains the failure of its worker.

--- a/src/foxtailwell/workflows/_crashes.py
+++ b/src/foxtailwell/workflows/_crashes.py
@@ -39,6 +39,9 @@
 IMMEDIATE_S = 0.5
 """Time from the start of a run to the silence of its worker that points to this run."""
 
+PROMPT_S = 0.2
+"""Time from the start of a run to the silence of its worker that leaves little doubt."""
+
 SUDDEN_S = 0.05
 """Time from the start of a run to the silence of its worker that is hardly ever a coincidence."""
 
@@ -100,9 +103,14 @@
         """Whether the worker fell silent immediately after the start."""
         return 0 <= self.silent_after_s < IMMEDIATE_S
 
+    @property
+    def is_prompt(self) -> bool:
+        """Whether the worker fell silent so soon after the start that another cause is unlikely."""
+        return 0 <= self.silent_after_s < PROMPT_S
+
     @property
     def is_sudden(self) -> bool:
-        """Whether the worker fell silent so soon after the start that chance is unlikely."""
+        """Whether it fell silent so soon that even beside others chance is unlikely."""
         return 0 <= self.silent_after_s < SUDDEN_S
 
 
@@ -167,7 +175,7 @@
 
     Runs that had been going on for a while are cleared by those that had just started, unless they
     are still on probation. Among these, earlier suspects are the likeliest cause, then runs whose
-    start the crash followed immediately. A crash that comes later may have any cause. One right
+    start the crash followed immediately. A crash that comes later may have any cause. One promptly
     after the start of a suspect is blamed on it even if other workers fall silent.
 
     Args:
@@ -186,7 +194,7 @@
     is_one_job = len({run.task.job_id for run in likeliest}) == 1
     weights = {run.task: POSSIBLE_WEIGHT for run in recent}
     for run in likeliest:
-        if is_one_job and (is_isolated or run.is_suspect) and run.is_immediate:
+        if is_one_job and (is_isolated or run.is_suspect) and run.is_prompt:
             weights[run.task] = CERTAIN_WEIGHT
     return weights
 
