Scheduler daemon: workers that restart together are no evidence against their jobs

Callers saw a gang as failed, "workers crash when the job starts", although it could be done: two power failures, each within 2 s of its start, were enough.

Cause: each restarted worker was weighed by itself, as soon as its restart was noticed. A job that had just started there was blamed without doubt, whatever had happened to the other workers.

Now a crash is judged once each other worker in use has answered a call sent after it was noticed, or has failed one; they are called without delay. A failure at the same moment on a worker without a fresh run shows a common cause, and nothing is blamed. One that a fresh run may explain leaves doubt, and counts one point. Workers may have failed at the same moment unless one is known to have lived on after the other had failed, so one that was silent long before excuses nothing. A worker that restarts and then gets a `stop` reports a task that has not run; this counts as a restart too, if the task was running before.

A gang that crashes all its workers together cannot be told from a power failure of just these workers. It now takes four attempts, the bound with doubt, instead of two (test_gang_that_crashes_all_its_workers_is_given_up). A job on one worker still takes two.

Read, without a finding: one event counts once per job, as the weight of an attempt is the largest of its workers', and the outcome of an attempt is applied once.

--- a/src/foxtailwell/core/__init__.py
+++ b/src/foxtailwell/core/__init__.py
@@ -68,8 +68,10 @@
 from foxtailwell.core._crashes import (
     PROBATION_S,
     CrashedRun,
+    WorkerFailure,
     is_given_up,
-    weigh_crash,
+    judge_crash,
+    may_coincide,
 )
 from foxtailwell.core._explain import (
     BlockingJob,
@@ -313,6 +315,7 @@
     "Transition",
     "WaitReason",
     "WorkClass",
+    "WorkerFailure",
     "WorkerFailures",
     "WorkerHealth",
     "WorkersRemoved",
@@ -354,10 +357,12 @@
     "job_shard",
     "largest_member_count",
     "less_loaded",
+    "judge_crash",
     "lift_quarantine",
     "limit_after_refusal",
     "limit_after_success",
     "load_of",
+    "may_coincide",
     "may_probe",
     "may_retry",
     "may_start",
@@ -382,7 +387,6 @@
     "split_changes",
     "transition",
     "validate_configuration",
-    "weigh_crash",
     "withdraw_for_retry",
     "without_expired_jobs",
 ]
--- a/src/foxtailwell/core/_crashes.py
+++ b/src/foxtailwell/core/_crashes.py
@@ -2,11 +2,14 @@
 
 A worker that has crashed reports no failed task, only that it no longer knows its tasks. The jobs
 that had just started there are suspects; a job with enough evidence from several crashes is failed.
+
+Workers also restart together, for example after a power failure. A failure at the same moment that
+no run on its worker explains shows such a cause, and speaks against no job on any of them.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
 PROBATION_S = 2.0
@@ -38,8 +41,55 @@
     is_start_known: bool
     is_suspect: bool
 
+    @property
+    def is_recent(self) -> bool:
+        """Whether the run may have caused a crash by its start."""
+        return self.lasted_s < PROBATION_S
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerFailure:
+    """A worker that has restarted, or is silent and may have.
+
+    Attributes:
+        worker: The worker.
+        alive_s: Latest time at which it is known to have lived.
+        failed_s: Earliest time at which it is known to have failed.
+        runs: Runs that were on it.
+    """
+
+    worker: str
+    alive_s: float
+    failed_s: float
+    runs: tuple[CrashedRun, ...]
+
+    @property
+    def may_have_inner_cause(self) -> bool:
+        """Whether a run on the worker may have caused the failure."""
+        return any(run.is_recent for run in self.runs)
+
+
+def may_coincide(one: WorkerFailure, other: WorkerFailure) -> bool:
+    """Return whether two workers may have failed at the same moment.
+
+    They have not if one is known to have lived on after the other had failed.
+    """
+    return one.alive_s <= other.failed_s and other.alive_s <= one.failed_s
+
+
+def judge_crash(crash: WorkerFailure, others: Collection[WorkerFailure]) -> dict[str, int]:
+    """Return the weight of the evidence that the crash of one worker adds against each job.
+
+    Args:
+        crash: The restarted worker.
+        others: Workers that may have failed at the same moment.
+    """
+    if not all(other.may_have_inner_cause for other in others):
+        return {}
+    return weigh_crash(crash.runs, is_isolated=not others)
+
 
-def weigh_crash(runs: Iterable[CrashedRun]) -> dict[str, int]:
+def weigh_crash(runs: Iterable[CrashedRun], *, is_isolated: bool) -> dict[str, int]:
     """Return the weight of the evidence that the crash of one worker adds against each job.
 
     Jobs that had run for longer than `PROBATION_S` are not blamed. Earlier suspects are the
@@ -47,11 +97,14 @@
 
     Args:
         runs: All runs that were on the worker.
+        is_isolated: No other worker failed at the same moment; otherwise a common cause is
+            possible, even if a run on each of them may have caused its failure.
     """
-    recent = [run for run in runs if run.lasted_s < PROBATION_S]
+    recent = [run for run in runs if run.is_recent]
     likeliest = [run for run in recent if run.is_suspect] or recent
     weights = {run.job_id: POSSIBLE_WEIGHT for run in recent}
-    if len({run.job_id for run in likeliest}) == 1 and all(run.is_start_known for run in likeliest):
+    is_one_job = len({run.job_id for run in likeliest}) == 1
+    if is_isolated and is_one_job and all(run.is_start_known for run in likeliest):
         weights[likeliest[0].job_id] = CERTAIN_WEIGHT
     return weights
 
--- a/src/foxtailwell/scheduler/_links.py
+++ b/src/foxtailwell/scheduler/_links.py
@@ -21,7 +21,7 @@
 )
 from foxtailwell.core.errors import StaleTermError, UnavailableError
 
-__all__ = ["RENEW_INTERVAL_S", "WorkerLink", "run_link"]
+__all__ = ["RENEW_INTERVAL_S", "WorkerLink", "WorkerReplied", "run_link"]
 
 RENEW_INTERVAL_S = 5.0
 """Maximum time between two calls of a worker. Each call renews the leases of its tasks."""
@@ -35,6 +35,23 @@
 noticed early. The interval grows with the age of the newest gang, up to `RENEW_INTERVAL_S`."""
 
 
+@dataclass(frozen=True, slots=True)
+class WorkerReplied:
+    """Message: a worker replied to a call.
+
+    Attributes:
+        worker: Identifier of the worker.
+        reply: Its reply.
+        sent_s: When the call was sent, on the monotonic clock.
+        silent_s: When the first failed call since the previous reply ended; None if none failed.
+    """
+
+    worker: str
+    reply: SyncReply
+    sent_s: float
+    silent_s: float | None
+
+
 @dataclass(slots=True)
 class WorkerLink:
     """Queued commands and lease renewals for one worker.
@@ -47,6 +64,10 @@
         newest_gang_s: When the newest gang on the worker was started or adopted, on the monotonic
             clock.
         worker_clock_s: The worker's clock in its last reply.
+        alive_s: When the newest call was sent whose reply has been handled; before that, when the
+            link was made.
+        called_s: When the newest call was sent that has failed or whose reply has been handled.
+        silent_s: When the first failed call since the last reply ended; None if none failed.
         wake: Set to make the next call without delay.
         is_open: Whether the worker is still used by a gang; the link's task ends otherwise.
     """
@@ -57,6 +78,9 @@
     renewed_jobs: set[str] = field(default_factory=set)
     newest_gang_s: float = 0.0
     worker_clock_s: float = 0.0
+    alive_s: float = field(default_factory=time.monotonic)
+    called_s: float = 0.0
+    silent_s: float | None = None
     wake: anyio.Event = field(default_factory=anyio.Event)
     is_open: bool = True
 
@@ -81,7 +105,7 @@
     totals: WorkerCallCounts,
     zone: str,
     term: int,
-    on_reply: Callable[[str, SyncReply], None],
+    on_reply: Callable[[WorkerReplied], None],
     on_stale_term: Callable[[StaleTermError], None],
 ) -> None:
     """Call one worker until the link is closed or the worker reports a higher fencing token.
@@ -94,7 +118,7 @@
         totals: Counts that the calls are added to.
         zone: Zone of the worker.
         term: Fencing token of the zone's holder.
-        on_reply: Called with the worker and each reply.
+        on_reply: Called with each reply.
         on_stale_term: Called once if the worker has seen a higher token.
     """
     async with open_worker(totals, timeout_s=CALL_TIMEOUT_S) as client:
@@ -106,7 +130,7 @@
     client: WorkerClient,
     zone: str,
     term: int,
-    on_reply: Callable[[str, SyncReply], None],
+    on_reply: Callable[[WorkerReplied], None],
     on_stale_term: Callable[[StaleTermError], None],
 ) -> None:
     while link.is_open:
@@ -115,16 +139,20 @@
         request = SyncRequest(
             zone, term, commands, tuple(sorted(link.renewed_jobs)), link.worker_clock_s
         )
+        sent_s = time.monotonic()
         try:
             reply = await client.sync(link.address, request)
         except StaleTermError as error:
             on_stale_term(error)
             return
         except UnavailableError:
-            pass
+            link.called_s = sent_s
+            if link.silent_s is None:
+                link.silent_s = time.monotonic()
         else:
             link.worker_clock_s = reply.clock_s
-            on_reply(link.worker, reply)
+            silent_s, link.silent_s = link.silent_s, None
+            on_reply(WorkerReplied(link.worker, reply, sent_s, silent_s))
         if not link.commands:
             with anyio.move_on_after(link.interval_s(time.monotonic())):
                 await link.wake.wait()
--- a/src/foxtailwell/scheduler/_zone.py
+++ b/src/foxtailwell/scheduler/_zone.py
@@ -24,12 +24,11 @@
     GANG_STOPPING,
     START_REFUSED,
     WORKER_QUARANTINED,
-    WORKER_RESTARTED,
     WORKER_RETURNED,
     ZONE_LOST,
 )
 from foxtailwell.adapters.logs import log_event
-from foxtailwell.adapters.workers import SyncReply, TaskReport, WorkerCommand
+from foxtailwell.adapters.workers import TaskReport, WorkerCommand
 from foxtailwell.core import (
     PREPARATION_LIMIT_S,
     PROBATION_S,
@@ -49,6 +48,7 @@
     JobState,
     Member,
     MemberCommand,
+    MemberRun,
     Operation,
     QuarantineWorker,
     RecordJobState,
@@ -61,12 +61,12 @@
     TasksReported,
     TaskState,
     TimePassed,
+    WorkerFailure,
     WorkersRemoved,
     ZoneAllocation,
     advance,
     begin_gang,
     resume_gang,
-    weigh_crash,
 )
 from foxtailwell.core.errors import (
     FoxtailwellError,
@@ -75,7 +75,8 @@
     StoreUnavailableError,
     UnavailableError,
 )
-from foxtailwell.scheduler._links import WorkerLink, run_link
+from foxtailwell.scheduler._crashes import CrashReports
+from foxtailwell.scheduler._links import WorkerLink, WorkerReplied, run_link
 from foxtailwell.scheduler._mutations import (
     adopt_job,
     allocate_gang,
@@ -177,14 +178,6 @@
     gang: Gang
 
 
-@dataclass(frozen=True, slots=True)
-class _WorkerReplied:
-    """Message: a worker replied to a call."""
-
-    worker: str
-    reply: SyncReply
-
-
 @dataclass(frozen=True, slots=True)
 class _CommitFinished:
     """Message: the write that records a job as running succeeded or failed."""
@@ -194,7 +187,7 @@
     result: RunCommitted
 
 
-_Message = _DecisionsMade | _GangAllocated | _WorkerReplied | _CommitFinished
+_Message = _DecisionsMade | _GangAllocated | WorkerReplied | _CommitFinished
 
 
 @dataclass(slots=True)
@@ -237,6 +230,7 @@
         observing_since_s: End of the newest process pause, or the first reading of the clock.
         last_reconcile_s: Newest comparison of the documents with the active gangs.
         last_tick_s: Newest check of the time limits of all gangs.
+        crashes: Crashes of workers, until the jobs to blame are known.
     """
 
     state: SchedulerState
@@ -259,6 +253,10 @@
     observing_since_s: float = 0.0
     last_reconcile_s: float = 0.0
     last_tick_s: float = 0.0
+    crashes: CrashReports = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.crashes = CrashReports(self.zone, self.links, lambda worker: _runs_on(self, worker))
 
     def submit(self, decisions: Iterable[Decision]) -> None:
         """Queue decisions of the planner; an empty sequence only wakes the executor."""
@@ -377,6 +375,7 @@
             with anyio.move_on_after(_time_to_tick_s(executor)):
                 _handle(executor, await executor.receive.receive())
                 _handle_queued(executor)
+            _judge_crashes(executor)
             # A tick visits every gang, so frequent messages must not cause additional ticks.
             if _time_to_tick_s(executor) <= 0:
                 executor.last_tick_s = time.monotonic()
@@ -409,7 +408,7 @@
         _execute(executor, message.decisions)
     elif isinstance(message, _GangAllocated):
         _begin_gang(executor, message)
-    elif isinstance(message, _WorkerReplied):
+    elif isinstance(message, WorkerReplied):
         _handle_reply(executor, message)
     else:
         active = executor.active_gangs.get(message.job_id)
@@ -559,7 +558,7 @@
                 executor.state.worker_calls,
                 executor.zone,
                 executor.term,
-                lambda worker, reply: executor.send.send_nowait(_WorkerReplied(worker, reply)),
+                executor.send.send_nowait,
                 executor.abandon,
             )
         link.newest_gang_s = time.monotonic()
@@ -612,7 +611,7 @@
     )
 
 
-def _handle_reply(executor: ZoneExecutor, message: _WorkerReplied) -> None:
+def _handle_reply(executor: ZoneExecutor, message: WorkerReplied) -> None:
     reports = {(t.job_id, t.attempt, t.member): t for t in message.reply.tasks}
     for refusal in message.reply.refused:
         active = executor.active_gangs.get(refusal.job_id)
@@ -623,34 +622,68 @@
         for active in executor.active_gangs.values()
         if (indexes := active.members_by_worker.get(message.worker))
     ]
-    _weigh_restart(executor, message.worker, reported)
+    _report_restart(executor, message, reported)
     for active, tasks in reported:
         # One event for all tasks of the worker, because each step visits every gang member.
         _advance(executor, active, TasksReported(tasks))
 
 
-def _weigh_restart(
+def _report_restart(
     executor: ZoneExecutor,
-    worker: str,
+    message: WorkerReplied,
     reported: Iterable[tuple[_ActiveGang, tuple[TaskReported, ...]]],
 ) -> None:
-    """Record evidence against the jobs whose runs a worker no longer knows after a restart."""
-    lost: dict[str, CrashedRun] = {}
-    for active, tasks in reported:
-        for task in tasks:
-            member = active.run.members[task.member]
-            is_lost = task.state is TaskState.ABSENT and not member.has_ended
-            if is_lost and member.may_have_run:
-                lost[active.job.id] = CrashedRun(
-                    active.job.id, member.lasted_s, member.is_fenced, active.job.crash_weight > 0
-                )
-    if not lost:
+    """Record whether a worker has restarted since its last reply, and which runs it has lost."""
+    now_s = time.monotonic()
+    lost = [
+        (active, active.run.members[task.member])
+        for active, tasks in reported
+        for task in tasks
+        if _has_lost_task(active.run.members[task.member], task)
+    ]
+    link = executor.links.get(message.worker)
+    if link is None:
         return
-    weights = weigh_crash(lost.values())
-    log_event(WORKER_RESTARTED, worker=worker, zone=executor.zone, jobs=list(lost), blamed=weights)
-    for job_id, weight in weights.items():
-        active = executor.active_gangs[job_id]
-        active.crash_weight = max(active.crash_weight, weight)
+    if lost:
+        runs = tuple(_crashed_run(active, member) for active, member in lost if member.may_have_run)
+        failed_s = now_s if message.silent_s is None else message.silent_s
+        failure = WorkerFailure(message.worker, link.alive_s, failed_s, runs)
+        executor.crashes.report(failure, now_s)
+    link.alive_s = link.called_s = message.sent_s
+
+
+def _has_lost_task(member: MemberRun, task: TaskReported) -> bool:
+    """Whether a worker no longer knows a task that it has reported, or that may have run there.
+
+    A restarted worker that gets a `stop` reports a task that has not run.
+    """
+    if member.has_ended:
+        return False
+    if task.state is TaskState.ABSENT:
+        return member.may_have_run or member.task is not None
+    return member.running_since_s is not None and not task.has_run
+
+
+def _crashed_run(active: _ActiveGang, member: MemberRun) -> CrashedRun:
+    is_suspect = active.job.crash_weight > 0
+    return CrashedRun(active.job.id, member.lasted_s, member.is_fenced, is_suspect)
+
+
+def _runs_on(executor: ZoneExecutor, worker: str) -> tuple[CrashedRun, ...]:
+    return tuple(
+        _crashed_run(active, member)
+        for active in executor.active_gangs.values()
+        for member in active.run.members
+        if member.worker == worker and member.may_have_run and not member.has_ended
+    )
+
+
+def _judge_crashes(executor: ZoneExecutor) -> None:
+    for weights in executor.crashes.judge():
+        for job_id, weight in weights.items():
+            active = executor.active_gangs[job_id]
+            # One event counts once for a job, on however many of its workers it is noticed.
+            active.crash_weight = max(active.crash_weight, weight)
 
 
 def _reported_task(
@@ -706,6 +739,7 @@
 
 async def _end_attempt(executor: ZoneExecutor, active: _ActiveGang, end: EndAttempt) -> None:
     gang = active.gang
+    await executor.crashes.wait_until_judged(gang.job_id)
     await _record_outcome(executor, gang, replace(end, crash_weight=active.crash_weight))
     # The job is written first. After an interruption, `_reconcile` can release a gang whose job has
     # ended, but a job whose outcome is lost would run again.
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -9,6 +9,7 @@
 import pytest
 
 from foxtailwell.core import (
+    CrashedRun,
     Gang,
     GangSpec,
     Job,
@@ -16,6 +17,9 @@
     Member,
     MemberRun,
     TaskState,
+    WorkerFailure,
+    judge_crash,
+    may_coincide,
     plan,
     resume_gang,
 )
@@ -369,3 +373,103 @@
         platform.restart(_records_with_work(platform)[0].worker)
         await platform.wait_until(lambda: platform.job(identifier).attempt == 2)
         assert not platform.job(identifier).crash_weight
+
+
+@pytest.mark.parametrize("has_bystander", [True, False])
+async def test_workers_that_restart_together_fail_no_job(platform, has_bystander):
+    """Guards against jobs that are given up because of power failures after their starts."""
+    async with running_scheduler(platform):
+        jobs = [await platform.submit("gang", members=2, size=8, run_s=1.5)]
+        if has_bystander:
+            jobs.append(await platform.submit("bystander", members=1, size=8, run_s=3.5))
+        for attempt in (1, 2):
+            for identifier in jobs:
+                await _wait_for_attempt(platform, identifier, attempt)
+            await anyio.sleep(0.3)
+            for worker in platform.fleet.workers:
+                platform.restart(worker)
+        for identifier in jobs:
+            await platform.wait_for_state(identifier, JobState.DONE, JobState.FAILED)
+            assert platform.job(identifier).state is JobState.DONE
+
+
+async def _wait_for_attempt(platform, identifier, attempt):
+    await platform.wait_until(lambda: platform.job(identifier).attempt >= attempt)
+    await platform.wait_until(
+        lambda: (
+            len([r for r in _records_with_work(platform, identifier) if r.attempt == attempt])
+            == platform.job(identifier).spec.members
+        )
+    )
+
+
+async def test_restart_with_a_lasting_bystander_is_no_evidence(platform):
+    """Guards against a common cause that is blamed on the job that had just started."""
+    async with running_scheduler(platform):
+        lasting = await platform.submit("lasting", members=1, size=8, run_s=8.0)
+        await _wait_for_attempt(platform, lasting, 1)
+        await anyio.sleep(4.0)
+        identifier = await platform.submit("k", members=1, size=8, run_s=1.5)
+        await _wait_for_attempt(platform, identifier, 1)
+        await anyio.sleep(0.3)
+        for worker in platform.fleet.workers:
+            platform.restart(worker)
+        await _wait_for_attempt(platform, identifier, 2)
+        assert not platform.job(identifier).crash_weight
+        await platform.cancel(lasting)
+        await platform.wait_for_state(lasting, JobState.CANCELLED)
+
+
+async def test_gang_that_crashes_all_its_workers_is_given_up(platform):
+    """Guards against a gang that passes for a power failure without a limit."""
+    async with running_scheduler(platform):
+        identifier = await platform.submit("k", members=3, size=8, is_fatal=True)
+        await platform.wait_for_state(identifier, JobState.FAILED, limit_s=40.0)
+        assert platform.job(identifier).attempt <= 4
+        assert "crash" in platform.job(identifier).history[-1].reason
+
+
+def _failure(worker, alive_s=0.0, failed_s=1.0, **lasted_s):
+    runs = tuple(
+        CrashedRun(job_id, run_s, is_start_known=True, is_suspect=False)
+        for job_id, run_s in lasted_s.items()
+    )
+    return WorkerFailure(worker, alive_s, failed_s, runs)
+
+
+@pytest.mark.parametrize(
+    ("others", "weights"),
+    [
+        ([], {"k": 2}),
+        ([_failure("w1", k=0.1)], {"k": 1}),
+        ([_failure("w1", j=0.1)], {"k": 1}),
+        ([_failure("w1", j=9.0)], {}),
+        ([_failure("w1")], {}),
+        ([_failure("w1", k=0.1), _failure("w2", j=9.0)], {}),
+    ],
+)
+def test_crash_is_weighed_with_failures_at_the_same_moment(others, weights):
+    """Guards against a common cause that is blamed on each job."""
+    assert judge_crash(_failure("w0", k=0.1, j=9.0), others) == weights
+
+
+def test_worker_that_lived_on_did_not_fail_at_the_same_moment():
+    """Guards against a crashing job that is excused by a later or an earlier failure."""
+    crash = _failure("w0", alive_s=4.0, failed_s=5.0)
+    for alive_s, failed_s, coincides in ((4.5, 9.0, True), (0.0, 3.9, False), (5.1, 9.0, False)):
+        other = _failure("w1", alive_s=alive_s, failed_s=failed_s)
+        assert may_coincide(crash, other) is may_coincide(other, crash) is coincides
+
+
+async def test_worker_that_was_silent_before_does_not_excuse_a_crashing_job(platform):
+    """Guards against a crashing job that starts without a limit while another worker is cut off."""
+    async with running_scheduler(platform):
+        lasting = await platform.submit("lasting", members=1, size=8, run_s=30.0)
+        await _wait_for_attempt(platform, lasting, 1)
+        await anyio.sleep(2.5)
+        platform.set_failures(_records_with_work(platform, lasting)[0].worker, unreachable=True)
+        await anyio.sleep(2.0)
+        identifier = await platform.submit("k", members=1, size=8, is_fatal=True)
+        await platform.wait_for_state(identifier, JobState.FAILED)
+        assert len(_records_with_work(platform, identifier)) <= 4
+        await platform.cancel(lasting)
