Scheduler daemon: a start whose only `run` was refused has not run

Callers saw a job that may not be repeated as failed with an unknown outcome although no member had run, and a crash of workers counted against the jobs that they were about to start.

Cause: a member counted as possibly run from the moment at which `run` was sent, also if the worker had restarted after `start` and refused it.

Evidence: on the code before, with workers that restart while the store records the start, test_refused_run_is_neither_evidence_nor_an_unknown_outcome saw a weight of 1 (class `model`), and outcome_unknown, "refused run: unknown_task" (class `survey`).

A refusal shows that this `run` had no effect. If it was the only one, the member has not run, so its crash is no evidence, and the job is queued again. If `run` was sent again, an earlier one without a response may have taken effect; then nothing changes. A worker that loses a task which had not begun has restarted without an inner cause, and excuses the others of the same moment.

--- a/src/foxtailwell/core/_gangs.py
+++ b/src/foxtailwell/core/_gangs.py
@@ -322,6 +322,7 @@
         requested_stop: Reason of a requested stop; None when no stop was requested.
         stop_reason: Why the gang stops, for the job's history.
         responsible_workers: Workers whose failure or delay is the reason of the stop.
+        has_resent_run: Whether any member may have been sent `run` more than once.
     """
 
     job_id: str
@@ -337,6 +338,7 @@
     requested_stop: StopReason | None = None
     stop_reason: str = ""
     responsible_workers: tuple[str, ...] = ()
+    has_resent_run: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -489,6 +491,9 @@
 
 
 def _handle_refusal(run: GangRun, refused: CommandRefused, now_s: float) -> GangStep:
+    if refused.operation is Operation.RUN and not run.has_resent_run:
+        # An earlier `run` without a response may have taken effect, but there was none.
+        run = _clear_may_have_run(run, refused.member)
     is_start = refused.operation in (Operation.PREPARE, Operation.START, Operation.RUN)
     if not is_start or run.phase in (GangPhase.STOPPING, GangPhase.CHECKPOINTING):
         return GangStep(run)
@@ -498,6 +503,12 @@
     )
 
 
+def _clear_may_have_run(run: GangRun, index: int) -> GangRun:
+    members = list(run.members)
+    members[index] = replace(members[index], may_have_run=False)
+    return replace(run, members=tuple(members))
+
+
 def _advance_preparing(run: GangRun, permission: StartPermission) -> GangStep:
     now_s = permission.now_s
     if lost := _lost_members(run, permission):
@@ -563,7 +574,8 @@
         return _begin_stop(
             run, "not all members passed the barrier", now_s, _distinct_workers(late)
         )
-    return _resend(run, Operation.RUN, {TaskState.STARTED}, now_s)
+    step = _resend(run, Operation.RUN, {TaskState.STARTED}, now_s)
+    return replace(step, run=replace(step.run, has_resent_run=True)) if step.commands else step
 
 
 def _advance_running(run: GangRun, permission: StartPermission) -> GangStep:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -473,3 +473,21 @@
         await platform.wait_for_state(identifier, JobState.FAILED)
         assert len(_records_with_work(platform, identifier)) <= 4
         await platform.cancel(lasting)
+
+
+@pytest.mark.parametrize("work_class", ["model", "survey"])
+async def test_refused_run_is_neither_evidence_nor_an_unknown_outcome(platform, work_class):
+    """Guards against blame, and an unknown outcome, for a run that has certainly not begun."""
+    platform.store_state.failures = replace(StoreFailures(), latency_ms=300.0)
+    async with running_scheduler(platform):
+        identifier = await platform.submit("k", members=2, size=8, work_class=work_class)
+        await platform.wait_until(
+            lambda: [bool(r.started_s) for r in platform.work_records(identifier)] == [True, True]
+        )
+        for record in platform.work_records(identifier):
+            platform.restart(record.worker)
+        await platform.wait_until(lambda: platform.job(identifier).attempt == 2)
+        assert not platform.job(identifier).crash_weight
+        await platform.wait_for_state(identifier, JobState.DONE, JobState.FAILED)
+        assert platform.job(identifier).state is JobState.DONE
+        assert {r.attempt for r in _records_with_work(platform)} == {2}
