Entry daemon: one common loss counts once against the copies of a request

Callers saw a request refused for 30 s after a single network failure, if several copies of it were running on different minions: "several minions broke the connection soon after they got this request".

Cause: each lost connection counted by itself, so that one event was booked once per copy.

Evidence: on the code before, test_one_common_loss_counts_once_against_a_request saw a refusal of 29.9 s after the losses of six copies within 5 ms.

A copy that was already running when another one was lost on another minion, at most 1 s ago, may have ended with it, and counts no more. A retry starts after the loss and counts as before. Copies are compared with losses that count, so that an endless stream of overlapping copies of a fatal request is refused with its second generation (test_overlapping_copies_of_a_fatal_request_are_refused).

Not covered: copies of one request at different entries, which exchange no start times.

--- a/src/foxtailwell/core/_suspect_requests.py
+++ b/src/foxtailwell/core/_suspect_requests.py
@@ -66,8 +66,13 @@
 class _RecentLoss:
     digest: str
     minion: str
+    started_s: float
     at_s: float
-    had_just_started: bool
+    is_copy: bool
+
+    @property
+    def had_just_started(self) -> bool:
+        return self.at_s - self.started_s < PROBATION_S
 
 
 @dataclass(slots=True)
@@ -124,7 +129,8 @@
         """Record that the connection of a running request was lost.
 
         A minion that crashes loses all its requests, so that each of those that had just started
-        may be the cause. Losses of several minions may be due to the network.
+        may be the cause. Losses of several minions may be due to the network. Copies of a request
+        that were running at the same time count once, because one event may have ended them all.
 
         Args:
             digest: Digest of the request.
@@ -133,12 +139,25 @@
                 `PROBATION_S` is not blamed.
             now_s: Time of the loss.
         """
-        loss = _RecentLoss(digest, minion, now_s, ran_s < PROBATION_S)
+        while self._recent_losses and now_s - self._recent_losses[0].at_s > COMMON_CAUSE_S:
+            self._recent_losses.popleft()
+        started_s = now_s - ran_s
+        # Only losses that count are compared, so that overlapping copies form no endless chain.
+        is_copy = any(
+            other.digest == digest
+            and other.minion != minion
+            and other.had_just_started
+            and not other.is_copy
+            and started_s < other.at_s
+            for other in self._recent_losses
+        )
+        loss = _RecentLoss(digest, minion, started_s, now_s, is_copy)
         others = self._others_beside(loss)
         self._recent_losses.append(loss)
         if loss.had_just_started:
             weight = POSSIBLE_WEIGHT if others else CERTAIN_WEIGHT
-            self._add(digest, minion, _Loss(weight, now_s))
+            if not is_copy:
+                self._add(digest, minion, _Loss(weight, now_s))
             for other in others:
                 self._weaken(other)
 
@@ -152,8 +171,6 @@
             del self._evidence[next(iter(self._evidence))]
 
     def _others_beside(self, loss: _RecentLoss) -> list[_RecentLoss]:
-        while self._recent_losses and loss.at_s - self._recent_losses[0].at_s > COMMON_CAUSE_S:
-            self._recent_losses.popleft()
         return [
             other
             for other in self._recent_losses
--- a/tests/test_request_core.py
+++ b/tests/test_request_core.py
@@ -339,3 +339,21 @@
     assert list(suspects._evidence) == ["d1"]
     suspects.drop_expired(1151.0)
     assert suspects.is_empty
+
+
+def test_one_common_loss_counts_once_against_a_request():
+    """Guards against a refusal after one network failure, because many copies were running."""
+    suspects = SuspectRequests()
+    for number in range(6):
+        suspects.record_loss("d", f"m{number}", ran_s=0.2, now_s=1.0 + 0.001 * number)
+    assert not suspects.refusal_s("d", 1.1)
+    suspects.record_loss("d", "m6", ran_s=0.05, now_s=1.2)
+    assert suspects.refusal_s("d", 1.2)
+
+
+def test_overlapping_copies_of_a_fatal_request_are_refused():
+    """Guards against a stream of copies that all pass for one event."""
+    suspects = SuspectRequests()
+    for number in range(8):
+        suspects.record_loss("d", f"m{number}", ran_s=0.05, now_s=1.0 + 0.02 * number)
+    assert suspects.refusal_s("d", 1.2)
