Entry daemon: a common loss of connections is no evidence against requests

Callers saw requests that could be served refused for 30 s, after waves of failures that each came soon after their start; once refused, one more such loss refused them again.

Cause: a loss beside others counted one point, without end, also if another minion was lost at the same moment that no new request can have crashed. The order mattered as well: a lasting request that was lost after a new one did not weaken the evidence against it.

Evidence: on the code before, requests that lost eight minions, each beside one with only a lasting request, were refused, in either order of the losses; and a loss of this kind renewed a refusal.

The losses of the last second are now weighed anew with each further one. If a minion among them ran nothing that had just started, the cause is common, and nothing counts; what was known before stays, and a refusal is not renewed. A minion on which the fatal request itself was lost excuses nothing, whatever ran beside it (test_lasting_requests_beside_a_fatal_one_do_not_excuse_it). Losses without weight are not sent to other entries, and take no place of others that are.

Not covered: an entry that lost no lasting request sees only its own losses, so a common cause that only other entries see counts as before. A request is weighed at once and corrected as further losses are seen, so one with earlier evidence may miss its retry meanwhile.

Measured: test_losses_with_a_minion_that_crashed_without_a_new_request_are_no_evidence (two cases) and test_common_cause_neither_renews_a_refusal_nor_clears_a_request fail before and pass now; test_request_core, test_requests and test_request_processes: 73 passed.

--- a/src/foxtailwell/core/_crashes.py
+++ b/src/foxtailwell/core/_crashes.py
@@ -21,6 +21,9 @@
 POSSIBLE_WEIGHT = 1
 """Weight of a crash with other possible causes."""
 
+NO_WEIGHT = 0
+"""Weight of a loss with a common cause, which is no evidence."""
+
 GIVE_UP_WEIGHT = 4
 """Total weight at which a job is failed: two crashes without doubt, or four with doubt."""
 
--- a/src/foxtailwell/core/_suspect_requests.py
+++ b/src/foxtailwell/core/_suspect_requests.py
@@ -4,6 +4,9 @@
 minion. An entry remembers by their content which requests have lost their connections early, and
 refuses them for a while. Entries exchange this evidence, so that all of them refuse the request,
 also one that has just started.
+
+Minions also fail together, by a network or power failure. The loss of a minion that had got no new
+request shows such a cause, and speaks against no request that was lost at the same moment.
 """
 
 from __future__ import annotations
@@ -15,6 +18,7 @@
 
 from foxtailwell.core._crashes import (
     CERTAIN_WEIGHT,
+    NO_WEIGHT,
     POSSIBLE_WEIGHT,
     PROBATION_S,
     is_given_up,
@@ -23,6 +27,9 @@
 COMMON_CAUSE_S = 1.0
 """Time within which losses by different requests may have a common cause."""
 
+MAX_RECENT_LOSSES = 256
+"""Most losses that are compared, to bound the computing time when many minions fail."""
+
 REFUSAL_S = 30.0
 """Duration of a refusal; after that, one more loss is enough for the next one."""
 
@@ -69,11 +76,22 @@
     started_s: float
     at_s: float
     is_copy: bool
+    former: _Loss | None
 
     @property
     def had_just_started(self) -> bool:
         return self.at_s - self.started_s < PROBATION_S
 
+    @property
+    def is_counted(self) -> bool:
+        return self.had_just_started and not self.is_copy
+
+    def weighed(self, weight: int) -> _Loss:
+        """Return the evidence with a weight; an earlier loss on the same minion limits it."""
+        if self.former is None or not self.former.weight:
+            return _Loss(weight, self.at_s)
+        return _Loss(min(weight, self.former.weight), self.at_s) if weight else self.former
+
 
 @dataclass(slots=True)
 class _Evidence:
@@ -87,6 +105,10 @@
     def last_s(self) -> float:
         return max(loss.at_s for loss in self.losses.values())
 
+    @property
+    def blamed_s(self) -> float:
+        return max(loss.at_s for loss in self.losses.values() if loss.weight)
+
 
 class SuspectRequests:
     """Evidence of one entry against requests, by the digest of their content.
@@ -97,7 +119,7 @@
     def __init__(self) -> None:
         self._evidence: dict[str, _Evidence] = {}
         self._cleared_s: dict[str, float] = {}
-        self._recent_losses: deque[_RecentLoss] = deque()
+        self._recent_losses: deque[_RecentLoss] = deque(maxlen=MAX_RECENT_LOSSES)
 
     @property
     def is_empty(self) -> bool:
@@ -109,7 +131,7 @@
         evidence = self._evidence.get(digest)
         if evidence is None or not evidence.is_given_up:
             return 0.0
-        return max(0.0, evidence.last_s + REFUSAL_S - now_s)
+        return max(0.0, evidence.blamed_s + REFUSAL_S - now_s)
 
     def drop_expired(self, now_s: float) -> None:
         """Drop the evidence against requests that have lost no connection for a long time."""
@@ -146,43 +168,48 @@
         is_copy = any(
             other.digest == digest
             and other.minion != minion
-            and other.had_just_started
-            and not other.is_copy
+            and other.is_counted
             and started_s < other.at_s
             for other in self._recent_losses
         )
-        loss = _RecentLoss(digest, minion, started_s, now_s, is_copy)
-        others = self._others_beside(loss)
+        former = self._find(digest, minion)
+        loss = _RecentLoss(digest, minion, started_s, now_s, is_copy, former)
         self._recent_losses.append(loss)
-        if loss.had_just_started:
-            weight = POSSIBLE_WEIGHT if others else CERTAIN_WEIGHT
-            if not is_copy:
-                self._add(digest, minion, _Loss(weight, now_s))
-            for other in others:
-                self._weaken(other)
+        if loss.is_counted:
+            self._add(digest, minion, loss.weighed(CERTAIN_WEIGHT))
+        self._reweigh_recent()
 
     def _add(self, digest: str, minion: str, loss: _Loss) -> None:
         evidence = self._evidence.pop(digest, None) or _Evidence()
         self._evidence[digest] = evidence
-        known = evidence.losses.get(minion)
-        weight = known.weight if known is not None else loss.weight
-        evidence.losses[minion] = _Loss(weight, loss.at_s)
+        evidence.losses[minion] = loss
         if len(self._evidence) > MAX_SUSPECTS:
             del self._evidence[next(iter(self._evidence))]
 
-    def _others_beside(self, loss: _RecentLoss) -> list[_RecentLoss]:
-        return [
-            other
-            for other in self._recent_losses
-            if other.digest != loss.digest
-            and (other.minion != loss.minion or other.had_just_started)
-        ]
-
-    def _weaken(self, loss: _RecentLoss) -> None:
-        evidence = self._evidence.get(loss.digest)
-        known = evidence.losses.get(loss.minion) if evidence is not None else None
-        if evidence is not None and known is not None and known.at_s == loss.at_s:
-            evidence.losses[loss.minion] = _Loss(POSSIBLE_WEIGHT, known.at_s)
+    def _find(self, digest: str, minion: str) -> _Loss | None:
+        evidence = self._evidence.get(digest)
+        return evidence.losses.get(minion) if evidence is not None else None
+
+    def _reweigh_recent(self) -> None:
+        """Weigh the recent losses anew, with what is known of the other minions by now."""
+        requests = {(loss.digest, loss.minion) for loss in self._recent_losses}
+        new = {(o.digest, o.minion) for o in self._recent_losses if o.had_just_started}
+        unexplained = {minion for _, minion in requests} - {minion for _, minion in new}
+        for loss in self._recent_losses:
+            known = self._find(loss.digest, loss.minion)
+            is_newest = known is not None and (known.at_s == loss.at_s or known is loss.former)
+            if not (loss.is_counted and is_newest):
+                continue
+            if unexplained:
+                weight = NO_WEIGHT
+            elif any(
+                digest != loss.digest and (minion != loss.minion or (digest, minion) in new)
+                for digest, minion in requests
+            ):
+                weight = POSSIBLE_WEIGHT
+            else:
+                weight = CERTAIN_WEIGHT
+            self._evidence[loss.digest].losses[loss.minion] = loss.weighed(weight)
 
     def record_success(self, digest: str, now_s: float) -> None:
         """Clear a request that got a response; earlier losses at other entries do not count."""
@@ -193,10 +220,14 @@
     def shared_losses(self, now_s: float) -> tuple[RequestLoss, ...]:
         """Return the newest evidence that has not expired, for other entries."""
         self.drop_expired(now_s)
+        blamed = (
+            (digest, [(m, loss) for m, loss in reversed(evidence.losses.items()) if loss.weight])
+            for digest, evidence in reversed(self._evidence.items())
+        )
         return tuple(
             RequestLoss(digest, minion, loss.weight, max(0.0, now_s - loss.at_s))
-            for digest, evidence in islice(reversed(self._evidence.items()), MAX_SHARED_SUSPECTS)
-            for minion, loss in islice(reversed(evidence.losses.items()), MAX_SHARED_LOSSES)
+            for digest, losses in islice((b for b in blamed if b[1]), MAX_SHARED_SUSPECTS)
+            for minion, loss in losses[:MAX_SHARED_LOSSES]
         )
 
     def merge(self, losses: Iterable[RequestLoss], now_s: float) -> None:
--- a/tests/test_request_core.py
+++ b/tests/test_request_core.py
@@ -357,3 +357,40 @@
     for number in range(8):
         suspects.record_loss("d", f"m{number}", ran_s=0.05, now_s=1.0 + 0.02 * number)
     assert suspects.refusal_s("d", 1.2)
+
+
+@pytest.mark.parametrize("is_bystander_first", [True, False])
+def test_losses_with_a_minion_that_crashed_without_a_new_request_are_no_evidence(
+    is_bystander_first,
+):
+    """Guards against requests that are refused because waves of failures follow their starts."""
+    suspects = SuspectRequests()
+    for number in range(8):
+        losses = [("lasting", "n", 9.0), ("d", f"m{number}", 0.1), ("e", f"m{number}", 0.1)]
+        for digest, minion, ran_s in losses if is_bystander_first else reversed(losses):
+            suspects.record_loss(digest, minion, ran_s=ran_s, now_s=10.0 * number)
+    assert not any(suspects.refusal_s(digest, 70.0) for digest in ("d", "e", "lasting"))
+    assert not suspects.shared_losses(70.0)
+
+
+def test_lasting_requests_beside_a_fatal_one_do_not_excuse_it():
+    """Guards against a fatal request that crashes minions without a limit beside lasting ones."""
+    suspects = SuspectRequests()
+    for number in range(4):
+        now_s = 0.1 * number
+        suspects.record_loss(f"lasting{number}", f"m{number}", ran_s=9.0, now_s=now_s)
+        suspects.record_loss("fatal", f"m{number}", ran_s=0.05, now_s=now_s + 0.001)
+    assert suspects.refusal_s("fatal", 0.5)
+
+
+def test_common_cause_neither_renews_a_refusal_nor_clears_a_request():
+    """Guards against losses without weight that count as new evidence, or replace older one."""
+    suspects = SuspectRequests()
+    for now_s in (0.0, 5.0):
+        suspects.record_loss("d", f"m{now_s}", ran_s=0.1, now_s=now_s)
+    for minion in ("m5.0", "m2"):
+        suspects.record_loss("d", minion, ran_s=0.1, now_s=40.0)
+    suspects.record_loss("lasting", "n", ran_s=9.0, now_s=40.1)
+    assert not suspects.refusal_s("d", 40.2)
+    suspects.record_loss("d", "m3", ran_s=0.1, now_s=50.0)
+    assert suspects.refusal_s("d", 50.0) == 30.0
