Entry daemon: copies of a request count each while nothing else was lost

Copies that were running at the same time now count once only if other requests were lost within the same second; otherwise the request is the likeliest cause. The test of fleet is unchanged.

Not covered: a network failure at an entry that runs nothing but copies of one request.

--- a/src/foxtailwell/core/_suspect_requests.py
+++ b/src/foxtailwell/core/_suspect_requests.py
@@ -82,10 +82,6 @@
     def had_just_started(self) -> bool:
         return self.at_s - self.started_s < PROBATION_S
 
-    @property
-    def is_counted(self) -> bool:
-        return self.had_just_started and not self.is_copy
-
     def weighed(self, weight: int) -> _Loss:
         """Return the evidence with a weight; an earlier loss on the same minion limits it."""
         if self.former is None or not self.former.weight:
@@ -152,7 +148,8 @@
 
         A minion that crashes loses all its requests, so that each of those that had just started
         may be the cause. Losses of several minions may be due to the network. Copies of a request
-        that were running at the same time count once, because one event may have ended them all.
+        that were running at the same time count once if other requests were lost with them, because
+        one event may have ended them all.
 
         Args:
             digest: Digest of the request.
@@ -168,14 +165,15 @@
         is_copy = any(
             other.digest == digest
             and other.minion != minion
-            and other.is_counted
+            and other.had_just_started
+            and not other.is_copy
             and started_s < other.at_s
             for other in self._recent_losses
         )
         former = self._find(digest, minion)
         loss = _RecentLoss(digest, minion, started_s, now_s, is_copy, former)
         self._recent_losses.append(loss)
-        if loss.is_counted:
+        if loss.had_just_started:
             self._add(digest, minion, loss.weighed(CERTAIN_WEIGHT))
         self._reweigh_recent()
 
@@ -194,21 +192,21 @@
         """Weigh the recent losses anew, with what is known of the other minions by now."""
         requests = {(loss.digest, loss.minion) for loss in self._recent_losses}
         new = {(o.digest, o.minion) for o in self._recent_losses if o.had_just_started}
+        has_others = len({digest for digest, _ in requests}) > 1
         unexplained = {minion for _, minion in requests} - {minion for _, minion in new}
         for loss in self._recent_losses:
             known = self._find(loss.digest, loss.minion)
             is_newest = known is not None and (known.at_s == loss.at_s or known is loss.former)
-            if not (loss.is_counted and is_newest):
+            if not (loss.had_just_started and is_newest):
                 continue
-            if unexplained:
-                weight = NO_WEIGHT
-            elif any(
+            is_isolated = not has_others or not any(
                 digest != loss.digest and (minion != loss.minion or (digest, minion) in new)
                 for digest, minion in requests
-            ):
-                weight = POSSIBLE_WEIGHT
+            )
+            if unexplained or (loss.is_copy and not is_isolated):
+                weight = NO_WEIGHT
             else:
-                weight = CERTAIN_WEIGHT
+                weight = CERTAIN_WEIGHT if is_isolated else POSSIBLE_WEIGHT
             self._evidence[loss.digest].losses[loss.minion] = loss.weighed(weight)
 
     def record_success(self, digest: str, now_s: float) -> None:
