--- a/src/foxtailwell_model/_specifications.py
+++ b/src/foxtailwell_model/_specifications.py
@@ -1,6 +1,7 @@
 """Registry of the specifications that `python -m foxtailwell_model` checks."""
 
 from foxtailwell_model._claims import CLAIMS
+from foxtailwell_model._crashes import CRASHES
 from foxtailwell_model._failover import FAILOVER
 from foxtailwell_model._freshness import FRESHNESS
 from foxtailwell_model._gangs import GANG_OF_THREE, GANG_OF_TWO
@@ -22,4 +23,5 @@
     WORKFLOW_COMMANDS,
     WORKER_REPORTS,
     NAMESAKES,
+    CRASHES,
 )
