--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -47,6 +47,7 @@
 from foxtailwell.core.errors import AcceleratorsTakenError
 from foxtailwell_model import SPECIFICATIONS, check
 from foxtailwell_model._claims import CLAIMS
+from foxtailwell_model._crashes import CRASHES
 from foxtailwell_model._freshness import FRESHNESS, STALE
 from foxtailwell_model._gangs import GANG_OF_TWO, gang_steps
 from foxtailwell_model._run import is_proved
@@ -65,6 +66,10 @@
     (CLAIMS, "lost_claim_is_fenced_by_a_write"),
     (FRESHNESS, "old_evidence_expires"),
     (FRESHNESS, "lower_revision_is_not_applied"),
+    (CRASHES, "start_under_way_is_no_evidence"),
+    (CRASHES, "crash_waits_for_the_other_workers"),
+    (CRASHES, "common_crash_has_no_weight"),
+    (CRASHES, "event_counts_once_per_task"),
 ]
 
 
