--- a/tests/test_crash_judgement.py
+++ b/tests/test_crash_judgement.py
@@ -18,7 +18,13 @@
     judge_crash,
     may_coincide,
 )
-from foxtailwell.workflows._crashes import RECENT_START_S, is_blamed, probation_s, weigh_crash
+from foxtailwell.workflows._crashes import (
+    PROMPT_S,
+    RECENT_START_S,
+    is_blamed,
+    probation_s,
+    weigh_crash,
+)
 
 TASK = TaskId("task", 0, 0, 0)
 OLD_RUN = LostRun(TaskId("old", 0, 0, 0), 60.0, 60.0, is_suspect=False)
@@ -145,7 +151,7 @@
     """Guards against a fatal task that takes more workers with it than its evidence needs."""
     history = History()
     for number in range(2):
-        silent_after_s = data.draw(st.floats(0.0, 0.4))
+        silent_after_s = data.draw(st.floats(0.0, PROMPT_S, exclude_max=True))
         run = history.lose({"lasted_s": 0.0, "silent_after_s": silent_after_s})
         crash = data.draw(failures(100.0 + 3 * number, "own", (run, OLD_RUN)))
         history.judge(crash, [data.draw(survivors(crash))])
