Soak crashes many workers at once, again and again

The soak restarted single workers only, so that no task met several common crashes. draw_crash_waves draws its own schedule (1 to 3 s apart) from its own random source; schedules of existing seeds stay as they are. Each wave crashes 30 to 95 % of the workers for up to 1 s; half of the waves break the connections, and half change the identifiers. Three long jobs follow each wave, as tasks of 1.5 s at most end between two.

The checker reports a job that any client has read as failed without reason, also if it was cancelled or shown otherwise later. A crash of a fatal task does not count if many workers crashed within 1.85 s of it; without waves the bound is unchanged.

--- a/src/foxtailwell_soak/__main__.py
+++ b/src/foxtailwell_soak/__main__.py
@@ -28,6 +28,10 @@
     instances: Annotated[int, cappa.Arg(long=True, help="Instances per soak test.")] = 3
     workers: Annotated[int, cappa.Arg(long=True, help="Workers per soak test.")] = 8
 
+    waves: Annotated[
+        bool, cappa.Arg(long="--waves/--no-waves", help="Whether many workers crash at once.")
+    ] = True
+
     def __call__(self) -> None:
         """Run the soak tests; the exit code is 1 if there was a violation."""
         seeds = [self.seed] if self.seed else [secrets.randbits(32) for _ in range(self.seeds)]
@@ -46,6 +50,7 @@
             length_s=self.length_s,
             instance_count=self.instances,
             worker_count=self.workers,
+            has_crash_waves=self.waves,
         )
         verdict = "failed" if result.violations else "passed"
         print(
--- a/src/foxtailwell_soak/_checker.py
+++ b/src/foxtailwell_soak/_checker.py
@@ -24,6 +24,12 @@
 FORBIDDEN_FATAL_STARTS = 3 + 3
 """Starts of a task that crashes its workers: three more after three workers have crashed."""
 
+WAVE_S = 1.6 + 0.25
+"""Longest time between the crash by a task and a common one that may excuse it.
+
+The controller notices a lost worker within 1.6 s, and takes crashes 0.25 s apart for simultaneous.
+"""
+
 TOLERANCE_S = 0.2
 """Tolerance for the delay between an event and its record on a loaded machine."""
 
@@ -39,6 +45,7 @@
     def __init__(self, fleet: Fleet, history: History) -> None:
         self._fleet = fleet
         self._history = history
+        # By address, as a worker may restart under another identifier.
         self._checked_count: dict[str, int] = {}
         # By name and payload, as tasks of two jobs may have one name.
         self._runs: dict[tuple[str, str], list[RunSpan]] = {}
@@ -55,12 +62,12 @@
         """Check all runs and process exits since the last call."""
         for handle in self._fleet.workers:
             spans = handle.worker.spans
-            for span in spans[self._checked_count.get(handle.worker.id, 0) :]:
+            for span in spans[self._checked_count.get(handle.address, 0) :]:
                 self._check_start(handle, span)
                 self._check_capacity(handle, span)
                 self._runs.setdefault(_task_key(span), []).append(span)
                 self._check_crashes(span)
-            self._checked_count[handle.worker.id] = len(spans)
+            self._checked_count[handle.address] = len(spans)
             self._record_acknowledged_ends(handle)
         for instance in self._fleet.instances:
             if instance.has_exited_unexpectedly():
@@ -120,12 +127,22 @@
             self._history.add_violation(f"{handle.worker.id} is over its capacity: {tasks}")
 
     def _check_crashes(self, started: RunSpan) -> None:
-        """Check that a task which crashes its workers is given up; late starts do not count."""
+        """Check that a task which crashes its workers is given up.
+
+        Late starts do not count, nor do those near a crash of many workers: what crashed a worker
+        then cannot be told.
+        """
         task = started.task
-        starts = sum(not span.is_delayed for span in self._runs[_task_key(started)])
+        starts = sum(
+            not span.is_delayed and not self._is_near_wave(span.started_s)
+            for span in self._runs[_task_key(started)]
+        )
         if task in self._fleet.fatal_tasks and starts >= FORBIDDEN_FATAL_STARTS:
             self._history.add_violation(f"{task} has crashed {starts} workers")
 
+    def _is_near_wave(self, at_s: float) -> bool:
+        return any(abs(at_s - wave_s) <= WAVE_S for wave_s in self._fleet.crash_waves_s)
+
     def _record_acknowledged_ends(self, handle: WorkerHandle) -> None:
         for span in handle.worker.spans:
             is_same_incarnation = span.boot_unix_ms == handle.worker.boot_unix_ms
@@ -141,12 +158,17 @@
             runs = [s for s in self._all_spans() if job.has_run(s)]
             if runs and job.is_refused:
                 self._history.add_violation(f"{job.job_id} ran although each attempt was refused")
+            may_fail = job.is_fatal or _is_out_of_attempts(runs)
+            if job.is_shown_failed and not may_fail:
+                self._history.add_violation(
+                    f"{job.job_id} was shown as failed, and no task of it has failed so often"
+                )
             if not job.accepted_s:
                 continue
             if job.cancel_sent_s:
                 if any(math.isinf(span.ended_s) for span in runs):
                     self._history.add_violation(f"{job.job_id} still runs after its cancellation")
-            elif job.last_state == "failed" and (job.is_fatal or _is_out_of_attempts(runs)):
+            elif job.last_state == "failed" and may_fail:
                 continue
             elif job.last_state != "completed":
                 self._history.add_violation(
--- a/src/foxtailwell_soak/_clients.py
+++ b/src/foxtailwell_soak/_clients.py
@@ -37,6 +37,9 @@
 STATUSES = frozenset({200, 401, 404, 410, 429, 503, 504})
 """Statuses of responses to well-formed requests."""
 
+LONG_WORK_S = 4.0
+"""Duration of the tasks of a long job, which outlasts the pause between two waves of crashes."""
+
 HOST = "jobs.example"
 URGENT_PREFIX, LATER_PREFIX = "/urgent/", "/later/"
 
@@ -94,6 +97,9 @@
         count = rng.randint(1, 4)
         is_gang = rng.random() < 0.4
         work_s = rng.uniform(0.2, 1.5)
+        if self._fleet.long_jobs_due:
+            self._fleet.long_jobs_due -= 1
+            work_s = LONG_WORK_S
         job = JobRecord(
             f"{rng.getrandbits(64):016x}",
             f"{work_s:.2f}",
@@ -211,6 +217,7 @@
             job.cancelled_s = time.monotonic()
 
     def _check_state(self, job: JobRecord, state: str) -> None:
+        job.is_shown_failed |= state == "failed"
         if job.cancel_sent_s:
             return
         if state == "cancelled":
--- a/src/foxtailwell_soak/_faults.py
+++ b/src/foxtailwell_soak/_faults.py
@@ -31,6 +31,7 @@
 __all__ = [
     "Fault",
     "FaultInjector",
+    "draw_crash_waves",
     "draw_cuts",
     "draw_faults",
     "draw_lasting_faults",
@@ -55,6 +56,12 @@
 LATE_STARTS = 4
 """Most starts that a worker carries out late behind a cut."""
 
+WAVE_SHARE = (0.3, 0.95)
+"""Range of the share of workers that crash together."""
+
+LONG_JOBS = 3
+"""Long jobs submitted after each wave; short tasks mostly end between two waves."""
+
 RESTART_DELAY_S = (0.05, 1.5)
 """Range of the delay before a killed instance is started again."""
 
@@ -153,6 +160,16 @@
     return draw_faults(rng, length_s, CUT_KINDS, CUT_INTERVAL_S)
 
 
+def draw_crash_waves(rng: random.Random, length_s: float) -> list[Fault]:
+    """Return a random schedule of crashes of many workers at once.
+
+    Args:
+        rng: Random source; the order of draws determines the schedule of a seed.
+        length_s: Time in which faults start.
+    """
+    return draw_faults(rng, length_s, WAVE_KINDS, WAVE_INTERVAL_S)
+
+
 class FaultInjector:
     """Injects faults into a deployment and removes them.
 
@@ -427,6 +444,28 @@
             handle.worker.restart()
             self._fleet.publish(handle)
 
+    async def crash_many(self, fault: Fault) -> None:
+        """Crash a random share of the workers together, for up to 1 s.
+
+        Every second time their connections break, as when a process ends; otherwise they stay
+        open without a response, as after a loss of power. Of the waves of either kind, half change
+        the identifiers of workers that are neither draining nor cut off.
+        """
+        rng = random.Random(fault.target)
+        workers = self._fleet.workers
+        count = round(rng.uniform(*WAVE_SHARE) * len(workers))
+        is_renaming = fault.target // 2 % 2 == 1
+        self._fleet.crash_waves_s.append(time.monotonic())
+        self._fleet.long_jobs_due += LONG_JOBS
+        for handle in rng.sample(workers, count):
+            if handle.is_removed:
+                continue
+            is_renamed = is_renaming and not handle.draining_s and not handle.is_cut_off
+            self._fleet.crash(handle, fault.for_s / 4, is_renamed=is_renamed)
+            if fault.target % 2 and handle.link.target not in self._silenced:
+                for connection in list(handle.link.connections):
+                    handle.link.cut(connection)
+
     async def refuse_commands(self, fault: Fault) -> None:
         """Make a worker refuse start and stop commands."""
         faults = self._fleet.workers[fault.target % len(self._fleet.workers)].worker.faults
@@ -572,3 +611,9 @@
 
 CUT_INTERVAL_S = (2.0, 5.0)
 """Range of the time between the starts of two faults of `CUT_KINDS`."""
+
+WAVE_KINDS = ("crash_many",)
+"""Kinds of common crashes with a schedule of their own, so that earlier seeds keep their faults."""
+
+WAVE_INTERVAL_S = (1.0, 3.0)
+"""Range of the time between two faults of `WAVE_KINDS`."""
--- a/src/foxtailwell_soak/_fleet.py
+++ b/src/foxtailwell_soak/_fleet.py
@@ -227,6 +227,9 @@
         shared_store_faults: Faults of the store that also stop worker heartbeats.
         fatal_tasks: Tasks that crash each worker that starts them.
         fatal_jobs_due: Number of coming jobs whose first task is to be fatal.
+        long_jobs_due: Number of coming jobs whose tasks are to outlast the pause between two waves.
+        crash_waves_s: Times at which many workers crashed at once.
+        lapses_s: Times at which entries of former identifiers lapse, by identifier.
         clients: Connections of clients, to be closed after the test.
     """
 
@@ -234,6 +237,9 @@
     shared_store_faults: StoreFaults
     fatal_tasks: set[str] = field(default_factory=set)
     fatal_jobs_due: int = 0
+    long_jobs_due: int = 0
+    crash_waves_s: list[float] = field(default_factory=list)
+    lapses_s: dict[str, float] = field(default_factory=dict)
     gangs: GangCoordinator = field(default_factory=GangCoordinator)
     instances: list[InstanceProcess] = field(default_factory=list)
     workers: list[WorkerHandle] = field(default_factory=list)
@@ -271,6 +277,19 @@
         """Keep the entries of a worker from the store, beginning with one that it writes now."""
         handle.unsent, handle.is_cut_off = _entry_value(handle), True
 
+    def crash(self, handle: WorkerHandle, silence_s: float, *, is_renamed: bool) -> None:
+        """Crash a worker, whose next incarnation may have another identifier.
+
+        The entry of the former identifier stays until its heartbeats are missed.
+        """
+        worker = handle.worker
+        if not is_renamed:
+            worker.crash(silence_s)
+            return
+        self.lapses_s[worker.id] = handle.published_s + MISSED_HEARTBEATS * HEARTBEAT_S
+        worker.crash(silence_s, f"{worker.id.partition('-')[0]}-{worker.boot_unix_ms}")
+        handle.published_s = 0.0
+
     async def run_workers(self) -> None:
         """End due runs and leases, and write or remove worker entries, until cancelled."""
         while True:
@@ -284,6 +303,10 @@
                     self.publish(handle)
                 elif now_s - handle.published_s > MISSED_HEARTBEATS * HEARTBEAT_S:
                     self.store.delete(f"servers/{handle.worker.id}")
+            for former, lapse_s in list(self.lapses_s.items()):
+                if now_s > lapse_s:
+                    self.store.delete(f"servers/{former}")
+                    del self.lapses_s[former]
             self.store.expire_leases()
             await anyio.sleep(CHECK_INTERVAL_S)
 
--- a/src/foxtailwell_soak/_history.py
+++ b/src/foxtailwell_soak/_history.py
@@ -33,6 +33,7 @@
         cancelled_s: When a cancellation was acknowledged.
         cancel_sent_s: When the first cancellation was sent.
         last_state: Last state that a client read.
+        is_shown_failed: A client has read the state "failed", at any time.
     """
 
     job_id: str
@@ -47,6 +48,7 @@
     cancelled_s: float = 0.0
     cancel_sent_s: float = 0.0
     last_state: str = ""
+    is_shown_failed: bool = False
 
     @property
     def key(self) -> str:
--- a/src/foxtailwell_soak/_run.py
+++ b/src/foxtailwell_soak/_run.py
@@ -17,6 +17,7 @@
 from foxtailwell_soak._faults import (
     Fault,
     FaultInjector,
+    draw_crash_waves,
     draw_cuts,
     draw_faults,
     draw_lasting_faults,
@@ -74,6 +75,7 @@
     has_lasting_faults: bool = True,
     has_cuts: bool = True,
     has_namesakes: bool = True,
+    has_crash_waves: bool = True,
 ) -> SoakResult:
     """Run one soak test.
 
@@ -86,6 +88,7 @@
         has_lasting_faults: Whether to add the faults of `draw_lasting_faults`.
         has_cuts: Whether to add the faults of `draw_cuts`.
         has_namesakes: Whether clients also submit jobs with one identifier to both queues.
+        has_crash_waves: Whether to add the faults of `draw_crash_waves`.
 
     Returns:
         The result; `violations` is empty if the test passed.
@@ -97,6 +100,8 @@
         faults += draw_lasting_faults(random.Random(seed + 3), length_s)
     if has_cuts:
         faults += draw_cuts(random.Random(seed + 4), length_s)
+    if has_crash_waves:
+        faults += draw_crash_waves(random.Random(seed + 5), length_s)
     faults.sort(key=lambda fault: fault.at_s)
     size = (instance_count, worker_count)
     arguments = (seed, faults, directory, length_s, size, has_namesakes)
--- a/src/foxtailwell_standins/platform_worker.py
+++ b/src/foxtailwell_standins/platform_worker.py
@@ -283,10 +283,20 @@
         is_cut = self.faults.is_unreachable or self.faults.is_refusing_connections
         return is_cut or time.monotonic() < self._silent_until_s
 
-    def crash(self) -> None:
-        """Restart after a silence of `WorkerFaults.crash_s`; all runs end at once."""
-        self._silent_until_s = time.monotonic() + self.faults.crash_s
+    def crash(self, silence_s: float | None = None, next_id: str = "") -> None:
+        """Restart after a silence; all runs end at once.
+
+        Args:
+            silence_s: Length of the silence; `WorkerFaults.crash_s` if omitted.
+            next_id: Identifier of the next incarnation, which does not carry out commands to this
+                one; unchanged if omitted.
+        """
+        silence_s = self.faults.crash_s if silence_s is None else silence_s
+        self._silent_until_s = time.monotonic() + silence_s
         self.restart()
+        if next_id:
+            self.id = next_id
+            self._delayed.clear()
 
     def end(self, task: str, kind: EndKind, checkpoint: str = "") -> None:
         """End a run of this worker, and the other members of its gang."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,6 +8,7 @@
 import time
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import replace
+from itertools import pairwise
 
 import anyio
 import msgspec
@@ -18,16 +19,20 @@
 from foxtailwell.controller._links import max_lease_s
 from foxtailwell.workflows import EndKind, Resources, StartCommand, TaskId, WorkerCallError
 from foxtailwell_soak import run_soak
-from foxtailwell_soak._checker import CAPACITY_GRACE_S, Checker
+from foxtailwell_soak._checker import CAPACITY_GRACE_S, WAVE_S, Checker
 from foxtailwell_soak._clients import Client
 from foxtailwell_soak._faults import (
     CUT_KINDS,
     FAULT_KINDS,
     LASTING_FAULT_KINDS,
     OUTLASTING_S,
+    WAVE_INTERVAL_S,
+    WAVE_KINDS,
+    WAVE_SHARE,
     WORKLOAD_FAULT_KINDS,
     Fault,
     FaultInjector,
+    draw_crash_waves,
     draw_faults,
 )
 from foxtailwell_soak._fleet import (
@@ -39,7 +44,8 @@
     WorkerHandle,
     describe_processor_use,
 )
-from foxtailwell_soak._history import History, JobRecord
+from foxtailwell_soak._fleet import HEARTBEAT_S as FLEET_HEARTBEAT_S
+from foxtailwell_soak._history import MAX_ATTEMPTS, History, JobRecord
 from foxtailwell_soak._operators import Operators
 from foxtailwell_standins.platform_store import MemoryStore, StoreFaults
 from foxtailwell_standins.platform_worker import GangCoordinator, MemoryWorker, RunSpan
@@ -107,6 +113,7 @@
             has_lasting_faults=seed in (*LASTING_SEEDS, *CUT_SEEDS, *NAMESAKE_SEEDS),
             has_cuts=seed in (*CUT_SEEDS, *NAMESAKE_SEEDS),
             has_namesakes=seed in NAMESAKE_SEEDS,
+            has_crash_waves=False,
         )
         for seed in seeds
         if seed in SEEDS
@@ -262,6 +269,53 @@
     assert "crashed 6 workers" in history.violations[0]
 
 
+def test_checker_excuses_only_crashes_near_a_common_one(checked_worker):
+    """Guards against a checker that blames a task for a wave, or allows more for any wave."""
+    checker, history, handle = checked_worker
+    checker._fleet.fatal_tasks.add(f"{JOB}.0.0.0")
+    checker._fleet.crash_waves_s += [2.0, 100.0]
+    starts_s = [2.0 - WAVE_S, 2.1, 2.0 + WAVE_S, 11.0, 12.0, 13.0, 14.0, 15.0]
+    handle.worker.spans += [span(at, at + 0.1, run=n) for n, at in enumerate(starts_s, 1)]
+    checker.check_new()
+    assert not history.violations
+    handle.worker.spans.append(span(98.0, 98.1, run=9))
+    checker.check_new()
+    assert "crashed 6 workers" in history.violations[0]
+
+
+@pytest.mark.parametrize(
+    ("failed_runs", "is_fatal", "is_cancelled", "is_reported"),
+    [
+        (0, False, False, True),
+        (0, False, True, True),
+        (MAX_ATTEMPTS - 1, False, False, True),
+        (MAX_ATTEMPTS, False, False, False),
+        (0, True, False, False),
+    ],
+)
+def test_checker_reports_a_job_shown_as_failed_too_early(
+    checked_worker, failed_runs, is_fatal, is_cancelled, is_reported
+):
+    """Guards against crashes that fail a job, also if it is cancelled or shown otherwise later."""
+    checker, history, handle = checked_worker
+    job = history.jobs[JOB]
+    job.is_fatal = is_fatal
+    client = Client(checker._fleet, history, random.Random(1))
+    # An end that is listed twice is one attempt, and a crash is none.
+    runs = [*range(1, failed_runs + 1), *([1] if failed_runs else [])]
+    handle.worker.spans += [span(n, n + 0.5, run=n, end_kind=EndKind.FAILED) for n in runs]
+    handle.worker.spans += [span(n, n + 0.5, run=n) for n in range(5, 10)]
+    client._check_state(job, "failed")
+    if is_cancelled:
+        job.cancel_sent_s = 1.0
+    elif not failed_runs and not is_fatal:
+        client._check_state(job, "running")
+    checker.check_responses()
+    text = f"{JOB} was shown as failed, and no task of it has failed so often"
+    assert (text in history.violations) == is_reported
+    assert bool(history.violations) == is_reported
+
+
 @pytest.mark.parametrize(
     ("reply", "text"),
     [
@@ -431,6 +485,98 @@
     assert [span.is_delayed for span in handle.worker.spans] == [True]
 
 
+def test_crash_waves_are_reproducible_and_follow_each_other():
+    """Guards against waves that a seed does not reproduce, or too rare to meet in one history."""
+    waves = draw_crash_waves(random.Random(7), 60.0)
+    assert waves == draw_crash_waves(random.Random(7), 60.0)
+    pauses_s = [two.at_s - one.at_s for one, two in pairwise(waves)]
+    low_s, high_s = WAVE_INTERVAL_S
+    assert all(low_s <= pause_s <= high_s for pause_s in pauses_s)
+    assert len(pauses_s) >= 58.0 / high_s - 1
+
+
+def test_crash_waves_leave_the_other_faults_of_a_seed_alone(monkeypatch, tmp_path):
+    """Guards against seeds of earlier failures that stand for other faults than before."""
+    schedules = []
+    monkeypatch.setattr(
+        "foxtailwell_soak._run.anyio.run",
+        lambda _, seed, faults, *__, **___: schedules.append(faults),
+    )
+    for has_crash_waves in (True, False):
+        run_soak(7, tmp_path, has_crash_waves=has_crash_waves)
+    with_waves, without_waves = schedules
+    assert [fault for fault in with_waves if fault.kind not in WAVE_KINDS] == without_waves
+    assert len(with_waves) > len(without_waves)
+
+
+@pytest.mark.anyio
+async def test_worker_that_returns_under_another_identifier_does_nothing_for_the_former_one():
+    """Guards against late starts on, or lost entries of, the next incarnation of a worker."""
+    worker = MemoryWorker("w0")
+    handle = WorkerHandle(worker, RelayState(""), "127.0.0.1:1")
+    fleet = Fleet(MemoryStore(), StoreFaults(), workers=[handle])
+    fleet.publish(handle)
+    worker.faults.delayed_starts = 1
+    with pytest.raises(WorkerCallError):
+        await worker.start(StartCommand(TaskId(JOB, 0, 0, 0), 1, "1.0", ""), 10_000, 1)
+    fleet.crash(handle, 0.05, is_renamed=True)
+    await anyio.sleep(0.06)
+    worker.apply_delayed()
+    assert not worker.spans
+    async with anyio.create_task_group() as group:
+        group.start_soon(fleet.run_workers)
+        await anyio.sleep(0.1)
+        assert set(fleet.store.items) == {"servers/w0", "servers/w0-1"}
+        # The next crash leaves two former entries behind.
+        fleet.crash(handle, 0.05, is_renamed=True)
+        await anyio.sleep(0.2)
+        assert set(fleet.store.items) == {"servers/w0", "servers/w0-1", "servers/w0-2"}
+        await anyio.sleep(MISSED_HEARTBEATS * FLEET_HEARTBEAT_S)
+        assert set(fleet.store.items) == {"servers/w0-2"}
+        group.cancel_scope.cancel()
+
+
+def test_checker_counts_a_run_once_if_its_worker_gets_another_identifier(checked_worker):
+    """Guards against a checker that takes one run for two."""
+    checker, history, handle = checked_worker
+    handle.worker.spans.append(span(1.0, 2.0))
+    checker.check_new()
+    checker._fleet.crash(handle, 0.0, is_renamed=True)
+    checker.check_new()
+    assert not history.violations
+    handle.worker.spans.append(span(1.5, run=2))
+    checker.check_new()
+    assert "twice at once" in history.violations[0]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("target", [0, 1, 2, 40_000, 65_535])
+async def test_wave_crashes_a_share_of_the_workers_at_once(target):
+    """Guards against waves that spare nearly all workers, or crash them one after the other."""
+    handles = []
+    for number in range(20):
+        link = RelayState(f"127.0.0.1:{number}")
+        handles.append(WorkerHandle(MemoryWorker(f"w{number}"), link, link.target))
+    fleet = Fleet(MemoryStore(), StoreFaults(), workers=handles)
+    for handle in handles:
+        await handle.worker.start(StartCommand(TaskId(JOB, 0, 0, 0), 1, "1.0", ""), 10_000, 1)
+    injector = FaultInjector(fleet, Operators(fleet, History()), random.Random(1), print)
+    removed = handles[0]
+    removed.is_removed = True
+    await injector.crash_many(Fault(0.0, "crash_many", target, 0.4))
+    assert not removed.worker.is_silent
+    crashed = [h.worker for h in handles if h.worker.is_silent]
+    low, high = WAVE_SHARE
+    assert low * len(handles) - 1 <= len(crashed) <= high * len(handles)
+    assert all(worker.boot_unix_ms == 2 and not worker.running for worker in crashed)
+    assert all(("-" in worker.id) == bool(target & 2) for worker in crashed)
+    assert fleet.long_jobs_due
+    ends_s = [worker.spans[0].ended_s for worker in crashed]
+    assert max(ends_s) - fleet.crash_waves_s[0] < 0.05
+    await anyio.sleep(0.1)
+    assert not any(worker.is_silent for worker in crashed)
+
+
 def test_fault_schedule_is_reproducible_and_faults_overlap():
     """Guards against a schedule that a seed does not reproduce, or without overlaps."""
     schedules = [draw_faults(random.Random(7), 12.0) for _ in range(2)]
@@ -439,3 +585,4 @@
     assert any(one.at_s + one.for_s > two.at_s for one, two in pairs)
     assert all(hasattr(FaultInjector, k) for k in (*FAULT_KINDS, *WORKLOAD_FAULT_KINDS))
     assert all(hasattr(FaultInjector, kind) for kind in (*LASTING_FAULT_KINDS, *CUT_KINDS))
+    assert all(hasattr(FaultInjector, kind) for kind in WAVE_KINDS)
