--- a/src/foxtailwell_soak/_faults.py
+++ b/src/foxtailwell_soak/_faults.py
@@ -59,6 +59,9 @@
 WAVE_SHARE = (0.3, 0.95)
 """Range of the share of workers that crash together."""
 
+WAVES_ALONE_S = 8.0
+"""Time in which waves of crashes go on after the last other faults have begun."""
+
 LONG_JOBS = 3
 """Long jobs submitted after each wave; short tasks mostly end between two waves."""
 
@@ -163,11 +166,13 @@
 def draw_crash_waves(rng: random.Random, length_s: float) -> list[Fault]:
     """Return a random schedule of crashes of many workers at once.
 
+    The last ones meet a controller that has seen those before.
+
     Args:
         rng: Random source; the order of draws determines the schedule of a seed.
-        length_s: Time in which faults start.
+        length_s: Time in which other faults start; waves go on for `WAVES_ALONE_S`.
     """
-    return draw_faults(rng, length_s, WAVE_KINDS, WAVE_INTERVAL_S)
+    return draw_faults(rng, length_s + WAVES_ALONE_S, WAVE_KINDS, WAVE_INTERVAL_S)
 
 
 class FaultInjector:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -29,6 +29,7 @@
     WAVE_INTERVAL_S,
     WAVE_KINDS,
     WAVE_SHARE,
+    WAVES_ALONE_S,
     WORKLOAD_FAULT_KINDS,
     Fault,
     FaultInjector,
@@ -492,7 +493,7 @@
     pauses_s = [two.at_s - one.at_s for one, two in pairwise(waves)]
     low_s, high_s = WAVE_INTERVAL_S
     assert all(low_s <= pause_s <= high_s for pause_s in pauses_s)
-    assert len(pauses_s) >= 58.0 / high_s - 1
+    assert 60.0 < waves[-1].at_s < 60.0 + WAVES_ALONE_S
 
 
 def test_crash_waves_leave_the_other_faults_of_a_seed_alone(monkeypatch, tmp_path):
