--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -85,7 +85,10 @@
 NAMESAKE_SEEDS = (20261207,)
 """Seeds with all faults, and with jobs that have the identifiers of jobs on the other queue."""
 
-LENGTHS_S = dict.fromkeys((1908340578, *LASTING_SEEDS, *CUT_SEEDS), 12.0)
+WAVE_SEEDS = {3494254259: "common crashes were booked as evidence against the tasks that ran there"}
+"""Seeds of failures with all faults and crashes of many workers at once, each with the cause."""
+
+LENGTHS_S = dict.fromkeys((1908340578, *LASTING_SEEDS, *CUT_SEEDS, *WAVE_SEEDS), 12.0)
 """Lengths of soak tests whose failure needed faults after the usual 8 s."""
 
 JOBS = max(2, (os.cpu_count() or 2) - 3)
@@ -94,7 +97,7 @@
 HEARTBEAT_S = 0.2
 """Interval of heartbeats in tests of a single cut; shorter than in a soak test."""
 
-SEEDS = (SEED, *REGRESSION_SEEDS, *LASTING_SEEDS, *CUT_SEEDS, *NAMESAKE_SEEDS)
+SEEDS = (SEED, *REGRESSION_SEEDS, *LASTING_SEEDS, *CUT_SEEDS, *NAMESAKE_SEEDS, *WAVE_SEEDS)
 JOB = "00000000000000aa"
 
 
@@ -111,10 +114,10 @@
             seed,
             tmp_path_factory.mktemp(f"soak-{seed}"),
             length_s=LENGTHS_S.get(seed, 8.0),
-            has_lasting_faults=seed in (*LASTING_SEEDS, *CUT_SEEDS, *NAMESAKE_SEEDS),
-            has_cuts=seed in (*CUT_SEEDS, *NAMESAKE_SEEDS),
-            has_namesakes=seed in NAMESAKE_SEEDS,
-            has_crash_waves=False,
+            has_lasting_faults=seed in (*LASTING_SEEDS, *CUT_SEEDS, *NAMESAKE_SEEDS, *WAVE_SEEDS),
+            has_cuts=seed in (*CUT_SEEDS, *NAMESAKE_SEEDS, *WAVE_SEEDS),
+            has_namesakes=seed in (*NAMESAKE_SEEDS, *WAVE_SEEDS),
+            has_crash_waves=seed in WAVE_SEEDS,
         )
         for seed in seeds
         if seed in SEEDS
@@ -333,6 +336,23 @@
     assert text in history.violations[0]
 
 
+@pytest.mark.anyio
+async def test_client_submits_as_many_long_jobs_as_are_due(checked_worker, monkeypatch):
+    """Guards against waves that meet only tasks which end before the next one."""
+    checker, history, _ = checked_worker
+    client = Client(checker._fleet, history, random.Random(1))
+
+    async def accept(*_):
+        return 200, {}
+
+    monkeypatch.setattr(client, "_call", accept)
+    checker._fleet.long_jobs_due = 2
+    for _ in range(4):
+        await client._submit_one()
+    works_s = [float(job.payload) for _, job in client._jobs]
+    assert [work_s > WAVE_INTERVAL_S[1] for work_s in works_s] == [True, True, False, False]
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("is_used", [False, True])
 async def test_client_reports_a_worker_that_gets_no_task(checked_worker, monkeypatch, is_used):
@@ -552,11 +572,14 @@
 
 @pytest.mark.anyio
 @pytest.mark.parametrize("target", [0, 1, 2, 40_000, 65_535])
-async def test_wave_crashes_a_share_of_the_workers_at_once(target):
+async def test_wave_crashes_a_share_of_the_workers_at_once(target, monkeypatch):
     """Guards against waves that spare nearly all workers, or crash them one after the other."""
+    broken = []
+    monkeypatch.setattr(RelayState, "cut", lambda link, _: broken.append(link.target))
     handles = []
     for number in range(20):
         link = RelayState(f"127.0.0.1:{number}")
+        link.connections.add(object())
         handles.append(WorkerHandle(MemoryWorker(f"w{number}"), link, link.target))
     fleet = Fleet(MemoryStore(), StoreFaults(), workers=handles)
     for handle in handles:
@@ -572,6 +595,7 @@
     assert all(worker.boot_unix_ms == 2 and not worker.running for worker in crashed)
     assert all(("-" in worker.id) == bool(target & 2) for worker in crashed)
     assert fleet.long_jobs_due
+    assert len(broken) == (len(crashed) if target % 2 else 0)
     ends_s = [worker.spans[0].ended_s for worker in crashed]
     assert max(ends_s) - fleet.crash_waves_s[0] < 0.05
     await anyio.sleep(0.1)
