--- a/src/foxtailwell_soak/__main__.py
+++ b/src/foxtailwell_soak/__main__.py
@@ -31,6 +31,9 @@
     waves: Annotated[
         bool, cappa.Arg(long="--waves/--no-waves", help="Whether many workers crash at once.")
     ] = True
+    quiet: Annotated[
+        bool, cappa.Arg(long=True, help="Only such crashes, while most workers are idle.")
+    ] = False
 
     def __call__(self) -> None:
         """Run the soak tests; the exit code is 1 if there was a violation."""
@@ -51,6 +54,7 @@
             instance_count=self.instances,
             worker_count=self.workers,
             has_crash_waves=self.waves,
+            is_quiet=self.quiet,
         )
         verdict = "failed" if result.violations else "passed"
         print(
--- a/src/foxtailwell_soak/_clients.py
+++ b/src/foxtailwell_soak/_clients.py
@@ -14,7 +14,7 @@
 from foxtailwell_soak._fleet import BOUNDS, WORKER_CAPACITY, Fleet
 from foxtailwell_soak._history import History, JobRecord
 
-__all__ = ["API_KEYS", "Client"]
+__all__ = ["API_KEYS", "PAUSE_S", "Client"]
 
 API_KEYS = ("key-1", "key-2")
 """API keys of the client account; operators revoke the second one temporarily."""
@@ -25,6 +25,9 @@
 SUBMIT_ATTEMPTS = 4
 """Attempts to submit a job."""
 
+PAUSE_S = (0.05, 0.5)
+"""Range of the pause of a client between two jobs."""
+
 RETRY_DELAY_S = 0.3
 """Delay before the next attempt."""
 
@@ -53,6 +56,7 @@
         rng: Random source; the order of draws determines what a seed does.
         namesakes_rng: Source of its own for jobs that have the identifier of a job on the other
             queue; None for no such jobs.
+        pause_s: Range of the pause between two jobs.
     """
 
     def __init__(
@@ -61,7 +65,9 @@
         history: History,
         rng: random.Random,
         namesakes_rng: random.Random | None = None,
+        pause_s: tuple[float, float] = PAUSE_S,
     ) -> None:
+        self._pause_s = pause_s
         self._namesakes_rng = namesakes_rng
         self._history = history
         self._rng = rng
@@ -79,7 +85,7 @@
             await self._submit_one()
             if self._jobs and self._rng.random() < 0.5:
                 await self._read_or_cancel(*self._rng.choice(self._jobs))
-            await anyio.sleep(self._rng.uniform(0.05, 0.5))
+            await anyio.sleep(self._rng.uniform(*self._pause_s))
 
     async def wait_until_ended(self, limit_s: float) -> None:
         """Read all accepted jobs until each has ended, for at most `limit_s`."""
--- a/src/foxtailwell_soak/_run.py
+++ b/src/foxtailwell_soak/_run.py
@@ -13,7 +13,7 @@
 import anyio
 
 from foxtailwell_soak._checker import Checker
-from foxtailwell_soak._clients import Client
+from foxtailwell_soak._clients import PAUSE_S, Client
 from foxtailwell_soak._faults import (
     Fault,
     FaultInjector,
@@ -44,6 +44,9 @@
 
 CLIENT_COUNT = 4
 
+QUIET_PAUSE_S = (1.0, 3.0)
+"""Range of the pause between two jobs that leaves most workers idle."""
+
 
 @dataclass(frozen=True, slots=True)
 class SoakResult:
@@ -76,6 +79,7 @@
     has_cuts: bool = True,
     has_namesakes: bool = True,
     has_crash_waves: bool = True,
+    is_quiet: bool = False,
 ) -> SoakResult:
     """Run one soak test.
 
@@ -89,6 +93,7 @@
         has_cuts: Whether to add the faults of `draw_cuts`.
         has_namesakes: Whether clients also submit jobs with one identifier to both queues.
         has_crash_waves: Whether to add the faults of `draw_crash_waves`.
+        is_quiet: Whether one client with long pauses and the faults of `draw_crash_waves` are all.
 
     Returns:
         The result; `violations` is empty if the test passed.
@@ -102,9 +107,11 @@
         faults += draw_cuts(random.Random(seed + 4), length_s)
     if has_crash_waves:
         faults += draw_crash_waves(random.Random(seed + 5), length_s)
+    if is_quiet:
+        faults = draw_crash_waves(random.Random(seed + 5), length_s)
     faults.sort(key=lambda fault: fault.at_s)
     size = (instance_count, worker_count)
-    arguments = (seed, faults, directory, length_s, size, has_namesakes)
+    arguments = (seed, faults, directory, length_s, size, has_namesakes, is_quiet)
     return anyio.run(_run, *arguments, backend="asyncio")
 
 
@@ -120,6 +127,7 @@
     length_s: float,
     size: tuple[int, int],
     has_namesakes: bool,
+    is_quiet: bool,
 ) -> SoakResult:
     descriptions: list[str] = []
     history = History()
@@ -140,8 +148,9 @@
                     history,
                     random.Random(seed * 100 + number),
                     random.Random(seed * 100 + CLIENT_COUNT + number) if has_namesakes else None,
+                    QUIET_PAUSE_S if is_quiet else PAUSE_S,
                 )
-                for number in range(CLIENT_COUNT)
+                for number in range(1 if is_quiet else CLIENT_COUNT)
             ]
             async with anyio.create_task_group() as running:
                 running.start_soon(injector.run, faults, start_s)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -516,6 +516,20 @@
     assert 60.0 < waves[-1].at_s < 60.0 + WAVES_ALONE_S
 
 
+def test_quiet_soak_has_waves_only_and_one_client(monkeypatch, tmp_path):
+    """Guards against a quiet soak whose other faults hide what the waves do to idle workers."""
+    calls = []
+    monkeypatch.setattr(
+        "foxtailwell_soak._run.anyio.run", lambda _, *args, **__: calls.append(args)
+    )
+    run_soak(7, tmp_path, is_quiet=True)
+    run_soak(7, tmp_path)
+    (_, faults, *_, is_quiet), (_, all_faults, *_, is_usually_quiet) = calls
+    assert {fault.kind for fault in faults} == set(WAVE_KINDS)
+    assert set(faults) < set(all_faults)
+    assert (is_quiet, is_usually_quiet) == (True, False)
+
+
 def test_crash_waves_leave_the_other_faults_of_a_seed_alone(monkeypatch, tmp_path):
     """Guards against seeds of earlier failures that stand for other faults than before."""
     schedules = []
