--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 soak: setup
 	FOXTAILWELL_PROFILE=soak $(BIN)/python -m pytest tests
 	$(BIN)/python -m foxtailwell_soak --seeds 10
+	$(BIN)/python -m foxtailwell_soak --quiet --seeds 10
 
 demo: setup
 	PATH="$(CURDIR)/$(BIN):$$PATH" scripts/demo.sh
