Crashes are dated by the next incarnation, and departures show no common cause

Traced: behind a slow link its crashes were noticed 1.4 s later, so that they did not seem to follow its starts, and lay beside the silence of a worker that had left as announced, or a single silent one; each time the crash was excused.

A worker that has announced its end is no failure, a single one that is only silent leaves doubt and excuses nothing, and a crash lies before the time at which the next incarnation began, by its clock.

--- a/src/foxtailwell/controller/_crashes.py
+++ b/src/foxtailwell/controller/_crashes.py
@@ -232,7 +232,7 @@
         others = self._failures_near(failure, known)
         if has_common_cause(failure, others):
             return False
-        decided = {failure.worker, *(other.worker for other in others)}
+        decided = {failure.worker, *(other.worker for other in others if other.is_crash)}
         return any(
             link.alive_s <= failure.silent_s + SPREAD_S
             and not (link.is_unresponsive and link.silent_since_s < failure.alive_s - SPREAD_S)
@@ -271,8 +271,10 @@
         """
         placed = self._registry.placed_on(link.entry.id)
         is_silent = link.is_unresponsive or link.silence_s() >= MIN_SILENCE_S
+        if self._workers.has_announced_end(link.entry.id, link.boot_unix_ms):
+            return None
         if is_silent and link.alive_s <= link.silent_since_s:
-            return self._to_failure(link, placed)
+            return replace(self._to_failure(link, placed), is_crash=False)
         replaced_s = self._workers.replaced_s(link.entry.id)
         if replaced_s is not None:
             return Failure(
@@ -287,14 +289,13 @@
     def _to_failure(self, link: WorkerLink, lost: Sequence[Task]) -> Failure:
         """Return what is known of the end of a worker's runs.
 
-        A restart that no failed call has shown happened before the next incarnation began.
+        It ended before the next incarnation began, although a call may have failed later only.
         """
         has_restarted = any(task.boot_unix_ms != link.boot_unix_ms for task in lost)
         alive_s = link.former_alive_s if has_restarted else link.alive_s
-        silent_s = link.silent_since_s
-        if silent_s <= alive_s:
-            born_s = _born_s(link) if has_restarted else math.inf
-            silent_s = min(born_s, self._now_s())
+        born_s = _born_s(link) if has_restarted else math.inf
+        noticed_s = link.silent_since_s if link.silent_since_s > alive_s else self._now_s()
+        silent_s = max(alive_s, min(born_s, noticed_s))
         return Failure(link.entry.id, alive_s, silent_s, _to_lost_runs(lost, silent_s))
 
 
@@ -315,10 +316,14 @@
 def _to_lost_run(task: Task, silent_s: float) -> LostRun:
     # The time of a start that an earlier controller sent is not known.
     is_start_known = task.is_confirmed and task.start_settled_s > 0
+    silent_after_s = silent_s - task.start_settled_s if is_start_known else math.inf
+    if task.started_s <= silent_s:
+        # The response to a start may arrive after the crash that it has caused.
+        silent_after_s = max(0.0, silent_after_s)
     return LostRun(
         task.id,
         task.lasted_s,
-        silent_s - task.start_settled_s if is_start_known else math.inf,
+        silent_after_s,
         task.is_blamed,
         _is_blamed_on_probation(task),
         # A start that was sent to a silent worker has not crashed it.
--- a/src/foxtailwell/workflows/_crashes.py
+++ b/src/foxtailwell/workflows/_crashes.py
@@ -129,12 +129,14 @@
         alive_s: Latest local time at which it is known to have lived.
         silent_s: Earliest local time at which it is known to have failed.
         runs: Runs that were on it.
+        is_crash: It is known to have ended, and not only silent.
     """
 
     worker: str
     alive_s: float
     silent_s: float
     runs: tuple[LostRun, ...]
+    is_crash: bool = True
 
     @property
     def may_have_inner_cause(self) -> bool:
@@ -165,13 +167,15 @@
     """Return whether a failure at the same moment shows a cause outside the runs.
 
     Tasks of one job may behave alike, and crash their workers together some time after a start.
+    A single worker that is only silent may have been cut off by chance.
 
     Args:
         crash: The crashed worker.
         others: Workers that may have failed at the same moment.
     """
     jobs = crash.recent_jobs
-    return any(not (f.may_have_inner_cause or f.recent_jobs & jobs) for f in others)
+    unexplained = [f for f in others if not (f.may_have_inner_cause or f.recent_jobs & jobs)]
+    return len(unexplained) > 1 or any(f.is_crash for f in unexplained)
 
 
 def judge_crash(crash: Failure, others: Collection[Failure]) -> dict[TaskId, int]:
--- a/tests/test_common_crashes.py
+++ b/tests/test_common_crashes.py
@@ -204,6 +204,11 @@
     return Failure(f"w{number}", alive_s, silent_s, runs)
 
 
+def silence(number: int) -> Failure:
+    """Return an idle worker that is silent and may have failed."""
+    return replace(failure(number), is_crash=False)
+
+
 FRESH, EARLIER, OLD, SUDDEN = 0.1, 1.2, 30.0, 0.01
 
 
@@ -215,6 +220,8 @@
         pytest.param(FRESH, [failure(2, lost_run(2, OLD))], 0, id="beside an old run"),
         pytest.param(EARLIER, [failure(2, lost_run(2, OLD))], 0, id="later, beside an old run"),
         pytest.param(FRESH, [failure(2)], 0, id="beside an idle worker"),
+        pytest.param(FRESH, [silence(2)], 1, id="beside a silent worker"),
+        pytest.param(FRESH, [silence(2), silence(3)], 0, id="beside several silent workers"),
         pytest.param(FRESH, [failure(2, lost_run(2, EARLIER))], 0, id="beside an earlier start"),
         pytest.param(FRESH, [failure(2, lost_run(2, FRESH))], 1, id="beside a fresh start"),
         pytest.param(SUDDEN, [failure(2, lost_run(2, OLD))], 1, id="sudden, beside an old run"),
