--- a/src/foxtailwell/controller/_crashes.py
+++ b/src/foxtailwell/controller/_crashes.py
@@ -51,13 +51,14 @@
     reason: str
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class _PendingCrash:
     """A crash whose judgement waits for what is known of the other workers.
 
     Attributes:
-        failure: The crash, with its runs as they were when it was noticed.
-        tasks: Tasks of these runs, in the same order.
+        failure: The crash, with its runs as they were when it was noticed; those whose starts had
+            no answer yet come last.
+        tasks: The other runs, in the same order.
         noticed_s: Local time at which it was noticed.
     """
 
--- a/src/foxtailwell/workflows/_crashes.py
+++ b/src/foxtailwell/workflows/_crashes.py
@@ -209,8 +209,8 @@
 
     Args:
         runs: All runs on the crashed worker.
-        is_isolated: No other worker fell silent at the same time without a suspect of its own;
-            otherwise an external cause, such as a power failure, is likely.
+        is_isolated: No other worker failed at the same time; otherwise an external cause, such as
+            a power failure, is possible.
     """
     recent = [run for run in runs if run.is_recent]
     if not recent:
