--- a/review/standins_3/platform_3.py
+++ b/review/standins_3/platform_3.py
@@ -10,6 +10,7 @@
 import base64
 import contextlib
 import json
+import math
 import os
 import signal
 import socket
@@ -313,7 +314,7 @@
     """One life of a worker, with its runs.
 
     A payload (`spec`) is JSON with `work_s`, the duration of a task, or `lasting` for tasks that
-    run until they are stopped.
+    run until they are stopped, or until they fail after `fail_s`.
     """
 
     def __init__(
@@ -344,6 +345,7 @@
         self.seq = 0
         self.is_up = True
         self.state = "ready"
+        self.leaves_s = 0.0
         self.on_start: Callable[[Worker, Json], float | None] = lambda worker, body: None
         self.on_stop: Callable[[Worker, str, int], None] = lambda *stopped: None
         self.on_end: Callable[[str, str], None] = lambda task, how: None
@@ -357,8 +359,11 @@
         """Return the entry under `servers/`."""
         self.seq += 1
         cpu, memory, gpu = self.capacity
+        left_ms = int((self.leaves_s - time.monotonic()) * 1000)
+        draining = {"remaining_ms": max(0, left_ms)} if self.state == "draining" else {}
         return json.dumps(
-            {
+            draining
+            | {
                 "service": "pool",
                 "address": self.address,
                 "zone": self.zone,
@@ -403,8 +408,8 @@
         for task, run in list(self.running.items()):
             if run["stop_s"] and now_s >= run["stop_s"]:
                 self.end(task, "stopped")
-            elif run["until_s"] and now_s >= run["until_s"]:
-                self.end(task, "done")
+            elif now_s >= run["until_s"]:
+                self.end(task, "failed" if run["lasting"] else "done")
 
     def is_at_work(self, run: Json) -> bool:
         """Return whether the percent of a lasting run is 100."""
@@ -412,7 +417,7 @@
 
     def _percent(self, run: Json) -> int:
         age_s = time.monotonic() - run["began_s"]
-        if run["until_s"]:
+        if not run["lasting"]:
             return min(99, int(100 * age_s / (run["until_s"] - run["began_s"])))
         return 100 if age_s >= STARTUP_S else int(100 * age_s / STARTUP_S)
 
@@ -433,8 +438,14 @@
             return 409, {"clock_ms": clock, "reason": "old"}
         work = json.loads(body["spec"])
         now_s = time.monotonic()
-        until_s = 0.0 if work.get("lasting") else now_s + work["work_s"]
-        self.running[task] = {"run": run, "began_s": now_s, "until_s": until_s, "stop_s": 0.0}
+        lasting_s = work.get("fail_s", math.inf) if work.get("lasting") else work["work_s"]
+        self.running[task] = {
+            "run": run,
+            "began_s": now_s,
+            "until_s": now_s + lasting_s,
+            "stop_s": 0.0,
+            "lasting": bool(work.get("lasting")),
+        }
         self.record.add_run(self.id, "starts", task, f"run {run} fence {body['fencing_token']}")
         return 200, {"clock_ms": clock}
 
@@ -641,9 +652,17 @@
                     self.store.delete(f"servers/{worker.id}")
             await asyncio.sleep(0.02)
 
-    def configure(self, version: int, routes: list[Json], gpu: int = 0) -> None:
-        """Write a configuration, as the operator does."""
-        tenants = [{"name": "acme", "api_keys": ["key-1"], "guaranteed": {"gpu": gpu}}]
+    def configure(
+        self, version: int, routes: list[Json], guaranteed: tuple[int, ...] = (0,)
+    ) -> None:
+        """Write a configuration, as the operator does, with a tenant for each guaranteed number.
+
+        The key of the first tenant is `key-1`.
+        """
+        tenants = [
+            {"name": f"tenant-{n}", "api_keys": [f"key-{n}"], "guaranteed": {"gpu": gpu}}
+            for n, gpu in enumerate(guaranteed, 1)
+        ]
         value = {
             "version": version,
             "routes": routes,
@@ -721,18 +740,22 @@
                     found.append(json.loads(line))
         return found
 
-    async def request(self, method: str, path: str, body: Json | None = None, at: int = 0) -> Reply:
+    async def request(
+        self, method: str, path: str, body: Json | None = None, at: int = 0, key: str = "key-1"
+    ) -> Reply:
         """Send a client's request to an instance and record it with its answer."""
-        headers = {"Host": "jobs.example", "Authorization": "Token key-1"}
+        headers = {"Host": "jobs.example", "Authorization": f"Token {key}"}
         status, answer = await call(self.fronts[at], method, path, body, **headers)
         self.record.add(f"client {method} {path} -> {status} {json.dumps(answer)}")
         return status, answer
 
-    async def submit(self, path: str, body: Json, at: int = 0, limit_s: float = 15.0) -> bool:
+    async def submit(
+        self, path: str, body: Json, key: str = "key-1", limit_s: float = 15.0
+    ) -> bool:
         """Submit a job until it is accepted, as a client does that may repeat its request."""
         until_s = time.monotonic() + limit_s
         while time.monotonic() < until_s:
-            status, _ = await self.request("POST", path, body, at)
+            status, _ = await self.request("POST", path, body, key=key)
             if status == 200:
                 return True
             await asyncio.sleep(0.3)
@@ -763,6 +786,7 @@
 
 def main(case: Callable[[], Awaitable[int]]) -> None:
     """Run a case within 115 s; exit code 2 if it cannot run."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 
     async def limited() -> int:
         async with asyncio.timeout(115):
