Keep the readiness of steps up to date instead of computing it for each plan

Cause: what a plan and the end of a run cost followed what is stored, not what has changed. Each plan computed the target of a job, which visits all of its steps, for each of its ready steps, and each end of a run visited all tasks of its job. The event loop stood still for longer than the lease of the controller key, and the successor did the same.

Now: StepIndex holds, for each step that is due, how many of its tasks are open or wait and how many steps it depends on have not completed. A change of a task updates the counts of its own step, and of the steps after it when the step completes. Units are kept until a task of their step changes, the length of a job's critical path is computed once, ended jobs and changed gangs are the only ones that are searched for runs to stop, and the due times of occurrences are computed rather than listed.

Why it works: readiness depends on nothing but the states of the tasks, all of which the registry changes itself, and on the time of day.

Tests, seen to fail before: 15 cases of test_calls_of_a_plan_without_changes and test_calls_of_the_end_of_a_run; they count calls, not time.

--- a/src/foxtailwell/controller/_maintenance.py
+++ b/src/foxtailwell/controller/_maintenance.py
@@ -381,7 +381,7 @@
             step = job.step(task.id)
             key = (task.id.job_id, task.id.occurrence, task.id.step)
             if step.is_lasting and step.max_unavailable is not None:
-                members = job.step_tasks(task.id.occurrence, task.id.step)
+                members = self._registry.step_tasks(task.id)
                 unavailable = sum(
                     not (m.state is TaskState.ASSIGNED and m.percent >= 100) for m in members
                 )
--- a/src/foxtailwell/workflows/_job_registry.py
+++ b/src/foxtailwell/workflows/_job_registry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import replace
 
 from foxtailwell.workflows._crashes import CrashRecord, is_given_up, is_kept_alone
@@ -12,7 +12,8 @@
     is_namesake_id,
     with_run,
 )
-from foxtailwell.workflows._jobs import JobState, Queue, Submission, TaskId
+from foxtailwell.workflows._jobs import JobState, Queue, Step, Submission, TaskId
+from foxtailwell.workflows._step_index import StepIndex, StepKey
 from foxtailwell.workflows._tasks import (
     EndKind,
     Job,
@@ -39,7 +40,11 @@
     def __init__(self) -> None:
         self.jobs: dict[str, Job] = {}
         self.changed: set[str] = set()
+        self._steps: dict[str, StepIndex] = {}
         self._placed: dict[str, dict[TaskId, Task]] = {}
+        # Ended jobs, and gangs of which a member has changed, that may have runs to be stopped.
+        self._ended: set[str] = set()
+        self._changed_gangs: set[tuple[str, StepKey]] = set()
         self._versions: dict[str, int] = {}
         # Identifiers of the jobs by client identifier, namesakes of the first job before it.
         self._ids: dict[str, list[str]] = {}
@@ -73,11 +78,16 @@
             job.ended_unix_ms = progress.ended_unix_ms
             for stored in progress.tasks:
                 self._restore(job, stored, now_s)
+            if job.state.is_final:
+                self._ended.add(submission.job_id)
             highest = max((task.run for task in progress.tasks), default=0)
             job.run_numbers = replace(
                 progress.run_numbers, highest=max(highest, progress.run_numbers.highest)
             )
         self.jobs[submission.job_id] = job
+        self._steps[submission.job_id] = StepIndex(submission, job.tasks)
+        for task in job.started.values():
+            self._update(job, task)
         client_id = client_job_id(submission.job_id)
         ids = self._ids.setdefault(client_id, [])
         if submission.job_id not in ids:
@@ -123,15 +133,30 @@
         task.checkpoint = stored.checkpoint
         task.crashes = stored.crashes
         task.started_s = task.progress_s = now_s
+        if task.run or task.is_done or task.is_placed:
+            job.started[task_id] = task
         if task.is_placed:
-            self._placed.setdefault(task.worker, {})[task_id] = task
-            self._bump_version(task.worker)
+            self._place(job, task)
+
+    def _place(self, job: Job, task: Task) -> None:
+        job.placed[task.id] = task
+        self._placed.setdefault(task.worker, {})[task.id] = task
+        self._bump_version(task.worker)
+
+    def _update(self, job: Job, task: Task) -> None:
+        """Apply a change of a task to what is derived from the tasks of its job."""
+        self._steps[job.submission.job_id].update(task)
+        if job.step(task.id).is_gang:
+            key = (task.id.occurrence, task.id.step)
+            self._changed_gangs.add((job.submission.job_id, key))
 
     def remove(self, job_id: str) -> None:
         """Remove a job that has ended and has no placed tasks left."""
         job = self.jobs.pop(job_id, None)
         self.changed.discard(job_id)
+        self._ended.discard(job_id)
         if job is not None:
+            del self._steps[job_id]
             client_id = client_job_id(job_id)
             self._ids[client_id].remove(job_id)
             if not self._ids[client_id]:
@@ -199,8 +224,9 @@
         task.listed_s = 0.0
         job = self.jobs[task.id.job_id]
         job.run_numbers = with_run(job.run_numbers, run)
-        self._placed.setdefault(worker, {})[task.id] = task
-        self._bump_version(worker)
+        job.started[task.id] = task
+        self._place(job, task)
+        self._update(job, task)
         self.changed.add(task.id.job_id)
 
     def next_run(self, unit: SchedulingUnit) -> int:
@@ -210,7 +236,8 @@
         """
         job = self.jobs[unit.job_id]
         if job.run_numbers.ranges is None:
-            return 1 + max(task.run for task in job.step_tasks(unit.occurrence, unit.step_number))
+            tasks = self._steps[unit.job_id].tasks((unit.occurrence, unit.step_number))
+            return 1 + max(task.run for task in tasks)
         client_id = client_job_id(unit.job_id)
         highest = [self.jobs[job_id].run_numbers.highest for job_id in self._ids[client_id]]
         return 1 + max((*highest, *self._ended_runs.get(client_id, {}).values()))
@@ -227,6 +254,14 @@
                         found.add((other.worker, task.id))
         return frozenset(found)
 
+    def step_tasks(self, task: TaskId) -> tuple[Task, ...]:
+        """Return the tasks of the same step and occurrence, ordered by index.
+
+        Raises:
+            KeyError: The job of the task is not in the registry.
+        """
+        return self._steps[task.job_id].tasks((task.occurrence, task.step))
+
     def confirm(self, task: Task) -> None:
         """Record that the worker runs the task; the first confirmed task makes the job running."""
         task.is_confirmed = True
@@ -270,6 +305,7 @@
             task.state = TaskState.STOPPING
             task.stop_reason = reason
             self._bump_version(task.worker)
+            self._update(self.jobs[task.id.job_id], task)
 
     def cancel(self, job_id: str, now_unix_ms: int) -> bool:
         """End a job as cancelled unless it has ended; `stale_runs` then lists its runs.
@@ -315,18 +351,18 @@
             self.changed.add(task.id.job_id)
         elif is_late_completion and not job.step(task.id).is_lasting:
             self._complete_earlier(job, task)
-        self._update_job_state(job, now_unix_ms)
+        self._update_job_state(job, task, now_unix_ms)
         return is_newest or is_late_completion
 
     def _complete_earlier(self, job: Job, task: Task) -> None:
         """Complete a task, or its gang, by the end of an earlier run than the newest one."""
-        key = (task.id.occurrence, task.id.step)
-        for member in job.step_tasks(*key) if job.step(task.id).is_gang else (task,):
+        for member in self.step_tasks(task.id) if job.step(task.id).is_gang else (task,):
             if member.is_placed:
                 member.is_completed_earlier = True
                 self.mark_stopping(member, StopReason.JOB_ENDED)
             else:
-                member.state = TaskState.DONE
+                self._set_done(job, member)
+            self._update(job, member)
         self.version += 1
         self.changed.add(task.id.job_id)
 
@@ -336,15 +372,21 @@
         if checkpoint:
             task.checkpoint = checkpoint
         if kind is EndKind.DONE and not step.is_lasting:
-            task.state = TaskState.DONE
-            if step.is_gang:
-                for member in job.step_tasks(task.id.occurrence, task.id.step):
-                    self._unplace(member)
-                    member.state = TaskState.DONE
+            self._set_done(job, task)
+            for member in self.step_tasks(task.id) if step.is_gang else ():
+                self._unplace(member)
+                self._set_done(job, member)
         else:
             task.state = _state_without_run(task)
+            self._update(job, task)
+
+    def _set_done(self, job: Job, task: Task) -> None:
+        task.state = TaskState.DONE
+        job.started[task.id] = task
+        self._update(job, task)
 
     def _unplace(self, task: Task) -> None:
+        self.jobs[task.id.job_id].placed.pop(task.id, None)
         placed = self._placed.get(task.worker)
         if placed is not None:
             placed.pop(task.id, None)
@@ -369,41 +411,51 @@
         # Of the crashes that do not count, the last one tells that there were any.
         task.crashes = (*(c for c in task.crashes if c.weight), crash)
         self.changed.add(task.id.job_id)
-        self._update_job_state(self.jobs[task.id.job_id], now_unix_ms)
+        job = self.jobs[task.id.job_id]
+        self._update(job, task)
+        self._update_job_state(job, task, now_unix_ms)
 
     def requeue(self, task: Task) -> None:
         """Return a task to the waiting state after its run was lost or will never start."""
         self._unplace(task)
         task.state = _state_without_run(task)
+        self._update(self.jobs[task.id.job_id], task)
         self.changed.add(task.id.job_id)
 
-    def _update_job_state(self, job: Job, now_unix_ms: int) -> None:
+    def _update_job_state(self, job: Job, changed: Task, now_unix_ms: int) -> None:
+        """End a job if the change of a task has completed it or exhausted the attempts."""
         if job.state.is_final:
             return
-        if all(task.is_done for task in job.tasks.values()):
+        if self._steps[job.submission.job_id].is_done:
             self._finish(job, JobState.COMPLETED, now_unix_ms)
-        elif self._has_exhausted_attempts(job) or any(
-            is_given_up(task.crashes) for task in job.tasks.values() if not task.is_done
-        ):
+            return
+        tasks = [changed]
+        if job.checked_attempts != job.queue.max_attempts:
+            # The limit may have changed since the other tasks failed.
+            job.checked_attempts = job.queue.max_attempts
+            tasks = list(job.started.values())
+        if any(self._has_exhausted_attempts(job, task) for task in tasks):
             self._finish(job, JobState.FAILED, now_unix_ms)
 
-    def _has_exhausted_attempts(self, job: Job) -> bool:
-        limit = job.queue.max_attempts
-        gang_failures: dict[tuple[int, int], set[int]] = {}
-        for task in job.tasks.values():
-            step = job.step(task.id)
-            if step.is_lasting or task.is_done or not task.failed_runs:
-                continue
-            if len(task.failed_runs) >= limit:
-                return True
-            if step.is_gang:
-                key = (task.id.occurrence, task.id.step)
-                gang_failures.setdefault(key, set()).update(task.failed_runs)
-        return any(len(runs) >= limit for runs in gang_failures.values())
+    def _has_exhausted_attempts(self, job: Job, task: Task) -> bool:
+        """Return whether a task, or its gang, may not have another run."""
+        if task.is_done:
+            return False
+        if is_given_up(task.crashes):
+            return True
+        step = job.step(task.id)
+        if step.is_lasting or not task.failed_runs:
+            return False
+        failed = set(task.failed_runs)
+        if step.is_gang:
+            members = (m for m in self.step_tasks(task.id) if not m.is_done)
+            failed.update(*(member.failed_runs for member in members))
+        return len(failed) >= job.queue.max_attempts
 
     def _finish(self, job: Job, state: JobState, now_unix_ms: int) -> None:
         job.state = state
         job.ended_unix_ms = now_unix_ms
+        self._ended.add(job.submission.job_id)
         self.changed.add(job.submission.job_id)
 
     def stale_runs(self) -> list[Task]:
@@ -413,14 +465,17 @@
         member is no longer assigned.
         """
         stale: list[Task] = []
-        for job in self.jobs.values():
-            if job.state.is_final:
-                stale += [t for t in job.tasks.values() if t.state is TaskState.ASSIGNED]
-                continue
-            for occurrence in range(job.submission.occurrences):
-                for number, step in enumerate(job.submission.steps):
-                    if step.is_gang:
-                        stale += _partial_gang(job.step_tasks(occurrence, number))
+        for job_id in self._ended:
+            placed = self.jobs[job_id].placed.values()
+            stale += [task for task in placed if task.state is TaskState.ASSIGNED]
+        for job_id, key in tuple(self._changed_gangs):
+            job = self.jobs.get(job_id)
+            found: list[Task] = []
+            if job is not None and not job.state.is_final:
+                found = _partial_gang(self._steps[job_id].tasks(key))
+            if not found:
+                self._changed_gangs.discard((job_id, key))
+            stale += found
         return stale
 
     def accounts_within_guarantee(self, guaranteed: Mapping[str, int]) -> frozenset[str]:
@@ -433,7 +488,7 @@
         for job in self.jobs.values():
             if job.queue.priority == 0 and not job.state.is_final:
                 account = job.submission.account
-                needed[account] = needed.get(account, 0) + job.peak_accelerators()
+                needed[account] = needed.get(account, 0) + job.peak_accelerators
         return frozenset(a for a, count in needed.items() if count <= guaranteed.get(a, 0))
 
     def ready_units(
@@ -447,67 +502,74 @@
             within_guarantee: Result of `accounts_within_guarantee`.
         """
         units: list[SchedulingUnit] = []
-        for job in self.jobs.values():
+        for job_id, job in self.jobs.items():
             if job.state.is_final:
                 continue
-            for occurrence in range(job.submission.occurrences):
-                if job.submission.due_unix_ms(occurrence) <= now_unix_ms:
-                    units += self._ready_steps(job, occurrence, now_s, within_guarantee)
+            steps = self._steps[job_id]
+            is_guaranteed = job.queue.priority == 0 and job.submission.account in within_guarantee
+            has_namesakes = len(self._ids[client_job_id(job_id)]) > 1
+            for key in steps.ready(now_unix_ms):
+                unit = steps.unit(key)
+                if (
+                    unit is None
+                    or unit.queue is not job.queue
+                    or unit.is_guaranteed != is_guaranteed
+                    # The names in use change with the tasks of other jobs.
+                    or has_namesakes
+                    or unit.has_namesakes
+                ):
+                    waiting = _waiting_tasks(job.submission.steps[key[1]], steps.tasks(key))
+                    names = self._names_in_use(job, waiting) if has_namesakes else frozenset()
+                    unit = _unit(job, key, waiting, now_s, is_guaranteed=is_guaranteed)
+                    if has_namesakes:
+                        unit = replace(unit, has_namesakes=True, names_in_use=names)
+                    steps.set_unit(key, unit)
+                units.append(unit)
         return units
 
     def next_due_unix_ms(self, now_unix_ms: int) -> int | None:
         """Return the time of day at which the next occurrence becomes due; None for never."""
         due = [
-            job.submission.due_unix_ms(occurrence)
+            job.submission.next_due_unix_ms(now_unix_ms)
             for job in self.jobs.values()
             if job.submission.start_at_unix_ms and not job.state.is_final
-            for occurrence in range(job.submission.occurrences)
         ]
-        return min((time for time in due if time > now_unix_ms), default=None)
-
-    def _ready_steps(
-        self, job: Job, occurrence: int, now_s: float, within_guarantee: frozenset[str]
-    ) -> Iterator[SchedulingUnit]:
-        has_namesakes = len(self._ids[client_job_id(job.submission.job_id)]) > 1
-        for number, step in enumerate(job.submission.steps):
-            tasks = job.step_tasks(occurrence, number)
-            waiting = [task for task in tasks if task.state is TaskState.WAITING]
-            if not waiting or (step.is_gang and len(waiting) < len(tasks)):
-                continue
-            # Suspects are placed apart from the other tasks of their step, and after them.
-            unsuspected = [task for task in waiting if not task.crashes]
-            if unsuspected and not step.is_gang:
-                waiting = unsuspected
-            if not all(
-                task.is_done
-                for earlier in step.after
-                for task in job.step_tasks(occurrence, earlier)
-            ):
-                continue
-            for task in waiting:
-                # A value from before the last placement belongs to an earlier run.
-                if task.waiting_since_s <= task.started_s:
-                    task.waiting_since_s = now_s
-            ready_since_s = job.ready_since_s.setdefault((occurrence, number), now_s)
-            deadline_s = job.accepted_s + job.target_s()
-            yield SchedulingUnit(
-                job.submission.job_id,
-                occurrence,
-                number,
-                step,
-                job.queue,
-                job.submission.account,
-                tuple(task.id for task in waiting),
-                ready_since_s,
-                deadline_s,
-                job.accepted_s,
-                job.queue.priority == 0 and job.submission.account in within_guarantee,
-                any(task.crashes for task in waiting),
-                any(is_kept_alone(task.crashes) for task in waiting),
-                min(task.waiting_since_s for task in waiting),
-                has_namesakes=has_namesakes,
-                names_in_use=self._names_in_use(job, waiting) if has_namesakes else frozenset(),
-            )
+        return min((time for time in due if time is not None), default=None)
+
+
+def _waiting_tasks(step: Step, tasks: tuple[Task, ...]) -> list[Task]:
+    """Return the waiting tasks of a step that are planned together."""
+    waiting = [task for task in tasks if task.state is TaskState.WAITING]
+    # Suspects are placed apart from the other tasks of their step, and after them.
+    unsuspected = [task for task in waiting if not task.crashes]
+    return unsuspected if unsuspected and not step.is_gang else waiting
+
+
+def _unit(
+    job: Job, key: StepKey, waiting: list[Task], now_s: float, *, is_guaranteed: bool
+) -> SchedulingUnit:
+    """Return the unit of the waiting tasks of a ready step."""
+    for task in waiting:
+        # A value from before the last placement belongs to an earlier run.
+        if task.waiting_since_s <= task.started_s:
+            task.waiting_since_s = now_s
+    occurrence, number = key
+    return SchedulingUnit(
+        job.submission.job_id,
+        occurrence,
+        number,
+        job.submission.steps[number],
+        job.queue,
+        job.submission.account,
+        tuple(task.id for task in waiting),
+        job.ready_since_s.setdefault(key, now_s),
+        job.accepted_s + job.target_s(),
+        job.accepted_s,
+        is_guaranteed,
+        any(task.crashes for task in waiting),
+        any(is_kept_alone(task.crashes) for task in waiting),
+        min(task.waiting_since_s for task in waiting),
+    )
 
 
 def _state_without_run(task: Task) -> TaskState:
--- a/src/foxtailwell/workflows/_jobs.py
+++ b/src/foxtailwell/workflows/_jobs.py
@@ -208,6 +208,22 @@
             return 0
         return self.start_at_unix_ms + occurrence * self.interval_ms
 
+    def due_count(self, now_unix_ms: int) -> int:
+        """Return how many occurrences are due, the first ones."""
+        if not self.start_at_unix_ms:
+            return self.occurrences
+        passed_ms = now_unix_ms - self.start_at_unix_ms
+        if passed_ms < 0:
+            return 0
+        if not self.interval_ms:
+            return self.occurrences
+        return min(self.occurrences, passed_ms // self.interval_ms + 1)
+
+    def next_due_unix_ms(self, now_unix_ms: int) -> int | None:
+        """Return the time of day at which the next occurrence becomes due; None for never."""
+        count = self.due_count(now_unix_ms)
+        return self.due_unix_ms(count) if count < self.occurrences else None
+
     def task_ids(self) -> Iterator[TaskId]:
         """Yield the identifiers of the job's tasks over all occurrences."""
         for occurrence in range(self.occurrences):
--- a/src/foxtailwell/workflows/_tasks.py
+++ b/src/foxtailwell/workflows/_tasks.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import IntEnum, StrEnum
 
@@ -97,6 +98,8 @@
         waiting_since_s: Local time from which the run could have been placed; 0 before.
         is_completed_earlier: An earlier run has completed the task, and the newest one is being
             stopped.
+        is_counted_done: The index of the steps counts the task as completed.
+        is_counted_waiting: The index of the steps counts the task as waiting.
     """
 
     id: TaskId
@@ -118,6 +121,8 @@
     listed_s: float = 0.0
     waiting_since_s: float = 0.0
     is_completed_earlier: bool = False
+    is_counted_done: bool = False
+    is_counted_waiting: bool = False
 
     @property
     def is_done(self) -> bool:
@@ -256,6 +261,11 @@
         ended_unix_ms: Time of day of its end; 0 before.
         ready_since_s: Local time from which a step could be placed, by occurrence and step.
         run_numbers: Numbers of the runs of all its tasks.
+        placed: Tasks that are assigned or being stopped.
+        started: Tasks that have had a run or have completed, by identifier.
+        checked_attempts: Limit of attempts against which all tasks were checked; 0 for none.
+        peak_accelerators: Largest number of accelerators that a single step needs.
+        critical_path_ms: Estimated length of the longest chain of dependent steps.
     """
 
     submission: Submission
@@ -267,27 +277,27 @@
     tasks: dict[TaskId, Task] = field(default_factory=dict)
     ready_since_s: dict[tuple[int, int], float] = field(default_factory=dict)
     run_numbers: RunNumbers = field(default_factory=RunNumbers)
-    _step_tasks: dict[tuple[int, int], tuple[Task, ...]] = field(default_factory=dict)
+    placed: dict[TaskId, Task] = field(default_factory=dict)
+    started: dict[TaskId, Task] = field(default_factory=dict)
+    checked_attempts: int = 0
+    peak_accelerators: int = field(init=False)
+    critical_path_ms: float = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Compute the figures that depend on the submission alone."""
+        steps = self.submission.steps
+        needed = (step.count * step.request.accelerators for step in steps)
+        self.peak_accelerators = max(needed, default=0)
+        self.critical_path_ms = _critical_path_ms(steps)
 
     def step(self, task: TaskId) -> Step:
         """Return the step that a task of this job belongs to."""
         return self.submission.steps[task.step]
 
-    def step_tasks(self, occurrence: int, step: int) -> tuple[Task, ...]:
-        """Return the tasks of one step in one occurrence, ordered by index."""
-        key = (occurrence, step)
-        if key not in self._step_tasks:
-            job_id = self.submission.job_id
-            self._step_tasks[key] = tuple(
-                self.tasks[TaskId(job_id, occurrence, step, index)]
-                for index in range(self.submission.steps[step].count)
-            )
-        return self._step_tasks[key]
-
     @property
     def has_placed_tasks(self) -> bool:
         """Whether any task is assigned or being stopped."""
-        return any(task.is_placed for task in self.tasks.values())
+        return bool(self.placed)
 
     def progress(self) -> JobProgress:
         """Return the progress to be stored.
@@ -308,8 +318,7 @@
                 task.checkpoint,
                 task.crashes,
             )
-            for task in self.tasks.values()
-            if task.is_placed or (keep_all and (task.run or task.is_done))
+            for task in (self.started if keep_all else self.placed).values()
         )
         return JobProgress(
             self.state,
@@ -322,21 +331,17 @@
             self.run_numbers,
         )
 
-    def peak_accelerators(self) -> int:
-        """Return the largest number of accelerators that a single step of the job needs."""
-        return max(step.count * step.request.accelerators for step in self.submission.steps)
-
     def target_s(self) -> float:
         """Return the target time in seconds from acceptance to completion."""
-        return (self.queue.stretch * self.critical_path_ms() + self.queue.target_ms) / 1e3
-
-    def critical_path_ms(self) -> float:
-        """Return the estimated length of the longest chain of dependent steps."""
-        longest: list[float] = []
-        for step in self.submission.steps:
-            before = max((longest[i] for i in step.after if i < len(longest)), default=0.0)
-            longest.append(before + step.estimate_ms)
-        return max(longest, default=0.0)
+        return (self.queue.stretch * self.critical_path_ms + self.queue.target_ms) / 1e3
+
+
+def _critical_path_ms(steps: Sequence[Step]) -> float:
+    longest: list[float] = []
+    for step in steps:
+        before = max((longest[i] for i in step.after if i < len(longest)), default=0.0)
+        longest.append(before + step.estimate_ms)
+    return max(longest, default=0.0)
 
 
 def _stored_state(task: Task) -> TaskState:
--- /dev/null
+++ b/tests/test_large_jobs.py
@@ -0,0 +1,176 @@
+"""Jobs of many steps: what a plan and the end of a run cost, and that nothing is left out."""
+
+from __future__ import annotations
+
+import random
+import sys
+
+import pytest
+
+from controller_harness import LATER, step
+from foxtailwell.workflows import (
+    EndKind,
+    JobRegistry,
+    Resources,
+    Step,
+    StopReason,
+    Submission,
+    TaskId,
+    TaskState,
+)
+
+JOB = "00000000000000aa"
+SMALL = Resources(1000, 100, 0)
+
+SHAPES = {
+    "independent": lambda n: [Step(1, SMALL, 500)] * n,
+    "chain": lambda n: [Step(1, SMALL, 500, after=(i - 1,) if i else ()) for i in range(n)],
+    "fan": lambda n: [Step(1, SMALL, 500, after=(0,) if i else ()) for i in range(n)],
+    "join": lambda n: [Step(1, SMALL)] * (n - 1) + [Step(1, SMALL, after=tuple(range(n - 1)))],
+    "two tasks": lambda n: [Step(2, SMALL, 500)] * (n // 2),
+}
+
+
+def calls_of(function):
+    """Return how many calls a function makes, with those of generators and of built-ins."""
+    count = 0
+
+    def note(_frame, event, _argument):
+        nonlocal count
+        count += event in ("call", "c_call")
+
+    sys.setprofile(note)
+    try:
+        function()
+    finally:
+        sys.setprofile(None)
+    return count
+
+
+def submit(registry, steps, job_id=JOB, queue=LATER, **fields):
+    """Add a job to a registry."""
+    return registry.add(
+        Submission(job_id, queue.name, "acme", "x", tuple(steps), **fields), queue, 0.0
+    )
+
+
+def plan_once(registry, now_s=0.0):
+    """Do what each plan of the controller does for the jobs, whether or not anything changed."""
+    registry.stale_runs()
+    within = registry.accounts_within_guarantee({})
+    registry.next_due_unix_ms(0)
+    return registry.ready_units(now_s, 0, within)
+
+
+@pytest.mark.parametrize("shape", SHAPES)
+def test_calls_of_a_plan_without_changes_follow_the_ready_steps(shape):
+    """Guards against a plan that visits all steps of all jobs although nothing has changed."""
+    registry = JobRegistry()
+    submit(registry, SHAPES[shape](800))
+    ready = len(plan_once(registry))
+    assert calls_of(lambda: plan_once(registry)) <= 40 + 4 * ready
+
+
+@pytest.mark.parametrize("shape", SHAPES)
+@pytest.mark.parametrize("kind", [EndKind.DONE, EndKind.FAILED])
+def test_calls_of_the_end_of_a_run_do_not_follow_the_size_of_its_job(shape, kind):
+    """Guards against ends of a large job that hold up the controller until its term ends."""
+    counts = []
+    for number in (100, 800):
+        registry = JobRegistry()
+        job = submit(registry, SHAPES[shape](number))
+        tasks = list(job.tasks.values())[:3]
+        for task in tasks:
+            registry.assign(task, "w0", 1, 1, 0.0)
+        first, second = tasks[-2:]
+        registry.end_run(first, 1, kind, "", 1)
+        counts.append(calls_of(lambda r=registry, t=second: r.end_run(t, 1, kind, "", 2)))
+    assert counts[1] <= counts[0] + 20
+
+
+def expected_ready(job, now_unix_ms):
+    """Return the ready steps of a job, from the states of all its tasks."""
+    submission = job.submission
+    found = []
+    for occurrence in range(submission.occurrences):
+        if submission.due_unix_ms(occurrence) > now_unix_ms or job.state.is_final:
+            continue
+        for number, each in enumerate(submission.steps):
+            tasks = [job.tasks[TaskId(JOB, occurrence, number, i)] for i in range(each.count)]
+            waiting = [t for t in tasks if t.state is TaskState.WAITING]
+            before = [
+                t
+                for t in job.tasks.values()
+                if t.id.occurrence == occurrence and t.id.step in each.after
+            ]
+            is_whole = len(waiting) == len(tasks) or not each.is_gang
+            if waiting and is_whole and all(t.is_done for t in before):
+                found.append((occurrence, number, tuple(t.id for t in waiting)))
+    return found
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_ready_steps_follow_each_change_of_the_tasks(seed):
+    """Guards against a step that is never placed, or placed too early, after a rare sequence."""
+    source = random.Random(seed)
+    steps = [
+        step(
+            source.randint(1, 3),
+            is_gang=source.random() < 0.3,
+            after=tuple(sorted(source.sample(range(n), min(n, source.randint(0, 2))))),
+        )
+        for n in range(source.randint(1, 7))
+    ]
+    times = {"start_at_unix_ms": 1000, "interval_ms": 100, "repeat_count": 3} if seed % 2 else {}
+    registry = JobRegistry()
+    job = submit(registry, steps, **times)
+    now_unix_ms = 950
+    for _ in range(60):
+        now_unix_ms += source.choice((0, 0, 20, 60, -70))
+        units = registry.ready_units(1.0, now_unix_ms)
+        assert [(u.occurrence, u.step_number, u.tasks) for u in units] == expected_ready(
+            job, now_unix_ms
+        )
+        assert job.has_placed_tasks == any(t.is_placed for t in job.tasks.values())
+        kept = {t.id for t in job.tasks.values() if t.is_placed or t.run or t.is_done}
+        if not job.state.is_final:
+            assert {
+                TaskId(JOB, t.occurrence, t.step, t.index) for t in job.progress().tasks
+            } == kept
+        assigned = [t for t in job.tasks.values() if t.state is TaskState.ASSIGNED]
+        placed = [t for t in job.tasks.values() if t.is_placed]
+        action = source.choice(("assign", "assign", "end", "end", "stop", "requeue", "late"))
+        if action == "assign" and units:
+            unit = source.choice(units)
+            run = registry.next_run(unit)
+            for task_id in unit.tasks:
+                registry.assign(registry.find(task_id), f"w{source.randint(0, 2)}", 1, run, 1.0)
+        elif action == "end" and placed:
+            kind = source.choice((EndKind.DONE, EndKind.DONE, EndKind.FAILED, EndKind.STOPPED))
+            task = source.choice(placed)
+            registry.end_run(task, task.run, kind, "", 1)
+        elif action == "stop" and assigned:
+            registry.mark_stopping(source.choice(assigned), StopReason.PREEMPTED)
+        elif action == "requeue" and placed:
+            registry.requeue(source.choice(placed))
+        elif action == "late" and placed and source.random() < 0.2:
+            task = source.choice(placed)
+            registry.end_run(task, task.run - 1, EndKind.DONE, "", 1)
+        for task in registry.stale_runs():
+            registry.mark_stopping(task, StopReason.GANG)
+
+
+def test_ready_steps_are_the_same_after_a_change_of_the_controller():
+    """Guards against a successor that waits for steps that have completed."""
+    before, after = JobRegistry(), JobRegistry()
+    job = submit(before, SHAPES["chain"](5))
+    for number in range(3):
+        task = job.tasks[TaskId(JOB, 0, number, 0)]
+        before.assign(task, "w0", 1, 1, 0.0)
+        if number < 2:
+            before.end_run(task, 1, EndKind.DONE, "", 1)
+    after.add(job.submission, LATER, 0.0, job.progress())
+    assert not after.ready_units(0.0, 0)
+    moved = after.find(TaskId(JOB, 0, 2, 0))
+    after.end_run(moved, 1, EndKind.DONE, "", 1)
+    assert [unit.step_number for unit in after.ready_units(0.0, 0)] == [3]
