Bound what one plan looks at, and search for room once for similar units

Cause: the planner looked at all workers for each unit that could not be placed, and at all runs as well for an urgent one.

Now: while a plan is made room only shrinks, so a unit needs no search if one for at most as much has failed under the same constraints. And a plan looks at 50,000 workers and runs for the units of each priority. Those left over are deferred; the controller plans again as soon as other work of the process has had its turn, with the units first that no plan has considered. Each unit has its turn before any of its priority has a second one, and no priority takes the share of another.

Between two plans runs, workers and cancellations may change. A deferred unit is planned with the state of the next plan, and a placement takes effect only with its transaction, as before.

--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 import anyio
@@ -64,12 +64,14 @@
     Plan,
     Queue,
     Reservation,
+    SchedulingUnit,
     StartCommand,
     StopReason,
     StoreCallError,
     Task,
     TaskId,
     TaskState,
+    UnitKey,
     WorkerCalls,
     WorkerEntry,
     plan,
@@ -210,6 +212,7 @@
             metrics=metrics,
         )
         self._reservations: tuple[Reservation, ...] = ()
+        self._searched: frozenset[UnitKey] = frozenset()
         self._reservation_limit_s = reservation_limit_s(fleet.reclaim_s, fleet.stop_timeout_s)
         self._wait_log = WaitLog()
         self._planned_version = -1
@@ -453,9 +456,16 @@
         explained = self._wait_log.select(units, now_s)
         decided = plan(
             FleetView(
-                now_s, workers, units, self._reservations, explained, self._reservation_limit_s
+                now_s,
+                workers,
+                units,
+                self._reservations,
+                explained,
+                self._reservation_limit_s,
+                self._searched,
             )
         )
+        self._note_deferred(units, decided.deferred)
         self._log_ended_reservations(decided, now_s)
         beneficiaries = {
             v: r.placement.unit.job_id for r in decided.reservations for v in r.victims
@@ -472,6 +482,15 @@
             (u for u in units if u.key not in placed), self._workers.entries
         )
 
+    def _note_deferred(self, units: Iterable[SchedulingUnit], deferred: frozenset[UnitKey]) -> None:
+        """Plan again at once if units were deferred, those first that no plan has considered."""
+        if deferred:
+            self.wake()
+        considered = frozenset(unit.key for unit in units) - deferred if deferred else frozenset()
+        searched = self._searched | considered
+        # Each unit is considered once before any of the same priority is considered again.
+        self._searched = frozenset() if deferred <= searched else searched
+
     def _stop_on_draining_workers(self, now_s: float) -> None:
         """Stop the runs that draining workers would cut off, in time to place them elsewhere."""
         for worker, left_s in self._workers.draining().items():
--- a/src/foxtailwell/controller/_waits.py
+++ b/src/foxtailwell/controller/_waits.py
@@ -6,7 +6,7 @@
 
 from foxtailwell.adapters.events import STEP_SERVABLE, STEP_UNSERVABLE, STEP_WAITS
 from foxtailwell.adapters.logs import log_event
-from foxtailwell.workflows import SchedulingUnit, Wait
+from foxtailwell.workflows import SchedulingUnit, UnitKey, Wait
 
 __all__ = ["WaitLog"]
 
@@ -19,8 +19,6 @@
 MAX_EXPLANATIONS = 20
 """Limit of steps that one plan explains, because each one looks at all workers."""
 
-UnitKey = tuple[str, int, int]
-
 
 class WaitLog:
     """Selects the waiting steps that a plan explains, and logs the explanations."""
--- a/src/foxtailwell/workflows/__init__.py
+++ b/src/foxtailwell/workflows/__init__.py
@@ -33,6 +33,7 @@
     PoolUse,
     Reservation,
     RunningTask,
+    UnitKey,
     Wait,
     WorkerView,
 )
@@ -147,6 +148,7 @@
     "TaskId",
     "TaskProgress",
     "TaskState",
+    "UnitKey",
     "Wait",
     "WorkerCallError",
     "WorkerCalls",
--- a/src/foxtailwell/workflows/_fleet_view.py
+++ b/src/foxtailwell/workflows/_fleet_view.py
@@ -22,10 +22,14 @@
     "PoolUse",
     "Reservation",
     "RunningTask",
+    "UnitKey",
     "Wait",
     "WorkerView",
 ]
 
+UnitKey = tuple[str, int, int]
+"""Job identifier, occurrence and index of the step."""
+
 HIGH_UTILIZATION = 0.55
 """Share of a pool in use above which a unit may wait longer for better workers than those with
 room."""
@@ -182,14 +186,17 @@
         explained: Keys of the units whose wait is to be explained if they are not placed.
         reservation_limit_s: Time after which a new reservation expires if its victims have not
             stopped.
+        searched: Keys of the units that the plans before have considered and not deferred, if the
+            previous one has deferred some.
     """
 
     now_s: float
     workers: Mapping[str, WorkerView]
     units: Sequence[SchedulingUnit]
     reservations: Sequence[Reservation] = ()
-    explained: Collection[tuple[str, int, int]] = ()
+    explained: Collection[UnitKey] = ()
     reservation_limit_s: float = 1.0
+    searched: Collection[UnitKey] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -262,9 +269,11 @@
         stops: Tasks whose runs are preempted.
         reservations: Reservations that the next round has to be given.
         waits: Explanations of the waits that the view asks for.
+        deferred: Keys of the units that the plan has not considered, as it would take too long.
     """
 
     placements: tuple[Placement, ...] = ()
     stops: tuple[TaskId, ...] = ()
     reservations: tuple[Reservation, ...] = ()
     waits: tuple[Wait, ...] = ()
+    deferred: frozenset[UnitKey] = frozenset()
--- a/src/foxtailwell/workflows/_placement.py
+++ b/src/foxtailwell/workflows/_placement.py
@@ -7,7 +7,7 @@
 
 import math
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from foxtailwell.workflows._capacity import (
     AVOIDABLE_WAIT_S,
@@ -15,12 +15,14 @@
     can_ever_fit,
     free_capacity,
 )
+from foxtailwell.workflows._failed_searches import Demand, FailedSearches
 from foxtailwell.workflows._fleet_view import (
     PASSING_OBSTACLES,
     FleetView,
     Placement,
     Plan,
     Reservation,
+    UnitKey,
     Wait,
     WorkerView,
 )
@@ -39,6 +41,12 @@
 ZERO_VALUE_FACTOR = 3.0
 """Multiple of the target time after which completing a job has no value to its client."""
 
+MAX_SEARCHED = 50_000
+"""Workers and runs that one plan looks at for the units of each priority.
+
+The other units are left to the next plan, so that the caller can do something else in between.
+"""
+
 NO_VALUE = 2
 """Lateness of a unit that has no value left."""
 
@@ -47,7 +55,7 @@
     """Choose the starts and stops for the current state of the fleet.
 
     Reservations from the previous plan are served first, then the other units in the order of
-    priority and deadline.
+    priority and deadline. Units that earlier plans passed over come last among their priority.
 
     Args:
         view: Workers, ready units, and reservations of the previous plan.
@@ -75,9 +83,16 @@
     stops: list[TaskId] = []
     stopping: set[TaskId] = set()
     waits: list[Wait] = []
+    deferred: set[UnitKey] = set()
     reserved_count = 0
-    for unit in sorted(units.values(), key=lambda unit: _sort_key(unit, view.now_s)):
-        placed = _place(capacity, unit, view.now_s)
+    search = _Search(capacity)
+    for unit in sorted(
+        units.values(), key=lambda unit: _sort_key(unit, view.now_s, unit.key in view.searched)
+    ):
+        if search.is_exhausted(unit):
+            deferred.add(unit.key)
+            continue
+        placed = search.place(unit)
         if placed:
             placements.append(Placement(unit, placed))
             if len(placed) == len(unit.tasks):
@@ -86,21 +101,94 @@
             waits.append(capacity.explain(unit))
         if placed:
             continue
-        preemption = (
-            preempt(capacity, unit, stopping, view.now_s)
-            if _may_preempt(unit, view.now_s)
-            else None
-        )
+        preemption = search.preempt(unit, stopping)
         if preemption is not None:
             victims, reservation = preemption
             stops += victims
             reservations.append(reservation)
         elif unit.step.is_gang and reserved_count < MAX_GANG_RESERVATIONS:
             reserved_count += _reserve(capacity, unit)
-    return Plan(tuple(placements), tuple(stops), tuple(reservations), tuple(waits))
+    return Plan(
+        tuple(placements), tuple(stops), tuple(reservations), tuple(waits), frozenset(deferred)
+    )
+
+
+@dataclass(slots=True)
+class _Search:
+    """Looks for room for one unit after the other, within the limit of a plan.
+
+    Attributes:
+        looked_at: Workers and runs that were looked at, by priority of the units.
+    """
+
+    capacity: FreeCapacity
+    looked_at: dict[int, int] = field(default_factory=dict)
+    _unplaced: FailedSearches = field(default_factory=FailedSearches)
+    _unpreempted: FailedSearches = field(default_factory=FailedSearches)
+
+    def is_exhausted(self, unit: SchedulingUnit) -> bool:
+        """Return whether the plan has looked for room for units of this priority long enough."""
+        return self.looked_at.get(unit.queue.priority, 0) >= MAX_SEARCHED
+
+    def _count(self, unit: SchedulingUnit, number: int) -> None:
+        priority = unit.queue.priority
+        self.looked_at[priority] = self.looked_at.get(priority, 0) + number
+
+    def place(self, unit: SchedulingUnit) -> dict[TaskId, str]:
+        """Return workers for the tasks of a unit, for some of them if the unit may be split."""
+        demand = self._demand(unit)
+        if self._unplaced.has_failed(demand):
+            return {}
+        self._count(unit, len(self.capacity.workers))
+        placed = _place(self.capacity, unit, self.capacity.now_s)
+        # Other units fail for reasons of their own, or wait for some of the workers.
+        is_plain = not (unit.step.is_gang or unit.step.data_rack or unit.step.max_per_worker)
+        if is_plain and _is_free_of_limits(unit) and len(placed) < len(unit.tasks):
+            self._unplaced.add(demand)
+        return placed
+
+    def preempt(
+        self, unit: SchedulingUnit, stopping: set[TaskId]
+    ) -> tuple[list[TaskId], Reservation] | None:
+        """Select the runs to stop so that a unit fits; None if it may not preempt or would not."""
+        now_s = self.capacity.now_s
+        if not _may_preempt(unit, now_s):
+            return None
+        rights = (unit.queue.priority, unit.is_guaranteed)
+        demand = self._demand(unit, count=len(unit.tasks), rights=rights)
+        if self._unpreempted.has_failed(demand):
+            return None
+        workers = self.capacity.eligible_workers(unit).workers
+        self._count(unit, sum(1 + len(worker.running) for worker in workers))
+        found = preempt(self.capacity, unit, stopping, now_s)
+        is_plain = not (unit.step.is_same_rack or unit.step.data_rack or unit.step.max_per_worker)
+        if found is None and is_plain and _is_free_of_limits(unit):
+            self._unpreempted.add(demand)
+        return found
+
+    def _demand(
+        self, unit: SchedulingUnit, *, count: int = 1, rights: tuple[int, bool] | None = None
+    ) -> Demand:
+        step = unit.step
+        constraints = (
+            unit.queue.pool,
+            step.required_label,
+            step.is_serving,
+            step.is_filling,
+            self.capacity.is_overdue(unit),
+            rights,
+        )
+        return Demand(constraints, step.request, step.estimate_ms, count)
+
+
+def _is_free_of_limits(unit: SchedulingUnit) -> bool:
+    """Return whether a unit may start wherever the demand of its tasks is met."""
+    return unit.allowed is None and not (unit.is_suspect or unit.has_namesakes)
 
 
-def _sort_key(unit: SchedulingUnit, now_s: float) -> tuple[int, bool, int, float, str]:
+def _sort_key(
+    unit: SchedulingUnit, now_s: float, is_searched: bool
+) -> tuple[int, bool, bool, int, float, str]:
     """Sort by priority, guarantee, whether the targets can still be met, and deadline.
 
     Units that can still meet their deadline come first: under overload, serving the earliest
@@ -108,6 +196,7 @@
     """
     return (
         unit.queue.priority,
+        is_searched,
         not unit.is_guaranteed,
         _lateness(unit, now_s),
         unit.deadline_s,
--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -7,9 +7,10 @@
 
 import pytest
 
-from controller_harness import LATER, step
+from controller_harness import LATER, URGENT, step
 from foxtailwell.workflows import (
     EndKind,
+    FleetView,
     JobRegistry,
     Resources,
     Step,
@@ -17,7 +18,12 @@
     Submission,
     TaskId,
     TaskState,
+    WorkerView,
+    plan,
 )
+from foxtailwell.workflows import _placement as placement
+from foxtailwell.workflows._failed_searches import FailedSearches
+from foxtailwell.workflows._fleet_view import RunningTask
 
 JOB = "00000000000000aa"
 SMALL = Resources(1000, 100, 0)
@@ -54,6 +60,22 @@
     )
 
 
+def workers(count=8, cores=128, running=()):
+    """Return views of workers of one pool, by identifier."""
+    return {
+        f"w{n}": WorkerView(
+            f"w{n}",
+            "pool",
+            "a",
+            f"r{n // 2}",
+            frozenset(),
+            Resources(cores * 1000, 10**6, 8),
+            running,
+        )
+        for n in range(count)
+    }
+
+
 def plan_once(registry, now_s=0.0):
     """Do what each plan of the controller does for the jobs, whether or not anything changed."""
     registry.stale_runs()
@@ -62,6 +84,21 @@
     return registry.ready_units(now_s, 0, within)
 
 
+@pytest.mark.parametrize("queue", [URGENT, LATER], ids=lambda queue: queue.name)
+@pytest.mark.parametrize("shape", SHAPES)
+def test_calls_of_a_plan_grow_no_faster_than_the_steps_of_a_job(shape, queue):
+    """Guards against a job of 2,000 steps whose plans end each term of the controller."""
+    counts = []
+    for number in (200, 400, 800):
+        registry = JobRegistry()
+        submit(registry, SHAPES[shape](number), queue=queue)
+        counts.append(
+            calls_of(lambda r=registry: plan(FleetView(0.0, workers(cores=4), plan_once(r))))
+        )
+    assert counts[1] <= 2.5 * counts[0]
+    assert counts[2] <= 2.5 * counts[1]
+
+
 @pytest.mark.parametrize("shape", SHAPES)
 def test_calls_of_a_plan_without_changes_follow_the_ready_steps(shape):
     """Guards against a plan that visits all steps of all jobs although nothing has changed."""
@@ -88,6 +125,73 @@
     assert counts[1] <= counts[0] + 20
 
 
+@pytest.mark.parametrize("count", [8, 350])
+def test_plan_looks_at_a_bounded_number_of_workers_and_considers_each_unit_in_turn(count):
+    """Guards against a plan that holds up the process, and against units that never get a turn."""
+    registry = JobRegistry()
+    # No two demands are comparable, so that each unit needs a search of its own.
+    sizes = [Resources(5000 + n, 200_000 - n, 0) for n in range(600)]
+    submit(registry, [Step(1, size, 500) for size in sizes], queue=URGENT)
+    submit(registry, [Step(1, SMALL, 500)], "00000000000000bb")
+    victims = tuple(
+        RunningTask(TaskId("b", 0, 0, n), SMALL, 0, 1.0, False, False) for n in range(200)
+    )
+    view = workers(count, cores=202, running=victims)
+    units = plan_once(registry)
+    searched, considered, rounds = frozenset(), set(), 0
+    while len(considered) < len(units):
+        decided = plan(FleetView(0.0, view, units, searched=searched))
+        now = {unit.key for unit in units} - decided.deferred
+        assert any(p.unit.job_id == "00000000000000bb" for p in decided.placements)
+        assert len(now - considered) > 0
+        considered |= now
+        searched |= frozenset(now)
+        rounds += 1
+    pairs = len(sizes) * count * 2 + len(sizes) * count * len(victims)
+    assert rounds <= 2 + pairs / placement.MAX_SEARCHED
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_failed_searches_change_no_decision(seed, monkeypatch):
+    """Guards against units that are left out although there is room for them."""
+    source = random.Random(seed)
+    registry = JobRegistry()
+    for number in range(source.randint(1, 25)):
+        steps = [
+            Step(
+                source.randint(1, 4),
+                Resources(1000 * source.randint(1, 20), 100, source.choice((0, 0, 1, 4))),
+                source.choice((100, 900, 5000)),
+                is_gang=source.random() < 0.2,
+                is_same_rack=source.random() < 0.2,
+                is_serving=source.random() < 0.1,
+                is_filling=source.random() < 0.1,
+                data_rack=source.choice(("", "", "r0")),
+                max_per_worker=source.choice((0, 0, 1)),
+            )
+            for _ in range(source.randint(1, 6))
+        ]
+        submit(registry, steps, f"{number:016x}", source.choice((URGENT, LATER)))
+    running = tuple(
+        RunningTask(
+            TaskId("b", 0, 0, n),
+            Resources(1000 * source.randint(1, 20), 100, source.choice((0, 1))),
+            source.choice((0, 2)),
+            source.random(),
+            False,
+            source.random() < 0.1,
+            remaining_s=source.random(),
+        )
+        for n in range(source.randint(0, 5))
+    )
+    now_s = source.choice((0.0, 3.0))
+    plan_once(registry)
+    view = FleetView(now_s, workers(6, cores=40, running=running), plan_once(registry, now_s))
+    decided = plan(view)
+    monkeypatch.setattr(FailedSearches, "has_failed", lambda *_: False)
+    assert decided == plan(view)
+
+
 def expected_ready(job, now_unix_ms):
     """Return the ready steps of a job, from the states of all its tasks."""
     submission = job.submission
