Serve other work while records are loaded, applied and encoded

Cause: a successor decoded all records, the controller applied all events that had arrived, and a commit encoded all changed records, each without giving the event loop back. How long that takes grows with the number of jobs and their steps, and the lease of the controller key is not renewed meanwhile.

Now each of the three gives the event loop back after one record, event or transaction, submissions are events of their own, and the state that the first plan of a job needs is built when it is loaded rather than for all jobs in that plan.

What may change in between: nothing in the registry, as only this task changes it. Events that arrive meanwhile wait for the next round.

Tests: test_other_work_has_its_turn_while_a_controller_loads_many_jobs and test_other_work_has_its_turn_while_many_records_are_encoded, both seen to fail before.

--- a/src/foxtailwell/controller/_commits.py
+++ b/src/foxtailwell/controller/_commits.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 
 import anyio
+import anyio.lowlevel
 
 from foxtailwell.adapters.events import COMMIT_UNCONFIRMED
 from foxtailwell.adapters.logs import log_event
@@ -128,12 +129,13 @@
         async with anyio.create_task_group() as group:
             for transaction in self._transactions(changes, guards):
                 group.start_soon(run, transaction)
+                # Encoding the records of large jobs must not hold up other work of the process.
+                await anyio.lowlevel.checkpoint()
         return rejected
 
     def _transactions(
         self, changes: Sequence[JobChange], guards: Callable[[frozenset[str]], Mapping[str, int]]
-    ) -> list[_Transaction]:
-        transactions: list[_Transaction] = []
+    ) -> Iterator[_Transaction]:
         current = _Transaction()
         count = SHARED_ENTRIES
         for change in changes:
@@ -141,7 +143,7 @@
             self._add(entries, change)
             size = len(entries.conditions) + len(entries.puts) + len(entries.deletes)
             if current.jobs and count + size > MAX_TRANSACTION_ENTRIES:
-                transactions.append(current)
+                yield current
                 current, count = _Transaction(), SHARED_ENTRIES
             count += size
             current.conditions |= entries.conditions | {CONTROLLER_KEY: self._token}
@@ -150,7 +152,8 @@
             current.puts += entries.puts
             current.deletes += entries.deletes
             current.jobs.append(change.job)
-        return [*transactions, current] if current.jobs else transactions
+        if current.jobs:
+            yield current
 
     def _add(self, entries: _Transaction, change: JobChange) -> None:
         job = change.job
--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 import anyio
+import anyio.lowlevel
 from anyio.abc import TaskGroup
 
 from foxtailwell.adapters.events import (
@@ -138,8 +139,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _IntakeChanges:
-    changes: tuple[Change, ...]
+class _IntakeChange:
+    change: Change
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,7 +148,7 @@
     pass
 
 
-_Event = LinkEvent | AdviceReceived | MaintenanceEvent | _IntakeChanges | ChangeBatch | _Wake
+_Event = LinkEvent | AdviceReceived | MaintenanceEvent | _IntakeChange | ChangeBatch | _Wake
 
 
 @dataclass(slots=True)
@@ -329,7 +330,8 @@
                 self._workers.close()
 
     async def _on_intake(self, changes: ChangeBatch) -> None:
-        await self._send.send(_IntakeChanges(changes.changes))
+        for change in changes.changes:
+            await self._send.send(_IntakeChange(change))
 
     async def _poll_missed_submissions(self) -> None:
         """Find submissions that the watch misses, for example when the store drops its history."""
@@ -340,8 +342,8 @@
             except StoreCallError as failure:
                 log_event(WATCH_FAILED, prefix=WAITING_PREFIX, reason=failure.reason)
                 continue
-            if changes:
-                await self._send.send(_IntakeChanges(changes))
+            for change in changes:
+                await self._send.send(_IntakeChange(change))
 
     async def _on_workers(self, changes: ChangeBatch) -> None:
         await self._send.send(changes)
@@ -388,11 +390,10 @@
     async def _process_events(self) -> None:
         with anyio.move_on_after(self._pause_s()):
             self._apply(await self._receive.receive())
-        while True:
-            try:
-                self._apply(self._receive.receive_nowait())
-            except anyio.WouldBlock:
-                break
+        # Later events wait for the next round, so that a stream of them does not defer the plan.
+        for _ in range(self._receive.statistics().current_buffer_used):
+            self._apply(self._receive.receive_nowait())
+            await anyio.lowlevel.checkpoint()
         self._runs.judge_crashes()
         self._runs.requeue_expired()
         self._runs.requeue_from_removed()
@@ -404,9 +405,8 @@
 
     def _apply(self, event: _Event) -> None:
         match event:
-            case _IntakeChanges():
-                for change in event.changes:
-                    self._jobs.apply(change, {})
+            case _IntakeChange():
+                self._jobs.apply(event.change, {})
             case ChangeBatch():
                 self._workers.apply_entries(event)
             case ListingReceived():
--- a/src/foxtailwell/controller/_stored_jobs.py
+++ b/src/foxtailwell/controller/_stored_jobs.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Callable, Iterable, Mapping
 
+import anyio.lowlevel
+
 from foxtailwell.adapters.events import (
     CONTROLLER_LOADED,
     JOB_ENDED,
@@ -102,6 +104,8 @@
         items, _ = await self._store.list_items(PROGRESS_PREFIX)
         progress: dict[str, JobProgress] = {}
         for item in items:
+            # A term with many or large jobs must not end before they are loaded.
+            await anyio.lowlevel.checkpoint()
             job_id = item.key[len(PROGRESS_PREFIX) :]
             self._commits.revisions[job_id] = item.revision
             try:
@@ -112,6 +116,7 @@
         intake, revision = await self._store.list_items(INTAKE_PREFIX)
         jobs = {job_of_key(item.key) for item in intake} - {None}
         for item in intake:
+            await anyio.lowlevel.checkpoint()
             change = Change(item.key, item.value, item.revision)
             self.apply(change, progress, is_recovered=True)
         for job_id, record in progress.items():
@@ -180,6 +185,7 @@
         is_aged = is_recovered and submission.accepted_unix_ms > 0
         age_ms = self._now_unix_ms() - submission.accepted_unix_ms if is_aged else 0
         self._registry.add(submission, queue, self._now_s(), record, age_s=max(0, age_ms) / 1000)
+        self._registry.prepare(job_id, self._now_unix_ms())
         # Listings name marks before jobs; an older mark belongs to an earlier job.
         if self._mark_revisions.get(job_id, 0) > change.revision:
             self._registry.cancel(job_id, self._now_unix_ms())
--- a/src/foxtailwell/workflows/_job_registry.py
+++ b/src/foxtailwell/workflows/_job_registry.py
@@ -254,6 +254,14 @@
                         found.add((other.worker, task.id))
         return frozenset(found)
 
+    def prepare(self, job_id: str, now_unix_ms: int) -> None:
+        """Build the state that the first plan of a job needs, so that this plan takes less long.
+
+        Raises:
+            KeyError: The job is not in the registry.
+        """
+        self._steps[job_id].ready(now_unix_ms)
+
     def step_tasks(self, task: TaskId) -> tuple[Task, ...]:
         """Return the tasks of the same step and occurrence, ordered by index.
 
--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -4,10 +4,24 @@
 
 import random
 import sys
+from itertools import pairwise
 
+import anyio.lowlevel
 import pytest
 
 from controller_harness import LATER, URGENT, step
+from foxtailwell.adapters.work_metrics import WorkMetrics
+from foxtailwell.controller import _commits as commits
+from foxtailwell.controller import _stored_jobs as stored_jobs
+from foxtailwell.controller._commits import Commits, JobChange
+from foxtailwell.controller._records import (
+    CONTROLLER_KEY,
+    decode_job,
+    encode_progress,
+    encode_submission_record,
+    job_key,
+)
+from foxtailwell.controller._stored_jobs import StoredJobs
 from foxtailwell.workflows import (
     EndKind,
     FleetView,
@@ -24,6 +38,7 @@
 from foxtailwell.workflows import _placement as placement
 from foxtailwell.workflows._failed_searches import FailedSearches
 from foxtailwell.workflows._fleet_view import RunningTask
+from foxtailwell_standins.platform_store import MemoryStore
 
 JOB = "00000000000000aa"
 SMALL = Resources(1000, 100, 0)
@@ -278,3 +293,67 @@
     moved = after.find(TaskId(JOB, 0, 2, 0))
     after.end_run(moved, 1, EndKind.DONE, "", 1)
     assert [unit.step_number for unit in after.ready_units(0.0, 0)] == [3]
+
+
+class _Turns:
+    """Counts how often the event loop serves another task meanwhile."""
+
+    def __init__(self):
+        self.count = 0
+
+    async def run(self):
+        """Count the turns until cancelled."""
+        while True:
+            self.count += 1
+            await anyio.lowlevel.checkpoint()
+
+
+@pytest.mark.anyio
+async def test_other_work_has_its_turn_while_a_controller_loads_many_jobs(group, monkeypatch):
+    """Guards against a successor whose lease ends while it loads the jobs."""
+    store = MemoryStore(page_pause_s=0.0)
+    jobs = [Submission(f"{n:016x}", LATER.name, "acme", "x", (step(3),)) for n in range(60)]
+    for job in jobs:
+        store.write(job_key(job.job_id), encode_submission_record(job))
+    registry = JobRegistry()
+    stored = StoredJobs(
+        store.client(),
+        registry,
+        Commits(store.client(), 1, lambda: None),
+        lambda _: LATER,
+        retention_s=1.0,
+        now_s=lambda: 0.0,
+        now_unix_ms=lambda: 0,
+        metrics=WorkMetrics(),
+    )
+    turns, seen = _Turns(), []
+
+    def decode(job_id, value):
+        seen.append(turns.count)
+        return decode_job(job_id, value)
+
+    monkeypatch.setattr(stored_jobs, "decode_job", decode)
+    group.start_soon(turns.run)
+    await stored.load(1)
+    assert len(registry.jobs) == len(seen) == len(jobs)
+    assert all(later > earlier for earlier, later in pairwise(seen))
+
+
+@pytest.mark.anyio
+async def test_other_work_has_its_turn_while_many_records_are_encoded(group, monkeypatch):
+    """Guards against a controller that loses its lease while it encodes the records of jobs."""
+    store = MemoryStore()
+    token = store.write(CONTROLLER_KEY, b"")
+    registry = JobRegistry()
+    changes = [JobChange(submit(registry, [step()], f"{n:016x}")) for n in range(120)]
+    turns, seen = _Turns(), []
+
+    def encode(progress):
+        seen.append(turns.count)
+        return encode_progress(progress)
+
+    monkeypatch.setattr(commits, "encode_progress", encode)
+    group.start_soon(turns.run)
+    assert not await Commits(store.client(), token, lambda: None).store(changes, lambda _: {})
+    # One transaction holds up to 24 records, so that none waits for more than these.
+    assert all(later > earlier for earlier, later in zip(seen, seen[24:], strict=False))
