Store submissions without defaults, and reject for good what does not fit

Callers saw 503 for a job of 4,000 small steps each time, with no reason in the response or in the event, and repeated it for ever.

Cause: the record names all fields of each step, with their defaults, 304 bytes a step, so that 4,000 steps exceed the largest value of the store. The store's 400 counted as a refusal that may pass.

Now the record leaves out defaults: 80 bytes for such a step, 800,104 bytes at 10,000 steps (3,040,170 before). Earlier versions read it, as the fields have defaults there too. A job that does not fit all the same gets 413 at once, with the limit that the settings name (max_value_bytes).

--- a/src/foxtailwell/controller/_intake.py
+++ b/src/foxtailwell/controller/_intake.py
@@ -38,6 +38,9 @@
 
 __all__ = ["CancelOutcome", "Intake", "IntakeError", "SubmitOutcome"]
 
+MAX_VALUE_BYTES = 2**20
+"""Largest value that the store accepts, unless the settings name another."""
+
 MAX_CREATE_ATTEMPTS = 4
 """Attempts to store a job while other jobs with its identifier come and go."""
 
@@ -51,6 +54,7 @@
     Attributes:
         DUPLICATE: The same job was stored before.
         CONFLICTING: Another job has this identifier on this queue.
+        TOO_LARGE: The job does not fit into a value of the store, however often it is submitted.
         REFUSED: The job is not stored, and this submission can no longer take effect.
         UNKNOWN: The job may have been stored; submit it again to find out.
         CONFIGURATION_CHANGED: A guard failed; check the job against the new configuration.
@@ -59,6 +63,7 @@
     STORED = "stored"
     DUPLICATE = "known"
     CONFLICTING = "conflicting"
+    TOO_LARGE = "too large"
     REFUSED = "refused"
     UNKNOWN = "unknown"
     CONFIGURATION_CHANGED = "configuration changed"
@@ -133,10 +138,17 @@
 
     Args:
         store: The platform's store.
+        max_value_bytes: Largest value that the store accepts.
     """
 
-    def __init__(self, store: KeyValueStore) -> None:
+    def __init__(self, store: KeyValueStore, max_value_bytes: int = MAX_VALUE_BYTES) -> None:
         self._store = store
+        self._max_value_bytes = max_value_bytes
+
+    @property
+    def max_value_bytes(self) -> int:
+        """Largest encoded job that can be stored."""
+        return self._max_value_bytes
 
     async def submit(
         self, submission: Submission, guards: Mapping[str, int], account: str | None = None
@@ -153,6 +165,9 @@
             The outcome; REFUSED only if this submission can never take effect.
         """
         submission = replace(submission, digest=submission_digest(submission))
+        encoded = encode_submission_record(submission)
+        if len(encoded) > self._max_value_bytes:
+            return SubmitOutcome.TOO_LARGE
         account = submission.account if account is None else account
         job_id = submission.job_id
         own_id = namesake_id(job_id, submission.queue)
@@ -161,7 +176,7 @@
         stored_id = job_id
         for _ in range(MAX_CREATE_ATTEMPTS):
             puts = [
-                Put(job_key(stored_id), encode_submission_record(submission)),
+                Put(job_key(stored_id), encoded),
                 Put(waiting_key(submission.queue, stored_id), b""),
             ]
             try:
--- a/src/foxtailwell/controller/_records.py
+++ b/src/foxtailwell/controller/_records.py
@@ -21,6 +21,7 @@
     TaskProgress,
     TaskState,
     client_job_id,
+    encode_submission,
     find_submission_fault,
     is_namesake_id,
     namesake_id,
@@ -122,7 +123,7 @@
 
 def encode_submission_record(submission: Submission) -> bytes:
     """Encode a submission as the JSON value of its key."""
-    return msgspec.json.encode(submission)
+    return encode_submission(submission)
 
 
 def decode_submission_record(value: bytes) -> Submission:
--- a/src/foxtailwell/instance/_daemon.py
+++ b/src/foxtailwell/instance/_daemon.py
@@ -96,7 +96,7 @@
             settings.revocation_ms / 1000,
         )
         self._api = JobsApi(
-            Intake(platform.store),
+            Intake(platform.store, settings.max_value_bytes),
             self._operators,
             platform.decode_submission,
             platform.decode_error,
--- a/src/foxtailwell/instance/_jobs_api.py
+++ b/src/foxtailwell/instance/_jobs_api.py
@@ -281,6 +281,14 @@
                 return _refuse(
                     request, 409, "another job has this ID on this queue; choose another ID"
                 )
+            case SubmitOutcome.TOO_LARGE:
+                log_event(SUBMISSION_REFUSED, **fields)
+                limit_bytes = self._intake.max_value_bytes
+                return _refuse(
+                    request,
+                    413,
+                    f"the job does not fit into {limit_bytes} bytes; use fewer or simpler steps",
+                )
             case SubmitOutcome.REFUSED:
                 log_event(SUBMISSION_REFUSED, **fields)
                 return Reply(503)
--- a/src/foxtailwell/instance/_settings.py
+++ b/src/foxtailwell/instance/_settings.py
@@ -17,6 +17,7 @@
         metrics_address: `IP:PORT` at which metrics are served.
         advisor_address: `IP:PORT` of the placement advisor; empty for none.
         machines_address: `IP:PORT` of the machine interface; empty for none.
+        max_value_bytes: Largest value that the store accepts.
         max_hold_ms: Maximum lease of running tasks.
         revocation_ms: Time after which a removed API key must no longer be accepted.
         status_s: Time for which the state of an ended job remains available.
@@ -35,6 +36,7 @@
     readiness_address: str
     metrics_address: str
     store_address: str
+    max_value_bytes: int
     advisor_address: str
     machines_address: str
     grace_s: float
--- a/src/foxtailwell/platform/settings.py
+++ b/src/foxtailwell/platform/settings.py
@@ -37,6 +37,7 @@
     address: str
     writes_per_s: float = 400
     reads_per_s: float = 2000
+    max_value_bytes: Annotated[int, msgspec.Meta(ge=1)] = 2**20
 
 
 class _CloudApi(msgspec.Struct):
@@ -91,6 +92,7 @@
         readiness_address=file.listen_addrs.ready,
         metrics_address=f"{file.ip}:{file.port_range[0]}",
         store_address=file.platform.address,
+        max_value_bytes=file.platform.max_value_bytes,
         advisor_address=file.recommendation or "",
         machines_address=file.cloud_api.address if file.cloud_api else "",
         grace_s=file.bounds.grace_s,
--- a/src/foxtailwell/workflows/__init__.py
+++ b/src/foxtailwell/workflows/__init__.py
@@ -71,6 +71,7 @@
     Step,
     Submission,
     TaskId,
+    encode_submission,
     find_submission_fault,
     submission_digest,
 )
@@ -156,6 +157,7 @@
     "WorkerListing",
     "WorkerView",
     "client_job_id",
+    "encode_submission",
     "find_submission_fault",
     "has_common_cause",
     "is_given_up",
--- a/src/foxtailwell/workflows/_jobs.py
+++ b/src/foxtailwell/workflows/_jobs.py
@@ -24,6 +24,7 @@
     "Submission",
     "TaskId",
     "UNLIMITED_COPIES",
+    "encode_submission",
     "find_submission_fault",
     "submission_digest",
 ]
@@ -246,11 +247,30 @@
     return blake2b(encoded, digest_size=_DIGEST_BYTES).hexdigest()
 
 
+def encode_submission(submission: Submission) -> bytes:
+    """Encode a submission as JSON without the fields that have their default values.
+
+    Jobs of many steps would not fit into a value of the store otherwise.
+    """
+    content = _changed_fields(submission, set())
+    content["steps"] = [
+        _changed_fields(step, set()) | {"request": _changed_fields(step.request, set())}
+        for step in submission.steps
+    ]
+    return msgspec.json.encode(content)
+
+
 def _changed_fields(value: Submission | Step | Resources, left_out: set[str]) -> dict[str, object]:
     """Return the fields of a dataclass that differ from their defaults."""
-    found = {field.name: getattr(value, field.name) for field in fields(value)}
-    defaults = {field.name: field.default for field in fields(value)}
-    return {n: v for n, v in found.items() if n not in left_out and v != defaults[n]}
+    found = ((name, getattr(value, name), default) for name, default in _DEFAULTS[type(value)])
+    return {n: v for n, v, default in found if n not in left_out and v != default}
+
+
+_DEFAULTS = {
+    data_class: tuple((field.name, field.default) for field in fields(data_class))
+    for data_class in (Submission, Step, Resources)
+}
+"""Fields of the dataclasses of a submission, each with its default value."""
 
 
 def find_submission_fault(submission: Submission) -> str:
--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -4,19 +4,23 @@
 
 import random
 import sys
+from dataclasses import replace
 from itertools import pairwise
 
 import anyio.lowlevel
+import msgspec
 import pytest
 
 from controller_harness import LATER, URGENT, step
 from foxtailwell.adapters.work_metrics import WorkMetrics
+from foxtailwell.controller import Intake, SubmitOutcome
 from foxtailwell.controller import _commits as commits
 from foxtailwell.controller import _stored_jobs as stored_jobs
 from foxtailwell.controller._commits import Commits, JobChange
 from foxtailwell.controller._records import (
     CONTROLLER_KEY,
     decode_job,
+    decode_submission_record,
     encode_progress,
     encode_submission_record,
     job_key,
@@ -357,3 +361,24 @@
     assert not await Commits(store.client(), token, lambda: None).store(changes, lambda _: {})
     # One transaction holds up to 24 records, so that none waits for more than these.
     assert all(later > earlier for earlier, later in zip(seen, seen[24:], strict=False))
+
+
+@pytest.mark.anyio
+async def test_job_beyond_the_largest_value_of_the_store_is_rejected_for_good():
+    """Guards against a client that repeats a job for ever that can never be stored."""
+    submission = Submission(JOB, LATER.name, "acme", "x", (step(),) * 50)
+    size = len(encode_submission_record(replace(submission, digest="0" * 16)))
+    store = MemoryStore()
+    assert await Intake(store.client(), size - 1).submit(submission, {}) is SubmitOutcome.TOO_LARGE
+    assert not store.items
+    assert await Intake(store.client(), size).submit(submission, {}) is SubmitOutcome.STORED
+
+
+@pytest.mark.parametrize("steps", [1, 10_000])
+def test_submission_record_leaves_out_defaults_and_is_read_by_any_version(steps):
+    """Guards against jobs of 4,000 small steps that do not fit, and against unreadable ones."""
+    submission = Submission(JOB, "later", "acme", "x", (Step(1, SMALL, 500),) * steps, 5, 6, 1, 7)
+    record = encode_submission_record(submission)
+    assert len(record) < 2**20
+    assert msgspec.json.decode(record, type=Submission) == submission
+    assert decode_submission_record(msgspec.json.encode(submission)) == submission
