Cordon a machine only while its runs may be stopped, and for a bounded time

With a wave of all machines no job started.

Cause: a wait that only an event ends which may never come. While a task of the service is missing for other reasons, the cordon empties nothing.

Ruled out: a wrong account of the tasks away (nine wanted, eight at work, one may be away), a command that is not sent (none is due while a run is on the machine).

Now: a turn begins only if each step on the machine can spare a task now, and ends once that has not been so for the time of a maintenance and 3 s. The first rule needs no timer, so the turn comes with the missing task. The machine keeps its place: its drain timeout counts from when its turn was due. Only turns in which runs were stopped or commands failed lead to a pause, which doubles. What a step can spare is counted once for all machines of a decision, and nothing else is stopped on a machine that would be held.

--- a/src/foxtailwell/adapters/events.py
+++ b/src/foxtailwell/adapters/events.py
@@ -131,7 +131,9 @@
 ROWS_REFUSED = _event("FW1635", "WARNING", "rows of a list cannot be decoded and are left out")
 VALUE_UNREADABLE = _event("FW1636", "ERROR", "a value of the store cannot be read")
 ENTRY_LATE = _event("FW1637", "INFO", "a worker entry was written long before it appeared")
-MACHINE_RELEASED = _event("FW1640", "WARNING", "a machine rejects its maintenance and waits")
+MACHINE_RELEASED = _event(
+    "FW1640", "WARNING", "a machine cannot have its maintenance now and waits"
+)
 STEP_UNSERVABLE = _event("FW1641", "WARNING", "no set of the listed workers can serve a step")
 STEP_SERVABLE = _event("FW1642", "INFO", "the listed workers can serve a step again")
 RUN_NOT_STOPPING = _event("FW1643", "WARNING", "a worker does not stop a run; its lease may end")
--- a/src/foxtailwell/controller/_maintenance.py
+++ b/src/foxtailwell/controller/_maintenance.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 import anyio
@@ -70,16 +70,28 @@
 REJECTION_GRACE_S = 1.0
 """Time for which commands to a machine that rejects its maintenance are repeated at once."""
 
+FAILURE_GRACE_S = 5.0
+"""Time for which commands to a machine are repeated that get no response or are limited."""
+
+HOLD_GRACE_S = 3.0
+"""Time beyond the maintenance of another machine for which a machine is held that cannot go on.
+
+A task that this maintenance has ended is usually at work again by then.
+"""
+
+LISTING_TIMEOUT_S = 3.0
+"""Time without a listing after which nothing is drained, as commands would hardly be answered."""
+
 LATE_COMMAND_S = FIRST_COMMAND_DELAY_S
 """Time within which a command that got no response may still take effect."""
 
-REJECTION_PAUSE_S = 2.0
-"""Shortest time for which a machine that rejected its maintenance runs tasks until its next turn.
+TURN_PAUSE_S = 2.0
+"""Shortest time for which a machine runs tasks after a turn in vain until its next one.
 
-It doubles with each further rejection, because each turn stops what runs there.
+It doubles with each further one, because each turn stops what runs there.
 """
 
-MAX_REJECTION_PAUSE_S = 32.0
+MAX_TURN_PAUSE_S = 32.0
 """Longest time for which such a machine waits for its next turn."""
 
 _REJECTIONS = frozenset({MaintenanceOutcome.BUSY, MaintenanceOutcome.OTHER_WAVE})
@@ -127,46 +139,101 @@
 
 
 @dataclass(slots=True)
-class _Rejections:
-    """Rejected commands to one machine.
+class _Turns:
+    """Turns of one machine, in each of which it is cordoned until its maintenance begins.
 
     Attributes:
-        turns: Turns of the machine that ended with its rejections.
-        since_s: Local time of the first rejection in this turn; infinite for none.
+        due_since_s: Local time from which its runs may continue for the drain timeout; infinite
+            before. Turns that other work prevents do not move it.
+        vain_count: Turns that ended without its maintenance after runs were stopped or commands
+            failed.
         paused_until_s: Local time from which the machine may have its next turn.
+        cordoned_since_s: Local time at which the present turn began; infinite for none.
+        rejected_since_s: Local time of the first rejection in this turn; infinite for none.
+        failed_since_s: Local time of the first command in this turn that got no response or was
+            limited, or from which machines were not listed; infinite for none.
+        held_since_s: Local time since which no run of some step may be stopped; infinite for none.
+        has_stopped_runs: Runs were stopped in this turn.
     """
 
-    turns: int = 0
-    since_s: float = math.inf
+    due_since_s: float = math.inf
+    vain_count: int = 0
     paused_until_s: float = 0.0
+    cordoned_since_s: float = math.inf
+    rejected_since_s: float = math.inf
+    failed_since_s: float = math.inf
+    held_since_s: float = math.inf
+    has_stopped_runs: bool = False
+
+    @property
+    def is_cordoned(self) -> bool:
+        return self.cordoned_since_s < math.inf
 
-    def end_turn(self, now_s: float) -> float:
-        """End the turn, and return the pause until the next one in seconds."""
-        pause_s = min(REJECTION_PAUSE_S * 2.0 ** min(self.turns, 10), MAX_REJECTION_PAUSE_S)
-        self.turns += 1
-        self.since_s = math.inf
+    def begin(self, now_s: float) -> None:
+        """Begin a turn."""
+        self.cordoned_since_s = now_s
+        self.rejected_since_s = self.failed_since_s = self.held_since_s = math.inf
+        self.has_stopped_runs = False
+
+    def end(self) -> None:
+        """End the turn because the maintenance has begun or is no longer wanted."""
+        self.cordoned_since_s = math.inf
+
+    def end_in_vain(self, now_s: float) -> float:
+        """End the turn without the maintenance.
+
+        Returns:
+            The pause until the next turn in seconds, during which the machine runs tasks.
+        """
+        has_failed = min(self.rejected_since_s, self.failed_since_s) < math.inf
+        if has_failed:
+            self.due_since_s = math.inf
+        self.end()
+        if not (has_failed or self.has_stopped_runs):
+            return 0.0
+        pause_s = min(TURN_PAUSE_S * 2.0 ** min(self.vain_count, 10), MAX_TURN_PAUSE_S)
+        self.vain_count += 1
         self.paused_until_s = now_s + pause_s
         return pause_s
 
+    def note_failure(self, now_s: float) -> None:
+        """Record that the machine interface does not carry out commands now."""
+        self.failed_since_s = min(self.failed_since_s, now_s)
+
+    def is_failing(self, now_s: float) -> bool:
+        """Return whether commands have failed for so long that no further one is sent."""
+        return (
+            now_s - self.rejected_since_s >= REJECTION_GRACE_S
+            or now_s - self.failed_since_s >= FAILURE_GRACE_S
+        )
+
 
 @dataclass(slots=True)
 class _OpenWave:
     """A maintenance wave in progress.
 
     Attributes:
-        cordoned_since_s: Local times at which machines were cordoned: they get no further start.
+        turns: Turns of its machines.
         settled_since_s: Local times at which the maintenance of machines began or they were
             removed.
-        rejections: Machines that have rejected a command.
         unanswered_s: Local times at which commands to machines last got no response.
     """
 
     wave: MaintenanceWave
-    cordoned_since_s: dict[str, float] = field(default_factory=dict)
+    turns: dict[str, _Turns] = field(default_factory=dict)
     settled_since_s: dict[str, float] = field(default_factory=dict)
-    rejections: dict[str, _Rejections] = field(default_factory=dict)
     unanswered_s: dict[str, float] = field(default_factory=dict)
 
+    def turns_of(self, machine: str) -> _Turns:
+        """Return the turns of a machine of the wave."""
+        return self.turns.setdefault(machine, _Turns())
+
+    @property
+    def cordoned(self) -> list[str]:
+        """Machines that have their turn, the longest cordoned first."""
+        found = [machine for machine, turns in self.turns.items() if turns.is_cordoned]
+        return sorted(found, key=lambda machine: self.turns[machine].cordoned_since_s)
+
     @property
     def is_complete(self) -> bool:
         return self.settled_since_s.keys() >= set(self.wave.machines)
@@ -177,6 +244,49 @@
         return max(0.0, self.wave.within_s / rounds - down_s - SCHEDULE_MARGIN_S)
 
 
+class _SpareTasks:
+    """Lasting tasks that may still be taken down in one decision, by step.
+
+    Args:
+        registry: Unfinished jobs.
+    """
+
+    def __init__(self, registry: JobRegistry) -> None:
+        self._registry = registry
+        self._left: dict[tuple[str, int, int], int] = {}
+
+    def _key(self, task: Task) -> tuple[str, int, int] | None:
+        """Return the step of a task; None if any number of its tasks may be taken down."""
+        step = self._registry.jobs[task.id.job_id].step(task.id)
+        if not step.is_lasting or step.max_unavailable is None:
+            return None
+        key = (task.id.job_id, task.id.occurrence, task.id.step)
+        if key not in self._left:
+            members = self._registry.step_tasks(task.id)
+            available = sum(m.state is TaskState.ASSIGNED and m.percent >= 100 for m in members)
+            self._left[key] = step.max_unavailable - (len(members) - available)
+        return key
+
+    def may_be_stopped(self, tasks: Iterable[Task]) -> bool:
+        """Return whether each step that has assigned runs among the tasks can spare one of them."""
+        keys = {self._key(task) for task in tasks if task.state is TaskState.ASSIGNED}
+        return all(self._left[key] > 0 for key in keys if key is not None)
+
+    def take(self, tasks: Iterable[Task]) -> list[Task]:
+        """Return the runs to stop among the tasks, which later calls do not have to spare."""
+        stops: list[Task] = []
+        for task in tasks:
+            if task.state is not TaskState.ASSIGNED:
+                continue
+            key = self._key(task)
+            if key is not None:
+                if self._left[key] <= 0:
+                    continue
+                self._left[key] -= 1
+            stops.append(task)
+        return stops
+
+
 class MaintenanceCoordinator:
     """Cordons and drains machines, begins their maintenance, and publishes the state of waves.
 
@@ -213,6 +323,7 @@
         self._machines: Mapping[str, Machine] = {}
         self._unlisted: frozenset[str] = frozenset()
         self._commands: list[tuple[int, str]] = []
+        self._listed_s = -math.inf
         self._published: dict[int, tuple[int, bool]] = {}
         self._wake = anyio.Event()
 
@@ -260,7 +371,7 @@
 
     def cordoned(self) -> frozenset[str]:
         """Return the identifiers of workers on cordoned machines, which get no further start."""
-        cordoned = {m for wave in self._waves.values() for m in wave.cordoned_since_s}
+        cordoned = {m for wave in self._waves.values() for m in wave.cordoned}
         return frozenset(self._machines[m].worker for m in cordoned if m in self._machines)
 
     def apply(self, event: MaintenanceEvent) -> None:
@@ -271,12 +382,15 @@
         found = self._waves.get(event.wave)
         if found is None:
             return
+        now_s = self._now_s()
+        turns = found.turns_of(event.machine)
         if event.outcome in (MaintenanceOutcome.BEGUN, MaintenanceOutcome.ABSENT):
             log_event(MAINTENANCE_STARTED, wave=event.wave, machine=event.machine)
-            found.settled_since_s[event.machine] = self._now_s()
-            found.cordoned_since_s.pop(event.machine, None)
-        elif event.outcome is None:
-            found.unanswered_s[event.machine] = self._now_s()
+            found.settled_since_s[event.machine] = now_s
+            turns.end()
+            return
+        if event.outcome is None:
+            found.unanswered_s[event.machine] = now_s
         else:
             log_event(
                 MAINTENANCE_REFUSED,
@@ -284,9 +398,10 @@
                 machine=event.machine,
                 reason=event.outcome.value,
             )
-            if event.outcome in _REJECTIONS:
-                rejections = found.rejections.setdefault(event.machine, _Rejections())
-                rejections.since_s = min(rejections.since_s, self._now_s())
+        if event.outcome in _REJECTIONS:
+            turns.rejected_since_s = min(turns.rejected_since_s, now_s)
+        else:
+            turns.note_failure(now_s)
 
     def _apply_machines(self, listed: Mapping[str, Machine]) -> None:
         """Apply a listing, in which a machine that two in a row do not have counts as removed.
@@ -294,6 +409,7 @@
         The pages of a listing are read one after the other, so that it may lack a machine that is
         there.
         """
+        self._listed_s = self._now_s()
         requested = {m for wave in self._waves.values() for m in wave.wave.machines}
         unlisted = (requested | self._machines.keys()) - listed.keys()
         removed = unlisted & self._unlisted
@@ -303,63 +419,102 @@
         for wave in self._waves.values():
             for machine in removed.intersection(wave.wave.machines):
                 wave.settled_since_s.setdefault(machine, self._now_s())
+                wave.turns_of(machine).end()
 
     def decide(self) -> list[Task]:
         """Cordon machines, and queue commands for those without runs.
 
+        A machine is cordoned only while its runs may be stopped, so that it becomes empty.
+
         Returns:
             Runs to be stopped because the drain timeout of their machine has passed.
         """
+        is_responding = self._now_s() - self._listed_s <= LISTING_TIMEOUT_S
+        spare = _SpareTasks(self._registry)
         stops: list[Task] = []
-        for number, wave in self._waves.items():
-            self._release_rejecting(wave)
-            self._cordon(wave)
-            for machine, since_s in wave.cordoned_since_s.items():
-                tasks = self._tasks(machine)
-                if not tasks:
-                    if not self._is_rejecting(wave, machine):
-                        self._queue_command(number, machine)
-                elif self._now_s() - since_s >= wave.drain_timeout_s(self._access.down_s):
-                    stops += self._stoppable(tasks)
+        for wave in self._waves.values():
+            self._end_turns_in_vain(wave)
+            for machine in wave.cordoned:
+                if is_responding:
+                    stops += self._advance(wave, machine, spare)
+                else:
+                    wave.turns[machine].note_failure(self._now_s())
+            for machine in self._begin_turns(wave, spare) if is_responding else ():
+                stops += self._advance(wave, machine, spare)
         return stops
 
-    def _is_rejecting(self, wave: _OpenWave, machine: str) -> bool:
-        """Return whether a machine has rejected its maintenance for too long in this turn."""
-        found = wave.rejections.get(machine)
-        return found is not None and self._now_s() - found.since_s >= REJECTION_GRACE_S
+    def _is_drained(self, wave: _OpenWave, machine: str) -> bool:
+        """Return whether the drain timeout of a machine has passed."""
+        drained_s = self._now_s() - wave.turns_of(machine).due_since_s
+        return drained_s >= wave.drain_timeout_s(self._access.down_s)
 
-    def _release_rejecting(self, wave: _OpenWave) -> None:
-        """End the turn of machines that reject their maintenance, so that others have theirs.
+    def _advance(self, wave: _OpenWave, machine: str, spare: _SpareTasks) -> list[Task]:
+        """Return the runs to stop on a cordoned machine, or queue its command if it has none."""
+        turns = wave.turns[machine]
+        tasks = self._tasks(machine)
+        now_s = self._now_s()
+        if not tasks:
+            turns.held_since_s = math.inf
+            if not turns.is_failing(now_s):
+                self._queue_command(wave.wave.number, machine)
+            return []
+        if not spare.may_be_stopped(tasks):
+            turns.held_since_s = min(turns.held_since_s, now_s)
+            return []
+        turns.held_since_s = math.inf
+        if not self._is_drained(wave, machine):
+            return []
+        stops = spare.take(tasks)
+        turns.has_stopped_runs = turns.has_stopped_runs or bool(stops)
+        return stops
+
+    def _end_turns_in_vain(self, wave: _OpenWave) -> None:
+        """Release machines whose maintenance cannot begin, so that they run tasks meanwhile.
 
         A machine to which a command is queued, or may still take effect, stays cordoned: it might
         go down with runs on it, and beside the next machine.
         """
         now_s = self._now_s()
-        for machine in list(wave.cordoned_since_s):
+        hold_limit_s = self._access.down_s + HOLD_GRACE_S
+        for machine in wave.cordoned:
+            turns = wave.turns[machine]
+            is_held = now_s - turns.held_since_s >= hold_limit_s
             is_settled = now_s - wave.unanswered_s.get(machine, -math.inf) >= LATE_COMMAND_S
             is_queued = (wave.wave.number, machine) in self._commands
-            if self._is_rejecting(wave, machine) and is_settled and not is_queued:
-                del wave.cordoned_since_s[machine]
-                pause_s = wave.rejections[machine].end_turn(now_s)
-                log_event(MACHINE_RELEASED, wave=wave.wave.number, machine=machine, pause_s=pause_s)
+            if (is_held or turns.is_failing(now_s)) and is_settled and not is_queued:
+                log_event(
+                    MACHINE_RELEASED,
+                    wave=wave.wave.number,
+                    machine=machine,
+                    reason="held" if is_held else "failing",
+                    pause_s=turns.end_in_vain(now_s),
+                )
 
-    def _cordon(self, wave: _OpenWave) -> None:
+    def _begin_turns(self, wave: _OpenWave, spare: _SpareTasks) -> list[str]:
+        """Cordon machines whose runs may be stopped, and return them."""
         known = [m for m in wave.wave.machines if m in self._machines]
-        down = [m for m in known if m not in wave.cordoned_since_s and self._is_down(wave, m)]
-        free = wave.wave.max_count - len(down) - len(wave.cordoned_since_s)
+        cordoned = wave.cordoned
+        down = [m for m in known if m not in cordoned and self._is_down(wave, m)]
+        free = wave.wave.max_count - len(down) - len(cordoned)
         now_s = self._now_s()
-        none = _Rejections()
-        rejections = {m: wave.rejections.get(m, none) for m in known}
         waiting = [
             m
             for m in known
             if m not in wave.settled_since_s
-            and m not in wave.cordoned_since_s
-            and now_s >= rejections[m].paused_until_s
+            and m not in cordoned
+            and now_s >= wave.turns_of(m).paused_until_s
         ]
-        waiting.sort(key=lambda m: (rejections[m].turns, len(self._tasks(m))))
-        for machine in waiting[: max(0, free)]:
-            wave.cordoned_since_s[machine] = now_s
+        waiting.sort(key=lambda m: (wave.turns_of(m).vain_count, len(self._tasks(m))))
+        begun: list[str] = []
+        for machine in waiting:
+            if len(begun) >= free:
+                break
+            turns = wave.turns_of(machine)
+            turns.due_since_s = min(turns.due_since_s, now_s)
+            if spare.may_be_stopped(self._tasks(machine)):
+                turns.begin(now_s)
+                begun.append(machine)
+        return begun
 
     def _is_down(self, wave: _OpenWave, machine: str) -> bool:
         # A listing sent before may still show the state of the machine before its maintenance.
@@ -370,27 +525,6 @@
         found = self._machines.get(machine)
         return list(self._registry.placed_on(found.worker)) if found else []
 
-    def _stoppable(self, tasks: list[Task]) -> list[Task]:
-        """Return the runs that may be stopped without exceeding a step's `max_unavailable`."""
-        stops: list[Task] = []
-        stopping: dict[tuple[str, int, int], int] = {}
-        for task in tasks:
-            if task.state is not TaskState.ASSIGNED:
-                continue
-            job = self._registry.jobs[task.id.job_id]
-            step = job.step(task.id)
-            key = (task.id.job_id, task.id.occurrence, task.id.step)
-            if step.is_lasting and step.max_unavailable is not None:
-                members = self._registry.step_tasks(task.id)
-                unavailable = sum(
-                    not (m.state is TaskState.ASSIGNED and m.percent >= 100) for m in members
-                )
-                if unavailable + stopping.get(key, 0) >= step.max_unavailable:
-                    continue
-                stopping[key] = stopping.get(key, 0) + 1
-            stops.append(task)
-        return stops
-
     def _queue_command(self, number: int, machine: str) -> None:
         now_s = self._now_s()
         is_allowed = (
