Send no maintenance command for a wave that has been withdrawn

Callers would see runs end with the maintenance of a machine that nobody wants any more: once a wave is withdrawn its machines take work again, while a command that was queued before was still sent.

A command is now sent only if its machine is cordoned for the wave and has no runs. Test: test_command_of_a_withdrawn_wave_is_not_ sent, seen to fail before.

--- a/src/foxtailwell/controller/_maintenance.py
+++ b/src/foxtailwell/controller/_maintenance.py
@@ -542,7 +542,8 @@
                 self._wake = anyio.Event()
                 await self._wake.wait()
             while self._commands:
-                await self._send_command(*self._commands[0])
+                if self._is_wanted(*self._commands[0]):
+                    await self._send_command(*self._commands[0])
                 self._commands.pop(0)
             try:
                 machines = await self._access.calls.list_machines()
@@ -554,6 +555,12 @@
             with anyio.move_on_after(LISTING_PAUSE_S):
                 await self._wake.wait()
 
+    def _is_wanted(self, number: int, machine: str) -> bool:
+        """Return whether a machine is still to go down, as its wave may have been withdrawn."""
+        wave = self._waves.get(number)
+        is_cordoned = wave is not None and wave.turns_of(machine).is_cordoned
+        return is_cordoned and not self._tasks(machine)
+
     async def _send_command(self, number: int, machine: str) -> None:
         if self._now_s() - self._renewed_s() >= MAX_RENEWAL_AGE_S:
             return
--- a/tests/test_waves_beside_services.py
+++ b/tests/test_waves_beside_services.py
@@ -195,13 +195,14 @@
             outcome = self.outcome if self.is_answering else None
             if outcome is not None and machine in self.lost:
                 outcome = MaintenanceOutcome.BUSY
-            if outcome is MaintenanceOutcome.BEGUN:
-                if self.registry.placed_on(machine.replace("m", "w")):
-                    self.faults.append("runs lost by maintenance")
-                self.upkeeps.setdefault(machine, self.now_s)
-                if sum(map(self.is_down, self.machines)) > self.max_count:
-                    self.faults.append("LIMIT")
-            self.coordinator.apply(MaintenanceCommandFinished(number, machine, outcome))
+            if self.coordinator._is_wanted(number, machine):
+                if outcome is MaintenanceOutcome.BEGUN:
+                    if self.registry.placed_on(machine.replace("m", "w")):
+                        self.faults.append("runs lost by maintenance")
+                    self.upkeeps.setdefault(machine, self.now_s)
+                    if sum(map(self.is_down, self.machines)) > self.max_count:
+                        self.faults.append("LIMIT")
+                self.coordinator.apply(MaintenanceCommandFinished(number, machine, outcome))
             commands.pop(0)
 
     def tick(self):
@@ -331,6 +332,21 @@
     assert site.tick_until(site.is_completed, 40.0) is not None
 
 
+async def test_command_of_a_withdrawn_wave_is_not_sent():
+    """Guards against maintenance that ends runs although nobody wants it any more."""
+    site = Site(3, 0)
+    site.tick_until(lambda: False, FIRST_COMMAND_DELAY_S)
+    await site.request([0], max_count=1, within_s=20)
+    site.is_sending = False
+    site.tick()
+    assert site.coordinator._commands
+    await site.withdraw()
+    assert site.run_short("m0", 60.0)
+    site.is_sending = True
+    site.tick()
+    assert not site.upkeeps
+
+
 def random_faults(seed):
     """Play a random wave beside a service, and return the rules that were broken."""
     source = random.Random(seed)
