Do not wait for lasting runs when a machine is drained

Operators saw waves take nearly all of their time beside services, as each machine waited for the drain timeout. The runs of a service never end by themselves, so on a machine that has no others the wait serves nothing.

Test: test_lasting_tasks_alone_are_not_waited_for, seen to fail before.

--- a/src/foxtailwell/controller/_maintenance.py
+++ b/src/foxtailwell/controller/_maintenance.py
@@ -443,10 +443,14 @@
                 stops += self._advance(wave, machine, spare)
         return stops
 
-    def _is_drained(self, wave: _OpenWave, machine: str) -> bool:
-        """Return whether the drain timeout of a machine has passed."""
-        drained_s = self._now_s() - wave.turns_of(machine).due_since_s
-        return drained_s >= wave.drain_timeout_s(self._access.down_s)
+    def _is_drained(self, wave: _OpenWave, machine: str, tasks: Iterable[Task]) -> bool:
+        """Return whether waiting for the runs on a machine to end by themselves is over."""
+        now_s = self._now_s()
+        drained_s = now_s - wave.turns_of(machine).due_since_s
+        if drained_s >= wave.drain_timeout_s(self._access.down_s):
+            return True
+        are_lasting = all(self._registry.jobs[t.id.job_id].step(t.id).is_lasting for t in tasks)
+        return are_lasting and self._may_command()
 
     def _advance(self, wave: _OpenWave, machine: str, spare: _SpareTasks) -> list[Task]:
         """Return the runs to stop on a cordoned machine, or queue its command if it has none."""
@@ -462,7 +466,7 @@
             turns.held_since_s = min(turns.held_since_s, now_s)
             return []
         turns.held_since_s = math.inf
-        if not self._is_drained(wave, machine):
+        if not self._is_drained(wave, machine, tasks):
             return []
         stops = spare.take(tasks)
         turns.has_stopped_runs = turns.has_stopped_runs or bool(stops)
@@ -525,13 +529,14 @@
         found = self._machines.get(machine)
         return list(self._registry.placed_on(found.worker)) if found else []
 
-    def _queue_command(self, number: int, machine: str) -> None:
+    def _may_command(self) -> bool:
+        """Return whether this term has lasted long enough, and is recent enough, for commands."""
         now_s = self._now_s()
-        is_allowed = (
-            now_s - self._created_s >= FIRST_COMMAND_DELAY_S
-            and now_s - self._renewed_s() < MAX_RENEWAL_AGE_S
-        )
-        if is_allowed and (number, machine) not in self._commands:
+        has_begun = now_s - self._created_s >= FIRST_COMMAND_DELAY_S
+        return has_begun and now_s - self._renewed_s() < MAX_RENEWAL_AGE_S
+
+    def _queue_command(self, number: int, machine: str) -> None:
+        if self._may_command() and (number, machine) not in self._commands:
             self._commands.append((number, machine))
             self._wake.set()
 
--- a/tests/test_waves_beside_services.py
+++ b/tests/test_waves_beside_services.py
@@ -281,6 +281,15 @@
     assert site.faults == []
 
 
+async def test_lasting_tasks_alone_are_not_waited_for():
+    """Guards against a wave that waits for runs to end that last until their job is cancelled."""
+    site = Site(8, 8)
+    site.tick_until(lambda: False, FIRST_COMMAND_DELAY_S)
+    await site.request(range(4), max_count=2, within_s=400)
+    assert site.tick_until(site.is_completed, 20.0) is not None
+    assert site.faults == []
+
+
 async def test_work_runs_beside_a_wave_of_all_machines_of_a_service():
     """Guards against a pool that takes no work while its machines wait for one another."""
     site = Site(8, 8)
@@ -356,12 +365,12 @@
     async def play():
         machines = source.sample(range(count), source.randint(1, count))
         max_count = source.randint(1, len(machines))
-        await site.request(machines, max_count=max_count, within_s=source.choice((1, 10, 30)))
+        await site.request(machines, max_count=max_count, within_s=source.choice((1, 10, 90)))
         held_s = dict.fromkeys(site.machines, 0.0)
         for _ in range(400):
             for machine in site.machines:
                 if source.random() < 0.05:
-                    site.run_short(machine, source.choice((0.5, 3.0, 120.0)))
+                    site.run_short(machine, source.choice((0.5, 3.0, 120.0, 120.0)))
             if source.random() < 0.01 and len(site.lost) < count - 1:
                 site.lose(source.choice(site.machines))
             if source.random() < 0.03 and site.lost:
