--- a/src/foxtailwell_soak/__main__.py
+++ b/src/foxtailwell_soak/__main__.py
@@ -31,6 +31,9 @@
     waves: Annotated[
         bool, cappa.Arg(long="--waves/--no-waves", help="Whether many workers crash at once.")
     ] = True
+    large_job: Annotated[
+        bool, cappa.Arg(long=True, help="Whether a job of many steps is submitted as well.")
+    ] = False
     quiet: Annotated[
         bool, cappa.Arg(long=True, help="Only such crashes, while most workers are idle.")
     ] = False
@@ -54,6 +57,7 @@
             instance_count=self.instances,
             worker_count=self.workers,
             has_crash_waves=self.waves,
+            has_large_job=self.large_job,
             is_quiet=self.quiet,
         )
         verdict = "failed" if result.violations else "passed"
--- a/src/foxtailwell_soak/_clients.py
+++ b/src/foxtailwell_soak/_clients.py
@@ -4,6 +4,7 @@
 
 import random
 import time
+from collections.abc import Sequence
 from typing import Any
 
 import anyio
@@ -37,6 +38,12 @@
 NAMESAKE_PROBABILITY = 0.4
 """Probability that a client submits a namesake of a job, if it submits any."""
 
+LARGE_JOB_STEPS = (200, 600)
+"""Range of the number of steps of a large job."""
+
+LARGE_JOB_WORK_S = 0.05
+"""Duration of each task of a large job."""
+
 STATUSES = frozenset({200, 401, 404, 410, 429, 503, 504})
 """Statuses of responses to well-formed requests."""
 
@@ -138,6 +145,23 @@
         self._jobs.append((other, job))
         await self._submit(other, job, is_checkpointing=rng.random() < 0.5)
 
+    async def submit_large(self, rng: random.Random) -> None:
+        """Submit a job of many small steps, most of which depend on an earlier one.
+
+        Args:
+            rng: Random source of its own, so that other draws of a seed stay the same.
+        """
+        count = rng.randint(*LARGE_JOB_STEPS)
+        # Few steps are far from the first one, so that the job ends in time.
+        after = [
+            [rng.randrange(number // 8)] if number >= 8 and rng.random() < 0.7 else []
+            for number in range(count)
+        ]
+        job_id = f"{rng.getrandbits(64):016x}"
+        job = JobRecord(job_id, f"{LARGE_JOB_WORK_S}", Resources(100, 10, 0), count, False)
+        self._jobs.append((LATER_PREFIX, job))
+        await self._submit(LATER_PREFIX, job, is_checkpointing=False, after=after)
+
     async def submit_until_accepted(self, count: int, work_s: float, limit_s: float) -> JobRecord:
         """Submit a job whose tasks use one accelerator each, and try again for `limit_s`."""
         end_s = time.monotonic() + limit_s
@@ -167,9 +191,17 @@
             await anyio.sleep(0.05)
         await self._cancel(URGENT_PREFIX, job)
 
-    async def _submit(self, prefix: str, job: JobRecord, *, is_checkpointing: bool) -> None:
+    async def _submit(
+        self,
+        prefix: str,
+        job: JobRecord,
+        *,
+        is_checkpointing: bool,
+        after: Sequence[Sequence[int]] = (),
+    ) -> None:
+        """Submit a job of one step, or with one step of one task for each entry of `after`."""
         rng = self._rng
-        phase = {
+        phase: dict[str, object] = {
             "count": job.count,
             "cpu": job.request.cpu_millicores,
             "mem_mb": job.request.memory_mb,
@@ -178,7 +210,8 @@
             "gang": job.is_gang,
             "checkpointing": is_checkpointing,
         }
-        body = msgspec.json.encode({"spec": job.payload, "phases": [phase]})
+        phases = [phase | {"count": 1, "after": earlier} for earlier in after] or [phase]
+        body = msgspec.json.encode({"spec": job.payload, "phases": phases})
         self._history.jobs[job.key] = job
         if job.is_gang:
             self._gangs.sizes[f"{job.job_id}.0.0"] = job.count
--- a/src/foxtailwell_soak/_run.py
+++ b/src/foxtailwell_soak/_run.py
@@ -79,6 +79,7 @@
     has_cuts: bool = True,
     has_namesakes: bool = True,
     has_crash_waves: bool = True,
+    has_large_job: bool = False,
     is_quiet: bool = False,
 ) -> SoakResult:
     """Run one soak test.
@@ -93,6 +94,7 @@
         has_cuts: Whether to add the faults of `draw_cuts`.
         has_namesakes: Whether clients also submit jobs with one identifier to both queues.
         has_crash_waves: Whether to add the faults of `draw_crash_waves`.
+        has_large_job: Whether a client also submits a job of many steps.
         is_quiet: Whether one client with long pauses and the faults of `draw_crash_waves` are all.
 
     Returns:
@@ -111,7 +113,7 @@
         faults = draw_crash_waves(random.Random(seed + 5), length_s)
     faults.sort(key=lambda fault: fault.at_s)
     size = (instance_count, worker_count)
-    arguments = (seed, faults, directory, length_s, size, has_namesakes, is_quiet)
+    arguments = (seed, faults, directory, length_s, size, has_namesakes, has_large_job, is_quiet)
     return anyio.run(_run, *arguments, backend="asyncio")
 
 
@@ -127,6 +129,7 @@
     length_s: float,
     size: tuple[int, int],
     has_namesakes: bool,
+    has_large_job: bool,
     is_quiet: bool,
 ) -> SoakResult:
     descriptions: list[str] = []
@@ -154,6 +157,8 @@
             ]
             async with anyio.create_task_group() as running:
                 running.start_soon(injector.run, faults, start_s)
+                if has_large_job:
+                    running.start_soon(clients[0].submit_large, random.Random(f"large {seed}"))
                 for client in clients:
                     running.start_soon(client.run, start_s + length_s)
             # Its end shows that a controller is at work again.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -97,7 +97,18 @@
 HEARTBEAT_S = 0.2
 """Interval of heartbeats in tests of a single cut; shorter than in a soak test."""
 
-SEEDS = (SEED, *REGRESSION_SEEDS, *LASTING_SEEDS, *CUT_SEEDS, *NAMESAKE_SEEDS, *WAVE_SEEDS)
+LARGE_JOB_SEEDS = (20261208,)
+"""Seed with a job of many steps."""
+
+SEEDS = (
+    SEED,
+    *REGRESSION_SEEDS,
+    *LASTING_SEEDS,
+    *CUT_SEEDS,
+    *NAMESAKE_SEEDS,
+    *WAVE_SEEDS,
+    *LARGE_JOB_SEEDS,
+)
 JOB = "00000000000000aa"
 
 
@@ -118,6 +129,7 @@
             has_cuts=seed in (*CUT_SEEDS, *NAMESAKE_SEEDS, *WAVE_SEEDS),
             has_namesakes=seed in (*NAMESAKE_SEEDS, *WAVE_SEEDS),
             has_crash_waves=seed in WAVE_SEEDS,
+            has_large_job=seed in LARGE_JOB_SEEDS,
         )
         for seed in seeds
         if seed in SEEDS
