--- a/src/foxtailwell/controller/_maintenance.py
+++ b/src/foxtailwell/controller/_maintenance.py
@@ -73,8 +73,8 @@
 FAILURE_GRACE_S = 5.0
 """Time for which commands to a machine are repeated that get no response or are limited."""
 
-HOLD_GRACE_S = 3.0
-"""Time beyond the maintenance of another machine for which a machine is held that cannot go on.
+BLOCKED_GRACE_S = 3.0
+"""Time beyond the maintenance of another machine for which a blocked machine stays cordoned.
 
 A task that this maintenance has ended is usually at work again by then.
 """
@@ -86,7 +86,7 @@
 """Time within which a command that got no response may still take effect."""
 
 TURN_PAUSE_S = 2.0
-"""Shortest time for which a machine runs tasks after a turn in vain until its next one.
+"""Shortest time for which a machine runs tasks after an aborted turn until its next one.
 
 It doubles with each further one, because each turn stops what runs there.
 """
@@ -145,24 +145,25 @@
     Attributes:
         due_since_s: Local time from which its runs may continue for the drain timeout; infinite
             before. Turns that other work prevents do not move it.
-        vain_count: Turns that ended without its maintenance after runs were stopped or commands
+        aborted_count: Turns that ended without its maintenance after runs were stopped or commands
             failed.
         paused_until_s: Local time from which the machine may have its next turn.
         cordoned_since_s: Local time at which the present turn began; infinite for none.
         rejected_since_s: Local time of the first rejection in this turn; infinite for none.
         failed_since_s: Local time of the first command in this turn that got no response or was
             limited, or from which machines were not listed; infinite for none.
-        held_since_s: Local time since which no run of some step may be stopped; infinite for none.
+        blocked_since_s: Local time since which the budget of some step permits no stop; infinite
+            if all do.
         has_stopped_runs: Runs were stopped in this turn.
     """
 
     due_since_s: float = math.inf
-    vain_count: int = 0
+    aborted_count: int = 0
     paused_until_s: float = 0.0
     cordoned_since_s: float = math.inf
     rejected_since_s: float = math.inf
     failed_since_s: float = math.inf
-    held_since_s: float = math.inf
+    blocked_since_s: float = math.inf
     has_stopped_runs: bool = False
 
     @property
@@ -172,15 +173,15 @@
     def begin(self, now_s: float) -> None:
         """Begin a turn."""
         self.cordoned_since_s = now_s
-        self.rejected_since_s = self.failed_since_s = self.held_since_s = math.inf
+        self.rejected_since_s = self.failed_since_s = self.blocked_since_s = math.inf
         self.has_stopped_runs = False
 
     def end(self) -> None:
         """End the turn because the maintenance has begun or is no longer wanted."""
         self.cordoned_since_s = math.inf
 
-    def end_in_vain(self, now_s: float) -> float:
-        """End the turn without the maintenance.
+    def abort(self, now_s: float) -> float:
+        """End the turn without its maintenance.
 
         Returns:
             The pause until the next turn in seconds, during which the machine runs tasks.
@@ -191,8 +192,8 @@
         self.end()
         if not (has_failed or self.has_stopped_runs):
             return 0.0
-        pause_s = min(TURN_PAUSE_S * 2.0 ** min(self.vain_count, 10), MAX_TURN_PAUSE_S)
-        self.vain_count += 1
+        pause_s = min(TURN_PAUSE_S * 2.0 ** min(self.aborted_count, 10), MAX_TURN_PAUSE_S)
+        self.aborted_count += 1
         self.paused_until_s = now_s + pause_s
         return pause_s
 
@@ -244,8 +245,8 @@
         return max(0.0, self.wave.within_s / rounds - down_s - SCHEDULE_MARGIN_S)
 
 
-class _SpareTasks:
-    """Lasting tasks that may still be taken down in one decision, by step.
+class _DisruptionBudgets:
+    """Numbers of lasting tasks of each step that may still be taken down in one decision.
 
     Args:
         registry: Unfinished jobs.
@@ -267,13 +268,13 @@
             self._left[key] = step.max_unavailable - (len(members) - available)
         return key
 
-    def may_be_stopped(self, tasks: Iterable[Task]) -> bool:
-        """Return whether each step that has assigned runs among the tasks can spare one of them."""
+    def permit_progress(self, tasks: Iterable[Task]) -> bool:
+        """Return whether each step with assigned runs among the tasks may lose one of them."""
         keys = {self._key(task) for task in tasks if task.state is TaskState.ASSIGNED}
         return all(self._left[key] > 0 for key in keys if key is not None)
 
     def take(self, tasks: Iterable[Task]) -> list[Task]:
-        """Return the runs to stop among the tasks, which later calls do not have to spare."""
+        """Return the runs to stop among the tasks, and charge them to their budgets."""
         stops: list[Task] = []
         for task in tasks:
             if task.state is not TaskState.ASSIGNED:
@@ -430,17 +431,17 @@
             Runs to be stopped because the drain timeout of their machine has passed.
         """
         is_responding = self._now_s() - self._listed_s <= LISTING_TIMEOUT_S
-        spare = _SpareTasks(self._registry)
+        budgets = _DisruptionBudgets(self._registry)
         stops: list[Task] = []
         for wave in self._waves.values():
-            self._end_turns_in_vain(wave)
+            self._abort_turns(wave)
             for machine in wave.cordoned:
                 if is_responding:
-                    stops += self._advance(wave, machine, spare)
+                    stops += self._advance(wave, machine, budgets)
                 else:
                     wave.turns[machine].note_failure(self._now_s())
-            for machine in self._begin_turns(wave, spare) if is_responding else ():
-                stops += self._advance(wave, machine, spare)
+            for machine in self._begin_turns(wave, budgets) if is_responding else ():
+                stops += self._advance(wave, machine, budgets)
         return stops
 
     def _is_drained(self, wave: _OpenWave, machine: str, tasks: Iterable[Task]) -> bool:
@@ -452,49 +453,49 @@
         are_lasting = all(self._registry.jobs[t.id.job_id].step(t.id).is_lasting for t in tasks)
         return are_lasting and self._may_command()
 
-    def _advance(self, wave: _OpenWave, machine: str, spare: _SpareTasks) -> list[Task]:
+    def _advance(self, wave: _OpenWave, machine: str, budgets: _DisruptionBudgets) -> list[Task]:
         """Return the runs to stop on a cordoned machine, or queue its command if it has none."""
         turns = wave.turns[machine]
         tasks = self._tasks(machine)
         now_s = self._now_s()
         if not tasks:
-            turns.held_since_s = math.inf
+            turns.blocked_since_s = math.inf
             if not turns.is_failing(now_s):
                 self._queue_command(wave.wave.number, machine)
             return []
-        if not spare.may_be_stopped(tasks):
-            turns.held_since_s = min(turns.held_since_s, now_s)
+        if not budgets.permit_progress(tasks):
+            turns.blocked_since_s = min(turns.blocked_since_s, now_s)
             return []
-        turns.held_since_s = math.inf
+        turns.blocked_since_s = math.inf
         if not self._is_drained(wave, machine, tasks):
             return []
-        stops = spare.take(tasks)
+        stops = budgets.take(tasks)
         turns.has_stopped_runs = turns.has_stopped_runs or bool(stops)
         return stops
 
-    def _end_turns_in_vain(self, wave: _OpenWave) -> None:
+    def _abort_turns(self, wave: _OpenWave) -> None:
         """Release machines whose maintenance cannot begin, so that they run tasks meanwhile.
 
         A machine to which a command is queued, or may still take effect, stays cordoned: it might
         go down with runs on it, and beside the next machine.
         """
         now_s = self._now_s()
-        hold_limit_s = self._access.down_s + HOLD_GRACE_S
+        blocked_limit_s = self._access.down_s + BLOCKED_GRACE_S
         for machine in wave.cordoned:
             turns = wave.turns[machine]
-            is_held = now_s - turns.held_since_s >= hold_limit_s
+            is_blocked = now_s - turns.blocked_since_s >= blocked_limit_s
             is_settled = now_s - wave.unanswered_s.get(machine, -math.inf) >= LATE_COMMAND_S
             is_queued = (wave.wave.number, machine) in self._commands
-            if (is_held or turns.is_failing(now_s)) and is_settled and not is_queued:
+            if (is_blocked or turns.is_failing(now_s)) and is_settled and not is_queued:
                 log_event(
                     MACHINE_RELEASED,
                     wave=wave.wave.number,
                     machine=machine,
-                    reason="held" if is_held else "failing",
-                    pause_s=turns.end_in_vain(now_s),
+                    reason="blocked" if is_blocked else "failing",
+                    pause_s=turns.abort(now_s),
                 )
 
-    def _begin_turns(self, wave: _OpenWave, spare: _SpareTasks) -> list[str]:
+    def _begin_turns(self, wave: _OpenWave, budgets: _DisruptionBudgets) -> list[str]:
         """Cordon machines whose runs may be stopped, and return them."""
         known = [m for m in wave.wave.machines if m in self._machines]
         cordoned = wave.cordoned
@@ -508,14 +509,14 @@
             and m not in cordoned
             and now_s >= wave.turns_of(m).paused_until_s
         ]
-        waiting.sort(key=lambda m: (wave.turns_of(m).vain_count, len(self._tasks(m))))
+        waiting.sort(key=lambda m: (wave.turns_of(m).aborted_count, len(self._tasks(m))))
         begun: list[str] = []
         for machine in waiting:
             if len(begun) >= free:
                 break
             turns = wave.turns_of(machine)
             turns.due_since_s = min(turns.due_since_s, now_s)
-            if spare.may_be_stopped(self._tasks(machine)):
+            if budgets.permit_progress(self._tasks(machine)):
                 turns.begin(now_s)
                 begun.append(machine)
         return begun
--- a/src/foxtailwell/workflows/_placement.py
+++ b/src/foxtailwell/workflows/_placement.py
@@ -41,8 +41,8 @@
 ZERO_VALUE_FACTOR = 3.0
 """Multiple of the target time after which completing a job has no value to its client."""
 
-MAX_SEARCHED = 50_000
-"""Workers and runs that one plan looks at for the units of each priority.
+MAX_EXAMINED = 50_000
+"""Workers and runs that one plan examines for the units of each priority.
 
 The other units are left to the next plan, so that the caller can do something else in between.
 """
@@ -118,21 +118,21 @@
     """Looks for room for one unit after the other, within the limit of a plan.
 
     Attributes:
-        looked_at: Workers and runs that were looked at, by priority of the units.
+        examined: Workers and runs that were examined, by priority of the units.
     """
 
     capacity: FreeCapacity
-    looked_at: dict[int, int] = field(default_factory=dict)
+    examined: dict[int, int] = field(default_factory=dict)
     _unplaced: FailedSearches = field(default_factory=FailedSearches)
     _unpreempted: FailedSearches = field(default_factory=FailedSearches)
 
     def is_exhausted(self, unit: SchedulingUnit) -> bool:
         """Return whether the plan has looked for room for units of this priority long enough."""
-        return self.looked_at.get(unit.queue.priority, 0) >= MAX_SEARCHED
+        return self.examined.get(unit.queue.priority, 0) >= MAX_EXAMINED
 
     def _count(self, unit: SchedulingUnit, number: int) -> None:
         priority = unit.queue.priority
-        self.looked_at[priority] = self.looked_at.get(priority, 0) + number
+        self.examined[priority] = self.examined.get(priority, 0) + number
 
     def place(self, unit: SchedulingUnit) -> dict[TaskId, str]:
         """Return workers for the tasks of a unit, for some of them if the unit may be split."""
--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -167,7 +167,7 @@
         searched |= frozenset(now)
         rounds += 1
     pairs = len(sizes) * count * 2 + len(sizes) * count * len(victims)
-    assert rounds <= 2 + pairs / placement.MAX_SEARCHED
+    assert rounds <= 2 + pairs / placement.MAX_EXAMINED
 
 
 @pytest.mark.parametrize("seed", range(40))
--- a/tests/test_waves_beside_services.py
+++ b/tests/test_waves_beside_services.py
@@ -12,8 +12,8 @@
 from foxtailwell.controller import MaintenanceAccess
 from foxtailwell.controller import _maintenance as maintenance
 from foxtailwell.controller._maintenance import (
+    BLOCKED_GRACE_S,
     FIRST_COMMAND_DELAY_S,
-    HOLD_GRACE_S,
     LISTING_TIMEOUT_S,
     MachinesListed,
     MaintenanceCommandFinished,
@@ -251,7 +251,7 @@
     site.lose("m3")
     released_s = site.tick_until(lambda: not site.cordoned(), 20.0)
     assert released_s is not None
-    assert released_s <= DOWN_S + HOLD_GRACE_S + 2 * TICK_S
+    assert released_s <= DOWN_S + BLOCKED_GRACE_S + 2 * TICK_S
     assert site.tick_until(lambda: site.run_short("m0", 5.0), TICK_S) is not None
     site.tick_until(lambda: False, 60.0)
     assert site.lost_work == 0
@@ -299,7 +299,7 @@
     while not site.is_completed():
         accepted = sum(site.run_short(f"m{n}", TICK_S) for n in range(8))
         idle_s = 0.0 if accepted else idle_s + TICK_S
-        assert idle_s <= DOWN_S + HOLD_GRACE_S + 2 * TICK_S
+        assert idle_s <= DOWN_S + BLOCKED_GRACE_S + 2 * TICK_S
         site.tick()
         assert site.now_s < 300.0
     assert site.faults == []
@@ -366,7 +366,7 @@
         machines = source.sample(range(count), source.randint(1, count))
         max_count = source.randint(1, len(machines))
         await site.request(machines, max_count=max_count, within_s=source.choice((1, 10, 90)))
-        held_s = dict.fromkeys(site.machines, 0.0)
+        blocked_s = dict.fromkeys(site.machines, 0.0)
         for _ in range(400):
             for machine in site.machines:
                 if source.random() < 0.05:
@@ -377,15 +377,15 @@
                 site.lost.discard(source.choice(sorted(site.lost)))
             site.tick()
             is_short = site.max_unavailable is not None and site.away() >= site.max_unavailable
-            for machine in held_s:
+            for machine in blocked_s:
                 has_task = any(
                     task.id.job_id == SERVICE and task.state is TaskState.ASSIGNED
                     for task in site.registry.placed_on(machine.replace("m", "w"))
                 )
-                is_held = is_short and has_task and machine in site.cordoned()
-                held_s[machine] = held_s[machine] + TICK_S if is_held else 0.0
-            if max(held_s.values()) > DOWN_S + HOLD_GRACE_S + 3 * TICK_S:
-                site.faults.append("held")
+                is_blocked = is_short and has_task and machine in site.cordoned()
+                blocked_s[machine] = blocked_s[machine] + TICK_S if is_blocked else 0.0
+            if max(blocked_s.values()) > DOWN_S + BLOCKED_GRACE_S + 3 * TICK_S:
+                site.faults.append("blocked")
         site.lost.clear()
         site.count = max(count, site.tasks) + 1
         if site.tick_until(site.is_completed, 45.0 * len(machines)) is None:
@@ -405,7 +405,7 @@
     "tasks that may not be stopped are": (
         "AVAIL",
         lambda patch: patch.setattr(
-            maintenance._SpareTasks,
+            maintenance._DisruptionBudgets,
             "take",
             lambda _, tasks: [t for t in tasks if t.state is TaskState.ASSIGNED],
         ),
@@ -413,20 +413,20 @@
     "each machine counts for itself": (
         "AVAIL",
         lambda patch: patch.setattr(
-            maintenance._SpareTasks,
+            maintenance._DisruptionBudgets,
             "take",
-            lambda spare, tasks: type(spare)(spare._registry)._take_own(tasks),
+            lambda spare, tasks: type(spare)(spare._registry)._take_separately(tasks),
         ),
     ),
     "held machines are never released": (
-        "held",
-        lambda patch: patch.setattr(maintenance, "HOLD_GRACE_S", 10**6),
+        "blocked",
+        lambda patch: patch.setattr(maintenance, "BLOCKED_GRACE_S", 10**6),
     ),
     "released machines have no further turn": (
         "not completed",
         lambda patch: patch.setattr(
             maintenance._Turns,
-            "end_in_vain",
+            "abort",
             lambda turns, _: (turns.end(), setattr(turns, "paused_until_s", 10**9))[0] or 0.0,
         ),
     ),
@@ -437,7 +437,7 @@
 def test_random_waves_find_a_missing_rule(name, monkeypatch):
     """Guards against random waves that would not notice a broken rule."""
     fault, mutate = MUTANTS[name]
-    take = maintenance._SpareTasks.take
-    monkeypatch.setattr(maintenance._SpareTasks, "_take_own", take, raising=False)
+    take = maintenance._DisruptionBudgets.take
+    monkeypatch.setattr(maintenance._DisruptionBudgets, "_take_separately", take, raising=False)
     mutate(monkeypatch)
     assert any(fault in random_faults(seed) for seed in range(40))
