Mixed builds: fill in the defaults that submissions leave out

The check of the fields of stored records failed for each kind of submission, as these leave out fields with default values now. That is intended: earlier versions fill in the same defaults. The check compares the fields after the defaults of the dataclasses are filled in, so that a field that is added, renamed, or left out without a default still fails.

--- a/scripts/check_mixed_builds.py
+++ b/scripts/check_mixed_builds.py
@@ -22,14 +22,15 @@
 import time
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
-from dataclasses import replace
+from dataclasses import MISSING, replace
+from dataclasses import fields as fields_of
 from pathlib import Path
 from typing import Any
 
 import anyio
 import msgspec
 
-from foxtailwell.workflows import Resources
+from foxtailwell.workflows import Resources, Step, Submission
 from foxtailwell_bench.deployment import LocalDeployment, check_worker_log
 from foxtailwell_standins.platform_server import (
     encode_entry,
@@ -447,7 +448,8 @@
     def record_fields(self) -> dict[str, set[str]]:
         """Return the field names of the stored submissions and progress records.
 
-        Fields that the newer build adds are left out.
+        Fields that the newer build adds are left out, and fields of submissions that it leaves out
+        because they have their default values are filled in.
         """
         found: dict[str, set[str]] = {}
         for key, item in self.store.items.items():
@@ -456,6 +458,9 @@
                     value = json.loads(item.value)
                     for name in ADDED_FIELDS[prefix]:
                         value.pop(name, None)
+                    if "steps" in value:
+                        value = _with_defaults(Submission, value)
+                        value["steps"] = [_with_defaults(Step, step) for step in value["steps"]]
                     found.setdefault(prefix, set()).add(
                         json.dumps(
                             {n: sorted(v[0]) if n == "steps" else None for n, v in value.items()}
@@ -470,6 +475,18 @@
         return [(s.run, s.worker) for s in spans if (s.task, s.payload) == run_of]
 
 
+def _with_defaults(
+    data_class: type[Submission] | type[Step], value: dict[str, Any]
+) -> dict[str, Any]:
+    """Return a stored dataclass with the absent fields that have defaults, and all others."""
+    filled = {
+        field.name: value.get(field.name, field.default)
+        for field in fields_of(data_class)
+        if field.name in value or field.default is not MISSING
+    }
+    return filled | value
+
+
 def _http(address: str, method: str, path: str, body: object) -> tuple[int, Any]:
     host, _, port = address.rpartition(":")
     connection = http.client.HTTPConnection(host, int(port), timeout=10)
