Compare a unit with a bounded number of failed demands in a plan

Cause: each unit was compared with all demands that had failed in the plan, which the bound on what a plan examines did not count.

Now 16 demands are kept for each set of constraints. A demand that is not kept costs a search, which is counted; no decision depends on it.

Test: the shape "incomparable" of test_calls_of_a_plan_grow_no_faster, both cases seen to fail before.

--- a/src/foxtailwell/workflows/_failed_searches.py
+++ b/src/foxtailwell/workflows/_failed_searches.py
@@ -9,6 +9,9 @@
 
 __all__ = ["Demand", "FailedSearches"]
 
+MAX_KNOWN = 16
+"""Limit of the failed demands with the same constraints, as each unit is compared with all."""
+
 
 @dataclass(frozen=True, slots=True)
 class Demand:
@@ -48,4 +51,5 @@
     def add(self, demand: Demand) -> None:
         """Record that a search among all workers has failed."""
         known = self._failed.get(demand.constraints, [])
-        self._failed[demand.constraints] = [d for d in known if not demand.covers(d)] + [demand]
+        kept = [other for other in known if not demand.covers(other)]
+        self._failed[demand.constraints] = [*kept, demand][-MAX_KNOWN:]
--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -53,6 +53,8 @@
     "fan": lambda n: [Step(1, SMALL, 500, after=(0,) if i else ()) for i in range(n)],
     "join": lambda n: [Step(1, SMALL)] * (n - 1) + [Step(1, SMALL, after=tuple(range(n - 1)))],
     "two tasks": lambda n: [Step(2, SMALL, 500)] * (n // 2),
+    # No step needs at least as much as another one.
+    "incomparable": lambda n: [Step(1, Resources(9000 + i, 10**6 - i, 0), 500) for i in range(n)],
 }
 
 
