Step index and plan: derive open predecessors, and say conditions once

- StepIndex counts open predecessors from the followers that it has anyway, and no longer builds the set of each step's `after` a second time for each occurrence.
- The two searches of a plan shared most of a condition; it is one function.
- A task that an earlier run has completed was counted twice when it was not placed.
- The bookkeeping of deferred units returns early if there are none.

--- a/src/foxtailwell/controller/_controller.py
+++ b/src/foxtailwell/controller/_controller.py
@@ -484,12 +484,13 @@
 
     def _note_deferred(self, units: Iterable[SchedulingUnit], deferred: frozenset[UnitKey]) -> None:
         """Plan again at once if units were deferred, those first that no plan has considered."""
-        if deferred:
-            self.wake()
-        considered = frozenset(unit.key for unit in units) - deferred if deferred else frozenset()
-        searched = self._searched | considered
+        if not deferred:
+            self._searched = frozenset()
+            return
+        searched = self._searched | {unit.key for unit in units if unit.key not in deferred}
         # Each unit is considered once before any of the same priority is considered again.
         self._searched = frozenset() if deferred <= searched else searched
+        self.wake()
 
     def _stop_on_draining_workers(self, now_s: float) -> None:
         """Stop the runs that draining workers would cut off, in time to place them elsewhere."""
--- a/src/foxtailwell/workflows/_job_registry.py
+++ b/src/foxtailwell/workflows/_job_registry.py
@@ -368,9 +368,9 @@
             if member.is_placed:
                 member.is_completed_earlier = True
                 self.mark_stopping(member, StopReason.JOB_ENDED)
+                self._update(job, member)
             else:
                 self._set_done(job, member)
-            self._update(job, member)
         self.version += 1
         self.changed.add(task.id.job_id)
 
--- a/src/foxtailwell/workflows/_placement.py
+++ b/src/foxtailwell/workflows/_placement.py
@@ -141,9 +141,8 @@
             return {}
         self._count(unit, len(self.capacity.workers))
         placed = _place(self.capacity, unit, self.capacity.now_s)
-        # Other units fail for reasons of their own, or wait for some of the workers.
-        is_plain = not (unit.step.is_gang or unit.step.data_rack or unit.step.max_per_worker)
-        if is_plain and _is_free_of_limits(unit) and len(placed) < len(unit.tasks):
+        is_incomplete = len(placed) < len(unit.tasks)
+        if is_incomplete and not unit.step.is_gang and _fails_for_room_only(unit):
             self._unplaced.add(demand)
         return placed
 
@@ -161,8 +160,7 @@
         workers = self.capacity.eligible_workers(unit).workers
         self._count(unit, sum(1 + len(worker.running) for worker in workers))
         found = preempt(self.capacity, unit, stopping, now_s)
-        is_plain = not (unit.step.is_same_rack or unit.step.data_rack or unit.step.max_per_worker)
-        if found is None and is_plain and _is_free_of_limits(unit):
+        if found is None and not unit.step.is_same_rack and _fails_for_room_only(unit):
             self._unpreempted.add(demand)
         return found
 
@@ -181,9 +179,10 @@
         return Demand(constraints, step.request, step.estimate_ms, count)
 
 
-def _is_free_of_limits(unit: SchedulingUnit) -> bool:
-    """Return whether a unit may start wherever the demand of its tasks is met."""
-    return unit.allowed is None and not (unit.is_suspect or unit.has_namesakes)
+def _fails_for_room_only(unit: SchedulingUnit) -> bool:
+    """Return whether a unit starts wherever there is room, and does not wait for some workers."""
+    is_limited = unit.is_suspect or unit.has_namesakes or bool(unit.step.max_per_worker)
+    return unit.allowed is None and not (is_limited or unit.step.data_rack)
 
 
 def _sort_key(
--- a/src/foxtailwell/workflows/_step_index.py
+++ b/src/foxtailwell/workflows/_step_index.py
@@ -28,7 +28,7 @@
     """
 
     tasks: tuple[Task, ...]
-    open_predecessors: int
+    open_predecessors: int = 0
     undone_count: int = 0
     waiting_count: int = 0
     is_listed: bool = False
@@ -114,9 +114,9 @@
                 for number, step in enumerate(self._submission.steps)
             ]
             for earlier, followers in self._followers.items():
-                if not states[earlier].undone_count:
+                if states[earlier].undone_count:
                     for number in followers:
-                        states[number].open_predecessors -= 1
+                        states[number].open_predecessors += 1
             self._states[occurrence] = states
         return states
 
@@ -125,7 +125,7 @@
         tasks = tuple(
             self._tasks[TaskId(job_id, occurrence, number, index)] for index in range(step.count)
         )
-        state = _StepState(tasks, len(set(step.after)))
+        state = _StepState(tasks)
         for task in tasks:
             task.is_counted_waiting = task.state is TaskState.WAITING
             state.waiting_count += task.is_counted_waiting
