Move the state of waves out of the module that makes their calls

A rejection is noted by a method like the other failures. No behaviour changes; the tests name the new module and keep their assertions.

--- a/src/foxtailwell/controller/_maintenance.py
+++ b/src/foxtailwell/controller/_maintenance.py
@@ -8,7 +8,7 @@
 
 import math
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import anyio
 from anyio.streams.memory import MemoryObjectSendStream
@@ -31,6 +31,7 @@
     wave_key,
 )
 from foxtailwell.controller._watch import ChangeBatch
+from foxtailwell.controller._waves import DisruptionBudgets, OpenWave
 from foxtailwell.workflows import (
     Committed,
     JobRegistry,
@@ -44,7 +45,6 @@
     Put,
     StoreCallError,
     Task,
-    TaskState,
 )
 
 __all__ = [
@@ -64,15 +64,6 @@
 MAX_RENEWAL_AGE_S = 1.2
 """Longest time since the last lease renewal to send a command; the lease lasts 1.5 s."""
 
-SCHEDULE_MARGIN_S = 2.0
-"""Time reserved for listings and stops within the time available for each machine."""
-
-REJECTION_GRACE_S = 1.0
-"""Time for which commands to a machine that rejects its maintenance are repeated at once."""
-
-FAILURE_GRACE_S = 5.0
-"""Time for which commands to a machine are repeated that get no response or are limited."""
-
 BLOCKED_GRACE_S = 3.0
 """Time beyond the maintenance of another machine for which a blocked machine stays cordoned.
 
@@ -85,15 +76,6 @@
 LATE_COMMAND_S = FIRST_COMMAND_DELAY_S
 """Time within which a command that got no response may still take effect."""
 
-TURN_PAUSE_S = 2.0
-"""Shortest time for which a machine runs tasks after an aborted turn until its next one.
-
-It doubles with each further one, because each turn stops what runs there.
-"""
-
-MAX_TURN_PAUSE_S = 32.0
-"""Longest time for which such a machine waits for its next turn."""
-
 _REJECTIONS = frozenset({MaintenanceOutcome.BUSY, MaintenanceOutcome.OTHER_WAVE})
 """Outcomes that concern one machine; others of its wave may be accepted meanwhile."""
 
@@ -138,156 +120,6 @@
 MaintenanceEvent = MachinesListed | MaintenanceCommandFinished
 
 
-@dataclass(slots=True)
-class _Turns:
-    """Turns of one machine, in each of which it is cordoned until its maintenance begins.
-
-    Attributes:
-        due_since_s: Local time from which its runs may continue for the drain timeout; infinite
-            before. Turns that other work prevents do not move it.
-        aborted_count: Turns that ended without its maintenance after runs were stopped or commands
-            failed.
-        paused_until_s: Local time from which the machine may have its next turn.
-        cordoned_since_s: Local time at which the present turn began; infinite for none.
-        rejected_since_s: Local time of the first rejection in this turn; infinite for none.
-        failed_since_s: Local time of the first command in this turn that got no response or was
-            limited, or from which machines were not listed; infinite for none.
-        blocked_since_s: Local time since which the budget of some step permits no stop; infinite
-            if all do.
-        has_stopped_runs: Runs were stopped in this turn.
-    """
-
-    due_since_s: float = math.inf
-    aborted_count: int = 0
-    paused_until_s: float = 0.0
-    cordoned_since_s: float = math.inf
-    rejected_since_s: float = math.inf
-    failed_since_s: float = math.inf
-    blocked_since_s: float = math.inf
-    has_stopped_runs: bool = False
-
-    @property
-    def is_cordoned(self) -> bool:
-        return self.cordoned_since_s < math.inf
-
-    def begin(self, now_s: float) -> None:
-        """Begin a turn."""
-        self.cordoned_since_s = now_s
-        self.rejected_since_s = self.failed_since_s = self.blocked_since_s = math.inf
-        self.has_stopped_runs = False
-
-    def end(self) -> None:
-        """End the turn because the maintenance has begun or is no longer wanted."""
-        self.cordoned_since_s = math.inf
-
-    def abort(self, now_s: float) -> float:
-        """End the turn without its maintenance.
-
-        Returns:
-            The pause until the next turn in seconds, during which the machine runs tasks.
-        """
-        has_failed = min(self.rejected_since_s, self.failed_since_s) < math.inf
-        if has_failed:
-            self.due_since_s = math.inf
-        self.end()
-        if not (has_failed or self.has_stopped_runs):
-            return 0.0
-        pause_s = min(TURN_PAUSE_S * 2.0 ** min(self.aborted_count, 10), MAX_TURN_PAUSE_S)
-        self.aborted_count += 1
-        self.paused_until_s = now_s + pause_s
-        return pause_s
-
-    def note_failure(self, now_s: float) -> None:
-        """Record that the machine interface does not carry out commands now."""
-        self.failed_since_s = min(self.failed_since_s, now_s)
-
-    def is_failing(self, now_s: float) -> bool:
-        """Return whether commands have failed for so long that no further one is sent."""
-        return (
-            now_s - self.rejected_since_s >= REJECTION_GRACE_S
-            or now_s - self.failed_since_s >= FAILURE_GRACE_S
-        )
-
-
-@dataclass(slots=True)
-class _OpenWave:
-    """A maintenance wave in progress.
-
-    Attributes:
-        turns: Turns of its machines.
-        settled_since_s: Local times at which the maintenance of machines began or they were
-            removed.
-        unanswered_s: Local times at which commands to machines last got no response.
-    """
-
-    wave: MaintenanceWave
-    turns: dict[str, _Turns] = field(default_factory=dict)
-    settled_since_s: dict[str, float] = field(default_factory=dict)
-    unanswered_s: dict[str, float] = field(default_factory=dict)
-
-    def turns_of(self, machine: str) -> _Turns:
-        """Return the turns of a machine of the wave."""
-        return self.turns.setdefault(machine, _Turns())
-
-    @property
-    def cordoned(self) -> list[str]:
-        """Machines that have their turn, the longest cordoned first."""
-        found = [machine for machine, turns in self.turns.items() if turns.is_cordoned]
-        return sorted(found, key=lambda machine: self.turns[machine].cordoned_since_s)
-
-    @property
-    def is_complete(self) -> bool:
-        return self.settled_since_s.keys() >= set(self.wave.machines)
-
-    def drain_timeout_s(self, down_s: float) -> float:
-        """Return for how many seconds runs on a cordoned machine may continue until stopped."""
-        rounds = -(-len(self.wave.machines) // self.wave.max_count)
-        return max(0.0, self.wave.within_s / rounds - down_s - SCHEDULE_MARGIN_S)
-
-
-class _DisruptionBudgets:
-    """Numbers of lasting tasks of each step that may still be taken down in one decision.
-
-    Args:
-        registry: Unfinished jobs.
-    """
-
-    def __init__(self, registry: JobRegistry) -> None:
-        self._registry = registry
-        self._left: dict[tuple[str, int, int], int] = {}
-
-    def _key(self, task: Task) -> tuple[str, int, int] | None:
-        """Return the step of a task; None if any number of its tasks may be taken down."""
-        step = self._registry.jobs[task.id.job_id].step(task.id)
-        if not step.is_lasting or step.max_unavailable is None:
-            return None
-        key = (task.id.job_id, task.id.occurrence, task.id.step)
-        if key not in self._left:
-            members = self._registry.step_tasks(task.id)
-            available = sum(m.state is TaskState.ASSIGNED and m.percent >= 100 for m in members)
-            self._left[key] = step.max_unavailable - (len(members) - available)
-        return key
-
-    def permit_progress(self, tasks: Iterable[Task]) -> bool:
-        """Return whether each step with assigned runs among the tasks may lose one of them."""
-        keys = {self._key(task) for task in tasks if task.state is TaskState.ASSIGNED}
-        return all(self._left[key] > 0 for key in keys if key is not None)
-
-    def take(self, tasks: Iterable[Task]) -> list[Task]:
-        """Return the runs to stop among the tasks, and charge them to their budgets."""
-        stops: list[Task] = []
-        for task in tasks:
-            if task.state is not TaskState.ASSIGNED:
-                continue
-            key = self._key(task)
-            if key is not None:
-                if self._left[key] <= 0:
-                    continue
-                self._left[key] -= 1
-            stops.append(task)
-        return stops
-
-
 class MaintenanceCoordinator:
     """Cordons and drains machines, begins their maintenance, and publishes the state of waves.
 
@@ -320,7 +152,7 @@
         self._now_s = now_s
         self._events = events
         self._created_s = now_s()
-        self._waves: dict[int, _OpenWave] = {}
+        self._waves: dict[int, OpenWave] = {}
         self._machines: Mapping[str, Machine] = {}
         self._unlisted: frozenset[str] = frozenset()
         self._commands: list[tuple[int, str]] = []
@@ -366,7 +198,7 @@
         except RecordError as error:
             log_event(RECORD_UNREADABLE, key=wave_key(wave.number), reason=str(error))
         now_s = self._now_s()
-        self._waves[wave.number] = _OpenWave(wave, settled_since_s=dict.fromkeys(settled, now_s))
+        self._waves[wave.number] = OpenWave(wave, settled_since_s=dict.fromkeys(settled, now_s))
         log_event(WAVE_STARTED, wave=wave.number, machines=len(wave.machines), settled=len(settled))
         self._wake.set()
 
@@ -400,7 +232,7 @@
                 reason=event.outcome.value,
             )
         if event.outcome in _REJECTIONS:
-            turns.rejected_since_s = min(turns.rejected_since_s, now_s)
+            turns.note_rejection(now_s)
         else:
             turns.note_failure(now_s)
 
@@ -431,7 +263,7 @@
             Runs to be stopped because the drain timeout of their machine has passed.
         """
         is_responding = self._now_s() - self._listed_s <= LISTING_TIMEOUT_S
-        budgets = _DisruptionBudgets(self._registry)
+        budgets = DisruptionBudgets(self._registry)
         stops: list[Task] = []
         for wave in self._waves.values():
             self._abort_turns(wave)
@@ -444,7 +276,7 @@
                 stops += self._advance(wave, machine, budgets)
         return stops
 
-    def _is_drained(self, wave: _OpenWave, machine: str, tasks: Iterable[Task]) -> bool:
+    def _is_drained(self, wave: OpenWave, machine: str, tasks: Iterable[Task]) -> bool:
         """Return whether waiting for the runs on a machine to end by themselves is over."""
         now_s = self._now_s()
         drained_s = now_s - wave.turns_of(machine).due_since_s
@@ -453,7 +285,7 @@
         are_lasting = all(self._registry.jobs[t.id.job_id].step(t.id).is_lasting for t in tasks)
         return are_lasting and self._may_command()
 
-    def _advance(self, wave: _OpenWave, machine: str, budgets: _DisruptionBudgets) -> list[Task]:
+    def _advance(self, wave: OpenWave, machine: str, budgets: DisruptionBudgets) -> list[Task]:
         """Return the runs to stop on a cordoned machine, or queue its command if it has none."""
         turns = wave.turns[machine]
         tasks = self._tasks(machine)
@@ -473,7 +305,7 @@
         turns.has_stopped_runs = turns.has_stopped_runs or bool(stops)
         return stops
 
-    def _abort_turns(self, wave: _OpenWave) -> None:
+    def _abort_turns(self, wave: OpenWave) -> None:
         """Release machines whose maintenance cannot begin, so that they run tasks meanwhile.
 
         A machine to which a command is queued, or may still take effect, stays cordoned: it might
@@ -495,7 +327,7 @@
                     pause_s=turns.abort(now_s),
                 )
 
-    def _begin_turns(self, wave: _OpenWave, budgets: _DisruptionBudgets) -> list[str]:
+    def _begin_turns(self, wave: OpenWave, budgets: DisruptionBudgets) -> list[str]:
         """Cordon machines whose runs may be stopped, and return them."""
         known = [m for m in wave.wave.machines if m in self._machines]
         cordoned = wave.cordoned
@@ -521,7 +353,7 @@
                 begun.append(machine)
         return begun
 
-    def _is_down(self, wave: _OpenWave, machine: str) -> bool:
+    def _is_down(self, wave: OpenWave, machine: str) -> bool:
         # A listing sent before may still show the state of the machine before its maintenance.
         since_s = self._now_s() - wave.settled_since_s.get(machine, -math.inf)
         return since_s < self._access.down_s or self._machines[machine].state is not MachineState.UP
--- a/tests/test_waves_beside_services.py
+++ b/tests/test_waves_beside_services.py
@@ -11,6 +11,7 @@
 from controller_harness import LATER, step
 from foxtailwell.controller import MaintenanceAccess
 from foxtailwell.controller import _maintenance as maintenance
+from foxtailwell.controller import _waves as waves
 from foxtailwell.controller._maintenance import (
     BLOCKED_GRACE_S,
     FIRST_COMMAND_DELAY_S,
@@ -318,7 +319,7 @@
     """Guards against a machine that stays empty while its maintenance cannot begin."""
     site = Site(3, 0, outcome=outcome)
     await site.request([0], max_count=1, within_s=20)
-    limit_s = FIRST_COMMAND_DELAY_S + maintenance.FAILURE_GRACE_S + 4.0
+    limit_s = FIRST_COMMAND_DELAY_S + waves.FAILURE_GRACE_S + 4.0
     assert site.tick_until(lambda: site.run_short("m0", 1.0), TICK_S) is not None
     site.tick_until(lambda: bool(site.cordoned()), 1.0)
     assert site.tick_until(lambda: site.run_short("m0", 1.0), limit_s) is not None
@@ -332,7 +333,7 @@
     site = Site(3, 0)
     site.is_answering = False
     await site.request([0], max_count=1, within_s=1)
-    site.tick_until(lambda: False, LISTING_TIMEOUT_S + maintenance.FAILURE_GRACE_S + 4.0)
+    site.tick_until(lambda: False, LISTING_TIMEOUT_S + waves.FAILURE_GRACE_S + 4.0)
     for _ in range(100):
         assert site.run_short("m0", 60.0)
         site.tick()
@@ -405,7 +406,7 @@
     "tasks that may not be stopped are": (
         "AVAIL",
         lambda patch: patch.setattr(
-            maintenance._DisruptionBudgets,
+            waves.DisruptionBudgets,
             "take",
             lambda _, tasks: [t for t in tasks if t.state is TaskState.ASSIGNED],
         ),
@@ -413,7 +414,7 @@
     "each machine counts for itself": (
         "AVAIL",
         lambda patch: patch.setattr(
-            maintenance._DisruptionBudgets,
+            waves.DisruptionBudgets,
             "take",
             lambda spare, tasks: type(spare)(spare._registry)._take_separately(tasks),
         ),
@@ -425,7 +426,7 @@
     "released machines have no further turn": (
         "not completed",
         lambda patch: patch.setattr(
-            maintenance._Turns,
+            waves.Turns,
             "abort",
             lambda turns, _: (turns.end(), setattr(turns, "paused_until_s", 10**9))[0] or 0.0,
         ),
@@ -437,7 +438,7 @@
 def test_random_waves_find_a_missing_rule(name, monkeypatch):
     """Guards against random waves that would not notice a broken rule."""
     fault, mutate = MUTANTS[name]
-    take = maintenance._DisruptionBudgets.take
-    monkeypatch.setattr(maintenance._DisruptionBudgets, "_take_separately", take, raising=False)
+    take = waves.DisruptionBudgets.take
+    monkeypatch.setattr(waves.DisruptionBudgets, "_take_separately", take, raising=False)
     mutate(monkeypatch)
     assert any(fault in random_faults(seed) for seed in range(40))
