Soak: a call to a worker that restarts does not reach its next incarnation

Cause: restart_worker replaced the incarnation of a worker within one turn of the event loop, on open connections. Calls that were under way reached the next one. Starts ran there, and ended after 50 ms; a listing that had been sent before the restart acknowledged 9 to 37 ends of the former incarnation, and so discarded the new ones unread. The tasks were missing from the next listing and queued again. Jobs of few tasks have too few ends for that.

A process that ends takes its connections along, so the stand-in was wrong. A restart breaks the connections now, and the next incarnation begins after 0.25 s, once a call that was sent after the end has passed the link, so that none from before is under way. Starts that arrive late are a fault of their own as before, across a restart too. The protocol names no incarnation in an acknowledgement; what that leaves open is in docs/proof.md.

--- a/src/foxtailwell_soak/_faults.py
+++ b/src/foxtailwell_soak/_faults.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import math
 import random
 import signal
 import socket
 import time
 from collections.abc import Awaitable, Callable, Sequence
+from contextlib import suppress
 from dataclasses import dataclass, fields, replace
 
 import anyio
 from anyio.abc import TaskGroup
 
+from foxtailwell.adapters.http_connection import CallError, HttpEndpoint
 from foxtailwell_soak._fleet import (
     BOUNDS,
     HEARTBEAT_S,
@@ -53,6 +56,13 @@
 CHANGE_AFTER_S = 1.0
 """Time from a cut to the change behind it; as long, commands without a response wait next."""
 
+RESTART_S = 0.25
+"""Least time for which a restarting worker is silent."""
+
+MAX_FLIGHT_S = 2.0
+"""Time limit for a call on a link whose faults let it pass; the longest delay is 0.8 s there and
+back."""
+
 LATE_STARTS = 4
 """Most starts that a worker carries out late behind a cut."""
 
@@ -443,12 +453,28 @@
     # Workers
 
     async def restart_worker(self, fault: Fault) -> None:
-        """Restart a worker as a new incarnation under the same identifier."""
+        """Restart a worker as a new incarnation under the same identifier.
+
+        Its connections break, and the next incarnation begins when no call to the former one can
+        arrive any more; starts that do arrive late are a fault of their own.
+        """
         handle = self._fleet.workers[fault.target % len(self._fleet.workers)]
-        if not handle.is_removed:
-            handle.worker.restart()
+        if handle.is_removed:
+            return
+        handle.worker.crash(math.inf)
+        self._break_connections(handle)
+        await anyio.sleep(RESTART_S)
+        await _outlast_calls(handle)
+        handle.worker.end_silence()
+        if not handle.worker.is_silent and not handle.is_removed:
             self._fleet.publish(handle)
 
+    def _break_connections(self, handle: WorkerHandle) -> None:
+        # Instances do not notice it behind a silent link.
+        if handle.link.target not in self._silenced:
+            for connection in list(handle.link.connections):
+                handle.link.cut(connection)
+
     async def crash_many(self, fault: Fault) -> None:
         """Crash a random share of the workers together, for up to 1 s.
 
@@ -467,9 +493,8 @@
                 continue
             is_renamed = is_renaming and not handle.draining_s and not handle.is_cut_off
             self._fleet.crash(handle, fault.for_s / 4, is_renamed=is_renamed)
-            if fault.target % 2 and handle.link.target not in self._silenced:
-                for connection in list(handle.link.connections):
-                    handle.link.cut(connection)
+            if fault.target % 2:
+                self._break_connections(handle)
 
     async def refuse_commands(self, fault: Fault) -> None:
         """Make a worker refuse start and stop commands."""
@@ -560,6 +585,14 @@
             await anyio.sleep(0.05)
 
 
+async def _outlast_calls(handle: WorkerHandle) -> None:
+    """Wait until a call sent now has passed the link, so that none sent before is under way."""
+    endpoint = HttpEndpoint(handle.address)
+    with suppress(CallError):
+        await endpoint.call("GET", "/", timeout_s=MAX_FLIGHT_S)
+    endpoint.close()
+
+
 def _shrink(handle: WorkerHandle, fault: Fault) -> None:
     cores = 1 + fault.target % 3
     handle.resize(replace(WORKER_CAPACITY, cpu_millicores=cores * 1000, accelerators=cores))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,7 @@
 import re
 import time
 from concurrent.futures import ProcessPoolExecutor
+from contextlib import suppress
 from dataclasses import replace
 from itertools import pairwise
 
@@ -17,6 +18,7 @@
 from foxtailwell.adapters.events import DAEMON_STARTED
 from foxtailwell.adapters.http_connection import CallReply
 from foxtailwell.controller._links import max_lease_s
+from foxtailwell.platform.workers import connect_worker
 from foxtailwell.workflows import EndKind, Resources, StartCommand, TaskId, WorkerCallError
 from foxtailwell_soak import run_soak
 from foxtailwell_soak._checker import CAPACITY_GRACE_S, WAVE_S, Checker
@@ -48,9 +50,10 @@
 from foxtailwell_soak._fleet import HEARTBEAT_S as FLEET_HEARTBEAT_S
 from foxtailwell_soak._history import MAX_ATTEMPTS, History, JobRecord
 from foxtailwell_soak._operators import Operators
+from foxtailwell_standins.platform_server import serve_on_loopback, worker_app
 from foxtailwell_standins.platform_store import MemoryStore, StoreFaults
 from foxtailwell_standins.platform_worker import GangCoordinator, MemoryWorker, RunSpan
-from foxtailwell_standins.relay import LinkFailures, RelayState
+from foxtailwell_standins.relay import LinkFailures, RelayState, serve_relay
 
 SEED = 20261204
 REGRESSION_SEEDS = {
@@ -583,6 +586,40 @@
         group.cancel_scope.cancel()
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("is_silenced", [False, True])
+async def test_call_before_a_restart_does_not_reach_the_next_incarnation(
+    checked_worker, is_silenced
+):
+    """Guards against an acknowledgement of earlier ends that discards new ones unread."""
+    checker, history, handle = checked_worker
+    fleet, worker, link = checker._fleet, handle.worker, handle.link
+    injector = FaultInjector(fleet, Operators(fleet, history), random.Random(1), print)
+    worker.task_duration_s = 0.0
+    async with anyio.create_task_group() as group:
+        link.target = await serve_on_loopback(group, worker_app(worker))
+        handle.address = f"127.0.0.1:{await group.start(serve_relay, link, 0)}"
+        calls = connect_worker(worker.id, handle.address)
+        assert await calls.renew_lease(None, 1, 0, 0)
+
+        async def acknowledge():
+            with suppress(WorkerCallError):
+                await calls.renew_lease(None, 1, 7, 0)
+
+        link.set_failures(LinkFailures(delay_ms=400))
+        injector._silenced |= {link.target} if is_silenced else set()
+        group.start_soon(acknowledge)
+        await anyio.sleep(0.05)
+        await injector.restart_worker(Fault(0.0, "restart_worker", 0, 0.3))
+        await worker.start(StartCommand(TaskId(JOB, 0, 0, 0), 1, "1.0", ""), 10_000, 1)
+        worker.end_due_runs()
+        await anyio.sleep(0.5)
+        assert [end.number for end in worker.ended] == [1]
+        assert worker.boot_unix_ms == 2
+        calls.close()
+        group.cancel_scope.cancel()
+
+
 def test_checker_counts_a_run_once_if_its_worker_gets_another_identifier(checked_worker):
     """Guards against a checker that takes one run for two."""
     checker, history, handle = checked_worker
