Name the key of a scheduling unit once

It stands beside TaskId now, and TaskId.unit_key gives it for a task, which the budgets of waves and the tickets had each built themselves. The sum over all running tasks in a plan still builds it in place, as it is a hot path.

--- a/src/foxtailwell/controller/_runs.py
+++ b/src/foxtailwell/controller/_runs.py
@@ -259,7 +259,7 @@
             self._registry.confirm(task)
             return
         if event.outcome is CommandOutcome.NO_TICKET:
-            self._tickets.discard((task.id.job_id, task.id.occurrence, task.id.step), event.worker)
+            self._tickets.discard(task.id.unit_key, event.worker)
         else:
             self._workers.back_off(event.worker)
         if event.is_certain:
--- a/src/foxtailwell/controller/_tickets.py
+++ b/src/foxtailwell/controller/_tickets.py
@@ -15,6 +15,7 @@
     AdviceCallError,
     Advisor,
     SchedulingUnit,
+    UnitKey,
     WorkerEntry,
     client_job_id,
 )
@@ -30,8 +31,6 @@
 RETRY_PAUSE_S = 0.3
 """Pause after a failed call; the advisor refuses calls while many are waiting."""
 
-StepKey = tuple[str, int, int]
-
 
 @dataclass(frozen=True, slots=True)
 class AdviceReceived:
@@ -43,7 +42,7 @@
         valid_until_s: Local time until which the tickets are valid.
     """
 
-    key: StepKey
+    key: UnitKey
     incarnations: Mapping[str, int]
     tickets: Mapping[str, str]
     valid_until_s: float
@@ -58,7 +57,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _AdviceRequest:
-    key: StepKey
+    key: UnitKey
     incarnations: Mapping[str, int]
     valid_s: float
 
@@ -95,7 +94,7 @@
         self._advisor = advisor
         self._now_s = now_s
         self._events = events
-        self._steps: dict[StepKey, _StepTickets] = {}
+        self._steps: dict[UnitKey, _StepTickets] = {}
         self._requests: list[_AdviceRequest] = []
         self._is_urgent_turn = False
         self._wake = anyio.Event()
@@ -163,13 +162,13 @@
             else:
                 step.refused.add((worker, boot_unix_ms))
 
-    def ticket(self, key: StepKey, worker: str) -> str:
+    def ticket(self, key: UnitKey, worker: str) -> str:
         """Return the ticket for a start of a step on a worker; empty if there is none."""
         step = self._steps.get(key)
         found = step.tickets.get(worker) if step else None
         return found.text if found else ""
 
-    def discard(self, key: StepKey, worker: str) -> None:
+    def discard(self, key: UnitKey, worker: str) -> None:
         """Discard a ticket that its worker rejected, so that a new one is requested."""
         step = self._steps.get(key)
         if step is not None:
@@ -194,7 +193,7 @@
         self._step(chosen.key).asked_s = self._now_s()
         return chosen
 
-    def _step(self, key: StepKey) -> _StepTickets:
+    def _step(self, key: UnitKey) -> _StepTickets:
         return self._steps.setdefault(key, _StepTickets())
 
     async def run(self) -> None:
--- a/src/foxtailwell/controller/_waves.py
+++ b/src/foxtailwell/controller/_waves.py
@@ -161,7 +161,7 @@
         step = self._registry.jobs[task.id.job_id].step(task.id)
         if not step.is_lasting or step.max_unavailable is None:
             return None
-        key = (task.id.job_id, task.id.occurrence, task.id.step)
+        key = task.id.unit_key
         if key not in self._left:
             members = self._registry.step_tasks(task.id)
             available = sum(m.state is TaskState.ASSIGNED and m.percent >= 100 for m in members)
--- a/src/foxtailwell/workflows/__init__.py
+++ b/src/foxtailwell/workflows/__init__.py
@@ -33,7 +33,6 @@
     PoolUse,
     Reservation,
     RunningTask,
-    UnitKey,
     Wait,
     WorkerView,
 )
@@ -71,6 +70,7 @@
     Step,
     Submission,
     TaskId,
+    UnitKey,
     encode_submission,
     find_submission_fault,
     submission_digest,
--- a/src/foxtailwell/workflows/_capacity.py
+++ b/src/foxtailwell/workflows/_capacity.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 
 from foxtailwell.workflows._fleet_view import FleetView, Obstacle, PoolUse, Wait, WorkerView
-from foxtailwell.workflows._jobs import UNLIMITED_COPIES, Resources, TaskId
+from foxtailwell.workflows._jobs import UNLIMITED_COPIES, Resources, TaskId, UnitKey
 from foxtailwell.workflows._tasks import SchedulingUnit
 
 __all__ = [
@@ -67,7 +67,7 @@
 
     workers: Mapping[str, WorkerView]
     free: dict[str, Resources]
-    step_counts: dict[tuple[str, tuple[str, int, int]], int] = field(default_factory=dict)
+    step_counts: dict[tuple[str, UnitKey], int] = field(default_factory=dict)
     reserved_after_s: dict[str, float] = field(default_factory=dict)
     now_s: float = 0.0
     pool_use: Mapping[str, PoolUse] = field(default_factory=dict)
@@ -75,7 +75,7 @@
     serving_workers: set[str] = field(default_factory=set)
     filling_workers: set[str] = field(default_factory=set)
     suspects: dict[str, SchedulingUnit] = field(default_factory=dict)
-    starting: dict[str, set[tuple[str, int, int]]] = field(default_factory=dict)
+    starting: dict[str, set[UnitKey]] = field(default_factory=dict)
     placed_names: set[tuple[str, str]] = field(default_factory=set)
     overdue_workers: set[str] = field(default_factory=set)
     reservation_limit_s: float = math.inf
--- a/src/foxtailwell/workflows/_fleet_view.py
+++ b/src/foxtailwell/workflows/_fleet_view.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from foxtailwell.workflows._jobs import Resources, TaskId
+from foxtailwell.workflows._jobs import Resources, TaskId, UnitKey
 from foxtailwell.workflows._tasks import SchedulingUnit
 
 __all__ = [
@@ -22,14 +22,10 @@
     "PoolUse",
     "Reservation",
     "RunningTask",
-    "UnitKey",
     "Wait",
     "WorkerView",
 ]
 
-UnitKey = tuple[str, int, int]
-"""Job identifier, occurrence and index of the step."""
-
 HIGH_UTILIZATION = 0.55
 """Share of a pool in use above which a unit may wait longer for better workers than those with
 room."""
--- a/src/foxtailwell/workflows/_jobs.py
+++ b/src/foxtailwell/workflows/_jobs.py
@@ -24,6 +24,7 @@
     "Submission",
     "TaskId",
     "UNLIMITED_COPIES",
+    "UnitKey",
     "encode_submission",
     "find_submission_fault",
     "submission_digest",
@@ -38,6 +39,9 @@
 
 _DIGEST_BYTES = 8
 
+UnitKey = tuple[str, int, int]
+"""Job identifier, occurrence and index of the step."""
+
 MAX_NUMBER = 2**53
 """Largest number in a submission; every integer up to it is exact as a float."""
 
@@ -164,6 +168,11 @@
     step: int
     index: int
 
+    @property
+    def unit_key(self) -> UnitKey:
+        """Key of the scheduling unit that the task is planned with."""
+        return (self.job_id, self.occurrence, self.step)
+
     def __str__(self) -> str:
         """Return the identifier in the format of the worker protocol.
 
--- a/src/foxtailwell/workflows/_placement.py
+++ b/src/foxtailwell/workflows/_placement.py
@@ -22,11 +22,10 @@
     Placement,
     Plan,
     Reservation,
-    UnitKey,
     Wait,
     WorkerView,
 )
-from foxtailwell.workflows._jobs import Resources, TaskId
+from foxtailwell.workflows._jobs import Resources, TaskId, UnitKey
 from foxtailwell.workflows._preemption import preempt
 from foxtailwell.workflows._tasks import SchedulingUnit
 
--- a/src/foxtailwell/workflows/_tasks.py
+++ b/src/foxtailwell/workflows/_tasks.py
@@ -13,7 +13,7 @@
 
 from foxtailwell.workflows._crashes import CrashRecord, is_blamed, is_kept_alone, probation_s
 from foxtailwell.workflows._identifiers import RunNumbers
-from foxtailwell.workflows._jobs import JobState, Queue, Step, Submission, TaskId
+from foxtailwell.workflows._jobs import JobState, Queue, Step, Submission, TaskId, UnitKey
 
 __all__ = [
     "EndKind",
@@ -246,7 +246,7 @@
     names_in_use: frozenset[tuple[str, TaskId]] = frozenset()
 
     @property
-    def key(self) -> tuple[str, int, int]:
+    def key(self) -> UnitKey:
         """Job identifier, occurrence and index of the step."""
         return (self.job_id, self.occurrence, self.step_number)
 
