Build the unit of a job with namesakes in one step; say the turn in the order of a plan

ready_units built a unit and then replaced two of its fields. The docstring of the order of units left out that those an earlier plan has considered come last.

--- a/src/foxtailwell/workflows/_job_registry.py
+++ b/src/foxtailwell/workflows/_job_registry.py
@@ -527,10 +527,8 @@
                     or unit.has_namesakes
                 ):
                     waiting = _waiting_tasks(job.submission.steps[key[1]], steps.tasks(key))
-                    names = self._names_in_use(job, waiting) if has_namesakes else frozenset()
-                    unit = _unit(job, key, waiting, now_s, is_guaranteed=is_guaranteed)
-                    if has_namesakes:
-                        unit = replace(unit, has_namesakes=True, names_in_use=names)
+                    names = self._names_in_use(job, waiting) if has_namesakes else None
+                    unit = _unit(job, key, waiting, now_s, names, is_guaranteed=is_guaranteed)
                     steps.set_unit(key, unit)
                 units.append(unit)
         return units
@@ -554,9 +552,24 @@
 
 
 def _unit(
-    job: Job, key: StepKey, waiting: list[Task], now_s: float, *, is_guaranteed: bool
+    job: Job,
+    key: StepKey,
+    waiting: list[Task],
+    now_s: float,
+    names_in_use: frozenset[tuple[str, TaskId]] | None,
+    *,
+    is_guaranteed: bool,
 ) -> SchedulingUnit:
-    """Return the unit of the waiting tasks of a ready step."""
+    """Return the unit of the waiting tasks of a ready step.
+
+    Args:
+        job: Job of the step.
+        key: Occurrence and index of the step.
+        waiting: Tasks of the unit.
+        now_s: Local time.
+        names_in_use: Result of `_names_in_use`; None if the job has no namesakes.
+        is_guaranteed: The account's urgent jobs together fit into its guarantee.
+    """
     for task in waiting:
         # A value from before the last placement belongs to an earlier run.
         if task.waiting_since_s <= task.started_s:
@@ -577,6 +590,8 @@
         any(task.crashes for task in waiting),
         any(is_kept_alone(task.crashes) for task in waiting),
         min(task.waiting_since_s for task in waiting),
+        has_namesakes=names_in_use is not None,
+        names_in_use=names_in_use or frozenset(),
     )
 
 
--- a/src/foxtailwell/workflows/_placement.py
+++ b/src/foxtailwell/workflows/_placement.py
@@ -187,8 +187,9 @@
 def _sort_key(
     unit: SchedulingUnit, now_s: float, is_searched: bool
 ) -> tuple[int, bool, bool, int, float, str]:
-    """Sort by priority, guarantee, whether the targets can still be met, and deadline.
+    """Sort by priority, turn, guarantee, whether the targets can still be met, and deadline.
 
+    Units that an earlier plan has considered have their turn after those that it has deferred.
     Units that can still meet their deadline come first: under overload, serving the earliest
     deadline first would make every job slightly late.
     """
