Soak: keep a restarting worker unreachable by the fault that the stand-in has

restart_worker crashed the worker for ever and ended that silence by a method of its own. The stand-in's is_unreachable does the same, and leaves a silence of another fault alone.

--- a/src/foxtailwell_soak/_faults.py
+++ b/src/foxtailwell_soak/_faults.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 import signal
 import socket
@@ -60,8 +59,7 @@
 """Least time for which a restarting worker is silent."""
 
 MAX_FLIGHT_S = 2.0
-"""Time limit for a call on a link whose faults let it pass; the longest delay is 0.8 s there and
-back."""
+"""Time after which no earlier call is under way; delays of a link add up to 0.8 s."""
 
 LATE_STARTS = 4
 """Most starts that a worker carries out late behind a cut."""
@@ -461,11 +459,12 @@
         handle = self._fleet.workers[fault.target % len(self._fleet.workers)]
         if handle.is_removed:
             return
-        handle.worker.crash(math.inf)
+        handle.worker.restart()
+        handle.worker.faults.is_unreachable = True
         self._break_connections(handle)
         await anyio.sleep(RESTART_S)
         await _outlast_calls(handle)
-        handle.worker.end_silence()
+        handle.worker.faults.is_unreachable = False
         if not handle.worker.is_silent and not handle.is_removed:
             self._fleet.publish(handle)
 
--- a/src/foxtailwell_standins/platform_worker.py
+++ b/src/foxtailwell_standins/platform_worker.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import math
 import time
 from collections.abc import Callable, Mapping, Sequence
 from collections.abc import Set as AbstractSet
@@ -299,11 +298,6 @@
             self.id = next_id
             self._delayed.clear()
 
-    def end_silence(self) -> None:
-        """End the silence of a crash that has no end, and no other one."""
-        if math.isinf(self._silent_until_s):
-            self._silent_until_s = 0.0
-
     def end(self, task: str, kind: EndKind, checkpoint: str = "") -> None:
         """End a run of this worker, and the other members of its gang."""
         run = self.running.pop(task)
